--- /dev/null
+++ b/adapter/jsonhttp/jsonhttp.go
@@ -0,0 +1,91 @@
+// Package jsonhttp makes the JSON calls that the HTTP adapters share.
+package jsonhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// MaxReply bounds the size of a reply that is read, in bytes.
+const MaxReply = 64 << 20
+
+// DialFunc opens a connection; net.Dialer.DialContext is one.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Timeouts of connections to outside systems.
+const (
+	dialTimeout     = 2 * time.Second
+	idleConnTimeout = 30 * time.Second
+)
+
+// NewTransport returns a transport that dials with dial, or directly when
+// dial is nil. It uses no proxy.
+func NewTransport(dial DialFunc) *http.Transport {
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
+	}
+	return &http.Transport{
+		DialContext:         dial,
+		MaxIdleConnsPerHost: 64,
+		IdleConnTimeout:     idleConnTimeout,
+		DisableCompression:  true,
+	}
+}
+
+// Call sends body as JSON, or no body when it is nil, and reads the reply
+// into out when the status is below 300. It returns the status; the error is
+// that of the transport or of decoding.
+func Call(ctx context.Context, c *http.Client, method, url string, body, out any) (int, error) {
+	var reader io.Reader
+	if body != nil {
+		raw, err := json.Marshal(body)
+		if err != nil {
+			return 0, errors.Wrap(err, "encode call body")
+		}
+		reader = bytes.NewReader(raw)
+	}
+	req, err := http.NewRequestWithContext(ctx, method, url, reader)
+	if err != nil {
+		return 0, errors.Wrap(err, "make call")
+	}
+	req.Header.Set("Content-Type", "application/json")
+	return Do(c, req, out)
+}
+
+// Do sends req and reads the reply as Call does. A reply of 410 is decoded
+// into out too.
+func Do(c *http.Client, req *http.Request, out any) (int, error) {
+	resp, err := c.Do(req)
+	if err != nil {
+		return 0, errors.Wrap(err, "call")
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, MaxReply))
+	if err != nil {
+		return resp.StatusCode, errors.Wrap(err, "read reply")
+	}
+	decode := resp.StatusCode < http.StatusMultipleChoices || resp.StatusCode == http.StatusGone
+	if out == nil || !decode || len(raw) == 0 {
+		return resp.StatusCode, nil
+	}
+	return resp.StatusCode, errors.Wrap(json.Unmarshal(raw, out), "decode reply")
+}
+
+// Write writes v as the JSON reply with a status.
+func Write(w http.ResponseWriter, status int, v any) {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(raw) // a caller that is gone needs no reply
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,132 @@
+// Package daemon runs a node with its adapters as one process.
+package daemon
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/adapter/callerhttp"
+	"github.com/cicadanotch/cicadanotch/adapter/cloudhttp"
+	"github.com/cicadanotch/cicadanotch/adapter/enginehttp"
+	"github.com/cicadanotch/cicadanotch/adapter/jsonhttp"
+	"github.com/cicadanotch/cicadanotch/adapter/loghttp"
+	"github.com/cicadanotch/cicadanotch/adapter/peerrpc"
+	"github.com/cicadanotch/cicadanotch/adapter/servicehttp"
+	"github.com/cicadanotch/cicadanotch/node"
+)
+
+// Exit codes.
+const (
+	exitOK      = 0
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+// Listeners are the open sockets of a daemon.
+type Listeners struct {
+	Caller   net.Listener
+	Peer     net.Listener
+	Operator net.Listener
+}
+
+// Listen opens the addresses of the settings.
+func Listen(s node.Settings) (Listeners, error) {
+	var l Listeners
+	var err error
+	for _, open := range []struct {
+		field   string
+		address string
+		into    *net.Listener
+	}{
+		{"caller_address", s.CallerAddress, &l.Caller},
+		{"peer_address", s.PeerAddress, &l.Peer},
+		{"operator_address", s.OperatorAddress, &l.Operator},
+	} {
+		if *open.into, err = net.Listen("tcp", open.address); err != nil {
+			return l, errors.Wrapf(err, "field %q", open.field)
+		}
+	}
+	return l, nil
+}
+
+// Options are what a daemon takes beside its settings.
+type Options struct {
+	// Dial opens connections to the outside; nil dials directly.
+	Dial   jsonhttp.DialFunc
+	Logger *log.Logger
+}
+
+// Start starts a node with HTTP adapters at the listeners.
+func Start(s node.Settings, l Listeners, opts Options) *node.Node {
+	n := node.New(s, node.Ports{
+		Log:      loghttp.New(s.LogURL, opts.Dial),
+		Cloud:    cloudhttp.New(s.CloudURL, opts.Dial),
+		Engine:   enginehttp.New(opts.Dial),
+		Services: servicehttp.New(opts.Dial),
+		Peers:    peerrpc.NewClient(opts.Dial),
+		Logger:   opts.Logger,
+	})
+	peers := peerrpc.NewServer()
+	for method, handler := range n.PeerHandlers() {
+		peers.Handle(method, handler)
+	}
+	n.Start()
+	n.ServePeers(l.Peer, peers)
+	n.Serve(l.Caller, callerhttp.Handler(n))
+	n.Serve(l.Operator, n.OperatorHandler())
+	return n
+}
+
+// Main runs the daemon until a signal; it returns the exit code.
+func Main(args []string, stderr io.Writer) int {
+	flags := flag.NewFlagSet("cicadanotchd", flag.ContinueOnError)
+	flags.SetOutput(stderr)
+	path := flags.String("config", "", "settings `file`, JSON with comments (required)")
+	root := &ffcli.Command{
+		Name:       "cicadanotchd",
+		ShortUsage: "cicadanotchd --config FILE",
+		ShortHelp:  "Run one entry host.",
+		FlagSet:    flags,
+		Exec:       func(ctx context.Context, _ []string) error { return run(ctx, *path) },
+	}
+	err := root.ParseAndRun(context.Background(), args)
+	switch {
+	case err == nil, errors.Is(err, flag.ErrHelp):
+		return exitOK
+	case errors.Is(err, node.ErrSettings):
+		fmt.Fprintln(stderr, "cicadanotchd:", err)
+		return exitUsage
+	}
+	fmt.Fprintln(stderr, "cicadanotchd:", err)
+	return exitFailure
+}
+
+func run(ctx context.Context, path string) error {
+	if path == "" {
+		return errors.Wrap(node.ErrSettings, "flag --config is missing")
+	}
+	settings, err := node.LoadSettings(path)
+	if err != nil {
+		return err
+	}
+	listeners, err := Listen(settings)
+	if err != nil {
+		return err
+	}
+	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: os.Stderr}}
+	n := Start(settings, listeners, Options{Logger: logger})
+	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	<-ctx.Done()
+	return n.Stop()
+}
--- /dev/null
+++ b/node/hosts.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cicadanotch/cicadanotch/port"
+)
+
+// hostTable is what the platform's list and notices say of hosts.
+type hostTable struct {
+	mu      sync.RWMutex
+	hosts   []port.Host
+	notices map[string]port.Notice
+	after   int64
+}
+
+func newHostTable() *hostTable { return &hostTable{notices: map[string]port.Notice{}} }
+
+func (t *hostTable) set(hosts []port.Host) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hosts = hosts
+}
+
+func (t *hostTable) all() []port.Host {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return slices.Clone(t.hosts)
+}
+
+func (t *hostTable) add(n port.Notice) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.after = max(t.after, n.Sequence)
+	if n.Kind == port.NoticeWithdrawn {
+		delete(t.notices, n.Host)
+		return
+	}
+	t.notices[n.Host] = n
+}
+
+func (t *hostTable) lastNotice() int64 {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.after
+}
+
+// leaving reports whether a host is listed as leaving or under notice.
+func (t *hostTable) leaving(h port.Host) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	_, noticed := t.notices[h.ID]
+	return noticed || h.State == port.HostLeaving
+}
+
+const noticeWait = 2 * time.Second
+
+// watchNotices follows the cloud's notices.
+func (n *Node) watchNotices() error {
+	ctx := n.context()
+	for ctx.Err() == nil {
+		notices, err := n.ports.Cloud.Notices(ctx, n.hosts.lastNotice(), noticeWait)
+		if err != nil {
+			pause(ctx, tailRetry)
+			continue
+		}
+		for _, notice := range notices {
+			n.hosts.add(notice)
+			n.log.Info().Str("host", notice.Host).Str("kind", string(notice.Kind)).Time("deadline", notice.Deadline).Msg("notice received")
+		}
+		n.updateEndpoints()
+	}
+	return nil
+}
+
+// pollHosts reads the platform's list; on failure the last list stays.
+func (n *Node) pollHosts() {
+	hosts, err := n.ports.Cloud.Hosts(n.context())
+	if err != nil {
+		return
+	}
+	n.hosts.set(hosts)
+	n.updateEndpoints()
+}
+
+func (n *Node) updateEndpoints() {
+	var rows []endpointRow
+	for _, h := range n.hosts.all() {
+		if h.Role == port.RoleEndpoint {
+			rows = append(rows, endpointRow{host: h, leaving: n.hosts.leaving(h)})
+		}
+	}
+	n.endpoints.update(rows)
+}
--- /dev/null
+++ b/node/metrics.go
@@ -0,0 +1,42 @@
+package node
+
+import "github.com/prometheus/client_golang/prometheus"
+
+type metrics struct {
+	accepted      *prometheus.CounterVec
+	ended         *prometheus.CounterVec
+	attempts      *prometheus.CounterVec
+	droppedChunks *prometheus.CounterVec
+	firstToken    prometheus.Histogram
+	foldErrors    prometheus.Counter
+	logOffset     prometheus.Gauge
+}
+
+func newMetrics(r prometheus.Registerer) *metrics {
+	m := &metrics{
+		accepted: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cicadanotch_requests_accepted_total", Help: "Requests accepted, by service and workspace.",
+		}, []string{"service", "workspace"}),
+		ended: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cicadanotch_requests_ended_total", Help: "Requests ended, by service and end: whole, or the problem type.",
+		}, []string{"service", "end"}),
+		attempts: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cicadanotch_attempts_total", Help: "Attempts at endpoints, by service and result.",
+		}, []string{"service", "result"}),
+		droppedChunks: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cicadanotch_chunks_dropped_total", Help: "Chunks dropped, by reason: foreign, repeated, gap.",
+		}, []string{"reason"}),
+		firstToken: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "cicadanotch_first_token_seconds", Help: "Time from acceptance to the first token.",
+			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
+		}),
+		foldErrors: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cicadanotch_log_records_skipped_total", Help: "Log records skipped: malformed or of an unknown kind or version.",
+		}),
+		logOffset: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "cicadanotch_log_offset", Help: "Offset of the next log record to fold.",
+		}),
+	}
+	r.MustRegister(m.accepted, m.ended, m.attempts, m.droppedChunks, m.firstToken, m.foldErrors, m.logOffset)
+	return m
+}
--- /dev/null
+++ b/node/node.go
@@ -0,0 +1,131 @@
+// Package node wires the domain packages into one entry host: it answers
+// which address to use, accepts requests, routes them to endpoints and carries
+// its share of control work.
+//
+// Concurrency: each request runs in goroutines of its own; background jobs
+// run on a pool of workers over shared tables. Each table has its own lock and
+// none is held while another is taken, nor across a call to the outside.
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/pkg/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"gopkg.in/tomb.v2"
+
+	"github.com/cicadanotch/cicadanotch/claim"
+	"github.com/cicadanotch/cicadanotch/config"
+	"github.com/cicadanotch/cicadanotch/port"
+)
+
+// Ports are the adapters that a node uses.
+type Ports struct {
+	Log      port.Log
+	Cloud    port.Cloud
+	Engine   port.Engine
+	Services port.ServiceCaller
+	Peers    port.Peers
+	Logger   *log.Logger
+}
+
+// Node is one entry host.
+type Node struct {
+	settings Settings
+	ports    Ports
+	log      *log.Logger
+	tomb     tomb.Tomb
+	pool     *pool
+	metrics  *metrics
+	registry *prometheus.Registry
+
+	documents *config.Table
+	claims    *claim.Table
+	endpoints *endpointTable
+	hosts     *hostTable
+	requests  *requestTable
+	tail      *tail
+}
+
+// New returns a node that does nothing until Start.
+func New(settings Settings, ports Ports) *Node {
+	registry := prometheus.NewRegistry()
+	n := &Node{
+		settings:  settings.withDefaults(),
+		ports:     ports,
+		log:       ports.Logger,
+		metrics:   newMetrics(registry),
+		registry:  registry,
+		documents: config.NewTable(),
+		claims:    claim.NewTable(),
+		endpoints: newEndpointTable(),
+		hosts:     newHostTable(),
+		requests:  newRequestTable(),
+	}
+	if n.log == nil {
+		n.log = &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: discard{}}}
+	}
+	n.tail = newTail(n)
+	return n
+}
+
+type discard struct{}
+
+func (discard) Write(p []byte) (int, error) { return len(p), nil }
+
+// Start begins the background work.
+func (n *Node) Start() {
+	n.pool = newPool(n.settings.Workers, &n.tomb)
+	n.tomb.Go(n.tail.run)
+	n.pool.every(&n.tomb, "hosts", n.settings.PollInterval.Std(), n.pollHosts)
+	n.pool.every(&n.tomb, "loads", n.settings.LoadInterval.Std(), n.pollLoads)
+	n.pool.every(&n.tomb, "requests", time.Second, n.expireRequests)
+	n.tomb.Go(n.watchNotices)
+}
+
+// Stop ends the node at once and waits until its work has ended.
+func (n *Node) Stop() error {
+	n.tomb.Kill(nil)
+	return n.tomb.Wait()
+}
+
+// Host returns the id of the node's host.
+func (n *Node) Host() string { return n.settings.Host }
+
+// Settings returns the settings with defaults filled in.
+func (n *Node) Settings() Settings { return n.settings }
+
+// context returns a context that ends with the node.
+func (n *Node) context() context.Context { return n.tomb.Context(context.Background()) }
+
+// Serve serves handler at the listener until the node dies.
+func (n *Node) Serve(l net.Listener, handler http.Handler) {
+	server := &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	n.tomb.Go(func() error {
+		<-n.tomb.Dying()
+		return errors.Wrap(server.Close(), "close server")
+	})
+	n.tomb.Go(func() error {
+		err := server.Serve(l)
+		if errors.Is(err, http.ErrServerClosed) {
+			return nil
+		}
+		return errors.Wrapf(err, "serve %s", l.Addr())
+	})
+}
+
+// Limits of the HTTP servers.
+const (
+	readHeaderTimeout = 5 * time.Second
+	idleTimeout       = 60 * time.Second
+	maxHeaderBytes    = 32 << 10
+)
--- /dev/null
+++ b/node/operator.go
@@ -0,0 +1,62 @@
+package node
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/uptrace/bunrouter"
+
+	"github.com/cicadanotch/cicadanotch/config"
+	"github.com/cicadanotch/cicadanotch/port"
+)
+
+// State is the dump of a process's tables.
+type State struct {
+	Host      string                     `json:"host"`
+	LogOffset int64                      `json:"log_offset"`
+	Documents map[string]config.Revision `json:"documents"`
+	Hosts     []port.Host                `json:"hosts"`
+	Requests  []RequestState             `json:"requests"`
+}
+
+// RequestState is one row of the request table.
+type RequestState struct {
+	ID        string `json:"id"`
+	Service   string `json:"service"`
+	Workspace string `json:"workspace"`
+	Chunks    int    `json:"chunks"`
+	Ended     bool   `json:"ended"`
+}
+
+// State returns the dump of the node's tables.
+func (n *Node) State() State {
+	s := State{
+		Host:      n.settings.Host,
+		LogOffset: n.tail.offset(),
+		Documents: n.documents.All(),
+		Hosts:     n.hosts.all(),
+	}
+	for _, a := range n.requests.all() {
+		s.Requests = append(s.Requests, RequestState{
+			ID:        a.Request.ID.String(),
+			Service:   a.Request.Service,
+			Workspace: a.Request.Workspace,
+			Chunks:    a.Answer.Len(),
+			Ended:     a.Answer.Ended() != nil,
+		})
+	}
+	return s
+}
+
+// OperatorHandler serves state, metrics and health at the operators' address.
+func (n *Node) OperatorHandler() http.Handler {
+	router := bunrouter.New()
+	router.GET("/debug/state", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		return bunrouter.JSON(w, n.State())
+	})
+	router.GET("/metrics", bunrouter.HTTPHandler(promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})))
+	router.GET("/healthz", func(w http.ResponseWriter, _ bunrouter.Request) error {
+		return bunrouter.JSON(w, map[string]bool{"ok": true})
+	})
+	return router
+}
--- /dev/null
+++ b/node/peers.go
@@ -0,0 +1,45 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+
+	"github.com/cicadanotch/cicadanotch/port"
+)
+
+// Methods that peers call.
+const (
+	// MethodPing answers with the host's id.
+	MethodPing = "member.ping"
+)
+
+// PeerServer serves the peers' listener; package peerrpc has one.
+type PeerServer interface {
+	// Serve accepts connections until the listener is closed.
+	Serve(ctx context.Context, l net.Listener) error
+	// Close ends all connections.
+	Close()
+}
+
+// PeerHandlers returns the methods that peers may call.
+func (n *Node) PeerHandlers() map[string]port.PeerHandler {
+	return map[string]port.PeerHandler{
+		MethodPing: n.handlePing,
+	}
+}
+
+func (n *Node) handlePing(context.Context, json.RawMessage) (any, error) {
+	return n.settings.Host, nil
+}
+
+// ServePeers serves peers at the listener until the node dies.
+func (n *Node) ServePeers(l net.Listener, server PeerServer) {
+	n.tomb.Go(func() error { return server.Serve(n.context(), l) })
+	n.tomb.Go(func() error {
+		<-n.tomb.Dying()
+		err := l.Close()
+		server.Close()
+		return err
+	})
+}
--- /dev/null
+++ b/node/settings.go
@@ -0,0 +1,129 @@
+package node
+
+import (
+	"net"
+	"os"
+	"time"
+
+	"github.com/go-playground/validator/v10"
+	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/config"
+)
+
+// ErrSettings is returned for settings that fail their checks; the text names
+// field and line.
+var ErrSettings = errors.New("invalid settings")
+
+// Settings are what one entry host is told about itself. They are written in
+// JSON with comments.
+type Settings struct {
+	// Host is the host's id in the platform's list.
+	Host   string `json:"host" validate:"required"`
+	Region string `json:"region" validate:"required"`
+	Zone   string `json:"availability_zone" validate:"required"`
+	// CallerAddress, PeerAddress and OperatorAddress are the ip:port to
+	// listen at for callers, other entry hosts and operators.
+	CallerAddress   string `json:"caller_address" validate:"required,ip_port"`
+	PeerAddress     string `json:"peer_address" validate:"required,ip_port"`
+	OperatorAddress string `json:"operator_address" validate:"required,ip_port"`
+	// LogURL and CloudURL are the base URLs of the platform's services.
+	LogURL   string `json:"log_url" validate:"required,url"`
+	CloudURL string `json:"cloud_url" validate:"required,url"`
+	// PeerTLS holds the keys for mutual TLS between entry hosts.
+	PeerTLS *PeerTLS `json:"peer_tls,omitempty"`
+	// AllowPlainPeers permits peers without TLS beyond loopback.
+	AllowPlainPeers bool `json:"allow_plain_peers,omitempty"`
+	// Workers is the size of the pool that runs background jobs.
+	Workers int `json:"workers,omitempty" validate:"gte=0,lte=256"`
+	// PollInterval is the time between two polls of the platform's list.
+	PollInterval config.Duration `json:"poll_interval,omitempty"`
+	// LoadInterval is the time between two polls of an endpoint's load.
+	LoadInterval config.Duration `json:"load_interval,omitempty"`
+	// MaxBody bounds the body of a request, in bytes.
+	MaxBody int64 `json:"max_body_bytes,omitempty" validate:"gte=0"`
+}
+
+// PeerTLS names the PEM files of an entry host's key pair and of the
+// authority that signs those of its peers.
+type PeerTLS struct {
+	CertFile string `json:"cert_file" validate:"required"`
+	KeyFile  string `json:"key_file" validate:"required"`
+	CAFile   string `json:"ca_file" validate:"required"`
+}
+
+// Defaults of settings.
+const (
+	DefaultWorkers      = 8
+	DefaultPollInterval = 500 * time.Millisecond
+	DefaultLoadInterval = 200 * time.Millisecond
+	DefaultMaxBody      = 4 << 20
+)
+
+// LoadSettings reads a settings file; ErrSettings.
+func LoadSettings(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(ErrSettings, err.Error())
+	}
+	s, err := ParseSettings(text)
+	return s, errors.Wrap(err, path)
+}
+
+// ParseSettings reads settings, fills in defaults and checks them;
+// ErrSettings.
+func ParseSettings(text []byte) (Settings, error) {
+	var s Settings
+	if err := config.DecodeStrict(text, &s); err != nil {
+		return s, errors.Wrap(ErrSettings, err.Error())
+	}
+	if err := config.CheckStruct(settingsCheck, text, &s); err != nil {
+		return s, errors.Wrap(ErrSettings, err.Error())
+	}
+	s = s.withDefaults()
+	return s, s.checkPeerBind(text)
+}
+
+func (s Settings) withDefaults() Settings {
+	if s.Workers == 0 {
+		s.Workers = DefaultWorkers
+	}
+	if s.PollInterval == 0 {
+		s.PollInterval = config.Duration(DefaultPollInterval)
+	}
+	if s.LoadInterval == 0 {
+		s.LoadInterval = config.Duration(DefaultLoadInterval)
+	}
+	if s.MaxBody == 0 {
+		s.MaxBody = DefaultMaxBody
+	}
+	return s
+}
+
+// checkPeerBind refuses a peer port that is open to anyone.
+func (s Settings) checkPeerBind(text []byte) error {
+	if s.PeerTLS != nil || s.AllowPlainPeers {
+		return nil
+	}
+	host, _, err := net.SplitHostPort(s.PeerAddress)
+	if err == nil && net.ParseIP(host).IsLoopback() {
+		return nil
+	}
+	line := config.LineOfKey(text, "peer_address")
+	return errors.Wrapf(ErrSettings, `line %d: field "peer_address" is not loopback: set "peer_tls" or "allow_plain_peers"`, line)
+}
+
+var settingsCheck = newSettingsCheck()
+
+func newSettingsCheck() *validator.Validate {
+	v := validator.New(validator.WithRequiredStructEnabled())
+	v.RegisterTagNameFunc(config.JSONFieldName)
+	err := v.RegisterValidation("ip_port", func(f validator.FieldLevel) bool {
+		host, _, err := net.SplitHostPort(f.Field().String())
+		return err == nil && net.ParseIP(host) != nil
+	})
+	if err != nil {
+		panic(err) // a fixed tag and function: fails on every start or on none
+	}
+	return v
+}
--- /dev/null
+++ b/problem/problem.go
@@ -0,0 +1,145 @@
+// Package problem defines the refusals and failures that callers see, as
+// RFC 9457 problem documents with one member more: run, which says whether
+// the request ran.
+//
+// Invariant: run "not-run" can be written only with an Unsent value, and
+// those come only from a Guard on which Send was never called.
+package problem
+
+import (
+	"sync"
+	"time"
+)
+
+// Run says whether a request ran at an endpoint.
+type Run string
+
+// Values of Run.
+const (
+	RunNot     Run = "not-run"
+	RunUnknown Run = "unknown"
+	RunDone    Run = "ran"
+)
+
+// ContentType is the media type of a problem document.
+const ContentType = "application/problem+json"
+
+// Type names a kind of problem; it is the last part of the type URI.
+type Type string
+
+// Types of problems.
+const (
+	TypeBadRequest      Type = "bad-request"
+	TypeUnauthorized    Type = "unauthorized"
+	TypeNotFound        Type = "not-found"
+	TypeTooLarge        Type = "too-large"
+	TypeConflict        Type = "idempotency-conflict"
+	TypeOverloaded      Type = "overloaded"
+	TypeLimit           Type = "workspace-limit"
+	TypeTimeout         Type = "timeout"
+	TypeUnavailable     Type = "unavailable"
+	TypeQuarantined     Type = "quarantined"
+	TypeOutcomeUnknown  Type = "outcome-unknown"
+	TypeEndpointFailure Type = "endpoint-failure"
+	TypeLogUnavailable  Type = "log-unavailable"
+	TypeStopping        Type = "stopping"
+)
+
+// Problem is one problem document. RetryAfter is written as a header too.
+type Problem struct {
+	Type      Type   `json:"type"`
+	Title     string `json:"title"`
+	Status    int    `json:"status"`
+	Detail    string `json:"detail,omitempty"`
+	Run       Run    `json:"run"`
+	RequestID string `json:"request_id,omitempty"`
+	// RetryAfter is when to come back; zero for no advice.
+	RetryAfter time.Duration `json:"-"`
+}
+
+// Error makes a Problem an error.
+func (p *Problem) Error() string { return string(p.Type) + ": " + p.Detail }
+
+// Unsent proves that no byte of a request was sent to an endpoint. Only a
+// Guard makes one.
+type Unsent interface{ unsent() }
+
+type proof struct{}
+
+func (proof) unsent() {}
+
+// Guard watches over one request. Send is called right before the first byte
+// goes to an endpoint. The zero value is ready for use; safe for concurrent use.
+type Guard struct {
+	mu   sync.Mutex
+	sent bool
+}
+
+// Send records that bytes of the request may reach an endpoint from now on.
+func (g *Guard) Send() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.sent = true
+}
+
+// Unsent returns a proof when Send was never called.
+func (g *Guard) Unsent() (Unsent, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.sent {
+		return nil, false
+	}
+	return proof{}, true
+}
+
+// NotRun makes a refusal that says "not-run".
+func NotRun(p Unsent, status int, t Type, detail string) *Problem {
+	if p == nil {
+		return Unknown(status, t, detail)
+	}
+	return &Problem{Type: t, Title: title(t), Status: status, Detail: detail, Run: RunNot}
+}
+
+// Unknown makes a problem that leaves open whether the request ran.
+func Unknown(status int, t Type, detail string) *Problem {
+	return &Problem{Type: t, Title: title(t), Status: status, Detail: detail, Run: RunUnknown}
+}
+
+// Ran makes a problem about a request that ran.
+func Ran(status int, t Type, detail string) *Problem {
+	return &Problem{Type: t, Title: title(t), Status: status, Detail: detail, Run: RunDone}
+}
+
+// Refuse makes a problem that says "not-run" if the guard proves it and
+// "unknown" otherwise.
+func Refuse(g *Guard, status int, t Type, detail string) *Problem {
+	if p, ok := g.Unsent(); ok {
+		return NotRun(p, status, t, detail)
+	}
+	return Unknown(status, t, detail)
+}
+
+// WithRetryAfter sets the time to come back and returns p.
+func (p *Problem) WithRetryAfter(d time.Duration) *Problem {
+	p.RetryAfter = d
+	return p
+}
+
+var titles = map[Type]string{
+	TypeBadRequest:      "The request is malformed",
+	TypeUnauthorized:    "The workspace key is missing or unknown",
+	TypeNotFound:        "No such service, model or request",
+	TypeTooLarge:        "The request body is too large",
+	TypeConflict:        "The idempotency key was used with another body",
+	TypeOverloaded:      "The service cannot start the request in time",
+	TypeLimit:           "The workspace has reached a limit",
+	TypeTimeout:         "The request's deadline passed",
+	TypeUnavailable:     "No endpoint can take the request",
+	TypeQuarantined:     "The request is quarantined because endpoints died running it",
+	TypeOutcomeUnknown:  "Whether the order ran is unknown",
+	TypeEndpointFailure: "The endpoint failed",
+	TypeLogUnavailable:  "The platform's log does not answer",
+	TypeStopping:        "The entry host is stopping",
+}
+
+func title(t Type) string { return titles[t] }
--- /dev/null
+++ b/request/prompt.go
@@ -0,0 +1,107 @@
+package request
+
+import (
+	"encoding/json"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/port"
+)
+
+// ErrBadPrompt is returned for a body that is no generate call.
+var ErrBadPrompt = errors.New("malformed generate call")
+
+// Prompt is what the system reads of a generate call's body.
+type Prompt struct {
+	Model string
+	// Text is the whole prompt in the order in which the engine reads it.
+	Text      string
+	MaxTokens int
+	Stream    bool
+	// IncludeUsage asks for usage in the stream's last event.
+	IncludeUsage bool
+}
+
+type promptBody struct {
+	Model     string `json:"model"`
+	Stream    bool   `json:"stream"`
+	MaxTokens int    `json:"max_tokens"`
+	// MaxCompletionTokens replaces MaxTokens in newer clients.
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	N                   *int            `json:"n"`
+	Prompt              json.RawMessage `json:"prompt"`
+	Messages            []struct {
+		Role    string          `json:"role"`
+		Content json.RawMessage `json:"content"`
+	} `json:"messages"`
+	StreamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	} `json:"stream_options"`
+}
+
+// ParsePrompt reads the body of a generate call; ErrBadPrompt names the field.
+func ParsePrompt(api port.GenerateAPI, body []byte) (Prompt, error) {
+	var b promptBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		return Prompt{}, errors.Wrap(ErrBadPrompt, err.Error())
+	}
+	p := Prompt{
+		Model:        b.Model,
+		MaxTokens:    max(b.MaxTokens, b.MaxCompletionTokens),
+		Stream:       b.Stream,
+		IncludeUsage: b.StreamOptions.IncludeUsage,
+	}
+	if b.Model == "" {
+		return p, errors.Wrap(ErrBadPrompt, `field "model" is missing`)
+	}
+	if b.N != nil && *b.N != 1 {
+		return p, errors.Wrap(ErrBadPrompt, `field "n" must be 1`)
+	}
+	var err error
+	p.Text, err = b.text(api)
+	return p, err
+}
+
+func (b *promptBody) text(api port.GenerateAPI) (string, error) {
+	if api == port.APICompletion {
+		var text string
+		if err := json.Unmarshal(b.Prompt, &text); err != nil {
+			return "", errors.Wrap(ErrBadPrompt, `field "prompt" must be a string`)
+		}
+		return text, nil
+	}
+	if len(b.Messages) == 0 {
+		return "", errors.Wrap(ErrBadPrompt, `field "messages" is missing or empty`)
+	}
+	var out strings.Builder
+	for i, m := range b.Messages {
+		text, err := contentText(m.Content)
+		if err != nil {
+			return "", errors.Wrapf(ErrBadPrompt, `field "messages[%d].content": %v`, i, err)
+		}
+		out.WriteString(m.Role)
+		out.WriteByte('\n')
+		out.WriteString(text)
+		out.WriteByte('\n')
+	}
+	return out.String(), nil
+}
+
+// contentText reads a message's content: a string, or parts with text.
+func contentText(raw json.RawMessage) (string, error) {
+	var text string
+	if len(raw) == 0 || json.Unmarshal(raw, &text) == nil {
+		return text, nil
+	}
+	var parts []struct {
+		Text string `json:"text"`
+	}
+	if err := json.Unmarshal(raw, &parts); err != nil {
+		return "", errors.New("must be a string or a list of parts")
+	}
+	for _, p := range parts {
+		text += p.Text
+	}
+	return text, nil
+}
--- /dev/null
+++ b/standin/engine.go
@@ -0,0 +1,401 @@
+package standin
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/prefix"
+	"github.com/cicadanotch/cicadanotch/record"
+	"github.com/cicadanotch/cicadanotch/request"
+)
+
+var (
+	errCrashed   = errors.New("engine crashed")
+	errCancelled = errors.New("attempt cancelled")
+	errDraining  = errors.New("engine takes no new work")
+)
+
+// EngineOptions sets the size and speed of an Engine.
+type EngineOptions struct {
+	Models []string
+	// MaxRunning is how many requests run at once; zero means 16.
+	MaxRunning int
+	// PrefillTokensPerSecond is the prefill speed; zero means 8,000.
+	PrefillTokensPerSecond float64
+	// TokenInterval is the time between tokens with one request running;
+	// zero means 20 ms. Each further request adds BatchSlowdown of it.
+	TokenInterval time.Duration
+	BatchSlowdown float64
+	// CacheBlocks bounds the prefix cache; zero means 4,096.
+	CacheBlocks int
+	// EventLag and ReportLag delay cache events and load reports.
+	EventLag  time.Duration
+	ReportLag time.Duration
+	// KVBytesPerToken and TransferBytesPerSecond set the cost of transfers.
+	KVBytesPerToken        int64
+	TransferBytesPerSecond float64
+	// ChecksFencing makes the engine refuse orders with an old fence.
+	ChecksFencing bool
+	// CrashMarker crashes the engine when a prompt contains it.
+	CrashMarker string
+	// OnCrash is called once when the engine crashes.
+	OnCrash func()
+	Ledger  *Ledger
+	Faults  *Faults
+}
+
+func (o EngineOptions) withDefaults() EngineOptions {
+	if o.MaxRunning == 0 {
+		o.MaxRunning = 16
+	}
+	if o.PrefillTokensPerSecond == 0 {
+		o.PrefillTokensPerSecond = 8000
+	}
+	if o.TokenInterval == 0 {
+		o.TokenInterval = 20 * time.Millisecond
+	}
+	if o.CacheBlocks == 0 {
+		o.CacheBlocks = 4096
+	}
+	if o.KVBytesPerToken == 0 {
+		o.KVBytesPerToken = 128 << 10
+	}
+	if o.TransferBytesPerSecond == 0 {
+		o.TransferBytesPerSecond = 1 << 30
+	}
+	if o.Ledger == nil {
+		o.Ledger = NewLedger()
+	}
+	return o
+}
+
+// Engine is a model engine: continuous batching, one prefill at a time, a
+// bounded prefix cache, priorities, resume, cancel, KV export and import.
+// Its answers depend on the prompt alone, so that a test can check them.
+type Engine struct {
+	opts        EngineOptions
+	incarnation string
+	cache       *blockCache
+
+	mu         sync.Mutex
+	attempts   map[string]*run
+	waiting    []*run
+	running    int
+	prefilling bool
+	exports    map[string]kvState
+	imports    map[string]kvState
+	fence      int64
+	models     []string
+	orders     []port.Order
+	reports    []port.LoadReport
+	crashed    chan struct{}
+	crashOnce  sync.Once
+}
+
+type kvState struct {
+	Tokens int      `json:"tokens"`
+	Blocks []uint64 `json:"blocks"`
+}
+
+// run is one attempt inside the engine.
+type run struct {
+	req     port.GenerateRequest
+	prompt  request.Prompt
+	blocks  []uint64
+	granted chan struct{}
+	stop    chan struct{}
+	once    sync.Once
+	// index is the number of chunks made so far, over the whole answer.
+	index int
+	usage port.Usage
+}
+
+func (r *run) cancel() { r.once.Do(func() { close(r.stop) }) }
+
+// NewEngine returns an engine with an empty cache.
+func NewEngine(opts EngineOptions) *Engine {
+	opts = opts.withDefaults()
+	return &Engine{
+		opts:        opts,
+		incarnation: record.NewID(),
+		cache:       newBlockCache(opts.CacheBlocks),
+		attempts:    map[string]*run{},
+		exports:     map[string]kvState{},
+		imports:     map[string]kvState{},
+		models:      slices.Clone(opts.Models),
+		crashed:     make(chan struct{}),
+	}
+}
+
+// ExpectedAnswer returns the chunks that every engine generates for a prompt.
+func ExpectedAnswer(model, text string, maxTokens int) []string {
+	seed := xxhash.Sum64String(model + "\x00" + text)
+	n := maxTokens
+	if n <= 0 {
+		n = 16 + int(seed%48)
+	}
+	out := make([]string, n)
+	for i := range out {
+		seed = seed*6364136223846793005 + 1442695040888963407
+		out[i] = fmt.Sprintf(" t%07x", seed>>36)
+	}
+	return out
+}
+
+// Crash ends the engine: every stream breaks and no call answers any more.
+func (e *Engine) Crash() {
+	e.crashOnce.Do(func() {
+		close(e.crashed)
+		if e.opts.OnCrash != nil {
+			e.opts.OnCrash()
+		}
+	})
+}
+
+func (e *Engine) isCrashed() bool {
+	select {
+	case <-e.crashed:
+		return true
+	default:
+		return false
+	}
+}
+
+// generate runs one attempt and hands each chunk to emit.
+func (e *Engine) generate(ctx context.Context, req port.GenerateRequest, emit func(port.Chunk) error) error {
+	r, err := e.enter(req)
+	if err != nil {
+		return err
+	}
+	defer e.leave(r)
+	if err := e.await(ctx, r, r.granted); err != nil {
+		return err
+	}
+	if err := e.prefill(ctx, r); err != nil {
+		return err
+	}
+	return e.decode(ctx, r, emit)
+}
+
+func (e *Engine) enter(req port.GenerateRequest) (*run, error) {
+	prompt, err := request.ParsePrompt(req.API, req.Body)
+	if err != nil {
+		return nil, err
+	}
+	if e.opts.CrashMarker != "" && strings.Contains(prompt.Text, e.opts.CrashMarker) {
+		e.Crash()
+		return nil, errCrashed
+	}
+	r := &run{
+		req:     req,
+		prompt:  prompt,
+		blocks:  prefix.Blocks(prompt.Model, prompt.Text),
+		granted: make(chan struct{}),
+		stop:    make(chan struct{}),
+		index:   req.ResumeIndex,
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.attempts[req.AttemptID] = r
+	at := len(e.waiting)
+	for at > 0 && e.waiting[at-1].req.Priority < req.Priority {
+		at--
+	}
+	e.waiting = slices.Insert(e.waiting, at, r)
+	e.grant()
+	return r, nil
+}
+
+// grant lets the next attempt start; the caller holds mu.
+func (e *Engine) grant() {
+	if e.prefilling || e.running >= e.opts.MaxRunning || len(e.waiting) == 0 {
+		return
+	}
+	r := e.waiting[0]
+	e.waiting = e.waiting[1:]
+	e.running++
+	e.prefilling = true
+	close(r.granted)
+}
+
+func (e *Engine) leave(r *run) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.attempts[r.req.AttemptID] == r {
+		delete(e.attempts, r.req.AttemptID)
+	}
+	if at := slices.Index(e.waiting, r); at >= 0 {
+		e.waiting = slices.Delete(e.waiting, at, at+1)
+		return
+	}
+	e.running--
+	e.grant()
+}
+
+func (e *Engine) await(ctx context.Context, r *run, ready <-chan struct{}) error {
+	select {
+	case <-ready:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-r.stop:
+		return errCancelled
+	case <-e.crashed:
+		return errCrashed
+	}
+}
+
+func (e *Engine) prefill(ctx context.Context, r *run) error {
+	total := prefix.Tokens(r.prompt.Text) + r.req.ResumeIndex
+	cached := e.cache.lookup(r.blocks) * prefix.BlockTokens
+	e.mu.Lock()
+	if imported, ok := e.imports[r.req.KVHandle]; ok {
+		cached = max(cached, imported.Tokens)
+		delete(e.imports, r.req.KVHandle)
+	}
+	e.mu.Unlock()
+	cached = min(cached, total)
+	r.usage.PromptTokens = prefix.Tokens(r.prompt.Text)
+	r.usage.CachedTokens = cached
+	e.opts.Ledger.prefill(r.blocks, total, cached, r.req.ResumeIndex)
+	err := e.pause(ctx, r, time.Duration(float64(total-cached)/e.opts.PrefillTokensPerSecond*float64(time.Second)))
+	if err == nil {
+		e.cache.store(r.prompt.Model, r.blocks)
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.prefilling = false
+	e.grant()
+	return err
+}
+
+func (e *Engine) pause(ctx context.Context, r *run, d time.Duration) error {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-r.stop:
+		return errCancelled
+	case <-e.crashed:
+		return errCrashed
+	}
+}
+
+func (e *Engine) decode(ctx context.Context, r *run, emit func(port.Chunk) error) error {
+	texts := ExpectedAnswer(r.prompt.Model, r.prompt.Text, r.prompt.MaxTokens)
+	for i := r.req.ResumeIndex; i < len(texts); i++ {
+		if err := e.pause(ctx, r, e.interval()); err != nil {
+			return err
+		}
+		c := port.Chunk{AttemptID: r.req.AttemptID, Index: i, Text: texts[i]}
+		if err := emit(c); err != nil {
+			return err
+		}
+		e.mu.Lock()
+		r.index = i + 1
+		e.mu.Unlock()
+	}
+	r.usage.CompletionTokens = len(texts)
+	return emit(port.Chunk{AttemptID: r.req.AttemptID, Index: len(texts), FinishReason: "stop", Usage: &r.usage})
+}
+
+func (e *Engine) interval() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	slow := 1 + e.opts.BatchSlowdown*float64(max(e.running-1, 0))
+	return time.Duration(float64(e.opts.TokenInterval) * slow)
+}
+
+// Load returns the load of now; the handler reports it late.
+func (e *Engine) Load() port.LoadReport {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	tokens, waitingTokens := 0, 0
+	for _, r := range e.attempts {
+		tokens += prefix.Tokens(r.prompt.Text) + r.index
+	}
+	for _, r := range e.waiting {
+		waitingTokens += prefix.Tokens(r.prompt.Text)
+	}
+	return port.LoadReport{
+		At:            time.Now(),
+		Running:       e.running,
+		Waiting:       len(e.waiting),
+		WaitingTokens: waitingTokens,
+		KVTokensUsed:  tokens,
+		KVTokensLimit: e.opts.CacheBlocks * prefix.BlockTokens,
+		MaxRunning:    e.opts.MaxRunning,
+		Incarnation:   e.incarnation,
+		Models:        slices.Clone(e.models),
+	}
+}
+
+// laggedLoad returns the newest report that is at least ReportLag old.
+func (e *Engine) laggedLoad() port.LoadReport {
+	now := e.Load()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.reports = append(e.reports, now)
+	for len(e.reports) > 1 && now.At.Sub(e.reports[1].At) >= e.opts.ReportLag {
+		e.reports = e.reports[1:]
+	}
+	return e.reports[0]
+}
+
+// Orders returns the orders that took effect.
+func (e *Engine) Orders() []port.Order {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Clone(e.orders)
+}
+
+func (e *Engine) order(o port.Order) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.opts.ChecksFencing && o.Fence < e.fence {
+		return port.ErrStaleFence
+	}
+	e.fence = max(e.fence, o.Fence)
+	e.orders = append(e.orders, o)
+	switch o.Kind {
+	case port.OrderLoad:
+		if !slices.Contains(e.models, o.Model) {
+			e.models = append(e.models, o.Model)
+		}
+	case port.OrderUnload:
+		e.models = slices.DeleteFunc(e.models, func(m string) bool { return m == o.Model })
+		e.cache.clear(o.Model)
+	}
+	return nil
+}
+
+func (e *Engine) export(attemptID string) (port.KVExport, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	r, ok := e.attempts[attemptID]
+	if !ok {
+		return port.KVExport{}, port.ErrKVTransfer
+	}
+	handle := record.NewID()
+	tokens := prefix.Tokens(r.prompt.Text) + r.index
+	e.exports[handle] = kvState{Tokens: tokens, Blocks: r.blocks}
+	r.cancel()
+	return port.KVExport{Handle: handle, Tokens: tokens, Bytes: int64(tokens) * e.opts.KVBytesPerToken}, nil
+}
+
+func (e *Engine) accept(handle string, state kvState) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.imports[handle] = state
+}
--- /dev/null
+++ b/standin/enginehandler.go
@@ -0,0 +1,283 @@
+package standin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cicadanotch/cicadanotch/adapter/enginehttp"
+	"github.com/cicadanotch/cicadanotch/adapter/jsonhttp"
+	"github.com/cicadanotch/cicadanotch/port"
+)
+
+// pathState serves an exported KV cache to another engine.
+const pathState = "/engine/kv/state/"
+
+// Handler serves the engine over HTTP as package enginehttp expects.
+func (e *Engine) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST "+enginehttp.PathChat, func(w http.ResponseWriter, r *http.Request) { e.serveGenerate(w, r, port.APIChat) })
+	mux.HandleFunc("POST "+enginehttp.PathCompletion, func(w http.ResponseWriter, r *http.Request) { e.serveGenerate(w, r, port.APICompletion) })
+	mux.HandleFunc("GET "+enginehttp.PathHealth, e.serveHealth)
+	mux.HandleFunc("GET "+enginehttp.PathLoad, e.serveLoad)
+	mux.HandleFunc("GET "+enginehttp.PathCacheEvents, e.serveEvents)
+	mux.HandleFunc("POST "+enginehttp.PathCancel, e.serveCancel)
+	mux.HandleFunc("POST "+enginehttp.PathOrders, e.serveOrder)
+	mux.HandleFunc("POST "+enginehttp.PathExport, e.serveExport)
+	mux.HandleFunc("POST "+enginehttp.PathImport, e.serveImport)
+	mux.HandleFunc("GET "+pathState+"{handle}", e.serveState)
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if e.isCrashed() {
+			panic(http.ErrAbortHandler)
+		}
+		mux.ServeHTTP(w, r)
+	})
+}
+
+// applied acts out the faults that are the same for every call; it reports
+// whether the call is over.
+func (e *Engine) applied(p Point, w http.ResponseWriter, r *http.Request) bool {
+	fault, hit := e.opts.Faults.Hit(p)
+	if !hit {
+		return false
+	}
+	switch fault.Action {
+	case ActionRefuse:
+		http.Error(w, errDraining.Error(), http.StatusServiceUnavailable)
+		return true
+	case ActionDelay:
+		return !sleep(r.Context(), fault.Delay)
+	case ActionSilence:
+		<-r.Context().Done()
+		return true
+	case ActionCrash:
+		e.Crash()
+		panic(http.ErrAbortHandler)
+	case ActionFail:
+		panic(http.ErrAbortHandler)
+	}
+	return false
+}
+
+func (e *Engine) serveHealth(w http.ResponseWriter, r *http.Request) {
+	if !e.applied(PointHealth, w, r) {
+		jsonhttp.Write(w, http.StatusOK, struct{}{})
+	}
+}
+
+func (e *Engine) serveLoad(w http.ResponseWriter, r *http.Request) {
+	if !e.applied(PointLoad, w, r) {
+		jsonhttp.Write(w, http.StatusOK, e.laggedLoad())
+	}
+}
+
+func (e *Engine) serveEvents(w http.ResponseWriter, r *http.Request) {
+	after, err := strconv.ParseInt(r.URL.Query().Get("after"), 10, 64)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	fault, hit := e.opts.Faults.Hit(PointEvents)
+	events := e.cache.after(after, e.opts.EventLag)
+	if hit && fault.Action == ActionDrop && len(events) > 1 {
+		events = events[len(events)/2:] // the first half is a gap
+	}
+	jsonhttp.Write(w, http.StatusOK, events)
+}
+
+func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
+	var req enginehttp.CancelRequest
+	if !readJSON(w, r, &req) {
+		return
+	}
+	e.mu.Lock()
+	if run, ok := e.attempts[req.AttemptID]; ok {
+		run.cancel()
+	}
+	e.mu.Unlock()
+	jsonhttp.Write(w, http.StatusOK, struct{}{})
+}
+
+func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
+	var order port.Order
+	if e.applied(PointOrder, w, r) || !readJSON(w, r, &order) {
+		return
+	}
+	if err := e.order(order); err != nil {
+		http.Error(w, err.Error(), http.StatusConflict)
+		return
+	}
+	jsonhttp.Write(w, http.StatusOK, struct{}{})
+}
+
+func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
+	var req enginehttp.CancelRequest
+	if e.applied(PointExport, w, r) || !readJSON(w, r, &req) {
+		return
+	}
+	export, err := e.export(req.AttemptID)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusNotFound)
+		return
+	}
+	jsonhttp.Write(w, http.StatusOK, export)
+}
+
+func (e *Engine) serveState(w http.ResponseWriter, r *http.Request) {
+	e.mu.Lock()
+	state, ok := e.exports[r.PathValue("handle")]
+	e.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	jsonhttp.Write(w, http.StatusOK, state)
+}
+
+func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
+	var req enginehttp.ImportRequest
+	if e.applied(PointImport, w, r) || !readJSON(w, r, &req) {
+		return
+	}
+	var state kvState
+	client := &http.Client{Transport: jsonhttp.NewTransport(nil)}
+	defer client.CloseIdleConnections()
+	status, err := jsonhttp.Call(r.Context(), client, http.MethodGet, "http://"+req.Source+pathState+req.Handle, nil, &state)
+	if err != nil || status != http.StatusOK {
+		http.Error(w, fmt.Sprintf("fetch from source: status %d: %v", status, err), http.StatusNotFound)
+		return
+	}
+	seconds := float64(req.Bytes) / e.opts.TransferBytesPerSecond
+	if !sleep(r.Context(), time.Duration(seconds*float64(time.Second))) {
+		return
+	}
+	e.accept(req.Handle, state)
+	jsonhttp.Write(w, http.StatusOK, struct{}{})
+}
+
+func (e *Engine) serveGenerate(w http.ResponseWriter, r *http.Request, api port.GenerateAPI) {
+	if e.applied(PointGenerate, w, r) {
+		return
+	}
+	req, err := readGenerate(r, api)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	out := &eventWriter{engine: e, w: w, api: api, ctx: r.Context()}
+	err = e.generate(r.Context(), req, out.write)
+	switch {
+	case err == nil:
+		_, _ = io.WriteString(w, "data: [DONE]\n\n") // a caller that is gone needs no mark
+	case out.started || errors.Is(err, errCrashed) || errors.Is(err, errCancelled):
+		panic(http.ErrAbortHandler)
+	default:
+		http.Error(w, err.Error(), http.StatusBadRequest)
+	}
+}
+
+func readGenerate(r *http.Request, api port.GenerateAPI) (port.GenerateRequest, error) {
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxRecord))
+	if err != nil {
+		return port.GenerateRequest{}, err
+	}
+	var extra struct {
+		ResumeText string `json:"resume_text"`
+	}
+	if err := json.Unmarshal(body, &extra); err != nil {
+		return port.GenerateRequest{}, err
+	}
+	priority, _ := strconv.Atoi(r.Header.Get(enginehttp.HeaderPriority)) // absent means 0
+	resume, _ := strconv.Atoi(r.Header.Get(enginehttp.HeaderResumeIndex))
+	return port.GenerateRequest{
+		AttemptID:   r.Header.Get(enginehttp.HeaderAttempt),
+		API:         api,
+		Body:        body,
+		Priority:    priority,
+		ResumeIndex: resume,
+		ResumeText:  extra.ResumeText,
+		KVHandle:    r.Header.Get(enginehttp.HeaderKVHandle),
+	}, nil
+}
+
+// eventWriter writes chunks as server-sent events and acts out chunk faults.
+type eventWriter struct {
+	engine  *Engine
+	w       http.ResponseWriter
+	api     port.GenerateAPI
+	ctx     context.Context
+	started bool
+}
+
+func (o *eventWriter) write(c port.Chunk) error {
+	if !o.started {
+		o.w.Header().Set("Content-Type", "text/event-stream")
+		o.started = true
+	}
+	fault, hit := o.engine.opts.Faults.Hit(PointChunk)
+	if !hit {
+		return o.send(c)
+	}
+	switch fault.Action {
+	case ActionSilence:
+		select {
+		case <-o.ctx.Done():
+		case <-o.engine.crashed:
+		}
+		return errCancelled
+	case ActionTruncate:
+		return errCancelled
+	case ActionCrash:
+		o.engine.Crash()
+		return errCrashed
+	case ActionDelay:
+		sleep(o.ctx, fault.Delay)
+	case ActionDrop:
+		return nil
+	case ActionRepeat:
+		if err := o.send(c); err != nil {
+			return err
+		}
+	case ActionForeign:
+		foreign := c
+		foreign.AttemptID = "another-attempt"
+		foreign.Text = " foreign"
+		if err := o.send(foreign); err != nil {
+			return err
+		}
+	}
+	return o.send(c)
+}
+
+func (o *eventWriter) send(c port.Chunk) error {
+	choice := map[string]any{"index": 0, "finish_reason": nil}
+	if c.FinishReason != "" {
+		choice["finish_reason"] = c.FinishReason
+	}
+	if o.api == port.APIChat {
+		choice["delta"] = map[string]string{"content": c.Text}
+	} else {
+		choice["text"] = c.Text
+	}
+	body := map[string]any{"choices": []any{choice}}
+	if c.Usage != nil {
+		body["usage"] = map[string]any{
+			"prompt_tokens":         c.Usage.PromptTokens,
+			"completion_tokens":     c.Usage.CompletionTokens,
+			"prompt_tokens_details": map[string]int{"cached_tokens": c.Usage.CachedTokens},
+		}
+	}
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	if _, err := fmt.Fprintf(o.w, "id: %s/%d\ndata: %s\n\n", c.AttemptID, c.Index, data); err != nil {
+		return err
+	}
+	return http.NewResponseController(o.w).Flush()
+}
--- /dev/null
+++ b/standin/json.go
@@ -0,0 +1,18 @@
+package standin
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+)
+
+// readJSON decodes the request's body; on failure it answers 400 and returns
+// false.
+func readJSON(w http.ResponseWriter, r *http.Request, out any) bool {
+	err := json.NewDecoder(io.LimitReader(r.Body, maxRecord)).Decode(out)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return false
+	}
+	return true
+}
--- /dev/null
+++ b/standin/service.go
@@ -0,0 +1,134 @@
+package standin
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cicadanotch/cicadanotch/adapter/jsonhttp"
+	"github.com/cicadanotch/cicadanotch/adapter/servicehttp"
+	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/record"
+)
+
+// ServiceOptions sets how a Service behaves.
+type ServiceOptions struct {
+	// Work is how long one call takes.
+	Work time.Duration
+	// HonoursIdempotencyKeys makes the service answer a repeated key with
+	// the first answer.
+	HonoursIdempotencyKeys bool
+	Ledger                 *Ledger
+	Faults                 *Faults
+}
+
+// Service is a plain service that books every call it runs in the ledger.
+type Service struct {
+	opts        ServiceOptions
+	incarnation string
+
+	mu      sync.Mutex
+	running int
+	answers map[string][]byte
+	count   int
+}
+
+// NewService returns a service without calls.
+func NewService(opts ServiceOptions) *Service {
+	if opts.Ledger == nil {
+		opts.Ledger = NewLedger()
+	}
+	return &Service{opts: opts, incarnation: record.NewID(), answers: map[string][]byte{}}
+}
+
+// Handler serves the service over HTTP as package servicehttp expects.
+func (s *Service) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET "+servicehttp.PathHealth, func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, http.StatusOK, struct{}{})
+	})
+	mux.HandleFunc("GET "+servicehttp.PathLoad, func(w http.ResponseWriter, _ *http.Request) {
+		jsonhttp.Write(w, http.StatusOK, s.load())
+	})
+	mux.HandleFunc("GET /lookup/{key}", s.serveLookup)
+	mux.HandleFunc("/", s.serveCall)
+	return mux
+}
+
+func (s *Service) load() port.LoadReport {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return port.LoadReport{At: time.Now(), Running: s.running, Incarnation: s.incarnation}
+}
+
+func (s *Service) serveLookup(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(servicehttp.HeaderAttempt, r.Header.Get(servicehttp.HeaderAttempt))
+	s.mu.Lock()
+	answer, ok := s.answers[r.PathValue("key")]
+	s.mu.Unlock()
+	if !ok {
+		http.NotFound(w, r)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(answer) // a caller that is gone needs no answer
+}
+
+func (s *Service) serveCall(w http.ResponseWriter, r *http.Request) {
+	fault, hit := s.opts.Faults.Hit(PointCall)
+	body, err := io.ReadAll(io.LimitReader(r.Body, maxRecord))
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.Header().Set(servicehttp.HeaderAttempt, r.Header.Get(servicehttp.HeaderAttempt))
+	switch {
+	case hit && fault.Action == ActionFail:
+		panic(http.ErrAbortHandler)
+	case hit && fault.Action == ActionRefuse:
+		http.Error(w, errDraining.Error(), http.StatusServiceUnavailable)
+		return
+	case hit && fault.Action == ActionDelay:
+		if !sleep(r.Context(), fault.Delay) {
+			return
+		}
+	}
+	answer := s.run(r, body)
+	if hit && fault.Action == ActionLoseReply {
+		panic(http.ErrAbortHandler)
+	}
+	if hit && fault.Action == ActionSilence {
+		<-r.Context().Done()
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	_, _ = w.Write(answer) // a caller that is gone needs no answer
+}
+
+// run books and answers one call. Once begun it does not stop with the
+// connection.
+func (s *Service) run(r *http.Request, body []byte) []byte {
+	key := r.Header.Get(servicehttp.HeaderIdempotencyKey)
+	s.mu.Lock()
+	if known, ok := s.answers[key]; ok && key != "" && s.opts.HonoursIdempotencyKeys {
+		s.mu.Unlock()
+		return known
+	}
+	s.running++
+	s.count++
+	answer := fmt.Appendf(nil, `{"path":%q,"run":%d,"echo":%q}`, r.URL.Path, s.count, body)
+	if key != "" {
+		s.answers[key] = answer
+	}
+	s.mu.Unlock()
+	if r.Method != http.MethodGet {
+		s.opts.Ledger.execute(string(body))
+	}
+	time.Sleep(s.opts.Work)
+	s.mu.Lock()
+	s.running--
+	s.mu.Unlock()
+	return answer
+}
