Plan the endpoint hosts of a service from load, prices and its document

Cause: nothing decided how many endpoint hosts run, where and of which class. Change: a pure planner with deterministic start tokens, slot generations that move only by records in the log, a spend cap, an on-demand share, refused pools, paced weight loads, and a delayed scale-in by drain. Conclusion: two deciders with the same view ask for the same host.

--- /dev/null
+++ b/capacity/plan_test.go
@@ -0,0 +1,188 @@
+package capacity_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadanotch/cicadanotch/capacity"
+	"github.com/cicadanotch/cicadanotch/config"
+	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/record"
+)
+
+var start = time.Date(2026, 12, 1, 6, 0, 0, 0, time.UTC)
+
+func document() *config.Document {
+	return &config.Document{
+		Service:   "assistant-llm",
+		Kind:      config.KindModel,
+		Models:    []config.Model{{Name: "m", Version: "2"}},
+		Placement: config.Placement{Zones: []string{"jos-a", "jos-b"}, Classes: []string{"l4"}, MinHosts: 2, MaxHosts: 10},
+	}
+}
+
+func prices() []port.Price {
+	return []port.Price{
+		{Region: "plateau", Zone: "jos-a", Class: "l4", Reclaimable: true, PricePerHour: 1.0},
+		{Region: "plateau", Zone: "jos-a", Class: "l4", PricePerHour: 3.0},
+		{Region: "plateau", Zone: "jos-b", Class: "l4", Reclaimable: true, PricePerHour: 1.1},
+		{Region: "plateau", Zone: "jos-b", Class: "l4", PricePerHour: 3.2},
+		{Region: "plateau", Zone: "jos-b", Class: "t4", Reclaimable: true, PricePerHour: 0.1},
+		{Region: "kaduna", Zone: "kad-a", Class: "l4", Reclaimable: true, PricePerHour: 0.2},
+	}
+}
+
+// hosts returns n idle live hosts, alternating between the two zones.
+func hosts(n int) []capacity.Host {
+	var out []capacity.Host
+	for i := range n {
+		out = append(out, capacity.Host{
+			Host: port.Host{
+				ID: fmt.Sprintf("h%d", i), Zone: []string{"jos-a", "jos-b"}[i%2], Class: "l4", Reclaimable: true,
+				PricePerHour: 1, StartToken: fmt.Sprintf("old-%d", i),
+			},
+			Report: port.LoadReport{At: start, MaxRunning: 10, Models: []string{"m"}, Versions: map[string]string{"m": "2"}},
+		})
+	}
+	return out
+}
+
+func input(n int) capacity.Input {
+	return capacity.Input{Now: start, Document: document(), Hosts: hosts(n), Prices: prices()}
+}
+
+func zones(plan capacity.Plan) map[string]int {
+	out := map[string]int{}
+	for _, s := range plan.Starts {
+		out[s.Zone]++
+	}
+	return out
+}
+
+func TestPlanStarts(t *testing.T) {
+	for name, tc := range map[string]struct {
+		change func(*capacity.Input)
+		live   int
+		starts int
+		short  bool
+		check  func(is *is.I, plan capacity.Plan)
+	}{
+		"enough hosts": {live: 2},
+		"least number": {starts: 2, check: func(is *is.I, plan capacity.Plan) {
+			is.Equal(zones(plan), map[string]int{"jos-a": 1, "jos-b": 1}) // spread, not the cheapest zone twice
+		}},
+		"load": {live: 2, starts: 1, change: func(in *capacity.Input) { in.Hosts[0].Report.Running = 20 }},
+		"load on a leaving host moves": {live: 3, starts: 1, change: func(in *capacity.Input) {
+			in.Hosts[0].Report.Running = 20
+			in.Hosts[0].Leaving = true
+		}},
+		"never above the most": {live: 10, change: func(in *capacity.Input) { in.Queued = 1000 }},
+		"a few at a time":      {live: 2, starts: 4, change: func(in *capacity.Input) { in.Queued = 1000 }},
+		"pending starts count": {starts: 1, change: func(in *capacity.Input) { in.Pending = map[string]bool{"x": true} }},
+		"refused pool is left": {starts: 2, change: func(in *capacity.Input) {
+			in.RefusedUntil = map[capacity.Pool]time.Time{
+				{Region: "plateau", Zone: "jos-a", Class: "l4", Reclaimable: true}: start.Add(time.Minute),
+			}
+		}, check: func(is *is.I, plan capacity.Plan) { is.Equal(zones(plan), map[string]int{"jos-b": 2}) }},
+		"all pools refused": {short: true, change: func(in *capacity.Input) {
+			in.RefusedUntil = map[capacity.Pool]time.Time{}
+			for _, p := range prices() {
+				in.RefusedUntil[capacity.Pool{Region: p.Region, Zone: p.Zone, Class: p.Class, Reclaimable: p.Reclaimable}] = start.Add(time.Minute)
+			}
+		}},
+		"spend cap": {starts: 1, short: true, change: func(in *capacity.Input) { in.Document.Spend.HostsPerHour = 1.5 }},
+		"on demand share": {starts: 2, change: func(in *capacity.Input) { in.Document.Placement.OnDemandShare = 0.5 }, check: func(is *is.I, plan capacity.Plan) {
+			is.True(!plan.Starts[0].Reclaimable)
+			is.True(plan.Starts[1].Reclaimable)
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			in := input(tc.live)
+			if tc.change != nil {
+				tc.change(&in)
+			}
+			plan := capacity.NewPlanner(capacity.NewTable()).Plan(in)
+			is.Equal(len(plan.Starts), tc.starts)
+			is.Equal(plan.Short != "", tc.short)
+			for _, s := range plan.Starts {
+				is.True(s.Zone != "kad-a") // not in the document's placement
+				is.True(s.Class == "l4")
+			}
+			if tc.check != nil {
+				tc.check(is, plan)
+			}
+		})
+	}
+}
+
+func TestTwoDecidersAskForOneHost(t *testing.T) {
+	is := is.New(t)
+	table := capacity.NewTable()
+	first := capacity.NewPlanner(table).Plan(input(0))
+	second := capacity.NewPlanner(table).Plan(input(0))
+	is.Equal(first.Starts, second.Starts)
+	is.True(first.Starts[0].Token != first.Starts[1].Token)
+}
+
+func TestGenerationMovesOnce(t *testing.T) {
+	is := is.New(t)
+	table := capacity.NewTable()
+	slot := capacity.Slot{Service: "s", Pool: capacity.Pool{Zone: "jos-a", Class: "l4"}, Index: 1}
+	advance := capacity.Change{Advance: &capacity.Advance{Slot: slot, From: 0}}
+	for _, host := range []string{"a", "b"} { // two deciders saw the same host go
+		e, err := record.New(record.KindCapacity, host, advance)
+		is.NoErr(err)
+		is.NoErr(table.Fold(e))
+	}
+	is.Equal(table.Generation(slot), 1)
+	is.True(slot.Token(0) != slot.Token(1))
+}
+
+func TestScaleIn(t *testing.T) {
+	is := is.New(t)
+	planner := capacity.NewPlanner(capacity.NewTable())
+	in := input(4)
+	in.Hosts[2].PricePerHour = 2
+	is.Equal(len(planner.Plan(in).Drains), 0) // not at once
+	in.Now = start.Add(6 * time.Minute)
+	is.Equal(planner.Plan(in).Drains, []string{"h2"}) // the dearest
+	is.Equal(len(planner.Plan(in).Drains), 0)         // one at a time
+	in.Hosts[2].Leaving, in.Hosts[2].Drained = true, true
+	in.Hosts[2].Report.Running = 1
+	is.Equal(len(planner.Plan(in).Stops), 0) // not with a request in progress
+	in.Hosts[2].Report.Running = 0
+	is.Equal(planner.Plan(in).Stops, []string{"h2"})
+}
+
+func TestOrders(t *testing.T) {
+	for name, tc := range map[string]struct {
+		models  []string
+		version string
+		running int
+		want    []port.OrderKind
+	}{
+		"as wanted":              {models: []string{"m"}, version: "2"},
+		"not loaded":             {want: []port.OrderKind{port.OrderLoad}},
+		"old version":            {models: []string{"m"}, version: "1", want: []port.OrderKind{port.OrderVersion}},
+		"old version in use":     {models: []string{"m"}, version: "1", running: 1},
+		"model that was dropped": {models: []string{"m", "x"}, version: "2", want: []port.OrderKind{port.OrderUnload}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			in := input(2)
+			in.Hosts[0].Report.Models = tc.models
+			in.Hosts[0].Report.Versions = map[string]string{"m": tc.version}
+			in.Hosts[0].Report.Running = tc.running
+			var got []port.OrderKind
+			for _, o := range capacity.NewPlanner(capacity.NewTable()).Plan(in).Orders {
+				is.Equal(o.Host, "h0")
+				got = append(got, o.Order.Kind)
+			}
+			is.Equal(got, tc.want)
+		})
+	}
+}
--- /dev/null
+++ b/capacity/table.go
@@ -0,0 +1,87 @@
+package capacity
+
+import (
+	"encoding/json"
+	"maps"
+	"sync"
+
+	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/record"
+)
+
+// ErrMalformed is returned for a record body that does not parse.
+var ErrMalformed = errors.New("malformed capacity record")
+
+// Change is the body of a capacity record. Exactly one of its fields is set.
+type Change struct {
+	// Advance moves a slot to its next generation because the host of the
+	// present one is gone.
+	Advance *Advance `json:"advance,omitempty"`
+	// Drain names an endpoint host that gets no new work and is given back
+	// when it is idle.
+	Drain string `json:"drain,omitempty"`
+	// Forget names a drained host that is gone.
+	Forget string `json:"forget,omitempty"`
+}
+
+// Advance is accepted iff From is the slot's present generation.
+type Advance struct {
+	Slot Slot `json:"slot"`
+	From int  `json:"from"`
+}
+
+// Table is the folded state of all capacity records. Safe for concurrent use.
+type Table struct {
+	mu          sync.RWMutex
+	generations map[Slot]int
+	draining    map[string]bool
+}
+
+// NewTable returns an empty table.
+func NewTable() *Table {
+	return &Table{generations: map[Slot]int{}, draining: map[string]bool{}}
+}
+
+// Fold applies a capacity record; ErrMalformed. Folding a record twice has
+// the effect of folding it once.
+func (t *Table) Fold(e record.Envelope) error {
+	var c Change
+	if err := json.Unmarshal(e.Body, &c); err != nil {
+		return errors.Wrap(ErrMalformed, err.Error())
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	switch {
+	case c.Advance != nil:
+		if t.generations[c.Advance.Slot] == c.Advance.From {
+			t.generations[c.Advance.Slot] = c.Advance.From + 1
+		}
+	case c.Drain != "":
+		t.draining[c.Drain] = true
+	case c.Forget != "":
+		delete(t.draining, c.Forget)
+	}
+	return nil
+}
+
+// Generation returns the present generation of a slot.
+func (t *Table) Generation(s Slot) int {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.generations[s]
+}
+
+// Draining reports whether a host gets no new work.
+func (t *Table) Draining(host string) bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return t.draining[host]
+}
+
+// Drained returns the hosts that are being drained.
+func (t *Table) Drained() map[string]bool {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	return maps.Clone(t.draining)
+}
--- a/port/engine.go
+++ b/port/engine.go
@@ -99,6 +99,8 @@
 	// Incarnation changes when the endpoint's process restarts.
 	Incarnation string   `json:"incarnation"`
 	Models      []string `json:"models"`
+	// Versions maps a model to its version, where the endpoint tells.
+	Versions map[string]string `json:"versions,omitempty"`
 }
 
 // CacheEventKind tells what happened in an engine's prefix cache.
--- a/record/record.go
+++ b/record/record.go
@@ -28,6 +28,7 @@
 	KindAbandon    Kind = "abandon"
 	KindLease      Kind = "lease"
 	KindQuarantine Kind = "quarantine"
+	KindCapacity   Kind = "capacity"
 	// KindBatch holds several envelopes, appended as one log record.
 	KindBatch Kind = "batch"
 )
