--- /dev/null
+++ b/cli/cli.go
@@ -0,0 +1,137 @@
+// Package cli is the tool of operators and callers: it checks, publishes and
+// compares service documents, asks for addresses, dumps a process's state,
+// runs the demo and replays traces.
+package cli
+
+import (
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/adapter/jsonhttp"
+	"github.com/cicadanotch/cicadanotch/config"
+)
+
+// Errors of this package.
+var (
+	// ErrUsage is returned for a call with wrong flags or arguments.
+	ErrUsage = errors.New("wrong usage")
+	// ErrFailed is returned when a command ran and its answer is no.
+	ErrFailed = errors.New("failed")
+)
+
+// Exit codes.
+const (
+	ExitOK      = 0
+	ExitFailure = 1
+	ExitUsage   = 2
+)
+
+// callTimeout bounds one call to a process.
+const callTimeout = 10 * time.Second
+
+// tool holds what the commands share.
+type tool struct {
+	stdout io.Writer
+	stderr io.Writer
+	client *http.Client
+}
+
+// Main runs the tool; it returns the exit code.
+func Main(args []string, stdout, stderr io.Writer) int {
+	t := &tool{stdout: stdout, stderr: stderr, client: &http.Client{Transport: jsonhttp.NewTransport(nil)}}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := t.root()
+	if err := root.Parse(args); err != nil {
+		if errors.Is(err, flag.ErrHelp) {
+			return ExitOK
+		}
+		fmt.Fprintln(stderr, "cicadanotch:", err)
+		return ExitUsage
+	}
+	return t.code(root.Run(ctx))
+}
+
+// code prints an error and returns its exit code.
+func (t *tool) code(err error) int {
+	switch {
+	case err == nil:
+		return ExitOK
+	case errors.Is(err, flag.ErrHelp):
+		return ExitUsage
+	}
+	fmt.Fprintln(t.stderr, "cicadanotch:", err)
+	if errors.Is(err, ErrUsage) || errors.Is(err, config.ErrInvalid) {
+		return ExitUsage
+	}
+	return ExitFailure
+}
+
+func (t *tool) root() *ffcli.Command {
+	return &ffcli.Command{
+		Name:       "cicadanotch",
+		ShortUsage: "cicadanotch COMMAND [flags] [arguments]",
+		ShortHelp:  "Operate and use a cicadanotch deployment.",
+		FlagSet:    t.flags("cicadanotch"),
+		Subcommands: []*ffcli.Command{
+			t.validateCommand(),
+			t.addressesCommand(), t.dumpCommand(),
+		},
+		Exec: func(_ context.Context, args []string) error {
+			if len(args) > 0 {
+				return errors.Wrapf(ErrUsage, "unknown command %q; see cicadanotch -h", args[0])
+			}
+			return flag.ErrHelp
+		},
+	}
+}
+
+func (t *tool) flags(name string) *flag.FlagSet {
+	flags := flag.NewFlagSet(name, flag.ContinueOnError)
+	flags.SetOutput(t.stderr)
+	return flags
+}
+
+// one returns the only argument.
+func one(args []string, what string) (string, error) {
+	if len(args) != 1 {
+		return "", errors.Wrapf(ErrUsage, "want one argument, the %s; got %d", what, len(args))
+	}
+	return args[0], nil
+}
+
+// required returns ErrUsage when a flag was left empty.
+func required(name, value string) error {
+	if value == "" {
+		return errors.Wrapf(ErrUsage, "flag --%s is missing", name)
+	}
+	return nil
+}
+
+func (t *tool) printJSON(v any) error {
+	enc := json.NewEncoder(t.stdout)
+	enc.SetIndent("", "  ")
+	return errors.Wrap(enc.Encode(v), "print")
+}
+
+// get reads JSON from a process.
+func (t *tool) get(ctx context.Context, url string, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	status, err := jsonhttp.Call(ctx, t.client, http.MethodGet, url, nil, out)
+	if err == nil && status != http.StatusOK {
+		err = errors.Wrapf(ErrFailed, "%s answered with status %d", url, status)
+	}
+	return err
+}
--- /dev/null
+++ b/cmd/cicadanotch-standin/main.go
@@ -0,0 +1,13 @@
+// Command cicadanotch-standin runs stand-ins for the platform and the
+// endpoints: for tests and trials, never for serving callers.
+package main
+
+import (
+	"os"
+
+	"github.com/cicadanotch/cicadanotch/standin/platform"
+)
+
+func main() {
+	os.Exit(platform.Main(os.Args[1:], os.Stdout, os.Stderr))
+}
--- a/standin/cloud.go
+++ b/standin/cloud.go
@@ -225,7 +225,7 @@
 	})
 	mux.HandleFunc("POST /hosts", func(w http.ResponseWriter, r *http.Request) {
 		var req port.StartRequest
-		if !readJSON(w, r, &req) {
+		if !ReadJSON(w, r, &req) {
 			return
 		}
 		host, err := c.Start(r.Context(), req)
--- a/standin/enginehandler.go
+++ b/standin/enginehandler.go
@@ -92,7 +92,7 @@
 
 func (e *Engine) serveCancel(w http.ResponseWriter, r *http.Request) {
 	var req enginehttp.CancelRequest
-	if !readJSON(w, r, &req) {
+	if !ReadJSON(w, r, &req) {
 		return
 	}
 	e.mu.Lock()
@@ -105,7 +105,7 @@
 
 func (e *Engine) serveOrder(w http.ResponseWriter, r *http.Request) {
 	var order port.Order
-	if e.applied(PointOrder, w, r) || !readJSON(w, r, &order) {
+	if e.applied(PointOrder, w, r) || !ReadJSON(w, r, &order) {
 		return
 	}
 	if err := e.order(order); err != nil {
@@ -117,7 +117,7 @@
 
 func (e *Engine) serveExport(w http.ResponseWriter, r *http.Request) {
 	var req enginehttp.CancelRequest
-	if e.applied(PointExport, w, r) || !readJSON(w, r, &req) {
+	if e.applied(PointExport, w, r) || !ReadJSON(w, r, &req) {
 		return
 	}
 	export, err := e.export(req.AttemptID)
@@ -141,7 +141,7 @@
 
 func (e *Engine) serveImport(w http.ResponseWriter, r *http.Request) {
 	var req enginehttp.ImportRequest
-	if e.applied(PointImport, w, r) || !readJSON(w, r, &req) {
+	if e.applied(PointImport, w, r) || !ReadJSON(w, r, &req) {
 		return
 	}
 	var state kvState
--- a/standin/json.go
+++ b/standin/json.go
@@ -6,9 +6,9 @@
 	"net/http"
 )
 
-// readJSON decodes the request's body; on failure it answers 400 and returns
+// ReadJSON decodes the request's body; on failure it answers 400 and returns
 // false.
-func readJSON(w http.ResponseWriter, r *http.Request, out any) bool {
+func ReadJSON(w http.ResponseWriter, r *http.Request, out any) bool {
 	err := json.NewDecoder(io.LimitReader(r.Body, maxRecord)).Decode(out)
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
