Name the slot and generation in each planned start

Cause: the decider has to move a slot on when its host is gone. Change: starts carry slot and generation, and a listed host's token is read back into them. Conclusion: an advance record names what it moves.

--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -63,13 +63,20 @@
 	Order   port.Order
 }
 
+// Start asks for the host of a slot's generation.
+type Start struct {
+	Slot       Slot
+	Generation int
+	Request    port.StartRequest
+}
+
 // Plan is what a decider should do now.
 type Plan struct {
 	// Wanted is the number of hosts that the load and the document ask for;
 	// Have the number of live ones that are not leaving.
 	Wanted int
 	Have   int
-	Starts []port.StartRequest
+	Starts []Start
 	// Drains names hosts to drain, Stops drained hosts that are idle.
 	Drains []string
 	Stops  []string
@@ -152,17 +159,18 @@
 			return
 		}
 		pool := poolOfPrice(price)
-		token := p.freeToken(in, pool, taken)
-		taken[token] = true
+		start, ok := p.freeSlot(in, pool, taken)
+		if !ok {
+			plan.Short = "no free slot in pool " + pool.String()
+			return
+		}
+		taken[start.Request.Token] = true
 		counts[pool.Zone]++
 		spend += price.PricePerHour
 		if !pool.Reclaimable {
 			onDemand++
 		}
-		plan.Starts = append(plan.Starts, port.StartRequest{
-			Token: token, Service: in.Document.Service, Region: pool.Region, Zone: pool.Zone,
-			Class: pool.Class, Reclaimable: pool.Reclaimable,
-		})
+		plan.Starts = append(plan.Starts, start)
 	}
 }
 
@@ -199,17 +207,21 @@
 		!in.Now.Before(in.RefusedUntil[pool])
 }
 
-// freeToken returns the token of the first slot that no listed host and no
-// pending start has.
-func (p *Planner) freeToken(in Input, pool Pool, taken map[string]bool) string {
+// freeSlot returns the first slot that no listed host and no pending start has.
+func (p *Planner) freeSlot(in Input, pool Pool, taken map[string]bool) (Start, bool) {
 	for index := range slotsPerPool {
 		slot := Slot{Service: in.Document.Service, Pool: pool, Index: index}
-		token := slot.Token(p.table.Generation(slot))
-		if !taken[token] && !in.Pending[token] {
-			return token
+		generation := p.table.Generation(slot)
+		token := slot.Token(generation)
+		if taken[token] || in.Pending[token] {
+			continue
 		}
+		return Start{Slot: slot, Generation: generation, Request: port.StartRequest{
+			Token: token, Service: slot.Service, Region: pool.Region, Zone: pool.Zone,
+			Class: pool.Class, Reclaimable: pool.Reclaimable,
+		}}, true
 	}
-	return ""
+	return Start{}, false
 }
 
 // planScaleIn drains one host when fewer have sufficed for long enough: the
--- a/capacity/plan_test.go
+++ b/capacity/plan_test.go
@@ -57,7 +57,7 @@
 func zones(plan capacity.Plan) map[string]int {
 	out := map[string]int{}
 	for _, s := range plan.Starts {
-		out[s.Zone]++
+		out[s.Request.Zone]++
 	}
 	return out
 }
@@ -95,8 +95,8 @@
 		}},
 		"spend cap": {starts: 1, short: true, change: func(in *capacity.Input) { in.Document.Spend.HostsPerHour = 1.5 }},
 		"on demand share": {starts: 2, change: func(in *capacity.Input) { in.Document.Placement.OnDemandShare = 0.5 }, check: func(is *is.I, plan capacity.Plan) {
-			is.True(!plan.Starts[0].Reclaimable)
-			is.True(plan.Starts[1].Reclaimable)
+			is.True(!plan.Starts[0].Request.Reclaimable)
+			is.True(plan.Starts[1].Request.Reclaimable)
 		}},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -109,8 +109,8 @@
 			is.Equal(len(plan.Starts), tc.starts)
 			is.Equal(plan.Short != "", tc.short)
 			for _, s := range plan.Starts {
-				is.True(s.Zone != "kad-a") // not in the document's placement
-				is.True(s.Class == "l4")
+				is.True(s.Request.Zone != "kad-a") // not in the document's placement
+				is.True(s.Request.Class == "l4")
 			}
 			if tc.check != nil {
 				tc.check(is, plan)
@@ -125,7 +125,7 @@
 	first := capacity.NewPlanner(table).Plan(input(0))
 	second := capacity.NewPlanner(table).Plan(input(0))
 	is.Equal(first.Starts, second.Starts)
-	is.True(first.Starts[0].Token != first.Starts[1].Token)
+	is.True(first.Starts[0].Request.Token != first.Starts[1].Request.Token)
 }
 
 func TestGenerationMovesOnce(t *testing.T) {
@@ -139,6 +139,10 @@
 		is.NoErr(table.Fold(e))
 	}
 	is.Equal(table.Generation(slot), 1)
+	found, generation, ok := capacity.SlotOf(port.Host{Zone: "jos-a", Class: "l4", StartToken: slot.Token(1)})
+	is.True(ok)
+	is.Equal(found, slot)
+	is.Equal(generation, 1)
 	is.True(slot.Token(0) != slot.Token(1))
 }
 
--- a/capacity/pool.go
+++ b/capacity/pool.go
@@ -9,6 +9,8 @@
 
 import (
 	"fmt"
+	"strconv"
+	"strings"
 
 	"github.com/cicadanotch/cicadanotch/port"
 )
@@ -50,3 +52,22 @@
 func (s Slot) Token(generation int) string {
 	return fmt.Sprintf("%s/%s/%d/%d", s.Service, s.Pool, s.Index, generation)
 }
+
+// tokenParts is the number of parts of a token: service, the pool's three,
+// index and generation.
+const tokenParts = 6
+
+// SlotOf returns the slot and generation under which a host was started; it
+// reports false for a host that was started by other means.
+func SlotOf(h port.Host) (slot Slot, generation int, ok bool) {
+	parts := strings.Split(h.StartToken, "/")
+	if len(parts) != tokenParts {
+		return Slot{}, 0, false
+	}
+	index, err1 := strconv.Atoi(parts[4])
+	generation, err2 := strconv.Atoi(parts[5])
+	if err1 != nil || err2 != nil {
+		return Slot{}, 0, false
+	}
+	return Slot{Service: parts[0], Pool: PoolOf(h), Index: index}, generation, true
+}
