--- a/node/node.go
+++ b/node/node.go
@@ -129,3 +129,6 @@
 	idleTimeout       = 60 * time.Second
 	maxHeaderBytes    = 32 << 10
 )
+
+// Registry returns the node's metrics.
+func (n *Node) Registry() *prometheus.Registry { return n.registry }
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -7,6 +7,8 @@
 package problem
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 )
@@ -97,17 +99,17 @@
 	if p == nil {
 		return Unknown(status, t, detail)
 	}
-	return &Problem{Type: t, Title: title(t), Status: status, Detail: detail, Run: RunNot}
+	return &Problem{Type: t, Title: t.Title(), Status: status, Detail: detail, Run: RunNot}
 }
 
 // Unknown makes a problem that leaves open whether the request ran.
 func Unknown(status int, t Type, detail string) *Problem {
-	return &Problem{Type: t, Title: title(t), Status: status, Detail: detail, Run: RunUnknown}
+	return &Problem{Type: t, Title: t.Title(), Status: status, Detail: detail, Run: RunUnknown}
 }
 
 // Ran makes a problem about a request that ran.
 func Ran(status int, t Type, detail string) *Problem {
-	return &Problem{Type: t, Title: title(t), Status: status, Detail: detail, Run: RunDone}
+	return &Problem{Type: t, Title: t.Title(), Status: status, Detail: detail, Run: RunDone}
 }
 
 // Refuse makes a problem that says "not-run" if the guard proves it and
@@ -142,4 +144,8 @@
 	TypeStopping:        "The entry host is stopping",
 }
 
-func title(t Type) string { return titles[t] }
+// Title returns the title of a type of problem.
+func (t Type) Title() string { return titles[t] }
+
+// Types returns all types of problems in alphabetical order.
+func Types() []Type { return slices.Sorted(maps.Keys(titles)) }
