admit: queue requests by priority, weighted fairness and deadline

One queue per service; virtual time over workspaces, limits of rate, concurrency and spend, refusal on arrival with advice that spreads the callers' return over the time at which slots get free.

--- /dev/null
+++ b/admit/queue_test.go
@@ -0,0 +1,283 @@
+package admit_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadanotch/cicadanotch/admit"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+func item(workspace string, priority int, deadline time.Duration) admit.Item {
+	return admit.Item{Workspace: workspace, Priority: priority, Deadline: start.Add(deadline), Value: workspace}
+}
+
+// order starts everything that waits, one slot at a time.
+func order(q *admit.Queue) []string {
+	var out []string
+	for e := q.Next(start); e != nil; e = q.Next(start) {
+		out = append(out, fmt.Sprintf("%v %d %v", e.Value, e.Priority, e.Deadline.Sub(start)))
+		q.Done(start, e, 0)
+	}
+	return out
+}
+
+func TestOrder(t *testing.T) {
+	for name, tc := range map[string]struct {
+		items   []admit.Item
+		weights map[string]float64
+		want    []string
+	}{
+		"priority before arrival": {
+			items: []admit.Item{item("a", 1, 9), item("a", 5, 9)},
+			want:  []string{"a 5 9ns", "a 1 9ns"},
+		},
+		"deadline within a workspace": {
+			items: []admit.Item{item("a", 1, 9), item("a", 1, 3)},
+			want:  []string{"a 1 3ns", "a 1 9ns"},
+		},
+		"workspaces take turns": {
+			items: []admit.Item{item("a", 1, 1), item("a", 1, 2), item("a", 1, 3), item("b", 1, 9)},
+			want:  []string{"a 1 1ns", "b 1 9ns", "a 1 2ns", "a 1 3ns"},
+		},
+		"weights": {
+			items:   []admit.Item{item("a", 1, 1), item("a", 1, 2), item("a", 1, 3), item("b", 1, 4), item("b", 1, 5)},
+			weights: map[string]float64{"a": 2},
+			want:    []string{"a 1 1ns", "b 1 4ns", "a 1 2ns", "a 1 3ns", "b 1 5ns"},
+		},
+		"priority before fairness": {
+			items: []admit.Item{item("b", 1, 9), item("a", 2, 9), item("a", 2, 9)},
+			want:  []string{"a 2 9ns", "a 2 9ns", "b 1 9ns"},
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			q := admit.NewQueue()
+			for w, weight := range tc.weights {
+				q.SetLimits(w, admit.Limits{Weight: weight})
+			}
+			for _, i := range tc.items {
+				_, refused := q.Arrive(start, i)
+				is.True(refused == nil)
+			}
+			is.True(q.Next(start) == nil) // no slots yet
+			q.SetSlots(1)
+			is.Equal(order(q), tc.want)
+		})
+	}
+}
+
+// run takes what may start until nothing may.
+func run(q *admit.Queue, now time.Time) []*admit.Entry {
+	var out []*admit.Entry
+	for e := q.Next(now); e != nil; e = q.Next(now) {
+		out = append(out, e)
+	}
+	return out
+}
+
+func TestLimits(t *testing.T) {
+	limited := admit.Limits{Weight: 1}
+	for name, tc := range map[string]struct {
+		limits  func() admit.Limits
+		arrive  int
+		spent   float64
+		refused admit.Reason
+		after   time.Duration
+		started int
+	}{
+		"none":        {limits: func() admit.Limits { return limited }, arrive: 9, started: 9},
+		"rate":        {limits: func() admit.Limits { l := limited; l.RequestsPerSecond = 4; return l }, arrive: 5, refused: admit.ReasonRate, after: time.Second, started: 4},
+		"low rate":    {limits: func() admit.Limits { l := limited; l.RequestsPerSecond = 0.25; return l }, arrive: 2, refused: admit.ReasonRate, after: 4 * time.Second, started: 1},
+		"concurrency": {limits: func() admit.Limits { l := limited; l.MaxConcurrent = 3; return l }, arrive: 9, started: 3},
+		"spend":       {limits: func() admit.Limits { l := limited; l.SpendPerHour = 36; return l }, arrive: 5, spent: 1, refused: admit.ReasonSpend, after: 40 * time.Second, started: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			q := admit.NewQueue()
+			q.SetSlots(100)
+			q.SetLimits("a", tc.limits())
+			var last *admit.Refusal
+			started := 0
+			for range tc.arrive {
+				i := item("a", 1, time.Minute)
+				i.Spend = tc.spent
+				_, last = q.Arrive(start, i)
+				started += len(run(q, start))
+			}
+			is.Equal(started, tc.started)
+			if tc.refused == "" {
+				is.True(last == nil)
+				return
+			}
+			is.Equal(last.Reason, tc.refused)
+			is.Equal(last.RetryAfter.Round(time.Second), tc.after)
+			_, again := q.Arrive(start.Add(last.RetryAfter), item("a", 1, time.Minute))
+			is.True(again == nil) // the advice holds
+			_, other := q.Arrive(start, item("b", 1, time.Minute))
+			is.True(other == nil) // other workspaces are not touched
+		})
+	}
+}
+
+func TestConcurrencySlotIsPassedOn(t *testing.T) {
+	is := is.New(t)
+	q := admit.NewQueue()
+	q.SetSlots(10)
+	q.SetLimits("a", admit.Limits{MaxConcurrent: 1})
+	for range 3 {
+		q.Arrive(start, item("a", 1, time.Minute))
+	}
+	first := run(q, start)
+	is.Equal(len(first), 1)
+	q.Done(start, first[0], 0)
+	q.Done(start, first[0], 0) // a second end changes nothing
+	is.Equal(len(run(q, start)), 1)
+	is.Equal(q.State(start).Running, 1)
+}
+
+func TestRefuseWhatCannotStartInTime(t *testing.T) {
+	is := is.New(t)
+	q := admit.NewQueue()
+	q.SetSlots(2)
+	i := item("big", 1, time.Minute)
+	_, _ = q.Arrive(start, i)
+	e := q.Next(start)
+	q.Done(start.Add(time.Second), e, 0) // one request takes a second
+	now := start.Add(time.Second)
+	i.StartBy = now.Add(5 * time.Second)
+	var refused []*admit.Refusal
+	for range 20 {
+		if _, r := q.Arrive(now, i); r != nil {
+			refused = append(refused, r)
+		}
+		run(q, now)
+	}
+	is.Equal(len(refused), 20-2-10) // two run, ten wait for at most 5 s
+	is.Equal(refused[0].Reason, admit.ReasonOverload)
+	last := refused[0].RetryAfter
+	for _, r := range refused[1:] {
+		is.Equal(r.RetryAfter-last, 500*time.Millisecond) // they come back one by one
+		last = r.RetryAfter
+	}
+	small := item("small", 1, time.Minute)
+	small.StartBy = now.Add(time.Second)
+	_, r := q.Arrive(now, small)
+	is.True(r == nil) // its own share starts in time
+}
+
+func TestLeave(t *testing.T) {
+	is := is.New(t)
+	q := admit.NewQueue()
+	a, _ := q.Arrive(start, item("a", 1, 1))
+	b, _ := q.Arrive(start, item("a", 1, 2))
+	is.True(q.Leave(a))
+	is.True(!q.Leave(a))
+	q.SetSlots(2)
+	is.Equal(run(q, start), []*admit.Entry{b})
+	is.True(!q.Leave(b)) // it has started
+	is.Equal(q.State(start).Queued, 0)
+}
+
+// TestBurstLeavesSmallWorkspaceItsLatency sends a burst of one large workspace
+// against a steady small one, in passed time, and compares the small one's
+// waits with the first token target of 0.8 s.
+func TestBurstLeavesSmallWorkspaceItsLatency(t *testing.T) {
+	is := is.New(t)
+	const slots, service, target = 32, 2 * time.Second, 800 * time.Millisecond
+	q := admit.NewQueue()
+	q.SetSlots(slots)
+	q.SetLimits("large", admit.Limits{Weight: 4})
+	rng := rand.New(rand.NewPCG(1, 2))
+	type end struct {
+		at time.Time
+		e  *admit.Entry
+	}
+	var running []end
+	var waits []time.Duration
+	refused := 0
+	const step = 10 * time.Millisecond
+	for now := start; now.Before(start.Add(60 * time.Second)); now = now.Add(step) {
+		running = slices.DeleteFunc(running, func(r end) bool {
+			if r.at.After(now) {
+				return false
+			}
+			q.Done(now, r.e, 0)
+			return true
+		})
+		arrive := func(name string, chance float64) {
+			if rng.Float64() >= chance {
+				return
+			}
+			i := admit.Item{Workspace: name, Deadline: now.Add(30 * time.Second), StartBy: now.Add(28 * time.Second)}
+			if _, r := q.Arrive(now, i); r != nil && name == "small" {
+				refused++
+			}
+		}
+		arrive("large", 0.4) // 40 a second on 16 a second
+		arrive("small", 0.02)
+		for _, e := range run(q, now) {
+			if e.Workspace == "small" {
+				waits = append(waits, e.Waited())
+			}
+			took := time.Duration((0.5 + rng.Float64()) * float64(service))
+			running = append(running, end{now.Add(took), e})
+		}
+	}
+	slices.Sort(waits)
+	is.Equal(refused, 0)
+	is.True(len(waits) > 100)
+	is.True(waits[len(waits)*95/100] < target) // p95 of the small workspace
+}
+
+// BenchmarkPushPop measures one arrival, start and end among 1,000 workspaces
+// that all have requests waiting; naive scans the workspaces instead.
+func BenchmarkPushPop(b *testing.B) {
+	const workspaces = 1000
+	names := make([]string, workspaces)
+	q := admit.NewQueue()
+	q.SetSlots(1)
+	for i := range names {
+		names[i] = fmt.Sprintf("workspace-%d", i)
+		for range 2 {
+			q.Arrive(start, item(names[i], 1, time.Minute))
+		}
+	}
+	b.Run("queue", func(b *testing.B) {
+		b.ReportAllocs()
+		for i := range b.N {
+			it := admit.Item{Workspace: names[i%workspaces], Priority: 1, Deadline: start, StartBy: start.Add(time.Hour)}
+			q.Arrive(start, it)
+			q.Done(start, q.Next(start), 0)
+		}
+	})
+	b.Run("naive", func(b *testing.B) {
+		b.ReportAllocs()
+		type row struct {
+			at    float64
+			items []admit.Item
+		}
+		rows := map[string]*row{}
+		for _, n := range names {
+			rows[n] = &row{items: make([]admit.Item, 2, 8)}
+		}
+		for i := range b.N {
+			w := rows[names[i%workspaces]]
+			w.items = append(w.items, admit.Item{Workspace: names[i%workspaces]})
+			var best *row
+			for _, r := range rows {
+				if len(r.items) > 0 && (best == nil || r.at < best.at) {
+					best = r
+				}
+			}
+			best.at++
+			best.items = best.items[:len(best.items)-1]
+		}
+	})
+}
