Document every field of documents and settings

Change: a doc comment on each field, and the test that builds the tables fails on a field without one.

--- a/config/document.go
+++ b/config/document.go
@@ -64,19 +64,27 @@
 // Document describes one service. Its owner publishes it; the system is
 // responsible for the outcome.
 type Document struct {
-	Schema  int    `json:"schema" validate:"eq=1"`
+	// Schema is the version of this format: 1.
+	Schema int `json:"schema" validate:"eq=1"`
+	// Service is the service's name, unique in the deployment.
 	Service string `json:"service" validate:"required,hostname_rfc1123,max=63"`
-	Kind    Kind   `json:"kind" validate:"oneof=model plain"`
+	// Kind is "model" for model engines or "plain" for plain services.
+	Kind Kind `json:"kind" validate:"oneof=model plain"`
 	// Models are what a model service runs.
 	Models []Model `json:"models,omitempty" validate:"required_if=Kind model,dive"`
 	// Routes are the calls of a plain service.
-	Routes    []Route   `json:"routes,omitempty" validate:"required_if=Kind plain,dive"`
+	Routes []Route `json:"routes,omitempty" validate:"required_if=Kind plain,dive"`
+	// Placement says where the service runs.
 	Placement Placement `json:"placement"`
 	// Priority orders services when capacity is short; higher goes first.
-	Priority   int         `json:"priority" validate:"gte=0,lte=100"`
-	Latency    Latency     `json:"latency"`
-	Spend      Spend       `json:"spend"`
-	Endpoints  Endpoints   `json:"endpoints"`
+	Priority int `json:"priority" validate:"gte=0,lte=100"`
+	// Latency holds the targets.
+	Latency Latency `json:"latency"`
+	// Spend holds what the service may spend.
+	Spend Spend `json:"spend"`
+	// Endpoints says what the service's endpoints check by themselves.
+	Endpoints Endpoints `json:"endpoints"`
+	// Workspaces are the customers that may call the service.
 	Workspaces []Workspace `json:"workspaces" validate:"required,dive"`
 	// IdempotencyWindow is how long outcomes of orders are kept.
 	IdempotencyWindow Duration `json:"idempotency_window,omitempty"`
@@ -86,13 +94,17 @@
 
 // Model is one model with its version and adapters.
 type Model struct {
-	Name     string   `json:"name" validate:"required,max=128"`
-	Version  string   `json:"version" validate:"required,max=64"`
+	// Name is what callers write in the member "model".
+	Name string `json:"name" validate:"required,max=128"`
+	// Version names the weights; changing it changes them on every engine.
+	Version string `json:"version" validate:"required,max=64"`
+	// Adapters are served under their own names beside the model.
 	Adapters []string `json:"adapters,omitempty"`
 }
 
 // Route is one call of a plain service.
 type Route struct {
+	// Method is the HTTP method.
 	Method string `json:"method" validate:"oneof=GET POST PUT PATCH DELETE"`
 	// Path is matched as a prefix that ends at a slash.
 	Path string `json:"path" validate:"startswith=/"`
@@ -105,10 +117,13 @@
 
 // Placement says where the service runs.
 type Placement struct {
-	Zones   []string `json:"availability_zones" validate:"required,dive,required"`
+	// Zones are the availability zones that may be used.
+	Zones []string `json:"availability_zones" validate:"required,dive,required"`
+	// Classes are the machine classes that may be used.
 	Classes []string `json:"machine_classes" validate:"required,dive,required"`
-	// MinHosts and MaxHosts bound the number of endpoint hosts.
+	// MinHosts is the least number of endpoint hosts.
 	MinHosts int `json:"min_hosts" validate:"gte=0"`
+	// MaxHosts is the greatest number of endpoint hosts.
 	MaxHosts int `json:"max_hosts" validate:"gtefield=MinHosts"`
 	// OnDemandShare is the least part of the hosts that is not reclaimable.
 	OnDemandShare float64 `json:"on_demand_share" validate:"gte=0,lte=1"`
@@ -116,42 +131,57 @@
 
 // Latency holds the targets for 95 in 100 requests.
 type Latency struct {
-	FirstToken     Duration `json:"first_token"`
-	BetweenTokens  Duration `json:"between_tokens"`
+	// FirstToken is the time from acceptance to the first token.
+	FirstToken Duration `json:"first_token"`
+	// BetweenTokens is the time between two tokens.
+	BetweenTokens Duration `json:"between_tokens"`
+	// RequestTimeout is the time from acceptance to the end of a request.
 	RequestTimeout Duration `json:"request_timeout" validate:"required"`
 }
 
 // Spend holds what the service may spend. Zero means no limit.
 type Spend struct {
-	HostsPerHour     float64 `json:"hosts_per_hour" validate:"gte=0"`
-	LinkBytesPerHour int64   `json:"link_bytes_per_hour" validate:"gte=0"`
+	// HostsPerHour bounds the price of the endpoint hosts, per hour.
+	HostsPerHour float64 `json:"hosts_per_hour" validate:"gte=0"`
+	// LinkBytesPerHour bounds the bytes that cross between regions, per hour.
+	LinkBytesPerHour int64 `json:"link_bytes_per_hour" validate:"gte=0"`
 }
 
 // Endpoints says what the service's endpoints check by themselves.
 type Endpoints struct {
-	ChecksFencing          bool `json:"checks_fencing"`
+	// ChecksFencing says that endpoints refuse an order with an old fencing number.
+	ChecksFencing bool `json:"checks_fencing"`
+	// HonoursIdempotencyKeys says that endpoints answer a repeated key with the first answer.
 	HonoursIdempotencyKeys bool `json:"honours_idempotency_keys"`
 }
 
 // Workspace is one customer of the service.
 type Workspace struct {
+	// Name is the workspace's name, unique in the service.
 	Name string `json:"name" validate:"required,max=63"`
 	// Keys are SHA-256 digests of bearer keys, as "sha256:" and 64 hex
 	// digits. Several keys allow rotation; none means open access.
 	Keys []string `json:"keys,omitempty" validate:"dive,startswith=sha256:,len=71"`
 	// Weight is the share of the service under contention.
-	Weight            float64 `json:"weight" validate:"gt=0"`
-	MaxConcurrent     int     `json:"max_concurrent" validate:"gte=0"`
+	Weight float64 `json:"weight" validate:"gt=0"`
+	// MaxConcurrent bounds the requests in progress.
+	MaxConcurrent int `json:"max_concurrent" validate:"gte=0"`
+	// RequestsPerSecond bounds the rate of requests.
 	RequestsPerSecond float64 `json:"requests_per_second" validate:"gte=0"`
-	SpendPerHour      float64 `json:"spend_per_hour" validate:"gte=0"`
+	// SpendPerHour bounds the price of the workspace's requests, per hour.
+	SpendPerHour float64 `json:"spend_per_hour" validate:"gte=0"`
 }
 
 // Maintenance is one planned stop of an availability zone or a host.
 type Maintenance struct {
-	Zone   string    `json:"availability_zone,omitempty" validate:"required_without=Host"`
-	Host   string    `json:"host,omitempty"`
+	// Zone is the availability zone that stops.
+	Zone string `json:"availability_zone,omitempty" validate:"required_without=Host"`
+	// Host is the host that stops, when it is not a whole zone.
+	Host string `json:"host,omitempty"`
+	// Starts is when the stop begins.
 	Starts time.Time `json:"starts" validate:"required"`
-	Ends   time.Time `json:"ends" validate:"required,gtfield=Starts"`
+	// Ends is when the hosts are back.
+	Ends time.Time `json:"ends" validate:"required,gtfield=Starts"`
 }
 
 var check = newValidator()
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -92,7 +92,7 @@
 	}
 	s := structDoc{name: typeSpec.Name.Name, doc: flat(gen.Doc.Text())}
 	for _, f := range structType.Fields.List {
-		if f.Tag == nil {
+		if f.Tag == nil || len(f.Names) == 0 {
 			continue
 		}
 		tag := reflect.StructTag(strings.Trim(f.Tag.Value, "`"))
@@ -123,7 +123,8 @@
 	return "object"
 }
 
-func table(structs []structDoc, names ...string) string {
+func table(t *testing.T, structs []structDoc, names ...string) string {
+	t.Helper()
 	var out strings.Builder
 	for _, name := range names {
 		i := slices.IndexFunc(structs, func(s structDoc) bool { return s.name == name })
@@ -132,6 +133,7 @@
 		}
 		fmt.Fprintf(&out, "\n## %s\n\n%s\n\n| field | type | rule | meaning |\n|---|---|---|---|\n", name, structs[i].doc)
 		for _, f := range structs[i].fields {
+			t.Run(name+"."+f.name, func(t *testing.T) { is.New(t).True(f.doc != "") }) // the field has a doc comment
 			fmt.Fprintf(&out, "| `%s` | %s | %s | %s |\n", f.name, f.kind, strings.ReplaceAll(f.rule, "|", "\\|"), f.doc)
 		}
 	}
@@ -145,15 +147,15 @@
 	for _, s := range structs {
 		names = append(names, s.name)
 	}
-	checkPage(t, "SERVICE-DOCUMENT.md", table(structs, names...))
+	checkPage(t, "SERVICE-DOCUMENT.md", table(t, structs, names...))
 }
 
 func TestSettings(t *testing.T) {
 	daemon := structsOf(is.New(t), "../node/settings.go")
 	standin := structsOf(is.New(t), "../standin/platform/settings.go")
-	want := table(daemon, "Settings", "PeerTLS") +
-		strings.ReplaceAll(table(standin, "Settings"), "## Settings", "## Stand-in settings") +
-		table(standin, "LogSettings", "CloudSettings", "EndpointSettings", "FaultRow")
+	want := table(t, daemon, "Settings", "PeerTLS") +
+		strings.ReplaceAll(table(t, standin, "Settings"), "## Settings", "## Stand-in settings") +
+		table(t, standin, "LogSettings", "CloudSettings", "EndpointSettings", "FaultRow")
 	checkPage(t, "SETTINGS.md", want)
 }
 
--- a/node/settings.go
+++ b/node/settings.go
@@ -19,16 +19,20 @@
 // JSON with comments.
 type Settings struct {
 	// Host is the host's id in the platform's list.
-	Host   string `json:"host" validate:"required"`
+	Host string `json:"host" validate:"required"`
+	// Region is the region that the host stands in.
 	Region string `json:"region" validate:"required"`
-	Zone   string `json:"availability_zone" validate:"required"`
-	// CallerAddress, PeerAddress and OperatorAddress are the ip:port to
-	// listen at for callers, other entry hosts and operators.
-	CallerAddress   string `json:"caller_address" validate:"required,ip_port"`
-	PeerAddress     string `json:"peer_address" validate:"required,ip_port"`
+	// Zone is the availability zone that the host stands in.
+	Zone string `json:"availability_zone" validate:"required"`
+	// CallerAddress is the ip:port to listen at for callers.
+	CallerAddress string `json:"caller_address" validate:"required,ip_port"`
+	// PeerAddress is the ip:port to listen at for other entry hosts.
+	PeerAddress string `json:"peer_address" validate:"required,ip_port"`
+	// OperatorAddress is the ip:port to listen at for operators.
 	OperatorAddress string `json:"operator_address" validate:"required,ip_port"`
-	// LogURL and CloudURL are the base URLs of the platform's services.
-	LogURL   string `json:"log_url" validate:"required,url"`
+	// LogURL is the base URL of the platform's log service.
+	LogURL string `json:"log_url" validate:"required,url"`
+	// CloudURL is the base URL of the platform's cloud API.
 	CloudURL string `json:"cloud_url" validate:"required,url"`
 	// PeerTLS holds the keys for mutual TLS between entry hosts.
 	PeerTLS *PeerTLS `json:"peer_tls,omitempty"`
@@ -47,9 +51,12 @@
 // PeerTLS names the PEM files of an entry host's key pair and of the
 // authority that signs those of its peers.
 type PeerTLS struct {
+	// CertFile holds the certificate; its name is the host's id.
 	CertFile string `json:"cert_file" validate:"required"`
-	KeyFile  string `json:"key_file" validate:"required"`
-	CAFile   string `json:"ca_file" validate:"required"`
+	// KeyFile holds the private key.
+	KeyFile string `json:"key_file" validate:"required"`
+	// CAFile holds the certificates of the authority.
+	CAFile string `json:"ca_file" validate:"required"`
 }
 
 // Defaults of settings.
