List the operators' address of entry hosts

Cause: an operator who waits for a configuration had to know every address. Change: the host list's rows carry it; the deployment and the example fill it.

--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -38,9 +38,8 @@
 
 // EntryHost is one entry host of a deployment.
 type EntryHost struct {
-	Host     port.Host
-	Node     *node.Node
-	Operator string
+	Host port.Host
+	Node *node.Node
 }
 
 // Deployment is a whole system on loopback.
@@ -243,9 +242,10 @@
 		return nil, err
 	}
 	n := daemon.Start(settings, listeners, daemon.Options{Dial: d.Network.Dialer(ip), Logger: d.logger})
-	e := &EntryHost{Node: n, Operator: listeners.Operator.Addr().String(), Host: port.Host{
+	e := &EntryHost{Node: n, Host: port.Host{
 		ID: id, Role: port.RoleEntry, Region: z.Region, Zone: z.Zone, State: port.HostLive,
 		CallerAddress: listeners.Caller.Addr().String(), PeerAddress: listeners.Peer.Addr().String(),
+		OperatorAddress: listeners.Operator.Addr().String(),
 	}}
 	d.Cloud.AddHost(e.Host)
 	d.mu.Lock()
--- a/port/cloud.go
+++ b/port/cloud.go
@@ -53,6 +53,8 @@
 	CallerAddress string `json:"caller_address,omitempty"`
 	// PeerAddress is the ip:port of an entry host for other entry hosts.
 	PeerAddress string `json:"peer_address,omitempty"`
+	// OperatorAddress is the ip:port of an entry host for operators.
+	OperatorAddress string `json:"operator_address,omitempty"`
 	// EndpointAddress is the ip:port of an endpoint.
 	EndpointAddress string `json:"endpoint_address,omitempty"`
 	// StartToken is the token with which the host was started.
--- a/standin/engine.go
+++ b/standin/engine.go
@@ -160,7 +160,8 @@
 	})
 }
 
-func (e *Engine) isCrashed() bool {
+// Crashed reports whether the engine has crashed.
+func (e *Engine) Crashed() bool {
 	select {
 	case <-e.crashed:
 		return true
--- a/standin/enginehandler.go
+++ b/standin/enginehandler.go
@@ -32,7 +32,7 @@
 	mux.HandleFunc("POST "+enginehttp.PathImport, e.serveImport)
 	mux.HandleFunc("GET "+pathState+"{handle}", e.serveState)
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if e.isCrashed() {
+		if e.Crashed() {
 			panic(http.ErrAbortHandler)
 		}
 		mux.ServeHTTP(w, r)
