route: choose endpoints by expected milliseconds

Cause: requests went to the endpoint with the least load in flight. Change: Table scores each endpoint of the service by queue, prefill of tokens not cached, batch, copy of the prefix away from its rendezvous home, way, reclaim and price. Leaving, suspect and excluded endpoints are out; another region is used only when the local wait breaks the target and the link's and the document's byte budgets allow it. Own bookings count at once, reports are aged, ties fall by a hash of the process.

--- /dev/null
+++ b/route/bench_test.go
@@ -0,0 +1,98 @@
+package route_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/prefix"
+	"github.com/cicadanotch/cicadanotch/route"
+)
+
+const benchEndpoints = 64
+
+func benchTable() (*route.Table, route.Query) {
+	rows := zoneRows(benchEndpoints)
+	t := table(rows...)
+	var held prefix.Held
+	for i := range rows {
+		t.Report(rows[i].Host.ID, port.LoadReport{At: start, Running: i % 7, WaitingTokens: i * 50, MaxRunning: 16})
+		held.Blocks[i], held.Confidence[i] = uint16(i%9), 1
+	}
+	q := question()
+	q.Held = &held
+	return t, q
+}
+
+func chooseAll(t *route.Table, q *route.Query, n int) {
+	for range n {
+		c, err := t.Choose(q, start)
+		if err != nil {
+			panic(err)
+		}
+		t.Release(c.Booking)
+	}
+}
+
+func BenchmarkChoose64(b *testing.B) {
+	t, q := benchTable()
+	chooseAll(t, &q, 32) // the rows of the dump exist
+	b.ReportAllocs()
+	for b.Loop() {
+		chooseAll(t, &q, 1)
+	}
+}
+
+// naiveChoose is the plain way: maps by id and a slice of scores per request.
+func naiveChoose(hosts []port.Host, reports map[string]port.LoadReport, held map[string]int, q *route.Query) string {
+	scores := map[string]float64{}
+	for _, h := range hosts {
+		r := reports[h.ID]
+		scores[h.ID] = float64(r.WaitingTokens+q.PromptTokens-held[h.ID]*prefix.BlockTokens)/8 + float64(r.Running)
+	}
+	best := ""
+	for id, s := range scores {
+		if best == "" || s < scores[best] || (s == scores[best] && id < best) {
+			best = id
+		}
+	}
+	return best
+}
+
+func naiveInput(t *route.Table, q *route.Query) ([]port.Host, map[string]port.LoadReport, map[string]int) {
+	reports, held := map[string]port.LoadReport{}, map[string]int{}
+	hosts := t.All()
+	for i, h := range hosts {
+		reports[h.ID] = port.LoadReport{Running: i % 7, WaitingTokens: i * 50}
+		held[h.ID] = int(q.Held.Blocks[i])
+	}
+	return hosts, reports, held
+}
+
+func BenchmarkChoose64Naive(b *testing.B) {
+	t, q := benchTable()
+	hosts, reports, held := naiveInput(t, &q)
+	b.ReportAllocs()
+	for b.Loop() {
+		naiveChoose(hosts, reports, held, &q)
+	}
+}
+
+// BenchmarkChoose64Ratio runs both in turn and reports how many times longer
+// the naive way takes.
+func BenchmarkChoose64Ratio(b *testing.B) {
+	t, q := benchTable()
+	hosts, reports, held := naiveInput(t, &q)
+	var ours, naive time.Duration
+	for b.Loop() {
+		at := time.Now()
+		chooseAll(t, &q, 100)
+		ours += time.Since(at)
+		at = time.Now()
+		for range 100 {
+			naiveChoose(hosts, reports, held, &q)
+		}
+		naive += time.Since(at)
+	}
+	b.ReportMetric(float64(naive)/float64(ours), "naive/choose")
+}
--- /dev/null
+++ b/route/choose.go
@@ -0,0 +1,256 @@
+package route
+
+import (
+	"time"
+)
+
+const (
+	// reportHalfLife is the age at which a report's word on others counts
+	// half.
+	reportHalfLife = time.Second
+	// reclaimFloor is the time left that no request should be sent into.
+	reclaimFloor = 2 * time.Second
+	// millisPerSecond turns seconds into the unit of scores.
+	millisPerSecond = 1000.0
+)
+
+// candidate is an endpoint under consideration.
+type candidate struct {
+	endpoint *endpoint
+	terms    Terms
+	score    float64
+	cached   int
+	blocks   int
+	// rank is the rendezvous weight for the request's prefix.
+	rank uint64
+}
+
+// Choose picks the endpoint for a request and books the request there;
+// ErrNoEndpoint, ErrLinkBudget. It does not allocate.
+func (t *Table) Choose(q *Query, now time.Time) (Choice, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g, ok := t.groups[q.Service]
+	if !ok {
+		return Choice{}, ErrNoEndpoint
+	}
+	t.choices++
+	best, err := t.best(g, q, now)
+	if err != nil {
+		return Choice{}, err
+	}
+	c := &t.scratch[best]
+	e := c.endpoint
+	t.recent.add(q, now, t.scratch, best)
+	choice := Choice{
+		Host: e.row.Host, Terms: c.terms,
+		CachedTokens: c.cached, CachedBlocks: c.blocks,
+		Spilled: e.near == otherRegion,
+	}
+	choice.Booking = t.book(g, e, max(q.PromptTokens-c.cached, 0), now)
+	return choice, nil
+}
+
+// best returns the index in scratch of the endpoint to use.
+func (t *Table) best(g *group, q *Query, now time.Time) (int, error) {
+	t.score(g, q, now)
+	near, far := t.lowest(false), t.lowest(true)
+	if near >= 0 && !t.breaksTarget(near, q) {
+		return near, nil
+	}
+	if far < 0 && near < 0 {
+		return -1, ErrNoEndpoint
+	}
+	if far < 0 || (near >= 0 && t.scratch[far].score >= t.scratch[near].score) {
+		return near, nil
+	}
+	if t.payLink(g, q, now) {
+		return far, nil
+	}
+	if near < 0 {
+		return -1, ErrLinkBudget
+	}
+	return near, nil
+}
+
+func (t *Table) breaksTarget(at int, q *Query) bool {
+	return q.Target > 0 && t.scratch[at].terms.FirstToken() > milliseconds(q.Target)
+}
+
+// payLink takes a request's bytes from the budgets of the link and of the
+// service, if both have them.
+func (t *Table) payLink(g *group, q *Query, now time.Time) bool {
+	t.link.fill(t.opts.LinkBytesPerSecond, now)
+	if t.link.level < float64(q.Bytes) {
+		return false
+	}
+	if q.LinkBytesPerHour > 0 {
+		g.link.fill(float64(q.LinkBytesPerHour)/time.Hour.Seconds(), now)
+		if g.link.level < float64(q.Bytes) {
+			return false
+		}
+		g.link.level -= float64(q.Bytes)
+	}
+	t.link.level -= float64(q.Bytes)
+	return true
+}
+
+// score fills scratch with the endpoints that may be chosen.
+func (t *Table) score(g *group, q *Query, now time.Time) {
+	t.scratch = t.scratch[:0]
+	for _, e := range g.rows {
+		if e.row.Leaving || now.Before(e.suspectUntil) || q.Excluded[e.row.Host.ID] {
+			continue
+		}
+		t.scratch = append(t.scratch, candidate{endpoint: e})
+		c := &t.scratch[len(t.scratch)-1]
+		c.cached = min(q.Held.Tokens(e.row.Slot), q.PromptTokens)
+		if q.Held != nil && e.row.Slot >= 0 {
+			c.blocks = int(q.Held.Blocks[e.row.Slot])
+		}
+		c.rank = rendezvous(q.Prefix, e.hash)
+		t.fillTerms(c, g, q, now)
+	}
+	t.addCopies(g, q)
+	for i := range t.scratch {
+		t.scratch[i].score = t.scratch[i].terms.Score()
+	}
+}
+
+func (t *Table) fillTerms(c *candidate, g *group, q *Query, now time.Time) {
+	e := c.endpoint
+	perToken := millisPerSecond / g.rate
+	running, ahead := e.load(g.rate, now)
+	c.terms.Queue = ahead * perToken
+	limit := e.limit(t.opts.MaxRunning)
+	interval := milliseconds(t.opts.TokenInterval)
+	if over := running + 1 - limit; over > 0 {
+		c.terms.Queue += over * float64(q.AnswerTokens) * interval / limit
+	}
+	fill := (running + 1) / limit
+	c.terms.Crowd = fill * fill * milliseconds(t.opts.CrowdWeight)
+	c.terms.Prefill = float64(q.PromptTokens-c.cached) * perToken
+	c.terms.Way = t.way(e.near, q.Bytes)
+	c.terms.Reclaim = e.reclaim(q, interval, perToken, now)
+	c.terms.Price = e.priceOver * milliseconds(t.opts.PriceWeight)
+}
+
+// load returns how many requests an endpoint likely runs and how many tokens
+// wait there for prefill.
+func (e *endpoint) load(rate float64, now time.Time) (running, ahead float64) {
+	running, ahead = float64(e.inFlight), float64(e.ownPrefill)
+	if !e.reported {
+		return running, ahead
+	}
+	age := max(now.Sub(e.report.At), 0)
+	running += float64(e.othersRunning) / (1 + float64(age)/float64(reportHalfLife))
+	ahead += max(e.othersPrefill-age.Seconds()*rate, 0)
+	return running, ahead
+}
+
+func (e *endpoint) limit(assumed int) float64 {
+	if e.report.MaxRunning > 0 {
+		return float64(e.report.MaxRunning)
+	}
+	return float64(assumed)
+}
+
+func (t *Table) way(near nearness, bytes int) float64 {
+	switch near {
+	case sameZone:
+		return 0
+	case sameRegion:
+		return 2 * milliseconds(t.opts.ZoneDelay)
+	}
+	return 2*milliseconds(t.opts.RegionDelay) + float64(bytes)/t.opts.LinkBytesPerSecond*millisPerSecond
+}
+
+// reclaim returns the expected cost of doing again what a known reclaim cuts
+// off.
+func (e *endpoint) reclaim(q *Query, interval, perToken float64, now time.Time) float64 {
+	if e.row.Deadline.IsZero() {
+		return 0
+	}
+	left := milliseconds(e.row.Deadline.Sub(now) - reclaimFloor)
+	needed := float64(q.PromptTokens)*perToken + float64(q.AnswerTokens)*interval
+	if left >= needed {
+		return 0
+	}
+	cut := 1 - max(left, 0)/needed
+	return cut * float64(q.PromptTokens+q.AnswerTokens) * perToken
+}
+
+// addCopies counts the prefill of a new copy of the prefix against all but its
+// home; the second in rank, where a hot home's load goes first, pays half.
+func (t *Table) addCopies(g *group, q *Query) {
+	if q.Prefix == 0 || t.opts.CopyWeight == 0 {
+		return
+	}
+	first, second := t.ranks()
+	copyCost := t.opts.CopyWeight * float64(min(q.PromptTokens, maxCopyTokens)) * millisPerSecond / g.rate
+	for i := range t.scratch {
+		c := &t.scratch[i]
+		missing := 1 - float64(c.cached)/float64(max(q.PromptTokens, 1))
+		switch i {
+		case first:
+		case second:
+			c.terms.Copy = copyCost * missing / 2
+		default:
+			c.terms.Copy = copyCost * missing
+		}
+	}
+}
+
+// maxCopyTokens bounds the tokens of a prefix that later prompts likely share.
+const maxCopyTokens = 2048
+
+// ranks returns the home and the second in rank among the near endpoints.
+func (t *Table) ranks() (first, second int) {
+	first, second = -1, -1
+	for i := range t.scratch {
+		if t.scratch[i].endpoint.near == otherRegion {
+			continue
+		}
+		switch {
+		case first < 0 || t.scratch[i].rank > t.scratch[first].rank:
+			first, second = i, first
+		case second < 0 || t.scratch[i].rank > t.scratch[second].rank:
+			second = i
+		}
+	}
+	return first, second
+}
+
+// lowest returns the index of the lowest score among the near or the far
+// endpoints, or -1. Among ties the process's own hash decides.
+func (t *Table) lowest(far bool) int {
+	best := -1
+	for i := range t.scratch {
+		c := &t.scratch[i]
+		if (c.endpoint.near == otherRegion) != far {
+			continue
+		}
+		if best < 0 || c.score < t.scratch[best].score {
+			best = i
+		}
+	}
+	if best < 0 {
+		return best
+	}
+	return t.breakTie(best, far)
+}
+
+func (t *Table) breakTie(best int, far bool) int {
+	limit := t.scratch[best].score + milliseconds(t.opts.TieWindow)
+	winner, highest := best, uint64(0)
+	for i := range t.scratch {
+		c := &t.scratch[i]
+		if (c.endpoint.near == otherRegion) != far || c.score > limit {
+			continue
+		}
+		if h := rendezvous(t.opts.Seed+t.choices, c.endpoint.hash); h >= highest {
+			winner, highest = i, h
+		}
+	}
+	return winner
+}
--- /dev/null
+++ b/route/table.go
@@ -0,0 +1,306 @@
+package route
+
+import (
+	"math"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cicadanotch/cicadanotch/port"
+)
+
+const (
+	// rateWeight is the weight of one answer in the prefill speed.
+	rateWeight = 1.0 / 16
+	// Bounds of the prefill speed that answers can show, as parts of the
+	// assumed one.
+	minRate, maxRate = 0.1, 10.0
+	// minRateSample is the least number of tokens that shows a speed.
+	minRateSample = 256
+)
+
+// endpoint is one row of a Table.
+type endpoint struct {
+	row  Row
+	hash uint64
+	near nearness
+	// cheapest is the least price among the service's endpoints.
+	priceOver    float64
+	inFlight     int
+	ownPrefill   int
+	suspectUntil time.Time
+	report       port.LoadReport
+	reported     bool
+	// others is what the last report says beyond this process's own.
+	othersRunning int
+	othersPrefill float64
+	gone          bool
+}
+
+type nearness uint8
+
+const (
+	sameZone nearness = iota
+	sameRegion
+	otherRegion
+)
+
+// group is the endpoints of one service.
+type group struct {
+	rows []*endpoint
+	rate float64
+	link bucket
+}
+
+type booking struct {
+	endpoint *endpoint
+	group    *group
+	epoch    uint32
+	used     bool
+	started  bool
+	prefill  int
+	ahead    int
+	at       time.Time
+}
+
+// Table holds the endpoints of all services, their load and this process's
+// bookings. Safe for concurrent use.
+type Table struct {
+	opts  Options
+	place Place
+
+	mu       sync.Mutex
+	groups   map[string]*group
+	byID     map[string]*endpoint
+	bookings []booking
+	free     []int32
+	scratch  []candidate
+	link     bucket
+	choices  uint64
+	recent   recent
+}
+
+// NewTable returns an empty table of a process at place.
+func NewTable(place Place, opts Options) *Table {
+	return &Table{opts: opts, place: place, groups: map[string]*group{}, byID: map[string]*endpoint{}}
+}
+
+// Update replaces what the platform says. Load and bookings stay.
+func (t *Table) Update(rows []Row) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	listed := make(map[string]bool, len(rows))
+	for i := range rows {
+		listed[rows[i].Host.ID] = true
+		t.updateRow(rows[i])
+	}
+	for id, e := range t.byID {
+		if !listed[id] {
+			t.remove(id, e)
+		}
+	}
+	for _, g := range t.groups {
+		g.setPrices()
+	}
+}
+
+func (t *Table) updateRow(row Row) {
+	e, ok := t.byID[row.Host.ID]
+	if ok && e.row.Host.Service != row.Host.Service {
+		t.remove(row.Host.ID, e)
+		ok = false
+	}
+	if !ok {
+		e = &endpoint{hash: hashID(row.Host.ID)}
+		t.byID[row.Host.ID] = e
+		g := t.group(row.Host.Service)
+		g.rows = append(g.rows, e)
+		slices.SortFunc(g.rows, func(a, b *endpoint) int { return int(int64(a.hash>>1) - int64(b.hash>>1)) })
+	}
+	e.row = row
+	e.near = t.nearness(row.Host)
+}
+
+func (t *Table) group(service string) *group {
+	g, ok := t.groups[service]
+	if !ok {
+		g = &group{rate: t.opts.PrefillTokensPerSecond}
+		t.groups[service] = g
+	}
+	return g
+}
+
+func (t *Table) nearness(h port.Host) nearness {
+	switch {
+	case h.Region != t.place.Region:
+		return otherRegion
+	case h.Zone != t.place.Zone:
+		return sameRegion
+	}
+	return sameZone
+}
+
+func (t *Table) remove(id string, e *endpoint) {
+	e.gone = true
+	delete(t.byID, id)
+	g := t.groups[e.row.Host.Service]
+	g.rows = slices.DeleteFunc(g.rows, func(other *endpoint) bool { return other == e })
+}
+
+func (g *group) setPrices() {
+	cheapest := math.Inf(1)
+	for _, e := range g.rows {
+		if p := e.row.Host.PricePerHour; p > 0 {
+			cheapest = math.Min(cheapest, p)
+		}
+	}
+	for _, e := range g.rows {
+		e.priceOver = 0
+		if p := e.row.Host.PricePerHour; p > cheapest {
+			e.priceOver = p/cheapest - 1
+		}
+	}
+}
+
+// Report takes an endpoint's load report.
+func (t *Table) Report(id string, r port.LoadReport) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.byID[id]
+	if !ok || (e.reported && r.At.Before(e.report.At)) {
+		return
+	}
+	running, prefill := t.ownAt(e, r.At)
+	e.report, e.reported = r, true
+	e.othersRunning = max(r.Running+r.Waiting-running, 0)
+	e.othersPrefill = math.Max(float64(r.WaitingTokens-prefill), 0)
+}
+
+// ownAt returns how many of this process's requests an endpoint had at a time,
+// and how many of their tokens waited.
+func (t *Table) ownAt(e *endpoint, at time.Time) (running, prefill int) {
+	for i := range t.bookings {
+		b := &t.bookings[i]
+		if !b.used || b.endpoint != e || b.at.After(at) {
+			continue
+		}
+		running++
+		if !b.started {
+			prefill += b.prefill
+		}
+	}
+	return running, prefill
+}
+
+// Suspect keeps new work from an endpoint until a time.
+func (t *Table) Suspect(id string, until time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.byID[id]; ok {
+		e.suspectUntil = until
+	}
+}
+
+// Started notes that a booked request has its first token.
+func (t *Table) Started(b Booking, now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k := t.booking(b)
+	if k == nil || k.started {
+		return
+	}
+	k.started = true
+	k.endpoint.ownPrefill -= k.prefill
+	if t.speedKnown(k) {
+		k.group.learn(k.ahead+k.prefill, now.Sub(k.at), t.opts)
+	}
+}
+
+// speedKnown reports whether a booking shows how fast its endpoint prefills: it
+// was there alone.
+func (t *Table) speedKnown(k *booking) bool {
+	return k.endpoint.inFlight == 1 && k.endpoint.othersRunning == 0 && k.prefill >= minRateSample
+}
+
+func (g *group) learn(tokens int, took time.Duration, opts Options) {
+	took -= opts.TokenInterval
+	if took <= 0 {
+		return
+	}
+	seen := float64(tokens) / took.Seconds()
+	seen = min(max(seen, minRate*opts.PrefillTokensPerSecond), maxRate*opts.PrefillTokensPerSecond)
+	g.rate += (seen - g.rate) * rateWeight
+}
+
+// Release ends a booking. It is idempotent.
+func (t *Table) Release(b Booking) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	k := t.booking(b)
+	if k == nil {
+		return
+	}
+	k.endpoint.inFlight--
+	if !k.started {
+		k.endpoint.ownPrefill -= k.prefill
+	}
+	*k = booking{epoch: k.epoch + 1}
+	t.free = append(t.free, b.index)
+}
+
+func (t *Table) booking(b Booking) *booking {
+	if int(b.index) >= len(t.bookings) {
+		return nil
+	}
+	k := &t.bookings[b.index]
+	if !k.used || k.epoch != b.epoch {
+		return nil
+	}
+	return k
+}
+
+// book is called with the lock held.
+func (t *Table) book(g *group, e *endpoint, prefill int, now time.Time) Booking {
+	if len(t.free) == 0 {
+		t.bookings = append(t.bookings, booking{epoch: 1})
+		t.free = append(t.free, int32(len(t.bookings)-1))
+	}
+	index := t.free[len(t.free)-1]
+	t.free = t.free[:len(t.free)-1]
+	k := &t.bookings[index]
+	*k = booking{
+		endpoint: e, group: g, epoch: k.epoch, used: true,
+		prefill: prefill, ahead: e.ownPrefill, at: now,
+	}
+	e.inFlight++
+	e.ownPrefill += prefill
+	return Booking{index: index, epoch: k.epoch}
+}
+
+// Host returns the row of an endpoint.
+func (t *Table) Host(id string) (port.Host, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.byID[id]
+	if !ok {
+		return port.Host{}, false
+	}
+	return e.row.Host, true
+}
+
+// All returns the endpoints.
+func (t *Table) All() []port.Host {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]port.Host, 0, len(t.byID))
+	for _, e := range t.byID {
+		out = append(out, e.row.Host)
+	}
+	slices.SortFunc(out, func(a, b port.Host) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
