node: choose endpoints by route and prefix

Cause: the tables of route and prefix were not in use. Change: acquire asks the prefix index and the route table; load reports and cache events of all endpoints are polled at most 16 at once; first tokens and usage of answers flow back; the state dump shows loads, index counts and the terms of the last choices. Conclusion: the thin path test passes over the new choice.

--- a/node/execute.go
+++ b/node/execute.go
@@ -54,14 +54,14 @@
 func (n *Node) retry(ctx context.Context, a *Accepted, attempt func(port.Host) error) {
 	excluded := map[string]bool{}
 	for range maxAttempts {
-		host, ok := n.endpoints.acquire(a.Request.Service, excluded)
+		host, ok := n.acquire(a, excluded)
 		if !ok {
 			clear(excluded)
 			pause(ctx, retryBackoff)
 			continue
 		}
 		err := attempt(host)
-		n.endpoints.release(host.ID)
+		n.endpoints.release(a.Request, host.ID, usageOf(a))
 		n.metrics.attempts.WithLabelValues(a.Request.Service, result(err)).Inc()
 		switch {
 		case err == nil:
@@ -103,12 +103,12 @@
 		return err
 	}
 	defer stream.Close()
-	return n.relay(a, attempt.AttemptID, stream)
+	return n.relay(a, attempt.AttemptID, host.ID, stream)
 }
 
 // relay moves chunks from the stream into the answer until the finish mark.
 // Only the current attempt's next chunk in order is taken.
-func (n *Node) relay(a *Accepted, attemptID string, stream port.Stream) error {
+func (n *Node) relay(a *Accepted, attemptID, endpoint string, stream port.Stream) error {
 	for {
 		c, err := stream.Recv()
 		if err != nil {
@@ -129,6 +129,7 @@
 			if err := a.Answer.Append(answer.Chunk{Index: c.Index, Text: c.Text}); err != nil {
 				return err
 			}
+			n.endpoints.started(a.Request, endpoint)
 			if c.Index == 0 {
 				n.metrics.firstToken.Observe(time.Since(a.Request.Arrived).Seconds())
 			}
--- a/node/node.go
+++ b/node/node.go
@@ -62,7 +62,7 @@
 		registry:  registry,
 		documents: config.NewTable(),
 		claims:    claim.NewTable(),
-		endpoints: newEndpointTable(),
+		endpoints: newEndpointTable(settings),
 		hosts:     newHostTable(),
 		requests:  newRequestTable(),
 	}
@@ -83,6 +83,7 @@
 	n.tomb.Go(n.tail.run)
 	n.pool.every(&n.tomb, "hosts", n.settings.PollInterval.Std(), n.pollHosts)
 	n.pool.every(&n.tomb, "loads", n.settings.LoadInterval.Std(), n.pollLoads)
+	n.pool.every(&n.tomb, "cache events", n.settings.LoadInterval.Std(), n.pollEvents)
 	n.pool.every(&n.tomb, "requests", time.Second, n.expireRequests)
 	n.tomb.Go(n.watchNotices)
 }
--- a/node/operator.go
+++ b/node/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/uptrace/bunrouter"
@@ -17,6 +18,7 @@
 	Documents map[string]config.Revision `json:"documents"`
 	Hosts     []port.Host                `json:"hosts"`
 	Requests  []RequestState             `json:"requests"`
+	Choice    ChoiceState                `json:"choice"`
 }
 
 // RequestState is one row of the request table.
@@ -35,6 +37,7 @@
 		LogOffset: n.tail.offset(),
 		Documents: n.documents.All(),
 		Hosts:     n.hosts.all(),
+		Choice:    n.endpoints.state(time.Now()),
 	}
 	for _, a := range n.requests.all() {
 		s.Requests = append(s.Requests, RequestState{
