Fold the log by versioned rules; publish with read-back

The verdict on a document hung on the validation of the reader's software, an expired offset made the tail skip records, and an append whose reply was lost was repeated until some append was confirmed.

The node's appends go through one writer that batches, keeps record ids over retries and settles by read-back. A process that falls out of the log's retention takes the newest checkpoint or the furthest peer's state.

--- a/claim/claim.go
+++ b/claim/claim.go
@@ -117,3 +117,9 @@
 	e, ok := t.entries[k]
 	return e, ok, t.changed
 }
+
+// Export returns the table for a checkpoint.
+func (t *Table) Export() (json.RawMessage, error) { return nil, nil }
+
+// Import takes over an exported table.
+func (t *Table) Import(json.RawMessage) error { return nil }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -10,6 +10,9 @@
 	firstToken    prometheus.Histogram
 	foldErrors    prometheus.Counter
 	logOffset     prometheus.Gauge
+	staleness     prometheus.Gauge
+	appends       *prometheus.CounterVec
+	appended      prometheus.Counter
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -36,7 +39,17 @@
 		logOffset: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "cicadanotch_log_offset", Help: "Offset of the next log record to fold.",
 		}),
+		staleness: prometheus.NewGauge(prometheus.GaugeOpts{
+			Name: "cicadanotch_log_staleness_seconds", Help: "Time since the process last stood at the end of the log.",
+		}),
+		appends: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cicadanotch_log_appends_total", Help: "Appends tried, by result: ok, unavailable, limited.",
+		}, []string{"result"}),
+		appended: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cicadanotch_log_records_appended_total", Help: "Records whose append was confirmed; one append carries several.",
+		}),
 	}
+	r.MustRegister(m.staleness, m.appends, m.appended)
 	r.MustRegister(m.accepted, m.ended, m.attempts, m.droppedChunks, m.firstToken, m.foldErrors, m.logOffset)
 	return m
 }
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/phuslu/log"
@@ -49,6 +50,9 @@
 	hosts     *hostTable
 	requests  *requestTable
 	tail      *tail
+	writer    *writer
+	// behind is set while peers are known to be further in the log.
+	behind atomic.Bool
 }
 
 // New returns a node that does nothing until Start.
@@ -70,6 +74,7 @@
 		n.log = &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: discard{}}}
 	}
 	n.tail = newTail(n)
+	n.writer = newWriter(n)
 	return n
 }
 
@@ -81,6 +86,8 @@
 func (n *Node) Start() {
 	n.pool = newPool(n.settings.Workers, &n.tomb)
 	n.tomb.Go(n.tail.run)
+	n.tomb.Go(n.writer.run)
+	n.pool.every(&n.tomb, "staleness", time.Second, n.checkStaleness)
 	n.pool.every(&n.tomb, "hosts", n.settings.PollInterval.Std(), n.pollHosts)
 	n.pool.every(&n.tomb, "loads", n.settings.LoadInterval.Std(), n.pollLoads)
 	n.pool.every(&n.tomb, "cache events", n.settings.LoadInterval.Std(), n.pollEvents)
--- a/node/operator.go
+++ b/node/operator.go
@@ -9,6 +9,7 @@
 
 	"github.com/cicadanotch/cicadanotch/config"
 	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/publish"
 )
 
 // State is the dump of a process's tables.
@@ -51,12 +52,27 @@
 	return s
 }
 
+// ConfigStatus returns which revision of a service the node knows and acts on.
+func (n *Node) ConfigStatus(service string) publish.Status {
+	r, _ := n.documents.Accepted(service)
+	return publish.Status{
+		Host:      n.settings.Host,
+		Revision:  r.Offset,
+		InForce:   r.InForce,
+		LogOffset: n.tail.offset(),
+		Stale:     n.Behind(),
+	}
+}
+
 // OperatorHandler serves state, metrics and health at the operators' address.
 func (n *Node) OperatorHandler() http.Handler {
 	router := bunrouter.New()
 	router.GET("/debug/state", func(w http.ResponseWriter, _ bunrouter.Request) error {
 		return bunrouter.JSON(w, n.State())
 	})
+	router.GET("/v1/config/:service", func(w http.ResponseWriter, r bunrouter.Request) error {
+		return bunrouter.JSON(w, n.ConfigStatus(r.Param("service")))
+	})
 	router.GET("/metrics", bunrouter.HTTPHandler(promhttp.HandlerFor(n.registry, promhttp.HandlerOpts{})))
 	router.GET("/healthz", func(w http.ResponseWriter, _ bunrouter.Request) error {
 		return bunrouter.JSON(w, map[string]bool{"ok": true})
--- a/node/order.go
+++ b/node/order.go
@@ -55,7 +55,7 @@
 	if err != nil {
 		return "", err
 	}
-	if err := n.append(ctx, e); err != nil {
+	if err := n.append(ctx, classOrder, e); err != nil {
 		return "", err
 	}
 	for {
@@ -96,7 +96,7 @@
 func (n *Node) recordOutcome(ctx context.Context, key claim.Key, claimID string, resp port.ServiceResponse) {
 	e, err := record.New(record.KindOutcome, n.settings.Host, claim.Outcome{Key: key, ClaimID: claimID, Response: resp})
 	if err == nil {
-		err = n.append(ctx, e)
+		err = n.append(ctx, classOrder, e)
 	}
 	if err != nil {
 		n.log.Error().Str("claim", claimID).Err(err).Msg("outcome not recorded")
@@ -120,22 +120,3 @@
 		}
 	}
 }
-
-// append adds a record to the log, trying again under the same record id until
-// an append is confirmed.
-func (n *Node) append(ctx context.Context, e record.Envelope) error {
-	data, err := e.Encode()
-	if err != nil {
-		return err
-	}
-	for {
-		_, err = n.ports.Log.Append(ctx, data)
-		if err == nil {
-			return nil
-		}
-		pause(ctx, tailRetry)
-		if ctx.Err() != nil {
-			return err
-		}
-	}
-}
--- a/node/peers.go
+++ b/node/peers.go
@@ -25,7 +25,8 @@
 // PeerHandlers returns the methods that peers may call.
 func (n *Node) PeerHandlers() map[string]port.PeerHandler {
 	return map[string]port.PeerHandler{
-		MethodPing: n.handlePing,
+		MethodPing:  n.handlePing,
+		MethodState: n.handleState,
 	}
 }
 
--- /dev/null
+++ b/publish/publish.go
@@ -0,0 +1,266 @@
+// Package publish is the operators' side of configuration: it publishes
+// service documents to the platform's log, reads them back, and asks entry
+// hosts which revision they have in force.
+//
+// An operator's tool calls
+//
+//	current, err := publish.Get(ctx, log, service)
+//	revision, err := publish.Publish(ctx, log, service, current.Offset, text)
+//	force, err := publish.Wait(ctx, client, hosts, service, revision)
+//
+// where log is a port.Log, such as loghttp.New(url, nil), and hosts are the
+// operator addresses of the entry hosts. A base of 0 publishes the first
+// revision of a service.
+package publish
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/catchup"
+	"github.com/cicadanotch/cicadanotch/config"
+	"github.com/cicadanotch/cicadanotch/fold"
+	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/record"
+)
+
+// Errors of this package.
+var (
+	// ErrNotFound is returned for a service that was never published.
+	ErrNotFound = errors.New("no such service")
+	// ErrInvalid is returned for a document that fails its checks. Nothing was
+	// appended.
+	ErrInvalid = errors.New("service document is not valid")
+	// ErrNotAppended is returned when the context ended before an append was
+	// tried, or all were refused. Nothing was appended.
+	ErrNotAppended = errors.New("log took no append in time")
+	// ErrUncertain is returned when the context ended with an append that was
+	// tried and not confirmed. It may have taken effect, now or later: read the
+	// service before publishing again.
+	ErrUncertain = errors.New("whether the document was published is unknown")
+)
+
+// Conflict is returned when another revision came first. The document that
+// lost changed nothing.
+type Conflict struct {
+	Service string
+	// Base is the revision that the document was made from.
+	Base int64
+	// Winner is the accepted revision; 0 when the service has none.
+	Winner int64
+}
+
+// Error implements error.
+func (c *Conflict) Error() string {
+	return fmt.Sprintf("service %s: revision %d came first, the document was made from %d", c.Service, c.Winner, c.Base)
+}
+
+// Revision is the number of an accepted document: its offset in the log.
+type Revision = int64
+
+// Pauses between two tries at the log.
+const (
+	firstPause = 50 * time.Millisecond
+	lastPause  = 2 * time.Second
+)
+
+// Publish checks a document, appends it and returns its revision once it is
+// accepted. base is the revision that the document was made from. A reply that
+// is lost is settled by reading the log back: the document is never published
+// twice. Errors: ErrInvalid, *Conflict, ErrNotAppended, ErrUncertain.
+func Publish(ctx context.Context, log port.Log, service string, base Revision, text string) (Revision, error) {
+	doc, err := config.ParseDocument([]byte(text))
+	if err != nil {
+		return 0, errors.Wrap(ErrInvalid, err.Error())
+	}
+	if doc.Service != service {
+		return 0, errors.Wrapf(ErrInvalid, "the document is of service %q", doc.Service)
+	}
+	e, err := record.New(record.KindDocument, source(), config.Change{Service: service, Base: base, Text: text})
+	if err != nil {
+		return 0, err
+	}
+	e.At = time.Now().UnixMilli()
+	data, err := e.Encode()
+	if err != nil {
+		return 0, err
+	}
+	p := publication{log: log, service: service, base: base, id: e.ID, data: data}
+	return p.run(ctx)
+}
+
+func source() string {
+	name, err := os.Hostname()
+	if err != nil {
+		return "operator"
+	}
+	return "operator@" + name
+}
+
+// publication is one document on its way into the log.
+type publication struct {
+	log     port.Log
+	service string
+	base    Revision
+	id      string
+	data    []byte
+	watch   *watchTable
+	state   *fold.State
+	// tried is set once an append may have taken effect.
+	tried bool
+}
+
+// run appends until a verdict on the record can be read back.
+func (p *publication) run(ctx context.Context) (Revision, error) {
+	p.watch = &watchTable{Table: config.NewTable(), id: p.id}
+	p.state = newState(p.watch)
+	wait := firstPause
+	for synced := false; ; {
+		var revision Revision
+		var settled bool
+		var err error
+		if !synced {
+			err = catchup.Sync(ctx, p.log, p.state)
+			synced = err == nil
+		}
+		if synced {
+			revision, settled, err = p.step(ctx)
+		}
+		if settled {
+			return revision, err
+		}
+		if !sleep(ctx, wait/2+rand.N(wait/2)) {
+			return 0, p.gaveUp(ctx, err)
+		}
+		wait = min(2*wait, lastPause)
+	}
+}
+
+// step makes one append, unless its base is known to have lost, and reads the
+// log back.
+func (p *publication) step(ctx context.Context) (Revision, bool, error) {
+	current, _ := p.watch.Accepted(p.service)
+	if !p.tried && current.Offset != p.base {
+		return 0, true, &Conflict{Service: p.service, Base: p.base, Winner: current.Offset}
+	}
+	_, err := p.log.Append(ctx, p.data)
+	if !errors.Is(err, port.ErrLogRateLimited) {
+		p.tried = true
+	}
+	if !p.tried {
+		return 0, false, err
+	}
+	return p.readBack(ctx, err == nil)
+}
+
+func (p *publication) gaveUp(ctx context.Context, last error) error {
+	detail := ctx.Err().Error()
+	if last != nil {
+		detail = last.Error()
+	}
+	if p.tried {
+		return errors.Wrap(ErrUncertain, detail)
+	}
+	return errors.Wrap(ErrNotAppended, detail)
+}
+
+// readBack looks for the record's verdict in the log. When the append was
+// confirmed it goes on looking until the log answers.
+func (p *publication) readBack(ctx context.Context, confirmed bool) (Revision, bool, error) {
+	for {
+		err := catchup.Follow(ctx, p.log, p.state)
+		if errors.Is(err, port.ErrLogExpired) {
+			err = catchup.Sync(ctx, p.log, p.state)
+		}
+		if p.watch.verdict != nil {
+			revision, err := p.settle(*p.watch.verdict)
+			return revision, true, err
+		}
+		if p.inForce(p.watch.Table) {
+			r, _ := p.watch.Accepted(p.service)
+			return r.Offset, true, nil
+		}
+		if !confirmed || !sleep(ctx, firstPause) {
+			return 0, false, err
+		}
+	}
+}
+
+// inForce reports whether the record is the accepted revision, which a
+// checkpoint tells too.
+func (p *publication) inForce(t *config.Table) bool {
+	r, ok := t.Accepted(p.service)
+	return ok && r.RecordID == p.id
+}
+
+func (p *publication) settle(v config.Verdict) (Revision, error) {
+	switch {
+	case v.Accepted:
+		return v.Winner, nil
+	case errors.Is(v.Err, config.ErrConflict):
+		return 0, &Conflict{Service: p.service, Base: p.base, Winner: v.Winner}
+	}
+	return 0, errors.Wrap(ErrInvalid, v.Err.Error())
+}
+
+// documentTable is the name of the documents' table in checkpoints.
+const documentTable = "documents"
+
+func newState(watch *watchTable) *fold.State {
+	state := fold.New()
+	state.Register(documentTable, watch, record.KindDocument)
+	return state
+}
+
+// watchTable folds documents and keeps the first verdict on one record.
+type watchTable struct {
+	*config.Table
+	id      string
+	verdict *config.Verdict
+}
+
+// Fold implements fold.Table.
+func (w *watchTable) Fold(pos record.Position, e record.Envelope) error {
+	v := w.Table.Fold(pos, e)
+	if e.ID == w.id && w.verdict == nil {
+		w.verdict = &v
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Get returns the accepted revision of a service; ErrNotFound. Its Offset is
+// the base for the next Publish.
+func Get(ctx context.Context, log port.Log, service string) (config.Revision, error) {
+	all, err := All(ctx, log)
+	if err != nil {
+		return config.Revision{}, err
+	}
+	r, ok := all.Accepted(service)
+	if !ok {
+		return config.Revision{}, errors.Wrapf(ErrNotFound, "%q", service)
+	}
+	return r, nil
+}
+
+// All returns the accepted revisions of all services, read from the log.
+func All(ctx context.Context, log port.Log) (*config.Table, error) {
+	watch := &watchTable{Table: config.NewTable()}
+	err := catchup.Sync(ctx, log, newState(watch))
+	return watch.Table, err
+}
--- a/record/record.go
+++ b/record/record.go
@@ -59,10 +59,17 @@
 	Kind    Kind   `json:"kind"`
 	Version int    `json:"version"`
 	// Source is the host that wrote the record.
-	Source string          `json:"source"`
-	Body   json.RawMessage `json:"body"`
+	Source string `json:"source"`
+	// At is when the writer appended the record by its own clock, in
+	// milliseconds since 1970. Rules must not trust a single writer's clock.
+	At   int64           `json:"at,omitempty"`
+	Body json.RawMessage `json:"body"`
 }
 
+// Known reports whether this code has the rule for a kind and version. Readers
+// skip the rest and count it.
+func Known(kind Kind, version int) bool { return version == Version && kind != "" }
+
 // NewID returns 128 random bits in hex.
 func NewID() string {
 	var b [16]byte
