--- a/demo/promise.go
+++ b/demo/promise.go
@@ -9,9 +9,6 @@
 	"time"
 )
 
-// inForceLimit is the target for a configuration to be in force everywhere.
-const inForceLimit = 4 * time.Second
-
 // Promise is one promise of the system, judged by callers and stand-ins.
 type Promise struct {
 	Name string
--- a/demo/scene.go
+++ b/demo/scene.go
@@ -16,8 +16,6 @@
 	// noWorkDelay is when a leaving endpoint must get no new work any more.
 	noWorkDelay = 3 * time.Second
 	logOutage   = 2 * time.Second
-	// plannedStopLimit bounds how long a planned stop may wait in the demo.
-	plannedStopLimit = 30 * time.Second
 )
 
 // scene is one fault that happens at a time after the start of the load. Its
