Stop an entry host without cutting a request off

Cause: a stop signal killed the process with every answer in progress. The host leaves the address answers at once and tells every entry host so, serves callers that hold an older answer for the answer's lifetime, then refuses new requests as not run and waits for the rest however long. Log and dump say what it waits for; a second signal changes nothing. Maintenance dates of documents begin a stop early enough for every request to reach its timeout. A request id no longer leads to the answer of another body, nor tells another workspace that it exists.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -125,8 +125,24 @@
 	}
 	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: os.Stderr}}
 	n := Start(settings, listeners, Options{Logger: logger})
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	<-ctx.Done()
-	return n.Stop()
+	return n.Supervise(ctx, stopSignals(ctx))
+}
+
+// stopSignals turns the process's stop signals into a channel.
+func stopSignals(ctx context.Context) <-chan struct{} {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	out := make(chan struct{})
+	go func() {
+		defer signal.Stop(signals)
+		for {
+			select {
+			case <-signals:
+				out <- struct{}{}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	return out
 }
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -236,6 +236,7 @@
 		Host: id, Region: z.Region, Zone: z.Zone,
 		CallerAddress: anyPort, PeerAddress: anyPort, OperatorAddress: anyPort,
 		LogURL: d.LogURL, CloudURL: d.CloudURL,
+		AddressLifetime: config.Duration(d.Profile.AddressLifetime),
 	}
 	listeners, err := daemon.Listen(settings)
 	if err != nil {
--- a/demo/profile.go
+++ b/demo/profile.go
@@ -36,6 +36,9 @@
 	Workspaces []WorkspaceProfile
 	Network    standin.NetworkOptions
 	Engine     standin.EngineOptions
+	// AddressLifetime is how long callers may keep an address answer; zero
+	// means the entry hosts' default.
+	AddressLifetime time.Duration
 }
 
 // WorkspaceProfile is one customer of a deployment.
--- a/node/addresses.go
+++ b/node/addresses.go
@@ -3,14 +3,10 @@
 import (
 	"slices"
 	"strings"
-	"time"
 
 	"github.com/cicadanotch/cicadanotch/port"
 )
 
-// addressLifetime is how long callers may keep an answer.
-const addressLifetime = 10 * time.Second
-
 // Address is one entry host that a caller may use.
 type Address struct {
 	Host    string `json:"host"`
@@ -28,12 +24,21 @@
 
 // Addresses returns the entry hosts that a caller of a service may use.
 func (n *Node) Addresses(service, workspace string) AddressList {
-	list := AddressList{LifetimeSeconds: addressLifetime.Seconds()}
+	list := AddressList{LifetimeSeconds: n.settings.AddressLifetime.Std().Seconds()}
+	var leaving []Address
 	for _, h := range n.hosts.all() {
-		if h.Role == port.RoleEntry && !n.hosts.leaving(h) {
-			list.Addresses = append(list.Addresses, Address{h.ID, h.Region, h.Zone, h.CallerAddress})
+		address := Address{h.ID, h.Region, h.Zone, h.CallerAddress}
+		switch {
+		case h.Role != port.RoleEntry:
+		case n.entryLeaving(h):
+			leaving = append(leaving, address)
+		default:
+			list.Addresses = append(list.Addresses, address)
 		}
 	}
+	if len(list.Addresses) == 0 {
+		list.Addresses = leaving // better than nowhere
+	}
 	slices.SortFunc(list.Addresses, func(a, b Address) int {
 		if d := n.distance(a) - n.distance(b); d != 0 {
 			return d
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -68,6 +68,9 @@
 		}
 		for _, notice := range notices {
 			n.hosts.add(notice)
+			if notice.Host == n.settings.Host {
+				n.noticeOfSelf(notice)
+			}
 			n.log.Info().Str("host", notice.Host).Str("kind", string(notice.Kind)).Time("deadline", notice.Deadline).Msg("notice received")
 		}
 		n.updateEndpoints()
@@ -87,9 +90,10 @@
 
 func (n *Node) updateEndpoints() {
 	var rows []endpointRow
+	schedule := n.schedule()
 	for _, h := range n.hosts.all() {
 		if h.Role == port.RoleEndpoint {
-			rows = append(rows, endpointRow{host: h, leaving: n.hosts.leaving(h)})
+			rows = append(rows, endpointRow{host: h, leaving: n.hosts.leaving(h) || n.underMaintenance(schedule, h)})
 		}
 	}
 	n.endpoints.update(rows)
--- a/node/node.go
+++ b/node/node.go
@@ -52,7 +52,9 @@
 	tail      *tail
 	writer    *writer
 	// behind is set while peers are known to be further in the log.
-	behind atomic.Bool
+	behind   atomic.Bool
+	stopping *stopState
+	leaving  *leavingTable
 }
 
 // New returns a node that does nothing until Start.
@@ -75,6 +77,8 @@
 	}
 	n.tail = newTail(n)
 	n.writer = newWriter(n)
+	n.stopping = newStopState(n.settings.AddressLifetime.Std())
+	n.leaving = newLeavingTable()
 	return n
 }
 
@@ -92,6 +96,7 @@
 	n.pool.every(&n.tomb, "loads", n.settings.LoadInterval.Std(), n.pollLoads)
 	n.pool.every(&n.tomb, "cache events", n.settings.LoadInterval.Std(), n.pollEvents)
 	n.pool.every(&n.tomb, "requests", time.Second, n.expireRequests)
+	n.pool.every(&n.tomb, "stop", stopInterval, n.stepStop)
 	n.tomb.Go(n.watchNotices)
 }
 
@@ -118,6 +123,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
+	n.stopping.add(server)
 	n.tomb.Go(func() error {
 		<-n.tomb.Dying()
 		return errors.Wrap(server.Close(), "close server")
--- a/node/operator.go
+++ b/node/operator.go
@@ -20,6 +20,8 @@
 	Hosts     []port.Host                `json:"hosts"`
 	Requests  []RequestState             `json:"requests"`
 	Choice    ChoiceState                `json:"choice"`
+	// Stop tells how far a stop of this host has come and what it waits for.
+	Stop StopState `json:"stop"`
 }
 
 // RequestState is one row of the request table.
@@ -39,6 +41,7 @@
 		Documents: n.documents.All(),
 		Hosts:     n.hosts.all(),
 		Choice:    n.endpoints.state(time.Now()),
+		Stop:      n.stopState(),
 	}
 	for _, a := range n.requests.all() {
 		s.Requests = append(s.Requests, RequestState{
--- a/node/peers.go
+++ b/node/peers.go
@@ -12,6 +12,8 @@
 const (
 	// MethodPing answers with the host's id.
 	MethodPing = "member.ping"
+	// MethodLeaving tells whether the calling host leaves.
+	MethodLeaving = "drain.leaving"
 )
 
 // PeerServer serves the peers' listener; package peerrpc has one.
@@ -25,8 +27,9 @@
 // PeerHandlers returns the methods that peers may call.
 func (n *Node) PeerHandlers() map[string]port.PeerHandler {
 	return map[string]port.PeerHandler{
-		MethodPing:  n.handlePing,
-		MethodState: n.handleState,
+		MethodPing:    n.handlePing,
+		MethodState:   n.handleState,
+		MethodLeaving: n.handleLeaving,
 	}
 }
 
--- a/node/plan.go
+++ b/node/plan.go
@@ -47,12 +47,15 @@
 	if p != nil {
 		return nil, p
 	}
+	if p := n.refuseStopping(&guard); p != nil && !n.requests.knows(req.ID) {
+		return nil, p
+	}
 	ctx, cancel := context.WithDeadline(n.context(), req.Deadline)
 	a := &Accepted{Request: req, Answer: answer.NewBuffer(), cancel: cancel, lastRead: time.Now()}
 	booked, added := n.requests.add(a)
 	if !added {
 		cancel()
-		return n.attachTo(booked, req.Workspace, &guard)
+		return attachTo(booked, req, &guard)
 	}
 	n.metrics.accepted.WithLabelValues(req.Service, req.Workspace).Inc()
 	n.tomb.Go(func() error {
@@ -67,21 +70,22 @@
 // Attach returns a request that was accepted before. Only its own workspace
 // may attach; for others it does not exist.
 func (n *Node) Attach(id request.ID, key, workspace string) (*Accepted, *problem.Problem) {
-	var guard problem.Guard
 	a, ok := n.requests.get(id)
 	if !ok {
 		return nil, problem.Unknown(http.StatusNotFound, problem.TypeNotFound, "no such request here")
 	}
 	rev, _ := n.documents.Service(a.Request.Service)
 	w, ok := findWorkspace(rev.Document, key, workspace)
-	if !ok {
+	if !ok || w.Name != a.Request.Workspace {
 		return nil, problem.Unknown(http.StatusNotFound, problem.TypeNotFound, "no such request here")
 	}
-	return n.attachTo(a, w.Name, &guard)
+	return a, nil
 }
 
-func (n *Node) attachTo(a *Accepted, workspace string, guard *problem.Guard) (*Accepted, *problem.Problem) {
-	if a.Request.Workspace != workspace {
+// attachTo attaches a call to the request that is booked under its id, if it
+// is the same request: an id must not lead to the answer of another body.
+func attachTo(a *Accepted, req *request.Request, guard *problem.Guard) (*Accepted, *problem.Problem) {
+	if a.Request.Workspace != req.Workspace || a.Request.Fingerprint != req.Fingerprint {
 		return nil, problem.Refuse(guard, http.StatusConflict, problem.TypeBadRequest, "the request id is in use")
 	}
 	return a, nil
--- a/node/requests.go
+++ b/node/requests.go
@@ -71,6 +71,11 @@
 	return a, ok
 }
 
+func (t *requestTable) knows(id request.ID) bool {
+	_, ok := t.get(id)
+	return ok
+}
+
 func (t *requestTable) all() []*Accepted {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/node/settings.go
+++ b/node/settings.go
@@ -44,6 +44,9 @@
 	PollInterval config.Duration `json:"poll_interval,omitempty"`
 	// LoadInterval is the time between two polls of an endpoint's load.
 	LoadInterval config.Duration `json:"load_interval,omitempty"`
+	// AddressLifetime is how long callers may keep an answer to "which
+	// address do I use"; a planned stop serves them that long.
+	AddressLifetime config.Duration `json:"address_lifetime,omitempty"`
 	// MaxBody bounds the body of a request, in bytes.
 	MaxBody int64 `json:"max_body_bytes,omitempty" validate:"gte=0"`
 }
@@ -65,6 +68,8 @@
 	DefaultPollInterval = 500 * time.Millisecond
 	DefaultLoadInterval = 200 * time.Millisecond
 	DefaultMaxBody      = 4 << 20
+	// DefaultAddressLifetime is how long callers may keep an address answer.
+	DefaultAddressLifetime = 10 * time.Second
 )
 
 // LoadSettings reads a settings file; ErrSettings.
@@ -101,6 +106,9 @@
 	if s.LoadInterval == 0 {
 		s.LoadInterval = config.Duration(DefaultLoadInterval)
 	}
+	if s.AddressLifetime == 0 {
+		s.AddressLifetime = config.Duration(DefaultAddressLifetime)
+	}
 	if s.MaxBody == 0 {
 		s.MaxBody = DefaultMaxBody
 	}
