lease: control work by one process at a time

Control work needs one holder without trusting clocks of others. A lease record names the last record its writer saw, so a renewal and a takeover that race cannot both be accepted; the offset of the taking record is the fencing number. The holder counts from before its append, the candidate from what it read, and all is re-checked right before an order.

The node keeps leases by a background job; three candidates by rendezvous compete for each.

--- /dev/null
+++ b/lease/example_test.go
@@ -0,0 +1,41 @@
+package lease_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cicadanotch/cicadanotch/lease"
+	"github.com/cicadanotch/cicadanotch/record"
+)
+
+// A process takes a lease by a record in the log and acts under the record's
+// offset until its own clock says that its time is over.
+func Example() {
+	table := lease.NewTable()
+	member := lease.NewMember("capacity/assistant-llm", "jos-a-entry-1/4f2a", lease.DefaultOptions())
+	now := time.Unix(0, 0)
+
+	member.Observe(now, table.Get("capacity/assistant-llm"))
+	action := member.Next(now, now)
+	body, err := json.Marshal(action.Change)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	e := record.Envelope{ID: "r1", Kind: record.KindLease, Version: 1, Body: body}
+	member.Appending(now, e.ID)
+	if err := table.Fold(record.Position{Offset: 41}, e); err != nil {
+		fmt.Println(err)
+		return
+	}
+	member.Observe(now, table.Get("capacity/assistant-llm"))
+
+	fence, ok := member.Held(now.Add(time.Second))
+	fmt.Println(fence, ok)
+	_, ok = member.Held(now.Add(9 * time.Second))
+	fmt.Println(ok)
+	// Output:
+	// 41 true
+	// false
+}
--- /dev/null
+++ b/node/harness_test.go
@@ -0,0 +1,223 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/config"
+	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/publish"
+	"github.com/cicadanotch/cicadanotch/standin"
+)
+
+// fakeCloud lists fixed hosts.
+type fakeCloud struct {
+	port.Cloud
+	mu    sync.Mutex
+	hosts []port.Host
+}
+
+func (c *fakeCloud) Hosts(context.Context) ([]port.Host, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]port.Host(nil), c.hosts...), nil
+}
+
+func (c *fakeCloud) remove(id string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := []port.Host{}
+	for _, h := range c.hosts {
+		if h.ID != id {
+			kept = append(kept, h)
+		}
+	}
+	c.hosts = kept
+}
+
+func (c *fakeCloud) Notices(ctx context.Context, _ int64, wait time.Duration) ([]port.Notice, error) {
+	pause(ctx, wait)
+	return nil, nil
+}
+
+// fakeServices books the calls of a plain service.
+type fakeServices struct {
+	mu    sync.Mutex
+	calls map[string]int
+	// onCall may hold a call up or fail it, before and after it ran.
+	before, after func(port.ServiceRequest) error
+	lookups       map[string]port.ServiceResponse
+}
+
+func newFakeServices() *fakeServices {
+	return &fakeServices{calls: map[string]int{}, lookups: map[string]port.ServiceResponse{}}
+}
+
+func (s *fakeServices) Call(_ context.Context, _ string, r port.ServiceRequest) (port.ServiceResponse, error) {
+	if r.Method == "GET" {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		resp, ok := s.lookups[r.Path]
+		if !ok {
+			return port.ServiceResponse{Status: 404}, nil
+		}
+		return resp, nil
+	}
+	if s.before != nil {
+		if err := s.before(r); err != nil {
+			return port.ServiceResponse{}, err
+		}
+	}
+	s.mu.Lock()
+	s.calls[string(r.Body)]++
+	resp := port.ServiceResponse{Status: 200, Body: fmt.Appendf(nil, "run %d of %s", s.calls[string(r.Body)], r.Body)}
+	s.mu.Unlock()
+	if s.after != nil {
+		if err := s.after(r); err != nil {
+			return port.ServiceResponse{}, err
+		}
+	}
+	return resp, nil
+}
+
+func (s *fakeServices) Probe(context.Context, string) error { return nil }
+
+func (s *fakeServices) Load(context.Context, string) (port.LoadReport, error) {
+	return port.LoadReport{MaxRunning: 64}, nil
+}
+
+// fakeEngine answers polls only.
+type fakeEngine struct{ port.Engine }
+
+func (fakeEngine) Probe(context.Context, string) error { return nil }
+
+func (fakeEngine) Load(context.Context, string) (port.LoadReport, error) {
+	return port.LoadReport{}, nil
+}
+
+func (fakeEngine) CacheEvents(context.Context, string, int64) ([]port.CacheEvent, error) {
+	return nil, nil
+}
+
+// fakePeers calls the handlers of other nodes directly.
+type fakePeers struct {
+	mu    sync.Mutex
+	nodes map[string]*Node
+}
+
+func (p *fakePeers) Call(ctx context.Context, address, method string, params, result any) error {
+	p.mu.Lock()
+	n, ok := p.nodes[address]
+	p.mu.Unlock()
+	if !ok {
+		return port.ErrPeerUnreachable
+	}
+	h, ok := n.PeerHandlers()[method]
+	if !ok {
+		return port.ErrPeerRefused
+	}
+	out, err := h(ctx, mustJSON(params))
+	if err != nil {
+		return errors.Wrap(port.ErrPeerRefused, err.Error())
+	}
+	fromJSON(mustJSON(out), result)
+	return nil
+}
+
+func (p *fakePeers) set(address string, n *Node) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n == nil {
+		delete(p.nodes, address)
+		return
+	}
+	p.nodes[address] = n
+}
+
+// cluster is a few nodes over one log, without a network.
+type cluster struct {
+	t        *testing.T
+	log      *standin.Log
+	faults   *standin.Faults
+	cloud    *fakeCloud
+	services *fakeServices
+	peers    *fakePeers
+	nodes    []*Node
+}
+
+const (
+	testService = "store-api"
+	testRoute   = "/ventilation"
+)
+
+func testDocument() string {
+	return `{"schema": 1, "service": "store-api", "kind": "plain",
+		"routes": [{"method": "POST", "path": "/ventilation", "lookup": "/lookup/{key}"}],
+		"placement": {"availability_zones": ["jos-a"], "machine_classes": ["l4"]},
+		"latency": {"request_timeout": "20s"},
+		"workspaces": [{"name": "bokkos", "weight": 1}], "idempotency_window": "24h"}`
+}
+
+// newCluster starts nodes and publishes the test document. Run it in a
+// synctest bubble.
+func newCluster(t *testing.T, size int) *cluster {
+	t.Helper()
+	is := is.New(t)
+	faults := standin.NewFaults()
+	c := &cluster{
+		t:        t,
+		faults:   faults,
+		log:      standin.NewLog(standin.LogOptions{Faults: faults}),
+		cloud:    &fakeCloud{},
+		services: newFakeServices(),
+		peers:    &fakePeers{nodes: map[string]*Node{}},
+	}
+	_, err := publish.Publish(t.Context(), c.log, testService, 0, testDocument())
+	is.NoErr(err)
+	c.cloud.hosts = append(c.cloud.hosts, port.Host{
+		ID: "plain-1", Role: port.RoleEndpoint, Region: "plateau", Zone: "jos-a", Service: testService,
+		State: port.HostLive, EndpointAddress: "127.0.0.1:1",
+	})
+	for i := range size {
+		id := fmt.Sprintf("entry-%d", i)
+		c.cloud.hosts = append(c.cloud.hosts, port.Host{
+			ID: id, Role: port.RoleEntry, Region: "plateau", Zone: "jos-a", State: port.HostLive, PeerAddress: id,
+		})
+	}
+	for i := range size {
+		c.nodes = append(c.nodes, c.start(fmt.Sprintf("entry-%d", i)))
+	}
+	t.Cleanup(c.stop)
+	time.Sleep(3 * time.Second)
+	synctest.Wait()
+	return c
+}
+
+func (c *cluster) start(id string) *Node {
+	n := New(Settings{
+		Host: id, Region: "plateau", Zone: "jos-a", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+		PollInterval: config.Duration(time.Second), LoadInterval: config.Duration(time.Second),
+	}, Ports{Log: c.log, Cloud: c.cloud, Services: c.services, Peers: c.peers, Engine: fakeEngine{}})
+	n.Start()
+	c.peers.set(id, n)
+	return n
+}
+
+// kill ends a node at once; peers cannot reach it any more.
+func (c *cluster) kill(i int) {
+	c.peers.set(c.nodes[i].settings.Host, nil)
+	c.nodes[i].tomb.Kill(nil)
+}
+
+func (c *cluster) stop() {
+	for _, n := range c.nodes {
+		_ = n.Stop() // its errors do not matter here
+	}
+}
--- a/node/node.go
+++ b/node/node.go
@@ -21,7 +21,9 @@
 
 	"github.com/cicadanotch/cicadanotch/claim"
 	"github.com/cicadanotch/cicadanotch/config"
+	"github.com/cicadanotch/cicadanotch/lease"
 	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/record"
 )
 
 // Ports are the adapters that a node uses.
@@ -46,17 +48,25 @@
 
 	documents *config.Table
 	claims    *claim.Table
+	leases    *lease.Table
 	endpoints *endpointTable
 	hosts     *hostTable
 	requests  *requestTable
 	tail      *tail
 	writer    *writer
+	holders   *leaseHolders
+	// incarnation is unique to this process, not only to its host.
+	incarnation string
 	// behind is set while peers are known to be further in the log.
 	behind   atomic.Bool
 	stopping *stopState
 	leaving  *leavingTable
 }
 
+// incarnationDigits is how many random hex digits tell two processes of one
+// host apart.
+const incarnationDigits = 12
+
 // New returns a node that does nothing until Start.
 func New(settings Settings, ports Ports) *Node {
 	registry := prometheus.NewRegistry()
@@ -68,6 +78,7 @@
 		registry:  registry,
 		documents: config.NewTable(),
 		claims:    claim.NewTable(),
+		leases:    lease.NewTable(),
 		endpoints: newEndpointTable(settings),
 		hosts:     newHostTable(),
 		requests:  newRequestTable(),
@@ -75,6 +86,8 @@
 	if n.log == nil {
 		n.log = &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: discard{}}}
 	}
+	n.incarnation = n.settings.Host + "/" + record.NewID()[:incarnationDigits]
+	n.holders = newLeaseHolders(n)
 	n.tail = newTail(n)
 	n.writer = newWriter(n)
 	n.stopping = newStopState(n.settings.AddressLifetime.Std())
@@ -91,6 +104,7 @@
 	n.pool = newPool(n.settings.Workers, &n.tomb)
 	n.tomb.Go(n.tail.run)
 	n.tomb.Go(n.writer.run)
+	n.pool.every(&n.tomb, "leases", leaseInterval, n.holders.step)
 	n.pool.every(&n.tomb, "staleness", time.Second, n.checkStaleness)
 	n.pool.every(&n.tomb, "hosts", n.settings.PollInterval.Std(), n.pollHosts)
 	n.pool.every(&n.tomb, "loads", n.settings.LoadInterval.Std(), n.pollLoads)
--- a/node/tail.go
+++ b/node/tail.go
@@ -25,6 +25,7 @@
 const (
 	tableDocuments = "documents"
 	tableClaims    = "claims"
+	tableLeases    = "leases"
 )
 
 // documentTable makes config.Table a fold.Table.
@@ -42,6 +43,7 @@
 	state := fold.New()
 	state.Register(tableDocuments, documentTable{n.documents}, record.KindDocument)
 	state.Register(tableClaims, n.claims, record.KindClaim, record.KindOutcome, record.KindAbandon)
+	state.Register(tableLeases, n.leases, record.KindLease)
 	return state
 }
 
