--- /dev/null
+++ b/arch/arch_test.go
@@ -0,0 +1,142 @@
+// Package arch_test keeps the import arrows pointing inwards: domain packages
+// do no I/O, start no goroutine, read no clock, and know no adapter.
+package arch_test
+
+import (
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+const module = "github.com/cicadanotch/cicadanotch/"
+
+// domain lists the packages with the decisions.
+var domain = []string{
+	"address", "admit", "answer", "attempt", "capacity", "claim", "config", "drain", "fold", "lease", "member",
+	"prefix", "problem", "quarantine", "record", "request", "route",
+}
+
+// forbiddenImports may not be imported by a domain package; a path that ends
+// with a slash stands for all below it.
+var forbiddenImports = []string{
+	"net", "net/", "os", "os/", "syscall", "io/ioutil",
+	module + "adapter/", module + "node", module + "daemon", module + "standin", module + "standin/", module + "cli", module + "demo",
+}
+
+// forbiddenCalls may not be called by a domain package.
+var forbiddenCalls = map[string]bool{
+	"time.Now": true, "time.Sleep": true, "time.After": true, "time.AfterFunc": true, "time.NewTimer": true,
+	"time.NewTicker": true, "time.Since": true, "time.Until": true, "rand.IntN": true, "rand.Float64": true, "rand.N": true,
+}
+
+// standardStatus may be imported for its status constants alone.
+const standardStatus = "net/http"
+
+func TestDomainPackages(t *testing.T) {
+	for _, pkg := range domain {
+		files, err := filepath.Glob(filepath.Join("..", pkg, "*.go"))
+		is.New(t).NoErr(err)
+		for _, file := range files {
+			if !strings.HasSuffix(file, "_test.go") {
+				checkFile(t, file)
+			}
+		}
+	}
+}
+
+func checkFile(t *testing.T, file string) {
+	t.Helper()
+	fset := token.NewFileSet()
+	parsed, err := parser.ParseFile(fset, file, nil, 0)
+	is.New(t).NoErr(err)
+	for _, spec := range parsed.Imports {
+		path, err := strconv.Unquote(spec.Path.Value)
+		is.New(t).NoErr(err)
+		if forbidden(path) {
+			t.Errorf("%s imports %s", file, path)
+		}
+	}
+	ast.Inspect(parsed, func(n ast.Node) bool {
+		switch n := n.(type) {
+		case *ast.GoStmt:
+			t.Errorf("%s starts a goroutine", fset.Position(n.Pos()))
+		case *ast.CallExpr:
+			if name := callName(n); forbiddenCalls[name] {
+				t.Errorf("%s calls %s", fset.Position(n.Pos()), name)
+			}
+		case *ast.SelectorExpr:
+			if x, ok := n.X.(*ast.Ident); ok && x.Name == "http" && !strings.HasPrefix(n.Sel.Name, "Status") {
+				t.Errorf("%s uses http.%s", fset.Position(n.Pos()), n.Sel.Name)
+			}
+		}
+		return true
+	})
+}
+
+func forbidden(path string) bool {
+	if path == standardStatus {
+		return false
+	}
+	for _, f := range forbiddenImports {
+		if path == f || (strings.HasSuffix(f, "/") && strings.HasPrefix(path, f)) {
+			return true
+		}
+	}
+	return false
+}
+
+func callName(call *ast.CallExpr) string {
+	sel, ok := call.Fun.(*ast.SelectorExpr)
+	if !ok {
+		return ""
+	}
+	x, ok := sel.X.(*ast.Ident)
+	if !ok {
+		return ""
+	}
+	return x.Name + "." + sel.Sel.Name
+}
+
+// textFiles returns the project's own text files.
+func textFiles(t *testing.T) []string {
+	t.Helper()
+	var out []string
+	err := filepath.WalkDir("..", func(path string, entry os.DirEntry, err error) error {
+		if err != nil {
+			return err
+		}
+		if entry.IsDir() && entry.Name() == ".git" {
+			return filepath.SkipDir
+		}
+		switch filepath.Ext(path) {
+		case ".go", ".md", ".json", ".txt":
+			out = append(out, path)
+		}
+		return nil
+	})
+	is.New(t).NoErr(err)
+	return out
+}
+
+// TestNoReadyMadeProxy keeps the library's proxy out: what the system does
+// between callers and endpoints is its own.
+func TestNoReadyMadeProxy(t *testing.T) {
+	name := "Reverse" + "Proxy"
+	for _, file := range textFiles(t) {
+		if filepath.Ext(file) != ".go" {
+			continue
+		}
+		text, err := os.ReadFile(file)
+		is.New(t).NoErr(err)
+		if strings.Contains(string(text), name) {
+			t.Errorf("%s uses the ready-made proxy", file)
+		}
+	}
+}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -87,6 +87,7 @@
 		Subcommands: []*ffcli.Command{
 			t.validateCommand(),
 			t.addressesCommand(), t.dumpCommand(),
+			t.demoCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
--- /dev/null
+++ b/cli/demo.go
@@ -0,0 +1,55 @@
+package cli
+
+import (
+	"context"
+	"time"
+
+	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/demo"
+)
+
+func (t *tool) demoCommand() *ffcli.Command {
+	flags := t.flags("demo")
+	profile := flags.String("profile", "coldroot", "deployment: coldroot or mandacaru")
+	length := flags.Duration("length", 20*time.Second, "how long the load lasts")
+	seed := flags.Uint64("seed", 1, "seed of the load's choices")
+	quiet := flags.Bool("quiet", false, "print the table only")
+	asJSON := flags.Bool("json", false, "print the report as JSON")
+	return &ffcli.Command{
+		Name:       "demo",
+		ShortUsage: "cicadanotch demo [--profile NAME] [--length D] [--seed N]",
+		ShortHelp:  "Run a deployment on loopback under load and faults, and judge the promises.",
+		FlagSet:    flags,
+		Exec: func(ctx context.Context, _ []string) error {
+			p, err := demo.ProfileNamed(*profile)
+			if err != nil {
+				return errors.Wrap(ErrUsage, err.Error())
+			}
+			opts := demo.Options{Profile: p, Length: *length, Seed: *seed}
+			if !*quiet {
+				opts.Progress = t.stderr
+			}
+			report, err := demo.Run(ctx, opts)
+			if err != nil {
+				return errors.Wrap(err, "demo")
+			}
+			return t.printReport(report, *asJSON)
+		},
+	}
+}
+
+func (t *tool) printReport(report *demo.Report, asJSON bool) error {
+	if asJSON {
+		if err := t.printJSON(report); err != nil {
+			return err
+		}
+	} else {
+		report.Table(t.stdout)
+	}
+	if held, all := report.Held(); held < all {
+		return errors.Wrapf(ErrFailed, "%d of %d promises held", held, all)
+	}
+	return nil
+}
--- a/client/client.go
+++ b/client/client.go
@@ -19,6 +19,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cicadanotch/cicadanotch/problem"
+	"github.com/cicadanotch/cicadanotch/request"
 )
 
 // Errors of this package. A refusal or failure that the system states is
@@ -74,6 +75,9 @@
 	// SilenceLimit is how long a stream may send nothing, heartbeats
 	// included, before the client attaches anew; zero means 15 s.
 	SilenceLimit time.Duration
+	// OnCut is called when a connection to an entry host ended before the
+	// answer did; nil for none.
+	OnCut func(id request.ID, address string, err error)
 }
 
 // Defaults of Options.
--- a/client/send.go
+++ b/client/send.go
@@ -82,6 +82,7 @@
 			attach = false
 		case tryCut:
 			attach, missing = true, 0
+			c.noteCut(out.id, at, err)
 		case tryUnknown:
 			missing++
 			if missing <= c.size() {
@@ -100,6 +101,12 @@
 	return errors.Wrapf(ErrCut, "request %s: %v", out.id, lastErr)
 }
 
+func (c *Client) noteCut(id request.ID, address string, err error) {
+	if c.opts.OnCut != nil {
+		c.opts.OnCut(id, address, err)
+	}
+}
+
 // size returns the number of known addresses.
 func (c *Client) size() int {
 	c.mu.Lock()
