Prove not-run by the connection and by the endpoint's own word

The guard counted an attempt as sent before the dial, so a refusal after unreachable endpoints said unknown. The ports now call Sending once a connection is open, and an endpoint that declines an attempt by its id takes it back.

--- a/adapter/enginehttp/enginehttp.go
+++ b/adapter/enginehttp/enginehttp.go
@@ -3,15 +3,12 @@
 package enginehttp
 
 import (
-	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"strconv"
-	"strings"
 	"time"
 
 	"github.com/pkg/errors"
@@ -33,6 +30,10 @@
 	HeaderKVHandle    = "KV-Handle"
 	// HeaderDeadline carries the attempt's deadline, RFC 3339 with fractions.
 	HeaderDeadline = "Attempt-Deadline"
+	// HeaderAttemptRun with the value RunNot comes with a refusal of an
+	// attempt that the engine did not run, beside the echoed attempt id.
+	HeaderAttemptRun = "Attempt-Run"
+	RunNot           = "not-run"
 )
 
 // MemberResumeText is the member of the body with the text so far.
@@ -59,7 +60,7 @@
 
 // Engine is a client of model engines.
 type Engine struct {
-	client *http.Client
+	pool *jsonhttp.Pool
 	// probe opens a new connection for each call.
 	probe *http.Client
 }
@@ -71,25 +72,26 @@
 	fresh := jsonhttp.NewTransport(dial)
 	fresh.DisableKeepAlives = true
 	return &Engine{
-		client: &http.Client{Transport: jsonhttp.NewTransport(dial)},
-		probe:  &http.Client{Transport: fresh},
+		pool:  jsonhttp.NewPool(dial),
+		probe: &http.Client{Transport: fresh},
 	}
 }
 
 // Generate implements port.Engine.
 func (e *Engine) Generate(ctx context.Context, address string, r port.GenerateRequest) (port.Stream, error) {
 	ctx, cancel := context.WithCancel(ctx)
+	ctx, trace := jsonhttp.TraceSend(ctx, r.Sending)
 	req, err := newGenerate(ctx, address, r)
 	if err != nil {
 		cancel()
 		return nil, err
 	}
-	resp, err := e.client.Do(req)
+	resp, err := e.pool.Client(address).Do(req)
 	if err != nil {
 		cancel()
-		return nil, connectError(err)
+		return nil, sendError(err, trace)
 	}
-	if err := generateStatus(resp); err != nil {
+	if err := generateStatus(resp, r.AttemptID); err != nil {
 		resp.Body.Close()
 		cancel()
 		return nil, err
@@ -145,10 +147,12 @@
 	return body, errors.Wrap(err, "encode generate body")
 }
 
-func generateStatus(resp *http.Response) error {
+func generateStatus(resp *http.Response, attemptID string) error {
 	switch {
 	case resp.StatusCode == http.StatusOK:
 		return nil
+	case declined(resp.Header, attemptID):
+		return errors.Wrapf(port.ErrDeclined, "status %d", resp.StatusCode)
 	case resp.StatusCode == http.StatusServiceUnavailable, resp.StatusCode == http.StatusTooManyRequests:
 		return errors.Wrapf(port.ErrEndpointRefused, "status %d", resp.StatusCode)
 	case resp.StatusCode >= http.StatusInternalServerError:
@@ -158,113 +162,27 @@
 	return errors.Wrapf(port.ErrRequestInvalid, "status %d: %.200s", resp.StatusCode, text)
 }
 
-// connectError tells a connection that was never opened from one that broke.
-func connectError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
-		return errors.Wrap(port.ErrEndpointUnreachable, err.Error())
-	}
-	return errors.Wrap(port.ErrEndpointBroken, err.Error())
-}
-
-type stream struct {
-	body   io.ReadCloser
-	lines  *bufio.Scanner
-	cancel context.CancelFunc
-	done   bool
-}
-
-func newStream(body io.ReadCloser, cancel context.CancelFunc) *stream {
-	lines := bufio.NewScanner(body)
-	lines.Buffer(make([]byte, 0, 4096), maxLine)
-	return &stream{body: body, lines: lines, cancel: cancel}
-}
-
-// event is the JSON of one server-sent event of an engine.
-type event struct {
-	Choices []struct {
-		Delta struct {
-			Content string `json:"content"`
-		} `json:"delta"`
-		Text         string `json:"text"`
-		FinishReason string `json:"finish_reason"`
-	} `json:"choices"`
-	Usage *struct {
-		PromptTokens        int `json:"prompt_tokens"`
-		CompletionTokens    int `json:"completion_tokens"`
-		PromptTokensDetails struct {
-			CachedTokens int `json:"cached_tokens"`
-		} `json:"prompt_tokens_details"`
-	} `json:"usage"`
-}
-
-// Recv implements port.Stream.
-func (s *stream) Recv() (port.Chunk, error) {
-	if s.done {
-		return port.Chunk{}, io.EOF
-	}
-	id := ""
-	for s.lines.Scan() {
-		line := s.lines.Text()
-		switch {
-		case strings.HasPrefix(line, "id:"):
-			id = strings.TrimSpace(line[len("id:"):])
-		case strings.HasPrefix(line, "data:"):
-			data := strings.TrimSpace(line[len("data:"):])
-			if data == "[DONE]" {
-				return port.Chunk{}, errors.Wrap(port.ErrEndpointBroken, "end without finish mark")
-			}
-			return s.chunk(id, data)
-		}
-	}
-	if err := s.lines.Err(); err != nil {
-		return port.Chunk{}, errors.Wrap(port.ErrEndpointBroken, err.Error())
-	}
-	return port.Chunk{}, errors.Wrap(port.ErrEndpointBroken, "stream truncated")
-}
-
-func (s *stream) chunk(id, data string) (port.Chunk, error) {
-	attempt, indexText, ok := strings.Cut(id, "/")
-	index, err := strconv.Atoi(indexText)
-	if !ok || err != nil {
-		return port.Chunk{}, errors.Wrapf(port.ErrEndpointBroken, "event id %q", id)
-	}
-	var ev event
-	if err := json.Unmarshal([]byte(data), &ev); err != nil {
-		return port.Chunk{}, errors.Wrap(port.ErrEndpointBroken, err.Error())
-	}
-	c := port.Chunk{AttemptID: attempt, Index: index}
-	if len(ev.Choices) > 0 {
-		c.Text = ev.Choices[0].Delta.Content + ev.Choices[0].Text
-		c.FinishReason = ev.Choices[0].FinishReason
-	}
-	if ev.Usage != nil {
-		c.Usage = &port.Usage{
-			PromptTokens:     ev.Usage.PromptTokens,
-			CompletionTokens: ev.Usage.CompletionTokens,
-			CachedTokens:     ev.Usage.PromptTokensDetails.CachedTokens,
-		}
-	}
-	s.done = c.FinishReason != ""
-	return c, nil
+// declined reports whether the engine says of this very attempt that it did
+// not run it.
+func declined(h http.Header, attemptID string) bool {
+	return h.Get(HeaderAttemptRun) == RunNot && h.Get(HeaderAttempt) == attemptID
 }
 
-// Close implements port.Stream.
-func (s *stream) Close() error {
-	if s.done {
-		// Read the end mark, so that the connection can be used again.
-		_, _ = io.Copy(io.Discard, io.LimitReader(s.body, maxLine))
+// sendError tells a call that had no connection from one that broke.
+func sendError(err error, trace *jsonhttp.SendTrace) error {
+	if !trace.Connected() {
+		return errors.Wrap(port.ErrEndpointUnreachable, err.Error())
 	}
-	s.cancel()
-	return s.body.Close()
+	return errors.Wrap(port.ErrEndpointBroken, err.Error())
 }
 
 func (e *Engine) call(ctx context.Context, c *http.Client, method, address, path string, body, out any) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	ctx, trace := jsonhttp.TraceSend(ctx, nil)
 	status, err := jsonhttp.Call(ctx, c, method, "http://"+address+path, body, out)
 	if err != nil {
-		return status, connectError(err)
+		return status, sendError(err, trace)
 	}
 	if status >= http.StatusInternalServerError {
 		return status, errors.Wrapf(port.ErrEndpointBroken, "%s: status %d", path, status)
@@ -279,12 +197,14 @@
 
 // Cancel implements port.Engine.
 func (e *Engine) Cancel(ctx context.Context, address, attemptID string) error {
-	_, err := e.call(ctx, e.client, http.MethodPost, address, PathCancel, CancelRequest{attemptID}, nil)
+	_, err := e.call(ctx, e.pool.Client(address), http.MethodPost, address, PathCancel, CancelRequest{attemptID}, nil)
 	return err
 }
 
-// Probe implements port.Engine.
+// Probe implements port.Engine. The connections that were open before take no
+// further calls: whoever probes doubts them.
 func (e *Engine) Probe(ctx context.Context, address string) error {
+	e.pool.Reset(address)
 	status, err := e.call(ctx, e.probe, http.MethodGet, address, PathHealth, nil, nil)
 	if err == nil && status != http.StatusOK {
 		return errors.Wrapf(port.ErrEndpointBroken, "health: status %d", status)
@@ -295,7 +215,7 @@
 // Load implements port.Engine.
 func (e *Engine) Load(ctx context.Context, address string) (port.LoadReport, error) {
 	var report port.LoadReport
-	_, err := e.call(ctx, e.client, http.MethodGet, address, PathLoad, nil, &report)
+	_, err := e.call(ctx, e.pool.Client(address), http.MethodGet, address, PathLoad, nil, &report)
 	return report, err
 }
 
@@ -303,13 +223,13 @@
 func (e *Engine) CacheEvents(ctx context.Context, address string, after int64) ([]port.CacheEvent, error) {
 	var events []port.CacheEvent
 	path := PathCacheEvents + "?after=" + strconv.FormatInt(after, 10)
-	_, err := e.call(ctx, e.client, http.MethodGet, address, path, nil, &events)
+	_, err := e.call(ctx, e.pool.Client(address), http.MethodGet, address, path, nil, &events)
 	return events, err
 }
 
 // Order implements port.Engine.
 func (e *Engine) Order(ctx context.Context, address string, order port.Order) error {
-	status, err := e.call(ctx, e.client, http.MethodPost, address, PathOrders, order, nil)
+	status, err := e.call(ctx, e.pool.Client(address), http.MethodPost, address, PathOrders, order, nil)
 	if err == nil && status == http.StatusConflict {
 		return port.ErrStaleFence
 	}
@@ -322,7 +242,7 @@
 // ExportKV implements port.Engine.
 func (e *Engine) ExportKV(ctx context.Context, address, attemptID string) (port.KVExport, error) {
 	var export port.KVExport
-	status, err := e.call(ctx, e.client, http.MethodPost, address, PathExport, CancelRequest{attemptID}, &export)
+	status, err := e.call(ctx, e.pool.Client(address), http.MethodPost, address, PathExport, CancelRequest{attemptID}, &export)
 	if err == nil && status == http.StatusOK {
 		return export, nil
 	}
@@ -338,7 +258,7 @@
 
 // ImportKV implements port.Engine.
 func (e *Engine) ImportKV(ctx context.Context, address, source string, export port.KVExport) error {
-	status, err := e.call(ctx, e.client, http.MethodPost, address, PathImport, ImportRequest{source, export}, nil)
+	status, err := e.call(ctx, e.pool.Client(address), http.MethodPost, address, PathImport, ImportRequest{source, export}, nil)
 	if err == nil && status == http.StatusOK {
 		return nil
 	}
--- /dev/null
+++ b/adapter/enginehttp/stream.go
@@ -0,0 +1,154 @@
+package enginehttp
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"strconv"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/port"
+)
+
+const (
+	// readBuffer is the buffer of one stream, in bytes; longer lines grow it.
+	readBuffer = 4 << 10
+	// endTimeout is how long a finished stream may take to end.
+	endTimeout = 500 * time.Millisecond
+)
+
+// stream reads server-sent events of one attempt.
+type stream struct {
+	body    io.ReadCloser
+	lines   *bufio.Scanner
+	cancel  context.CancelFunc
+	attempt string
+	event   event
+	done    bool
+}
+
+func newStream(body io.ReadCloser, cancel context.CancelFunc) *stream {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(make([]byte, 0, readBuffer), maxLine)
+	return &stream{body: body, lines: lines, cancel: cancel}
+}
+
+// event is the JSON of one server-sent event of an engine.
+type event struct {
+	Choices []eventChoice `json:"choices"`
+	Usage   *eventUsage   `json:"usage"`
+}
+
+type eventChoice struct {
+	Delta struct {
+		Content string `json:"content"`
+	} `json:"delta"`
+	Text         string `json:"text"`
+	FinishReason string `json:"finish_reason"`
+}
+
+type eventUsage struct {
+	PromptTokens        int `json:"prompt_tokens"`
+	CompletionTokens    int `json:"completion_tokens"`
+	PromptTokensDetails struct {
+		CachedTokens int `json:"cached_tokens"`
+	} `json:"prompt_tokens_details"`
+}
+
+var (
+	fieldID   = []byte("id:")
+	fieldData = []byte("data:")
+	endMark   = []byte("[DONE]")
+)
+
+// Recv implements port.Stream.
+func (s *stream) Recv() (port.Chunk, error) {
+	if s.done {
+		return port.Chunk{}, io.EOF
+	}
+	index := -1
+	for s.lines.Scan() {
+		line := s.lines.Bytes()
+		switch {
+		case bytes.HasPrefix(line, fieldID):
+			var err error
+			if index, err = s.parseID(bytes.TrimSpace(line[len(fieldID):])); err != nil {
+				return port.Chunk{}, err
+			}
+		case bytes.HasPrefix(line, fieldData):
+			return s.chunk(index, bytes.TrimSpace(line[len(fieldData):]))
+		}
+	}
+	if err := s.lines.Err(); err != nil {
+		return port.Chunk{}, errors.Wrap(port.ErrEndpointBroken, err.Error())
+	}
+	return port.Chunk{}, errors.Wrap(port.ErrEndpointBroken, "stream truncated")
+}
+
+// parseID reads "attempt/index"; the attempt id is kept from event to event.
+func (s *stream) parseID(id []byte) (int, error) {
+	attempt, indexText, ok := bytes.Cut(id, []byte("/"))
+	index, err := strconv.Atoi(string(indexText))
+	if !ok || err != nil || index < 0 {
+		return 0, errors.Wrapf(port.ErrEndpointBroken, "event id %.80q", id)
+	}
+	if s.attempt != string(attempt) {
+		s.attempt = string(attempt)
+	}
+	return index, nil
+}
+
+func (s *stream) chunk(index int, data []byte) (port.Chunk, error) {
+	if bytes.Equal(data, endMark) {
+		return port.Chunk{}, errors.Wrap(port.ErrEndpointBroken, "end without finish mark")
+	}
+	if index < 0 {
+		return port.Chunk{}, errors.Wrap(port.ErrEndpointBroken, "event without id")
+	}
+	s.event.Usage = nil
+	clear(s.event.Choices[:cap(s.event.Choices)])
+	s.event.Choices = s.event.Choices[:0]
+	if err := json.Unmarshal(data, &s.event); err != nil {
+		return port.Chunk{}, errors.Wrap(port.ErrEndpointBroken, err.Error())
+	}
+	c := port.Chunk{AttemptID: s.attempt, Index: index}
+	if len(s.event.Choices) > 0 {
+		choice := &s.event.Choices[0]
+		c.Text = choice.Delta.Content + choice.Text
+		c.FinishReason = choice.FinishReason
+	}
+	if u := s.event.Usage; u != nil {
+		c.Usage = &port.Usage{
+			PromptTokens:     u.PromptTokens,
+			CompletionTokens: u.CompletionTokens,
+			CachedTokens:     u.PromptTokensDetails.CachedTokens,
+		}
+	}
+	s.done = c.FinishReason != ""
+	return c, nil
+}
+
+// Close implements port.Stream. The connection is used again only when the
+// answer was read to its very end and nothing but the end mark followed.
+func (s *stream) Close() error {
+	if s.done {
+		stop := time.AfterFunc(endTimeout, s.cancel)
+		s.readEnd()
+		stop.Stop()
+	}
+	s.cancel()
+	return s.body.Close()
+}
+
+func (s *stream) readEnd() {
+	for s.lines.Scan() {
+		line := bytes.TrimSpace(bytes.TrimPrefix(s.lines.Bytes(), fieldData))
+		if len(line) > 0 && !bytes.Equal(line, endMark) {
+			return // bytes that belong to no answer: the connection is closed
+		}
+	}
+}
--- a/adapter/servicehttp/servicehttp.go
+++ b/adapter/servicehttp/servicehttp.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"time"
 
@@ -21,6 +20,10 @@
 	HeaderAttempt = "Attempt-Id"
 	// HeaderIdempotencyKey carries the caller's key.
 	HeaderIdempotencyKey = "Idempotency-Key"
+	// HeaderAttemptRun with the value RunNot comes with a refusal of a call
+	// that the service did not run, beside the echoed attempt id.
+	HeaderAttemptRun = "Attempt-Run"
+	RunNot           = "not-run"
 )
 
 // Paths that every plain service offers beside its own routes.
@@ -33,7 +36,7 @@
 
 // Caller is a client of plain services.
 type Caller struct {
-	client *http.Client
+	pool *jsonhttp.Pool
 	// fresh opens a new connection for each call.
 	fresh *http.Client
 }
@@ -45,33 +48,40 @@
 	fresh := jsonhttp.NewTransport(dial)
 	fresh.DisableKeepAlives = true
 	return &Caller{
-		client: &http.Client{Transport: jsonhttp.NewTransport(dial)},
-		fresh:  &http.Client{Transport: fresh},
+		pool:  jsonhttp.NewPool(dial),
+		fresh: &http.Client{Transport: fresh},
 	}
 }
 
 // Call implements port.ServiceCaller.
 func (c *Caller) Call(ctx context.Context, address string, r port.ServiceRequest) (port.ServiceResponse, error) {
+	ctx, trace := jsonhttp.TraceSend(ctx, r.Sending)
 	req, err := newCall(ctx, address, r)
 	if err != nil {
 		return port.ServiceResponse{}, err
 	}
-	client := c.client
+	client := c.pool.Client(address)
 	if r.Once {
 		client = c.fresh
 	}
 	resp, err := client.Do(req)
 	if err != nil {
-		return port.ServiceResponse{}, connectError(err)
+		return port.ServiceResponse{}, sendError(err, trace)
 	}
 	defer resp.Body.Close()
 	if resp.Header.Get(HeaderAttempt) != r.AttemptID {
 		return port.ServiceResponse{}, errors.Wrap(port.ErrEndpointBroken, "answer to another attempt")
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, jsonhttp.MaxReply))
+	if resp.Header.Get(HeaderAttemptRun) == RunNot {
+		return port.ServiceResponse{}, errors.Wrapf(port.ErrDeclined, "status %d", resp.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, jsonhttp.MaxReply+1))
 	if err != nil {
 		return port.ServiceResponse{}, errors.Wrap(port.ErrEndpointBroken, err.Error())
 	}
+	if len(body) > jsonhttp.MaxReply {
+		return port.ServiceResponse{}, errors.Wrap(port.ErrEndpointBroken, "answer is too large")
+	}
 	return port.ServiceResponse{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: body}, nil
 }
 
@@ -91,32 +101,35 @@
 	return req, nil
 }
 
-func connectError(err error) error {
-	var op *net.OpError
-	if errors.As(err, &op) && op.Op == "dial" {
+// sendError tells a call that had no connection from one that broke.
+func sendError(err error, trace *jsonhttp.SendTrace) error {
+	if !trace.Connected() {
 		return errors.Wrap(port.ErrEndpointUnreachable, err.Error())
 	}
 	return errors.Wrap(port.ErrEndpointBroken, err.Error())
 }
 
-// Probe implements port.ServiceCaller.
+// Probe implements port.ServiceCaller. The connections that were open before
+// take no further calls: whoever probes doubts them.
 func (c *Caller) Probe(ctx context.Context, address string) error {
+	c.pool.Reset(address)
 	return c.get(ctx, c.fresh, address, PathHealth, nil)
 }
 
 // Load implements port.ServiceCaller.
 func (c *Caller) Load(ctx context.Context, address string) (port.LoadReport, error) {
 	var report port.LoadReport
-	err := c.get(ctx, c.client, address, PathLoad, &report)
+	err := c.get(ctx, c.pool.Client(address), address, PathLoad, &report)
 	return report, err
 }
 
 func (c *Caller) get(ctx context.Context, client *http.Client, address, path string, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
+	ctx, trace := jsonhttp.TraceSend(ctx, nil)
 	status, err := jsonhttp.Call(ctx, client, http.MethodGet, "http://"+address+path, nil, out)
 	if err != nil {
-		return connectError(err)
+		return sendError(err, trace)
 	}
 	if status != http.StatusOK {
 		return errors.Wrapf(port.ErrEndpointBroken, "%s: status %d", path, status)
--- a/port/engine.go
+++ b/port/engine.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 )
 
@@ -15,8 +16,11 @@
 	// request may have been sent.
 	ErrEndpointBroken = errors.New("endpoint connection broken")
 	// ErrEndpointRefused means that the endpoint answered that it takes no
-	// new work. It did not run the request.
+	// new work. Whether it says so of this very attempt is ErrDeclined.
 	ErrEndpointRefused = errors.New("endpoint refused the request")
+	// ErrDeclined means that the endpoint stated, in its answer to this very
+	// attempt, that it did not run it. It is an ErrEndpointRefused.
+	ErrDeclined = fmt.Errorf("%w and did not run it", ErrEndpointRefused)
 	// ErrRequestInvalid means that the endpoint rejected the request itself;
 	// repeating it elsewhere does not help.
 	ErrRequestInvalid = errors.New("endpoint rejected the request as invalid")
@@ -51,6 +55,9 @@
 	KVHandle string
 	// Deadline ends the attempt; zero means none.
 	Deadline time.Time
+	// Sending is called when a connection is open, right before the first
+	// byte of the attempt may go out on it; nil for nobody.
+	Sending func()
 }
 
 // Usage counts the tokens of one attempt.
@@ -158,8 +165,8 @@
 
 // Engine calls model engines. address is the ip:port of the endpoint.
 type Engine interface {
-	// Generate opens a stream. ErrEndpointUnreachable and ErrEndpointRefused
-	// tell that the request did not run.
+	// Generate opens a stream. ErrEndpointUnreachable and ErrDeclined tell
+	// that the attempt did not run; the first comes without a call of Sending.
 	Generate(ctx context.Context, address string, req GenerateRequest) (Stream, error)
 	// Cancel stops an attempt. It is idempotent.
 	Cancel(ctx context.Context, address, attemptID string) error
@@ -189,6 +196,9 @@
 	// Once calls go over a connection of their own, so that no transport
 	// below can send them again.
 	Once bool
+	// Sending is called when a connection is open, right before the first
+	// byte of the attempt may go out on it; nil for nobody.
+	Sending func()
 }
 
 // ServiceResponse is the whole answer of a plain service.
@@ -200,9 +210,9 @@
 
 // ServiceCaller calls plain services. address is the ip:port of the endpoint.
 type ServiceCaller interface {
-	// Call sends the request. ErrEndpointUnreachable and ErrEndpointRefused
-	// tell that it did not run; any other error leaves that open. An answer
-	// that does not echo the attempt id is ErrEndpointBroken.
+	// Call sends the request. ErrEndpointUnreachable and ErrDeclined tell
+	// that it did not run; any other error leaves that open. An answer that
+	// does not echo the attempt id is ErrEndpointBroken.
 	Call(ctx context.Context, address string, req ServiceRequest) (ServiceResponse, error)
 	Probe(ctx context.Context, address string) error
 	Load(ctx context.Context, address string) (LoadReport, error)
--- a/problem/problem.go
+++ b/problem/problem.go
@@ -3,7 +3,7 @@
 // the request ran.
 //
 // Invariant: run "not-run" can be written only with an Unsent value, and
-// those come only from a Guard on which Send was never called.
+// those come only from a Guard that has no attempt which may have run.
 package problem
 
 import (
@@ -62,8 +62,9 @@
 // Error makes a Problem an error.
 func (p *Problem) Error() string { return string(p.Type) + ": " + p.Detail }
 
-// Unsent proves that no byte of a request was sent to an endpoint. Only a
-// Guard makes one.
+// Unsent proves that a request did not run: no byte of it was sent to an
+// endpoint, or only in attempts that the endpoint declined. Only a Guard
+// makes one.
 type Unsent interface{ unsent() }
 
 type proof struct{}
@@ -71,24 +72,45 @@
 func (proof) unsent() {}
 
 // Guard watches over one request. Send is called right before the first byte
-// goes to an endpoint. The zero value is ready for use; safe for concurrent use.
+// of an attempt goes to an endpoint. The zero value is ready for use; safe for
+// concurrent use.
 type Guard struct {
-	mu   sync.Mutex
-	sent bool
+	mu sync.Mutex
+	// open counts the attempts that may have run.
+	open int
 }
 
-// Send records that bytes of the request may reach an endpoint from now on.
-func (g *Guard) Send() {
+// Sending is one attempt whose bytes may have reached an endpoint.
+type Sending struct {
+	guard *Guard
+	once  sync.Once
+}
+
+// Send records that bytes of an attempt may reach an endpoint from now on.
+func (g *Guard) Send() *Sending {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.sent = true
+	g.open++
+	return &Sending{guard: g}
+}
+
+// Declined records that the endpoint stated, in its answer to this very
+// attempt, that it did not run it. Nothing less may call it: a lost or broken
+// answer leaves the attempt open.
+func (s *Sending) Declined() {
+	s.once.Do(func() {
+		s.guard.mu.Lock()
+		defer s.guard.mu.Unlock()
+		s.guard.open--
+	})
 }
 
-// Unsent returns a proof when Send was never called.
+// Unsent returns a proof when no attempt can have run: Send was never called,
+// or the endpoint declined every attempt that was sent.
 func (g *Guard) Unsent() (Unsent, bool) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.sent {
+	if g.open > 0 {
 		return nil, false
 	}
 	return proof{}, true
--- a/standin/enginehandler.go
+++ b/standin/enginehandler.go
@@ -48,6 +48,8 @@
 	}
 	switch fault.Action {
 	case ActionRefuse:
+		w.Header().Set(enginehttp.HeaderAttempt, r.Header.Get(enginehttp.HeaderAttempt))
+		w.Header().Set(enginehttp.HeaderAttemptRun, enginehttp.RunNot)
 		http.Error(w, errDraining.Error(), http.StatusServiceUnavailable)
 		return true
 	case ActionDelay:
--- a/standin/service.go
+++ b/standin/service.go
@@ -88,6 +88,7 @@
 	case hit && fault.Action == ActionFail:
 		panic(http.ErrAbortHandler)
 	case hit && fault.Action == ActionRefuse:
+		w.Header().Set(servicehttp.HeaderAttemptRun, servicehttp.RunNot)
 		http.Error(w, errDraining.Error(), http.StatusServiceUnavailable)
 		return
 	case hit && fault.Action == ActionDelay:
