node: wire the queue, attempt plans and the watchdog into the answer path

Requests are refused on arrival when they cannot start in time, wait for a slot of their service, and get their final answer as soon as they can no longer start. Failed attempts go on by plan and budget. A silent connection is probed on a new one and closed; the endpoint is suspect only when the probe fails. An order goes on to another endpoint only after one that did not run it.

--- a/config/document.go
+++ b/config/document.go
@@ -137,6 +137,10 @@
 	BetweenTokens Duration `json:"between_tokens"`
 	// RequestTimeout is the time from acceptance to the end of a request.
 	RequestTimeout Duration `json:"request_timeout" validate:"required"`
+	// MaxQueueWait is how long a request may wait for its start; one that
+	// would wait longer is refused on arrival. Absent: as long as it can still
+	// end before the request timeout.
+	MaxQueueWait Duration `json:"max_queue_wait,omitempty"`
 }
 
 // Spend holds what the service may spend. Zero means no limit.
--- a/node/execute.go
+++ b/node/execute.go
@@ -2,28 +2,21 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"github.com/cicadanotch/cicadanotch/answer"
+	"github.com/cicadanotch/cicadanotch/attempt"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/problem"
-	"github.com/cicadanotch/cicadanotch/record"
 	"github.com/cicadanotch/cicadanotch/request"
 )
 
-const (
-	maxAttempts  = 5
-	retryBackoff = 50 * time.Millisecond
-)
-
-// errChunkGap ends an attempt whose stream left a chunk out.
-var errChunkGap = errors.New("gap in the stream")
-
 // execute runs an accepted request to its end.
 func (n *Node) execute(ctx context.Context, a *Accepted) {
+	if !n.awaitStart(ctx, a) {
+		return
+	}
+	defer n.releaseStart(a)
 	switch {
 	case a.Request.Kind == request.KindGenerate:
 		n.executeGenerate(ctx, a)
@@ -43,107 +36,141 @@
 // executeGenerate tries endpoints until the answer is whole, resuming after
 // the chunks that came.
 func (n *Node) executeGenerate(ctx context.Context, a *Accepted) {
-	n.retry(ctx, a, func(host port.Host) error { return n.generateOnce(ctx, a, host) })
+	g := &generation{node: n, a: a, sequence: attempt.NewSequencer(a.Answer.Len())}
+	_ = n.retry(ctx, a, g.attempt) // the caller has its final answer
 }
 
-// executeCall runs a repeatable call of a plain service.
-func (n *Node) executeCall(ctx context.Context, a *Accepted) {
-	n.retry(ctx, a, func(host port.Host) error { return n.callOnce(ctx, a, host, record.NewID()) })
+// generation is the state of one generate request over its attempts.
+type generation struct {
+	node     *Node
+	a        *Accepted
+	sequence *attempt.Sequencer
+	// fruitless counts the attempts in a row without a chunk.
+	fruitless int
 }
 
-func (n *Node) retry(ctx context.Context, a *Accepted, attempt func(port.Host) error) {
-	excluded := map[string]bool{}
-	for range maxAttempts {
-		host, ok := n.acquire(a, excluded)
-		if !ok {
-			clear(excluded)
-			pause(ctx, retryBackoff)
-			continue
-		}
-		err := attempt(host)
-		n.endpoints.release(a.Request, host.ID, usageOf(a))
-		n.metrics.attempts.WithLabelValues(a.Request.Service, result(err)).Inc()
-		switch {
-		case err == nil:
-			return
-		case errors.Is(err, port.ErrRequestInvalid):
-			n.fail(a, problem.Refuse(&a.guard, http.StatusBadRequest, problem.TypeBadRequest, err.Error()))
-			return
-		case ctx.Err() != nil:
-			n.fail(a, problem.Refuse(&a.guard, http.StatusGatewayTimeout, problem.TypeTimeout, "the deadline passed"))
-			return
-		}
-		excluded[host.ID] = true
-		n.log.Warn().Str("request", a.Request.ID.String()).Str("service", a.Request.Service).
-			Str("workspace", a.Request.Workspace).Str("endpoint", host.ID).Err(err).Msg("attempt failed")
+// attempt runs one attempt at an engine.
+func (g *generation) attempt(ctx context.Context, r *running) error {
+	before := g.sequence.Next()
+	err := g.stream(ctx, r)
+	if g.sequence.Next() > before {
+		g.fruitless = 0
+	} else {
+		g.fruitless++
+	}
+	if err != nil && g.mayRun(err) {
+		g.node.abandon(r.host, r.id)
 	}
-	n.fail(a, problem.Refuse(&a.guard, http.StatusServiceUnavailable, problem.TypeUnavailable, "no endpoint took the request"))
+	return err
 }
 
-func result(err error) string {
-	if err == nil {
-		return "ok"
-	}
-	return "failed"
+// mayRun reports whether the engine may still work on a failed attempt.
+func (g *generation) mayRun(err error) bool {
+	return !isAny(err, port.ErrEndpointUnreachable, port.ErrEndpointRefused, port.ErrRequestInvalid)
 }
 
-func (n *Node) generateOnce(ctx context.Context, a *Accepted, host port.Host) error {
-	attempt := port.GenerateRequest{
-		AttemptID:   record.NewID(),
+func (g *generation) stream(ctx context.Context, r *running) error {
+	n, a := g.node, g.a
+	g.sequence.Begin(r.id)
+	limits := limitsFor(n.documentOf(a.Request.Service), a.Request.PromptTokens, g.fruitless)
+	dog := n.watch(ctx, r, limits.first)
+	defer dog.stop()
+	sending := a.sending()
+	stream, err := n.ports.Engine.Generate(ctx, r.host.EndpointAddress, port.GenerateRequest{
+		AttemptID:   r.id,
 		API:         a.Request.API,
 		Body:        a.Request.Body,
 		Priority:    a.Request.Priority,
 		ResumeIndex: a.Answer.Len(),
 		ResumeText:  a.Answer.Text(),
+		KVHandle:    r.kvHandle,
 		Deadline:    a.Request.Deadline,
-	}
-	a.guard.Send()
-	stream, err := n.ports.Engine.Generate(ctx, host.EndpointAddress, attempt)
+		Sending:     sending.begin,
+	})
 	if err != nil {
+		sending.end(err)
 		return err
 	}
 	defer stream.Close()
-	return n.relay(a, attempt.AttemptID, host.ID, stream)
+	return g.relay(r, stream, dog, limits.between)
 }
 
 // relay moves chunks from the stream into the answer until the finish mark.
-// Only the current attempt's next chunk in order is taken.
-func (n *Node) relay(a *Accepted, attemptID, endpoint string, stream port.Stream) error {
+func (g *generation) relay(r *running, stream port.Stream, dog *watchdog, between time.Duration) error {
+	n, a := g.node, g.a
 	for {
 		c, err := stream.Recv()
 		if err != nil {
 			return err
 		}
-		next := a.Answer.Len()
-		switch {
-		case c.AttemptID != attemptID:
-			n.metrics.droppedChunks.WithLabelValues("foreign").Inc()
-		case c.Index < next:
-			n.metrics.droppedChunks.WithLabelValues("repeated").Inc()
-		case c.Index > next:
-			n.metrics.droppedChunks.WithLabelValues("gap").Inc()
-			return errChunkGap
-		case c.FinishReason != "":
+		verdict := g.sequence.Take(&c)
+		switch verdict {
+		case attempt.VerdictFinish:
 			return a.Answer.Finish(answer.End{FinishReason: c.FinishReason, Usage: c.Usage})
-		default:
-			if err := a.Answer.Append(answer.Chunk{Index: c.Index, Text: c.Text}); err != nil {
+		case attempt.VerdictAccept:
+			if err := g.accept(r, c); err != nil {
 				return err
 			}
-			n.endpoints.started(a.Request, endpoint)
-			if c.Index == 0 {
-				n.metrics.firstToken.Observe(time.Since(a.Request.Arrived).Seconds())
+			dog.progress(between)
+		default:
+			n.metrics.droppedChunks.WithLabelValues(string(verdict)).Inc()
+			if verdict == attempt.VerdictGap {
+				return errGap
 			}
 		}
 	}
 }
 
-func (n *Node) callOnce(ctx context.Context, a *Accepted, host port.Host, attemptID string) error {
-	a.guard.Send()
-	resp, err := n.ports.Services.Call(ctx, host.EndpointAddress, serviceRequest(a.Request, attemptID))
-	if err != nil {
+func (g *generation) accept(r *running, c port.Chunk) error {
+	n, a := g.node, g.a
+	if err := a.Answer.Append(answer.Chunk{Index: c.Index, Text: c.Text}); err != nil {
 		return err
 	}
-	return a.Answer.Finish(answer.End{Response: &resp})
+	n.endpoints.started(a.Request, r.host.ID)
+	if c.Index == 0 {
+		n.metrics.firstToken.Observe(time.Since(a.Request.Arrived).Seconds())
+	}
+	return nil
+}
+
+// executeCall runs a repeatable call of a plain service.
+func (n *Node) executeCall(ctx context.Context, a *Accepted) {
+	attempts := 0
+	_ = n.retry(ctx, a, func(ctx context.Context, r *running) error { // the caller has its final answer
+		limits := limitsFor(n.documentOf(a.Request.Service), 0, attempts)
+		attempts++
+		dog := n.watch(ctx, r, limits.first)
+		defer dog.stop()
+		resp, err := n.callOnce(ctx, a, r.host, r.id)
+		if err != nil {
+			return err
+		}
+		return a.Answer.Finish(answer.End{Response: &resp})
+	})
+}
+
+// sendOrder sends a call that must run at most once, as attemptID, and returns
+// its response. It goes on to another endpoint only after one that did not run
+// the call. With an error the caller of the request has its final answer.
+func (n *Node) sendOrder(ctx context.Context, a *Accepted, attemptID string) (port.ServiceResponse, error) {
+	var resp port.ServiceResponse
+	err := n.retry(ctx, a, func(ctx context.Context, r *running) error {
+		var err error
+		resp, err = n.callOnce(ctx, a, r.host, attemptID)
+		return err
+	})
+	return resp, err
+}
+
+func (n *Node) callOnce(ctx context.Context, a *Accepted, host port.Host, attemptID string) (port.ServiceResponse, error) {
+	req := serviceRequest(a.Request, attemptID)
+	sending := a.sending()
+	req.Sending = sending.begin
+	resp, err := n.ports.Services.Call(ctx, host.EndpointAddress, req)
+	if err != nil {
+		sending.end(err)
+	}
+	return resp, err
 }
 
 func serviceRequest(req *request.Request, attemptID string) port.ServiceRequest {
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -8,6 +8,10 @@
 	attempts      *prometheus.CounterVec
 	droppedChunks *prometheus.CounterVec
 	firstToken    prometheus.Histogram
+	refused       *prometheus.CounterVec
+	queueWait     *prometheus.HistogramVec
+	retryWait     *prometheus.HistogramVec
+	silent        *prometheus.CounterVec
 	foldErrors    prometheus.Counter
 	logOffset     prometheus.Gauge
 	staleness     prometheus.Gauge
@@ -27,12 +31,26 @@
 			Name: "cicadanotch_attempts_total", Help: "Attempts at endpoints, by service and result.",
 		}, []string{"service", "result"}),
 		droppedChunks: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "cicadanotch_chunks_dropped_total", Help: "Chunks dropped, by reason: foreign, repeated, gap.",
+			Name: "cicadanotch_chunks_dropped_total", Help: "Chunks dropped, by reason: late, foreign, repeated, gap.",
 		}, []string{"reason"}),
 		firstToken: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "cicadanotch_first_token_seconds", Help: "Time from acceptance to the first token.",
 			Buckets: prometheus.ExponentialBuckets(0.01, 2, 12),
 		}),
+		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cicadanotch_requests_refused_total", Help: "Requests refused on arrival, by service and reason.",
+		}, []string{"service", "reason"}),
+		queueWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cicadanotch_queue_wait_seconds", Help: "Time that started requests waited in the queue.",
+			Buckets: prometheus.ExponentialBuckets(0.001, 4, 8),
+		}, []string{"service"}),
+		retryWait: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cicadanotch_retry_wait_seconds", Help: "Delay before attempts, from backoff and the retry budget.",
+			Buckets: prometheus.ExponentialBuckets(0.01, 4, 6),
+		}, []string{"service"}),
+		silent: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cicadanotch_connections_silent_total", Help: "Connections closed as silent while the endpoint answered on a new one.",
+		}, []string{"service"}),
 		foldErrors: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cicadanotch_log_records_skipped_total", Help: "Log records skipped: malformed or of an unknown kind or version.",
 		}),
@@ -50,6 +68,7 @@
 		}),
 	}
 	r.MustRegister(m.staleness, m.appends, m.appended)
+	r.MustRegister(m.refused, m.queueWait, m.retryWait, m.silent)
 	r.MustRegister(m.accepted, m.ended, m.attempts, m.droppedChunks, m.firstToken, m.foldErrors, m.logOffset)
 	return m
 }
--- a/node/node.go
+++ b/node/node.go
@@ -11,6 +11,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"gopkg.in/tomb.v2"
 
+	"github.com/cicadanotch/cicadanotch/admit"
 	"github.com/cicadanotch/cicadanotch/claim"
 	"github.com/cicadanotch/cicadanotch/config"
 	"github.com/cicadanotch/cicadanotch/lease"
@@ -61,6 +63,9 @@
 	behind   atomic.Bool
 	stopping *stopState
 	leaving  *leavingTable
+	queues   admit.Table
+	// budgets holds an *attempt.Budget for each service.
+	budgets sync.Map
 }
 
 // incarnationDigits is how many random hex digits tell two processes of one
@@ -109,6 +114,7 @@
 	n.pool.every(&n.tomb, "hosts", n.settings.PollInterval.Std(), n.pollHosts)
 	n.pool.every(&n.tomb, "loads", n.settings.LoadInterval.Std(), n.pollLoads)
 	n.pool.every(&n.tomb, "cache events", n.settings.LoadInterval.Std(), n.pollEvents)
+	n.pool.every(&n.tomb, "queues", n.settings.LoadInterval.Std(), n.refreshQueues)
 	n.pool.every(&n.tomb, "requests", time.Second, n.expireRequests)
 	n.pool.every(&n.tomb, "stop", stopInterval, n.stepStop)
 	n.tomb.Go(n.watchNotices)
--- a/node/order.go
+++ b/node/order.go
@@ -73,20 +73,8 @@
 
 // dispatchOrder sends the order once and records its outcome.
 func (n *Node) dispatchOrder(ctx context.Context, a *Accepted, key claim.Key, claimID string) {
-	host, ok := n.acquire(a, nil)
-	for !ok && ctx.Err() == nil {
-		pause(ctx, retryBackoff)
-		host, ok = n.acquire(a, nil)
-	}
-	if !ok {
-		n.fail(a, problem.Refuse(&a.guard, http.StatusServiceUnavailable, problem.TypeUnavailable, "no endpoint took the order"))
-		return
-	}
-	defer n.endpoints.release(a.Request, host.ID, nil)
-	a.guard.Send()
-	resp, err := n.ports.Services.Call(ctx, host.EndpointAddress, serviceRequest(a.Request, claimID))
+	resp, err := n.sendOrder(ctx, a, claimID)
 	if err != nil {
-		n.fail(a, problem.Unknown(http.StatusBadGateway, problem.TypeOutcomeUnknown, err.Error()))
 		return
 	}
 	n.recordOutcome(ctx, key, claimID, resp)
--- a/node/plan.go
+++ b/node/plan.go
@@ -47,14 +47,24 @@
 	if p != nil {
 		return nil, p
 	}
-	if p := n.refuseStopping(&guard); p != nil && !n.requests.knows(req.ID) {
+	if known, ok := n.requests.get(req.ID); ok {
+		return attachTo(known, req, &guard)
+	}
+	if p := n.refuseStopping(&guard); p != nil {
+		return nil, p
+	}
+	entry, p := n.admitRequest(req, &guard)
+	if p != nil {
+		p.RequestID = req.ID.String()
 		return nil, p
 	}
 	ctx, cancel := context.WithDeadline(n.context(), req.Deadline)
 	a := &Accepted{Request: req, Answer: answer.NewBuffer(), cancel: cancel, lastRead: time.Now()}
+	a.work.entry = entry
 	booked, added := n.requests.add(a)
 	if !added {
 		cancel()
+		n.withdraw(req.Service, entry)
 		return attachTo(booked, req, &guard)
 	}
 	n.metrics.accepted.WithLabelValues(req.Service, req.Workspace).Inc()
--- a/node/requests.go
+++ b/node/requests.go
@@ -22,6 +22,7 @@
 	Request *request.Request
 	Answer  *answer.Buffer
 	guard   problem.Guard
+	work    work
 	cancel  context.CancelFunc
 
 	mu       sync.Mutex
@@ -71,11 +72,6 @@
 	return a, ok
 }
 
-func (t *requestTable) knows(id request.ID) bool {
-	_, ok := t.get(id)
-	return ok
-}
-
 func (t *requestTable) all() []*Accepted {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/route/explain.go
+++ b/route/explain.go
@@ -120,6 +120,9 @@
 	Others        int       `json:"others_running"`
 	OthersPrefill float64   `json:"others_prefill_tokens"`
 	ReportAt      time.Time `json:"report_at"`
+	// MaxRunning is how many requests the endpoint runs at once; zero when
+	// it has not said.
+	MaxRunning int `json:"max_running"`
 }
 
 // Loads returns what the table knows of each endpoint's load.
@@ -132,7 +135,7 @@
 			Endpoint: id, Service: e.row.Host.Service,
 			Leaving: e.row.Leaving, Suspect: now.Before(e.suspectUntil),
 			InFlight: e.inFlight, Prefill: e.ownPrefill,
-			Others: e.othersRunning, OthersPrefill: e.othersPrefill, ReportAt: e.report.At,
+			Others: e.othersRunning, OthersPrefill: e.othersPrefill, ReportAt: e.report.At, MaxRunning: e.report.MaxRunning,
 		})
 	}
 	slices.SortFunc(out, func(a, b LoadState) int {
