--- a/cli/cli.go
+++ b/cli/cli.go
@@ -85,7 +85,7 @@
 		ShortHelp:  "Operate and use a cicadanotch deployment.",
 		FlagSet:    t.flags("cicadanotch"),
 		Subcommands: []*ffcli.Command{
-			t.validateCommand(),
+			t.validateCommand(), t.publishCommand(), t.getCommand(), t.diffCommand(),
 			t.addressesCommand(), t.dumpCommand(),
 			t.demoCommand(),
 		},
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -10,6 +10,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cicadanotch/cicadanotch/cli"
+	"github.com/cicadanotch/cicadanotch/standin/platform"
 )
 
 func run(args ...string) (code int, stdout, stderr string) {
@@ -79,3 +80,50 @@
 		})
 	}
 }
+
+// deployment starts stand-ins and returns the URL of the log.
+func deployment(t *testing.T) string {
+	t.Helper()
+	p, err := platform.Start(platform.Settings{
+		Log: platform.LogSettings{Address: "127.0.0.1:0"}, Cloud: platform.CloudSettings{Address: "127.0.0.1:0"},
+	})
+	is.New(t).NoErr(err)
+	t.Cleanup(p.Stop)
+	return "http://" + p.Addresses[platform.TargetLog]
+}
+
+func TestPublish(t *testing.T) {
+	is := is.New(t)
+	log := deployment(t)
+	const file = "../examples/assistant-llm.json"
+	edited := filepath.Join(t.TempDir(), "edited.json")
+	text, err := os.ReadFile(file)
+	is.NoErr(err)
+	is.NoErr(os.WriteFile(edited, bytes.Replace(text, []byte(`"priority": 10`), []byte(`"priority": 11`), 1), 0o600))
+
+	code, _, stderr := run("get", "--log", log, "assistant-llm")
+	is.Equal(code, cli.ExitFailure)
+	is.True(strings.Contains(stderr, "no such service"))
+	code, stdout, _ := run("publish", "--log", log, file)
+	is.Equal(code, cli.ExitOK)
+	is.True(strings.Contains(stdout, "revision 1 accepted"))
+	code, stdout, _ = run("get", "--log", log, "assistant-llm")
+	is.Equal(code, cli.ExitOK)
+	is.Equal(stdout, string(text))
+
+	code, _, _ = run("diff", "--log", log, file)
+	is.Equal(code, cli.ExitOK)
+	code, stdout, _ = run("diff", "--log", log, edited)
+	is.Equal(code, cli.ExitFailure)
+	is.True(strings.Contains(stdout, `+  "priority": 11`))
+
+	code, _, stderr = run("publish", "--log", log, "--base", "0", edited) // made from an old revision
+	is.Equal(code, cli.ExitFailure)
+	is.True(strings.Contains(stderr, "revision 1 of assistant-llm came first"))
+	code, stdout, _ = run("publish", "--log", log, "--json", edited)
+	is.Equal(code, cli.ExitOK)
+	is.True(strings.Contains(stdout, `"revision": 2`)) // a document that is known to lose is not appended
+	code, _, stderr = run("publish", "--log", log, "--wait", edited)
+	is.Equal(code, cli.ExitUsage)
+	is.True(strings.Contains(stderr, "--wait needs"))
+}
