route: join table and index in Chooser

Cause: looking up, choosing, booking and correcting stood in node, where the replay could not use it. Change: route.Chooser holds a Table and an Index per service; node keeps the bookings by request. Conclusion: the same code decides in the daemon and in a replay.

--- a/node/choice.go
+++ b/node/choice.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"maps"
-	"slices"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -46,7 +44,7 @@
 	n.eachEndpoint(func(h port.Host) {
 		report, err := n.loadOf(ctx, h)
 		if err == nil {
-			n.endpoints.report(h, report)
+			n.endpoints.chooser.Report(h, report)
 		}
 	})
 }
@@ -59,10 +57,10 @@
 		if doc == nil || doc.Kind != config.KindModel {
 			return
 		}
-		after := n.endpoints.index(h.Service).After(h.ID)
+		after := n.endpoints.chooser.Index(h.Service).After(h.ID)
 		events, err := n.ports.Engine.CacheEvents(ctx, h.EndpointAddress, after)
 		if err == nil && len(events) > 0 {
-			n.endpoints.events(h, events, time.Now())
+			n.endpoints.chooser.Events(h, events, time.Now())
 		}
 	})
 }
@@ -91,12 +89,6 @@
 }
 
 func (t *endpointTable) state(now time.Time) ChoiceState {
-	t.mu.Lock()
-	indexes := maps.Clone(t.indexes)
-	t.mu.Unlock()
-	s := ChoiceState{Endpoints: t.routes.Loads(now), Prefixes: map[string]prefix.Stats{}, Recent: t.routes.Explain()}
-	for _, service := range slices.Sorted(maps.Keys(indexes)) {
-		s.Prefixes[service] = indexes[service].Stats()
-	}
-	return s
+	table := t.chooser.Table()
+	return ChoiceState{Endpoints: table.Loads(now), Prefixes: t.chooser.Prefixes(), Recent: table.Explain()}
 }
--- a/route/route.go
+++ b/route/route.go
@@ -129,6 +129,9 @@
 	return blocks[min(len(blocks), homeBlocks)-1]
 }
 
+// EventBytesPerToken is what one token of an answer puts on the wire.
+const EventBytesPerToken = 160
+
 // homeBlocks is how many blocks prompts have in common that share a home.
 const homeBlocks = 4
 
