node: keep the route table within reach

Cause: the attempt code keeps new work from suspect endpoints through it. Change: endpointTable names the chooser's table.

--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -23,6 +23,8 @@
 // is called.
 type endpointTable struct {
 	chooser *route.Chooser
+	// routes is the chooser's table.
+	routes *route.Table
 
 	mu       sync.Mutex
 	bookings map[bookingKey]booked
@@ -41,8 +43,10 @@
 func newEndpointTable(s Settings) *endpointTable {
 	opts := route.DefaultOptions()
 	opts.Seed = maphash.String(maphash.MakeSeed(), s.Host)
+	chooser := route.NewChooser(route.Place{Region: s.Region, Zone: s.Zone}, opts)
 	return &endpointTable{
-		chooser:  route.NewChooser(route.Place{Region: s.Region, Zone: s.Zone}, opts),
+		chooser:  chooser,
+		routes:   chooser.Table(),
 		bookings: map[bookingKey]booked{},
 	}
 }
@@ -55,7 +59,7 @@
 	t.chooser.Update(out)
 }
 
-func (t *endpointTable) all() []port.Host { return t.chooser.Table().All() }
+func (t *endpointTable) all() []port.Host { return t.routes.All() }
 
 // acquire chooses an endpoint for a request and books it there until release.
 // sent is how many tokens of the answer the caller has; they are prefilled
