Quarantine requests that kill endpoints

The death of an endpoint speaks against all that ran there, one part each. A suspected request runs alone if an endpoint is free, else apart from its former company; the second death on another endpoint quarantines it. Announced deaths, deaths in a zone loss and deaths in the same company do not count; an answer that ends whole clears the request. Deaths go to peers directly and through the log, and verdicts are derived from them alike everywhere.

--- /dev/null
+++ b/demo/fault_test.go
@@ -0,0 +1,176 @@
+package demo_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadanotch/cicadanotch/demo"
+	"github.com/cicadanotch/cicadanotch/quarantine"
+	"github.com/cicadanotch/cicadanotch/standin"
+)
+
+// chatAndAnswer returns a streamed chat call and the text that it must bring.
+func chatAndAnswer(p demo.Profile, prompt string, tokens int) (body, want string) {
+	body = fmt.Sprintf(`{"model":%q,"stream":true,"max_tokens":%d,"messages":[{"role":"user","content":%q}]}`, p.Model, tokens, prompt)
+	return body, strings.Join(standin.ExpectedAnswer(p.Model, "user\n"+prompt+"\n", tokens), "")
+}
+
+// engines returns the endpoints that run a model.
+func engines(d *demo.Deployment) []*demo.EndpointHost {
+	var out []*demo.EndpointHost
+	for _, e := range d.Endpoints() {
+		if e.Engine != nil {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// TestFaultsInStream sends one chat through a real entry host while the first
+// stream of every engine suffers the fault of the row: the caller gets its
+// whole answer and nothing else.
+func TestFaultsInStream(t *testing.T) {
+	p := small()
+	d := start(t, p)
+	entry := "http://" + d.Entries()[0].Host.CallerAddress
+	key := p.Workspaces[0].Key()
+	for name, fault := range map[string]standin.Fault{
+		"truncated stream":      {Point: standin.PointChunk, Action: standin.ActionTruncate, FromCall: 6, ToCall: 6},
+		"truncated at its end":  {Point: standin.PointChunk, Action: standin.ActionTruncate, FromCall: 21, ToCall: 21},
+		"silent stream":         {Point: standin.PointChunk, Action: standin.ActionSilence, FromCall: 6, ToCall: 6},
+		"foreign chunk":         {Point: standin.PointChunk, Action: standin.ActionForeign, FromCall: 6, ToCall: 9},
+		"repeated chunk":        {Point: standin.PointChunk, Action: standin.ActionRepeat, FromCall: 1, ToCall: 21},
+		"dropped chunk":         {Point: standin.PointChunk, Action: standin.ActionDrop, FromCall: 6, ToCall: 6},
+		"dropped finish mark":   {Point: standin.PointChunk, Action: standin.ActionDrop, FromCall: 21, ToCall: 21},
+		"refused at first":      {Point: standin.PointGenerate, Action: standin.ActionRefuse, FromCall: 1, ToCall: 1},
+		"broken at first":       {Point: standin.PointGenerate, Action: standin.ActionFail, FromCall: 1, ToCall: 1},
+		"delayed within limits": {Point: standin.PointChunk, Action: standin.ActionDelay, Delay: 100 * time.Millisecond, FromCall: 6, ToCall: 6},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			for _, e := range engines(d) {
+				done := e.Faults.Calls(fault.Point)
+				e.Faults.Clear(fault.Point)
+				row := fault
+				row.FromCall, row.ToCall = row.FromCall+done, row.ToCall+done
+				e.Faults.Add(row)
+			}
+			body, want := chatAndAnswer(p, "fault: "+name, 20)
+			resp, stream := do(t, "POST", entry+"/v1/chat/completions", key, body)
+			is.Equal(resp.StatusCode, http.StatusOK)
+			got, done := events(t, stream)
+			is.True(done)
+			is.Equal(got, want)
+		})
+	}
+}
+
+// TestCrashInStream kills the engine that runs a stream: the answer goes on
+// elsewhere.
+func TestCrashInStream(t *testing.T) {
+	is := is.New(t)
+	p := small()
+	d := start(t, p)
+	for _, e := range engines(d)[1:] { // one engine stays well
+		e.Faults.Add(standin.Fault{Point: standin.PointChunk, Action: standin.ActionCrash, FromCall: 7, ToCall: 7})
+	}
+	body, want := chatAndAnswer(p, "crash in the stream", 20)
+	resp, stream := do(t, "POST", "http://"+d.Entries()[0].Host.CallerAddress+"/v1/chat/completions", p.Workspaces[0].Key(), body)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	got, done := events(t, stream)
+	is.True(done)
+	is.Equal(got, want)
+}
+
+// TestKillerIsQuarantined sends a request that crashes every engine that runs
+// it, again and again and at several entry hosts: two engines die, then it is
+// refused everywhere, and others are served; with the log and without it.
+func TestKillerIsQuarantined(t *testing.T) {
+	for name, faults := range map[string][]standin.Fault{
+		"log up":   nil,
+		"log down": {{Point: standin.PointAppend, Action: standin.ActionFail}, {Point: standin.PointRead, Action: standin.ActionFail}},
+	} {
+		t.Run(name, func(t *testing.T) { testKiller(t, faults) })
+	}
+}
+
+func testKiller(t *testing.T, logFaults []standin.Fault) {
+	is := is.New(t)
+	p := small()
+	d := start(t, p)
+	for _, f := range logFaults {
+		d.LogFaults.Add(f)
+	}
+	key := p.Workspaces[0].Key()
+	killer, _ := chatAndAnswer(p, demo.CrashMarker, 20)
+	first, last := d.Entries()[0], d.Entries()[len(d.Entries())-1]
+
+	resp, text := do(t, "POST", "http://"+first.Host.CallerAddress+"/v1/chat/completions", key, killer)
+	is.Equal(resp.StatusCode, http.StatusUnprocessableEntity)
+	is.Equal(problemOf(t, text), [2]string{"quarantined", "unknown"}) // it ran
+
+	resp, text = do(t, "POST", "http://"+first.Host.CallerAddress+"/v1/chat/completions", key, killer)
+	is.Equal(resp.StatusCode, http.StatusUnprocessableEntity)
+	is.Equal(problemOf(t, text), [2]string{"quarantined", "not-run"}) // this acceptance did not
+	is.True(resp.Header.Get("Retry-After") != "")
+
+	// The other hosts learn it directly; the bound is that of the test.
+	ctx, cancel := context.WithTimeout(t.Context(), startLimit)
+	defer cancel()
+	for !quarantines(last) && ctx.Err() == nil {
+		time.Sleep(10 * time.Millisecond)
+	}
+	resp, text = do(t, "POST", "http://"+last.Host.CallerAddress+"/v1/chat/completions", key, killer)
+	is.Equal(resp.StatusCode, http.StatusUnprocessableEntity)
+	is.Equal(problemOf(t, text), [2]string{"quarantined", "not-run"})
+	is.Equal(len(engines(d))-answering(t, d), 2) // two engines died, no third
+
+	body, want := chatAndAnswer(p, "a harmless question", 10)
+	resp, stream := do(t, "POST", "http://"+first.Host.CallerAddress+"/v1/chat/completions", key, body)
+	is.Equal(resp.StatusCode, http.StatusOK)
+	got, done := events(t, stream)
+	is.True(done)
+	is.Equal(got, want)
+}
+
+// quarantines reports whether an entry host has a request in quarantine.
+func quarantines(e *demo.EntryHost) bool {
+	for _, row := range e.Node.State().Suspected {
+		if row.Verdict == quarantine.VerdictQuarantine {
+			return true
+		}
+	}
+	return false
+}
+
+// answering counts the engines whose health call answers.
+func answering(t *testing.T, d *demo.Deployment) int {
+	t.Helper()
+	count := 0
+	for _, e := range engines(d) {
+		resp, err := http.Get("http://" + e.Host.EndpointAddress + "/engine/health")
+		if err == nil {
+			resp.Body.Close()
+			count++
+		}
+	}
+	return count
+}
+
+// problemOf returns the type and run of a problem document.
+func problemOf(t *testing.T, text string) [2]string {
+	t.Helper()
+	var p struct {
+		Type string `json:"type"`
+		Run  string `json:"run"`
+	}
+	is.New(t).NoErr(json.Unmarshal([]byte(text), &p))
+	return [2]string{p.Type, p.Run}
+}
--- a/node/attempts.go
+++ b/node/attempts.go
@@ -114,7 +114,12 @@
 	var next Move
 	var last error
 	for {
-		host, ok := n.chooseFor(a, plan, next.Host)
+		where, allowed := n.place(ctx, a, plan.Tried())
+		if !allowed {
+			n.failQuarantined(a)
+			return errors.Wrap(errGivenUp, "quarantined")
+		}
+		host, ok := n.chooseFor(a, where, next.Host)
 		if !ok && next.Host != "" {
 			next = Move{}
 			continue
@@ -147,18 +152,43 @@
 // errGivenUp is returned by retry after the request has got its final answer.
 var errGivenUp = errors.New("request given up")
 
-// chooseFor books an endpoint: the wanted one, or any not tried before.
-func (n *Node) chooseFor(a *Accepted, plan *attempt.Plan, wanted string) (port.Host, bool) {
-	if wanted == "" {
-		return n.acquire(a, plan.Tried())
+// failQuarantined ends an accepted request that is quarantined by now.
+func (n *Node) failQuarantined(a *Accepted) {
+	if p := n.refuseQuarantined(a.Request, &a.guard); p != nil {
+		n.fail(a, p)
+		return
+	}
+	n.giveUp(a, attempt.StopAttempts, nil) // the verdict expired meanwhile
+}
+
+// chooseFor books an endpoint: the one to run alone at, the wanted one, or any
+// that is not excluded.
+func (n *Node) chooseFor(a *Accepted, where placement, wanted string) (port.Host, bool) {
+	if where.alone != "" {
+		host, ok := n.acquire(a, n.allBut(a.Request.Service, where.alone))
+		if !ok {
+			n.flights.isolate(where.alone, false)
+		}
+		return host, ok
 	}
+	if wanted != "" && !where.excluded[wanted] {
+		return n.acquire(a, n.allBut(a.Request.Service, wanted))
+	}
+	if wanted != "" {
+		return port.Host{}, false
+	}
+	return n.acquire(a, where.excluded)
+}
+
+// allBut returns the endpoints of a service but one.
+func (n *Node) allBut(service, endpoint string) map[string]bool {
 	others := map[string]bool{}
 	for _, h := range n.endpoints.all() {
-		if h.Service == a.Request.Service && h.ID != wanted {
+		if h.Service == service && h.ID != endpoint {
 			others[h.ID] = true
 		}
 	}
-	return n.acquire(a, others)
+	return others
 }
 
 // attemptAt runs one attempt at a booked endpoint and says how it ended.
@@ -167,7 +197,10 @@
 	defer cancel(nil)
 	r.cancel, r.started = cancel, time.Now()
 	a.setCurrent(r)
+	n.flights.enter(r.host.ID, r.id, a.Request.Fingerprint)
 	err := run(attemptCtx, r)
+	n.flights.leave(r.host.ID, r.id, isAny(err, port.ErrEndpointBroken), time.Now())
+	n.flights.isolate(r.host.ID, false)
 	a.setCurrent(nil)
 	n.endpoints.release(a.Request, r.host.ID, usageOf(a))
 	a.bookSpend(r.host, time.Since(r.started))
@@ -190,13 +223,14 @@
 func (n *Node) resultOf(ctx context.Context, a *Accepted, r *running, err, cause error) attempt.Result {
 	switch {
 	case err == nil:
+		n.quarantine.Whole(time.Now(), a.Request.Fingerprint)
 		return attempt.ResultWhole
 	case errors.Is(cause, errMoved):
 		return attempt.ResultMoved
 	case errors.Is(cause, errSilent):
 		return attempt.ResultSilent
 	case errors.Is(cause, errLost):
-		n.lost(r.host)
+		n.lost(ctx, r.host)
 		return attempt.ResultLost
 	case errors.Is(err, port.ErrEndpointUnreachable):
 		n.endpoints.routes.Suspect(r.host.ID, time.Now().Add(unreachableFor))
@@ -207,15 +241,16 @@
 		return attempt.ResultRefused
 	case errors.Is(err, errGap):
 		return attempt.ResultGap
-	case ctx.Err() != nil, n.answers(ctx, r.host) == nil:
+	case ctx.Err() != nil, n.stillRuns(ctx, r.host):
 		return attempt.ResultBroken
 	}
-	n.lost(r.host)
+	n.lost(ctx, r.host)
 	return attempt.ResultLost
 }
 
-// lost keeps new work from an endpoint for a while.
-func (n *Node) lost(host port.Host) {
+// lost keeps new work from an endpoint for a while and books its death.
+func (n *Node) lost(ctx context.Context, host port.Host) {
+	defer n.endpointDied(ctx, host)
 	n.endpoints.routes.Suspect(host.ID, time.Now().Add(lostFor))
 	n.log.Warn().Str("endpoint", host.ID).Str("service", host.Service).Msg("endpoint does not answer")
 }
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -12,6 +12,8 @@
 	queueWait     *prometheus.HistogramVec
 	retryWait     *prometheus.HistogramVec
 	silent        *prometheus.CounterVec
+	deaths        prometheus.Counter
+	quarantined   *prometheus.CounterVec
 	foldErrors    prometheus.Counter
 	logOffset     prometheus.Gauge
 	staleness     prometheus.Gauge
@@ -51,6 +53,12 @@
 		silent: prometheus.NewCounterVec(prometheus.CounterOpts{
 			Name: "cicadanotch_connections_silent_total", Help: "Connections closed as silent while the endpoint answered on a new one.",
 		}, []string{"service"}),
+		deaths: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "cicadanotch_endpoint_deaths_total", Help: "Deaths of endpoints that this host saw first.",
+		}),
+		quarantined: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "cicadanotch_requests_quarantined_total", Help: "Requests refused because endpoints died running them.",
+		}, []string{"service"}),
 		foldErrors: prometheus.NewCounter(prometheus.CounterOpts{
 			Name: "cicadanotch_log_records_skipped_total", Help: "Log records skipped: malformed or of an unknown kind or version.",
 		}),
@@ -68,7 +76,7 @@
 		}),
 	}
 	r.MustRegister(m.staleness, m.appends, m.appended)
-	r.MustRegister(m.refused, m.queueWait, m.retryWait, m.silent)
+	r.MustRegister(m.refused, m.queueWait, m.retryWait, m.silent, m.deaths, m.quarantined)
 	r.MustRegister(m.accepted, m.ended, m.attempts, m.droppedChunks, m.firstToken, m.foldErrors, m.logOffset)
 	return m
 }
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/cicadanotch/cicadanotch/config"
 	"github.com/cicadanotch/cicadanotch/lease"
 	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/quarantine"
 	"github.com/cicadanotch/cicadanotch/record"
 )
 
@@ -65,7 +66,11 @@
 	leaving  *leavingTable
 	queues   admit.Table
 	// budgets holds an *attempt.Budget for each service.
-	budgets sync.Map
+	budgets    sync.Map
+	flights    *flights
+	quarantine *quarantine.Table
+	// deathTurn counts the exchanges of deaths with peers.
+	deathTurn atomic.Int64
 }
 
 // incarnationDigits is how many random hex digits tell two processes of one
@@ -76,17 +81,19 @@
 func New(settings Settings, ports Ports) *Node {
 	registry := prometheus.NewRegistry()
 	n := &Node{
-		settings:  settings.withDefaults(),
-		ports:     ports,
-		log:       ports.Logger,
-		metrics:   newMetrics(registry),
-		registry:  registry,
-		documents: config.NewTable(),
-		claims:    claim.NewTable(),
-		leases:    lease.NewTable(),
-		endpoints: newEndpointTable(settings),
-		hosts:     newHostTable(),
-		requests:  newRequestTable(),
+		settings:   settings.withDefaults(),
+		ports:      ports,
+		log:        ports.Logger,
+		metrics:    newMetrics(registry),
+		registry:   registry,
+		documents:  config.NewTable(),
+		claims:     claim.NewTable(),
+		leases:     lease.NewTable(),
+		endpoints:  newEndpointTable(settings),
+		hosts:      newHostTable(),
+		requests:   newRequestTable(),
+		flights:    newFlights(),
+		quarantine: quarantine.NewTable(),
 	}
 	if n.log == nil {
 		n.log = &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: discard{}}}
@@ -114,6 +121,7 @@
 	n.pool.every(&n.tomb, "hosts", n.settings.PollInterval.Std(), n.pollHosts)
 	n.pool.every(&n.tomb, "loads", n.settings.LoadInterval.Std(), n.pollLoads)
 	n.pool.every(&n.tomb, "cache events", n.settings.LoadInterval.Std(), n.pollEvents)
+	n.pool.every(&n.tomb, "deaths", deathSyncInterval, n.syncDeaths)
 	n.pool.every(&n.tomb, "queues", n.settings.LoadInterval.Std(), n.refreshQueues)
 	n.pool.every(&n.tomb, "requests", time.Second, n.expireRequests)
 	n.pool.every(&n.tomb, "stop", stopInterval, n.stepStop)
--- a/node/operator.go
+++ b/node/operator.go
@@ -7,9 +7,11 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 	"github.com/uptrace/bunrouter"
 
+	"github.com/cicadanotch/cicadanotch/admit"
 	"github.com/cicadanotch/cicadanotch/config"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/publish"
+	"github.com/cicadanotch/cicadanotch/quarantine"
 )
 
 // State is the dump of a process's tables.
@@ -22,6 +24,12 @@
 	Choice    ChoiceState                `json:"choice"`
 	// Stop tells how far a stop of this host has come and what it waits for.
 	Stop StopState `json:"stop"`
+	// Queues are the queues of the services.
+	Queues map[string]admit.State `json:"queues"`
+	// Suspected are the requests that may have killed endpoints, Deaths the
+	// deaths that speak against them.
+	Suspected []quarantine.Row   `json:"suspected"`
+	Deaths    []quarantine.Death `json:"deaths"`
 }
 
 // RequestState is one row of the request table.
@@ -43,6 +51,12 @@
 		Choice:    n.endpoints.state(time.Now()),
 		Stop:      n.stopState(),
 	}
+	now := time.Now()
+	s.Suspected, s.Deaths = n.quarantine.State(now), n.quarantine.Deaths(now)
+	s.Queues = map[string]admit.State{}
+	for service := range s.Documents {
+		s.Queues[service] = n.queues.Queue(service).State(now)
+	}
 	for _, a := range n.requests.all() {
 		s.Requests = append(s.Requests, RequestState{
 			ID:        a.Request.ID.String(),
--- a/node/peers.go
+++ b/node/peers.go
@@ -30,6 +30,7 @@
 		MethodPing:    n.handlePing,
 		MethodState:   n.handleState,
 		MethodLeaving: n.handleLeaving,
+		MethodDeaths:  n.handleDeaths,
 	}
 }
 
--- a/node/plan.go
+++ b/node/plan.go
@@ -53,6 +53,10 @@
 	if p := n.refuseStopping(&guard); p != nil {
 		return nil, p
 	}
+	if p := n.refuseQuarantined(req, &guard); p != nil {
+		p.RequestID = req.ID.String()
+		return nil, p
+	}
 	entry, p := n.admitRequest(req, &guard)
 	if p != nil {
 		p.RequestID = req.ID.String()
--- a/node/tail.go
+++ b/node/tail.go
@@ -12,6 +12,7 @@
 	"github.com/cicadanotch/cicadanotch/config"
 	"github.com/cicadanotch/cicadanotch/fold"
 	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/quarantine"
 	"github.com/cicadanotch/cicadanotch/record"
 )
 
@@ -26,6 +27,7 @@
 	tableDocuments = "documents"
 	tableClaims    = "claims"
 	tableLeases    = "leases"
+	tableDeaths    = "deaths"
 )
 
 // documentTable makes config.Table a fold.Table.
@@ -44,6 +46,7 @@
 	state.Register(tableDocuments, documentTable{n.documents}, record.KindDocument)
 	state.Register(tableClaims, n.claims, record.KindClaim, record.KindOutcome, record.KindAbandon)
 	state.Register(tableLeases, n.leases, record.KindLease)
+	state.Register(tableDeaths, quarantine.NewLedger(n.quarantine, time.Now), record.KindQuarantine)
 	return state
 }
 
--- a/node/watchdog.go
+++ b/node/watchdog.go
@@ -111,3 +111,16 @@
 	}
 	return n.ports.Engine.Probe(ctx, host.EndpointAddress)
 }
+
+// stillRuns reports whether an endpoint answers and is the process that it was
+// when it last reported its load.
+func (n *Node) stillRuns(ctx context.Context, host port.Host) bool {
+	before := n.endpoints.routes.Incarnation(host.ID)
+	if n.answers(ctx, host) != nil {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	report, err := n.loadOf(ctx, host)
+	return err == nil && (before == "" || report.Incarnation == before)
+}
--- a/route/table.go
+++ b/route/table.go
@@ -201,6 +201,17 @@
 	}
 }
 
+// Incarnation returns the process of an endpoint as it last reported it; ""
+// when it never did.
+func (t *Table) Incarnation(id string) string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if e, ok := t.byID[id]; ok {
+		return e.report.Incarnation
+	}
+	return ""
+}
+
 // Started notes that a booked request has its first token.
 func (t *Table) Started(b Booking, now time.Time) {
 	t.mu.Lock()
