Keep the hosts that each service's document asks for

Cause: nothing started, drained or gave back endpoint hosts. Change: the holder of a service's capacity lease carries plans out, services of higher priority first; capacity records are folded and in checkpoints; a pool with hosts under notice counts as dearer; the demo's cloud sells hosts and refuses the first replacements of a lost zone.

--- a/capacity/plan.go
+++ b/capacity/plan.go
@@ -19,6 +19,9 @@
 	// spreadWeight is how much a zone's share of the hosts adds to a pool's
 	// price in the choice of the next host.
 	spreadWeight = 0.5
+	// noticePenalty multiplies the price of a pool that has hosts under
+	// notice: what starts there is likely to go too.
+	noticePenalty = 2.0
 	// scaleInDelay is how long fewer hosts must suffice before one goes.
 	scaleInDelay = 5 * time.Minute
 	// startsPerPlan bounds the hosts asked for in one plan, so that the
@@ -181,6 +184,7 @@
 	for _, n := range counts {
 		total += n
 	}
+	noticed := noticedPools(in.Hosts)
 	var best port.Price
 	bestCost := math.Inf(1)
 	for _, price := range in.Prices {
@@ -193,6 +197,9 @@
 		}
 		share := float64(counts[pool.Zone]) / float64(max(total, 1))
 		cost := price.PricePerHour * (1 + spreadWeight*share)
+		if noticed[pool] {
+			cost *= noticePenalty
+		}
 		if cost < bestCost || (cost == bestCost && pool.String() < poolOfPrice(best).String()) {
 			best, bestCost = price, cost
 		}
@@ -200,6 +207,17 @@
 	return best, !math.IsInf(bestCost, 1)
 }
 
+// noticedPools returns the pools that have hosts under notice.
+func noticedPools(hosts []Host) map[Pool]bool {
+	out := map[Pool]bool{}
+	for _, h := range hosts {
+		if h.Leaving && !h.Drained {
+			out[PoolOf(h.Host)] = true
+		}
+	}
+	return out
+}
+
 func allowed(in Input, pool Pool) bool {
 	placement := in.Document.Placement
 	return slices.Contains(placement.Zones, pool.Zone) &&
--- a/capacity/plan_test.go
+++ b/capacity/plan_test.go
@@ -41,7 +41,7 @@
 	for i := range n {
 		out = append(out, capacity.Host{
 			Host: port.Host{
-				ID: fmt.Sprintf("h%d", i), Zone: []string{"jos-a", "jos-b"}[i%2], Class: "l4", Reclaimable: true,
+				ID: fmt.Sprintf("h%d", i), Region: "plateau", Zone: []string{"jos-a", "jos-b"}[i%2], Class: "l4", Reclaimable: true,
 				PricePerHour: 1, StartToken: fmt.Sprintf("old-%d", i),
 			},
 			Report: port.LoadReport{At: start, MaxRunning: 10, Models: []string{"m"}, Versions: map[string]string{"m": "2"}},
@@ -93,6 +93,10 @@
 				in.RefusedUntil[capacity.Pool{Region: p.Region, Zone: p.Zone, Class: p.Class, Reclaimable: p.Reclaimable}] = start.Add(time.Minute)
 			}
 		}},
+		"pool under notice is dearer": {live: 4, starts: 2, change: func(in *capacity.Input) {
+			in.Document.Placement.MinHosts = 4
+			in.Hosts[0].Leaving, in.Hosts[2].Leaving = true, true // all of jos-a
+		}, check: func(is *is.I, plan capacity.Plan) { is.Equal(zones(plan), map[string]int{"jos-b": 2}) }},
 		"spend cap": {starts: 1, short: true, change: func(in *capacity.Input) { in.Document.Spend.HostsPerHour = 1.5 }},
 		"on demand share": {starts: 2, change: func(in *capacity.Input) { in.Document.Placement.OnDemandShare = 0.5 }, check: func(is *is.I, plan capacity.Plan) {
 			is.True(!plan.Starts[0].Request.Reclaimable)
@@ -136,7 +140,7 @@
 	for _, host := range []string{"a", "b"} { // two deciders saw the same host go
 		e, err := record.New(record.KindCapacity, host, advance)
 		is.NoErr(err)
-		is.NoErr(table.Fold(e))
+		is.NoErr(table.Fold(record.Position{}, e))
 	}
 	is.Equal(table.Generation(slot), 1)
 	found, generation, ok := capacity.SlotOf(port.Host{Zone: "jos-a", Class: "l4", StartToken: slot.Token(1)})
@@ -144,6 +148,15 @@
 	is.Equal(found, slot)
 	is.Equal(generation, 1)
 	is.True(slot.Token(0) != slot.Token(1))
+
+	raw, err := table.Export()
+	is.NoErr(err)
+	copied := capacity.NewTable()
+	is.NoErr(copied.Import(raw))
+	is.Equal(copied.Generation(slot), 1)
+	again, err := copied.Export()
+	is.NoErr(err)
+	is.Equal(string(again), string(raw))
 }
 
 func TestScaleIn(t *testing.T) {
--- a/capacity/table.go
+++ b/capacity/table.go
@@ -1,8 +1,10 @@
 package capacity
 
 import (
+	"cmp"
 	"encoding/json"
 	"maps"
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
@@ -45,7 +47,7 @@
 
 // Fold applies a capacity record; ErrMalformed. Folding a record twice has
 // the effect of folding it once.
-func (t *Table) Fold(e record.Envelope) error {
+func (t *Table) Fold(_ record.Position, e record.Envelope) error {
 	var c Change
 	if err := json.Unmarshal(e.Body, &c); err != nil {
 		return errors.Wrap(ErrMalformed, err.Error())
@@ -85,3 +87,48 @@
 	defer t.mu.RUnlock()
 	return maps.Clone(t.draining)
 }
+
+// exported is a table as checkpoints hold it, in a fixed order.
+type exported struct {
+	Generations []slotGeneration `json:"generations"`
+	Draining    []string         `json:"draining"`
+}
+
+type slotGeneration struct {
+	Slot       Slot `json:"slot"`
+	Generation int  `json:"generation"`
+}
+
+// Export returns the table; equal tables give equal bytes.
+func (t *Table) Export() (json.RawMessage, error) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	out := exported{Draining: slices.Sorted(maps.Keys(t.draining))}
+	for slot, generation := range t.generations {
+		out.Generations = append(out.Generations, slotGeneration{slot, generation})
+	}
+	slices.SortFunc(out.Generations, func(a, b slotGeneration) int {
+		return cmp.Compare(a.Slot.Token(0)+a.Slot.Pool.Region, b.Slot.Token(0)+b.Slot.Pool.Region)
+	})
+	raw, err := json.Marshal(out)
+	return raw, errors.Wrap(err, "encode capacity table")
+}
+
+// Import takes over an exported table; ErrMalformed. A generation never goes
+// back.
+func (t *Table) Import(raw json.RawMessage) error {
+	var in exported
+	if err := json.Unmarshal(raw, &in); err != nil {
+		return errors.Wrap(ErrMalformed, err.Error())
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, s := range in.Generations {
+		t.generations[s.Slot] = max(t.generations[s.Slot], s.Generation)
+	}
+	clear(t.draining)
+	for _, host := range in.Draining {
+		t.draining[host] = true
+	}
+	return nil
+}
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -44,14 +44,15 @@
 
 // Deployment is a whole system on loopback.
 type Deployment struct {
-	Profile   Profile
-	Log       *standin.Log
-	LogFaults *standin.Faults
-	Cloud     *standin.Cloud
-	Network   *standin.Network
-	Ledger    *standin.Ledger
-	LogURL    string
-	CloudURL  string
+	Profile     Profile
+	Log         *standin.Log
+	LogFaults   *standin.Faults
+	CloudFaults *standin.Faults
+	Cloud       *standin.Cloud
+	Network     *standin.Network
+	Ledger      *standin.Ledger
+	LogURL      string
+	CloudURL    string
 
 	mu        sync.Mutex
 	endpoints []*EndpointHost
@@ -64,14 +65,17 @@
 // Start brings a deployment up and publishes its documents.
 func Start(ctx context.Context, p Profile, logger *log.Logger) (*Deployment, error) {
 	d := &Deployment{
-		Profile:   p,
-		LogFaults: standin.NewFaults(),
-		Network:   standin.NewNetwork(p.Network),
-		Ledger:    standin.NewLedger(),
-		logger:    logger,
+		Profile:     p,
+		LogFaults:   standin.NewFaults(),
+		CloudFaults: standin.NewFaults(),
+		Network:     standin.NewNetwork(p.Network),
+		Ledger:      standin.NewLedger(),
+		logger:      logger,
 	}
 	d.Log = standin.NewLog(standin.LogOptions{Faults: d.LogFaults})
-	d.Cloud = standin.NewCloud(standin.CloudOptions{Lag: time.Second, OnStart: d.startHost, OnStop: d.stopHost})
+	d.Cloud = standin.NewCloud(standin.CloudOptions{
+		Lag: time.Second, Prices: p.prices(), OnStart: d.startHost, OnStop: d.stopHost, Faults: d.CloudFaults,
+	})
 	if err := d.startPlatform(); err != nil {
 		return d, err
 	}
@@ -214,6 +218,10 @@
 			if err != nil {
 				return port.Host{}, err
 			}
+			e.Host.Reclaimable = req.Reclaimable
+			if !req.Reclaimable {
+				e.Host.PricePerHour *= onDemandFactor
+			}
 			return e.Host, nil
 		}
 	}
--- a/demo/documents.go
+++ b/demo/documents.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cicadanotch/cicadanotch/config"
+	"github.com/cicadanotch/cicadanotch/port"
 )
 
 // machineClass is the class of the demo's endpoint hosts.
@@ -20,16 +21,36 @@
 	return out
 }
 
-func (p Profile) placement() config.Placement {
+// spareHosts is how many hosts a service may have beyond its least number.
+const spareHosts = 4
+
+// placement asks for as many hosts as the deployment starts with, so that
+// lost ones are replaced.
+func (p Profile) placement(hosts func(ZoneProfile) int) config.Placement {
 	out := config.Placement{Classes: []string{machineClass}}
 	for _, z := range p.Zones {
 		out.Zones = append(out.Zones, z.Zone)
-		out.MaxHosts += z.Engines
+		out.MinHosts += hosts(z)
 	}
-	out.MinHosts = out.MaxHosts / 2
+	out.MaxHosts = out.MinHosts + spareHosts
 	return out
 }
 
+// prices returns what the cloud asks for hosts in the deployment's zones.
+func (p Profile) prices() []port.Price {
+	var out []port.Price
+	for _, z := range p.Zones {
+		base := port.Price{Region: z.Region, Zone: z.Zone, Class: machineClass, PricePerHour: z.PricePerHour * onDemandFactor}
+		out = append(out, base)
+		base.Reclaimable, base.PricePerHour = true, z.PricePerHour
+		out = append(out, base)
+	}
+	return out
+}
+
+// onDemandFactor is the price of an on-demand host by that of a reclaimable.
+const onDemandFactor = 3
+
 // ModelDocument returns the service document of the model service.
 func (p Profile) ModelDocument() config.Document {
 	return config.Document{
@@ -37,7 +58,7 @@
 		Service:    p.ModelService,
 		Kind:       config.KindModel,
 		Models:     []config.Model{{Name: p.Model, Version: "1"}},
-		Placement:  p.placement(),
+		Placement:  p.placement(func(z ZoneProfile) int { return z.Engines }),
 		Priority:   10,
 		Latency:    latency(),
 		Spend:      config.Spend{HostsPerHour: 40, LinkBytesPerHour: 2 << 30},
@@ -55,7 +76,7 @@
 			{Method: "POST", Path: p.OrderPath, Repeatable: false},
 			{Method: "GET", Path: p.ReadPath, Repeatable: true},
 		},
-		Placement:         p.placement(),
+		Placement:         p.placement(func(z ZoneProfile) int { return z.Plains }),
 		Priority:          20,
 		Latency:           latency(),
 		Workspaces:        p.workspaces(),
--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -20,8 +20,9 @@
 // fakeCloud lists fixed hosts.
 type fakeCloud struct {
 	port.Cloud
-	mu    sync.Mutex
-	hosts []port.Host
+	mu     sync.Mutex
+	hosts  []port.Host
+	market fakeMarket
 }
 
 func (c *fakeCloud) Hosts(context.Context) ([]port.Host, error) {
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/cicadanotch/cicadanotch/drain"
 	"github.com/cicadanotch/cicadanotch/port"
 )
 
@@ -93,8 +94,13 @@
 	schedule := n.schedule()
 	for _, h := range n.hosts.all() {
 		if h.Role == port.RoleEndpoint {
-			rows = append(rows, endpointRow{host: h, leaving: n.hosts.leaving(h) || n.underMaintenance(schedule, h)})
+			rows = append(rows, endpointRow{host: h, leaving: n.endpointLeaving(schedule, h)})
 		}
 	}
 	n.endpoints.update(rows)
 }
+
+// endpointLeaving reports whether an endpoint gets no new work.
+func (n *Node) endpointLeaving(schedule drain.Schedule, h port.Host) bool {
+	return n.hosts.leaving(h) || n.capacity.Draining(h.ID) || n.underMaintenance(schedule, h)
+}
--- a/node/node.go
+++ b/node/node.go
@@ -21,6 +21,7 @@
 	"gopkg.in/tomb.v2"
 
 	"github.com/cicadanotch/cicadanotch/admit"
+	"github.com/cicadanotch/cicadanotch/capacity"
 	"github.com/cicadanotch/cicadanotch/claim"
 	"github.com/cicadanotch/cicadanotch/config"
 	"github.com/cicadanotch/cicadanotch/lease"
@@ -52,6 +53,7 @@
 	documents *config.Table
 	claims    *claim.Table
 	leases    *lease.Table
+	capacity  *capacity.Table
 	endpoints *endpointTable
 	hosts     *hostTable
 	requests  *requestTable
@@ -89,6 +91,7 @@
 		documents:  config.NewTable(),
 		claims:     claim.NewTable(),
 		leases:     lease.NewTable(),
+		capacity:   capacity.NewTable(),
 		endpoints:  newEndpointTable(settings),
 		hosts:      newHostTable(),
 		requests:   newRequestTable(),
@@ -124,6 +127,7 @@
 	n.pool.every(&n.tomb, "deaths", deathSyncInterval, n.syncDeaths)
 	n.pool.every(&n.tomb, "queues", n.settings.LoadInterval.Std(), n.refreshQueues)
 	n.pool.every(&n.tomb, "requests", time.Second, n.expireRequests)
+	n.pool.every(&n.tomb, "capacity", capacityInterval, newCapacityJob(n).run)
 	n.pool.every(&n.tomb, "stop", stopInterval, n.stepStop)
 	n.tomb.Go(n.watchNotices)
 }
--- a/node/tail.go
+++ b/node/tail.go
@@ -28,6 +28,7 @@
 	tableClaims    = "claims"
 	tableLeases    = "leases"
 	tableDeaths    = "deaths"
+	tableCapacity  = "capacity"
 )
 
 // documentTable makes config.Table a fold.Table.
@@ -47,6 +48,7 @@
 	state.Register(tableClaims, n.claims, record.KindClaim, record.KindOutcome, record.KindAbandon)
 	state.Register(tableLeases, n.leases, record.KindLease)
 	state.Register(tableDeaths, quarantine.NewLedger(n.quarantine, time.Now), record.KindQuarantine)
+	state.Register(tableCapacity, n.capacity, record.KindCapacity)
 	return state
 }
 
--- a/route/table.go
+++ b/route/table.go
@@ -315,3 +315,25 @@
 	})
 	return out
 }
+
+// View is what the table knows of one endpoint.
+type View struct {
+	Row
+	// Report is the last load report; its At is zero without one.
+	Report port.LoadReport
+}
+
+// Views returns the endpoints of a service.
+func (t *Table) Views(service string) []View {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g, ok := t.groups[service]
+	if !ok {
+		return nil
+	}
+	out := make([]View, 0, len(g.rows))
+	for _, e := range g.rows {
+		out = append(out, View{e.row, e.report})
+	}
+	return out
+}
