Hand requests over and move streams when hosts are taken back

Cause: a reclaimed entry host lost every request in its hands, and a reclaimed endpoint cost each of its streams a full recompute. Change: on a notice an entry host offers its requests to peers, the same region first, by rendezvous on the request id; a request has one owner at a time, under an epoch, and the giver relays while it lives. Calls that may run only once stay where they are claimed, with a copy that waits for the outcome. A caller attaches at any address: an entry host that does not know the id finds the owner and passes the answer on. Streams on an endpoint that is taken away finish in time, move with their KV cache inside the region, or are recomputed elsewhere, at a rate that leaves survivors their time.

--- a/adapter/callerhttp/callerhttp.go
+++ b/adapter/callerhttp/callerhttp.go
@@ -138,7 +138,7 @@
 		writeProblem(w, problem.Refuse(&guard, http.StatusBadRequest, problem.TypeBadRequest, err.Error()))
 		return nil
 	}
-	a, p := s.node.Attach(id, bearer(r.Header), r.Header.Get(HeaderWorkspace))
+	a, p := s.node.Attach(r.Context(), id, bearer(r.Header), r.Header.Get(HeaderWorkspace))
 	if p != nil {
 		writeProblem(w, p)
 		return nil
@@ -154,12 +154,17 @@
 func (s *server) answer(w http.ResponseWriter, r bunrouter.Request, a *node.Accepted, from int) {
 	leave := a.Enter()
 	defer leave()
+	ctx, cut, done := a.Reading(r.Context())
+	defer done()
 	w.Header().Set(HeaderRequestID, a.Request.ID.String())
 	if a.Request.Kind == request.KindGenerate && a.Request.Stream {
-		newEventWriter(w, a).run(r.Context(), from)
-		return
+		newEventWriter(w, a).run(ctx, from)
+	} else {
+		writeWhole(ctx, w, a)
+	}
+	if cut() {
+		panic(http.ErrAbortHandler) // an answer that is not whole must not look whole
 	}
-	writeWhole(r.Context(), w, a)
 }
 
 func (s *server) models(w http.ResponseWriter, r bunrouter.Request) error {
--- a/answer/answer.go
+++ b/answer/answer.go
@@ -52,6 +52,44 @@
 // NewBuffer returns an empty answer.
 func NewBuffer() *Buffer { return &Buffer{changed: make(chan struct{})} }
 
+// Restore returns an answer with the chunks and the end that another process
+// held; ErrOutOfOrder.
+func Restore(chunks []Chunk, end *End) (*Buffer, error) {
+	b := NewBuffer()
+	for _, c := range chunks {
+		if err := b.Append(c); err != nil {
+			return nil, err
+		}
+	}
+	b.end = end
+	return b, nil
+}
+
+// Snapshot returns the chunks so far and the end, nil while the answer grows.
+// The caller must not change them.
+func (b *Buffer) Snapshot() ([]Chunk, *End) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.chunks, b.end
+}
+
+// Extend appends the chunks that are not there yet and finishes the answer
+// when end is set; ErrOutOfOrder, ErrEnded.
+func (b *Buffer) Extend(chunks []Chunk, end *End) error {
+	for _, c := range chunks {
+		if c.Index < b.Len() {
+			continue
+		}
+		if err := b.Append(c); err != nil {
+			return err
+		}
+	}
+	if end == nil {
+		return nil
+	}
+	return b.Finish(*end)
+}
+
 // Append adds the next chunk; ErrOutOfOrder, ErrEnded.
 func (b *Buffer) Append(c Chunk) error {
 	b.mu.Lock()
--- /dev/null
+++ b/drain/endpoint_test.go
@@ -0,0 +1,162 @@
+package drain_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadanotch/cicadanotch/drain"
+)
+
+// rates give a transfer of 1,000 tokens 100 ms and their recompute 500 ms.
+var rates = drain.Rates{PrefillTokens: 2000, KVBytes: 1000, TransferBytes: 10e6}
+
+func stream(id string, tokens, remaining int) drain.Stream {
+	return drain.Stream{ID: id, Priority: 10, Tokens: tokens, Remaining: remaining, Interval: 20 * time.Millisecond}
+}
+
+func TestChoiceOfOneStream(t *testing.T) {
+	near := drain.Target{Host: "near", Region: "r1", Free: 1}
+	far := drain.Target{Host: "far", Region: "r2", Free: 8}
+	slow := drain.Rates{PrefillTokens: 8000, KVBytes: 1000, TransferBytes: 1e6}
+	once := stream("s", 100, 1000)
+	once.Once = true
+	for name, tc := range map[string]struct {
+		rates   drain.Rates
+		stream  drain.Stream
+		left    float64
+		targets []drain.Target
+		want    drain.Choice
+		target  string
+	}{
+		"ends in time":                 {rates, stream("s", 1000, 200), 5, []drain.Target{near}, drain.ChoiceFinish, ""},
+		"ends too late":                {rates, stream("s", 1000, 245), 5, []drain.Target{near}, drain.ChoiceTransfer, "near"},
+		"may run only once":            {rates, once, 5, []drain.Target{near}, drain.ChoiceWait, ""},
+		"transfer inside the region":   {rates, stream("s", 1000, 900), 5, []drain.Target{far, near}, drain.ChoiceTransfer, "near"},
+		"never across regions":         {rates, stream("s", 1000, 900), 5, []drain.Target{far}, drain.ChoiceRecompute, "far"},
+		"recompute is cheaper":         {slow, stream("s", 1000, 900), 5, []drain.Target{far, near}, drain.ChoiceRecompute, "near"},
+		"too late for a transfer":      {rates, stream("s", 1000, 900), 0.25, []drain.Target{near}, drain.ChoiceRecompute, "near"},
+		"the deadline has passed":      {rates, stream("s", 1000, 900), -1, []drain.Target{near}, drain.ChoiceRecompute, "near"},
+		"region full: recompute away":  {rates, stream("s", 1000, 900), 5, []drain.Target{{Host: "near", Region: "r1"}, far}, drain.ChoiceRecompute, "far"},
+		"nobody left: it is put off":   {rates, stream("s", 1000, 900), 5, nil, drain.ChoiceLater, ""},
+		"nobody left, the end is near": {rates, stream("s", 1000, 900), 0.1, nil, drain.ChoiceLater, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			steps := drain.NewDrain(tc.rates).Next(at(0), at(tc.left), "r1", []drain.Stream{tc.stream}, tc.targets)
+			is.Equal(len(steps), 1)
+			is.Equal(steps[0].Choice, tc.want)
+			is.Equal(steps[0].Target, tc.target)
+		})
+	}
+}
+
+// TestMovesArePaced drives a drain by passed time: 40 long streams, two
+// targets, 20 s. Targets give moved streams a quarter of their time.
+func TestMovesArePaced(t *testing.T) {
+	is := is.New(t)
+	d := drain.NewDrain(rates)
+	var streams []drain.Stream
+	for i := range 40 {
+		s := stream(fmt.Sprintf("s%02d", i), 1000, 2000+i)
+		s.Priority = i % 2
+		streams = append(streams, s)
+	}
+	targets := []drain.Target{{Host: "a", Region: "r1", Free: 40}, {Host: "b", Region: "r1", Free: 40}}
+	var order []int
+	starts := map[string][]float64{}
+	for tick := 0; len(streams) > 0 && tick < 400; tick++ {
+		now := float64(tick) / 10
+		var rest []drain.Stream
+		for _, step := range d.Next(at(now), at(20), "r1", streams, targets) {
+			for _, s := range streams {
+				switch {
+				case s.ID != step.Stream:
+				case step.Choice == drain.ChoiceLater:
+					rest = append(rest, s)
+				default:
+					order = append(order, s.Priority)
+					starts[step.Target] = append(starts[step.Target], now)
+				}
+			}
+		}
+		streams = rest
+	}
+	is.Equal(len(streams), 0) // all moved
+	is.Equal(len(starts["a"]), 20)
+	is.Equal(len(starts["b"]), 20)
+	for _, times := range starts {
+		for i := 1; i < len(times); i++ {
+			is.True(times[i]-times[i-1] >= 0.4-1e-9) // a transfer takes 100 ms, a quarter of 400 ms
+		}
+	}
+	for i := 1; i < len(order); i++ {
+		is.True(order[i] <= order[i-1]) // the higher priority goes first
+	}
+}
+
+func TestPressedDrainGoesFaster(t *testing.T) {
+	is := is.New(t)
+	d := drain.NewDrain(rates)
+	var streams []drain.Stream
+	for i := range 8 {
+		streams = append(streams, stream(fmt.Sprint(i), 1000, 2000))
+	}
+	moved := 0
+	for _, step := range d.Next(at(0), at(0.5), "r1", streams, []drain.Target{{Host: "a", Region: "r1", Free: 8}}) {
+		if step.Choice != drain.ChoiceLater {
+			moved++
+		}
+	}
+	is.True(moved > 1) // pacing gives way to the deadline
+}
+
+// TestChangesOfMind holds the faults that come between two calls.
+func TestChangesOfMind(t *testing.T) {
+	streams := []drain.Stream{stream("s", 1000, 2000), stream("t", 1000, 1500)}
+	both := []drain.Target{{Host: "a", Region: "r1", Free: 1}, {Host: "b", Region: "r1", Free: 1}}
+	for name, tc := range map[string]struct {
+		then    []drain.Stream
+		targets []drain.Target
+		left    float64
+		want    string
+	}{
+		"importer reclaimed too":            {streams[:1], both[1:], 9, "s transfer b"},
+		"second notice for the target zone": {streams[:1], []drain.Target{{Host: "c", Region: "r2", Free: 1}}, 9, "s recompute c"},
+		"notice withdrawn: nothing is due":  {nil, both, 9, ""},
+		"export failed: too late for more":  {streams[:1], both[1:], 0.1, "s recompute b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			d := drain.NewDrain(rates)
+			first := d.Next(at(0), at(10), "r1", streams, both)
+			is.Equal(first[0], drain.Step{Stream: "s", Choice: drain.ChoiceTransfer, Target: "a", Bytes: 1e6})
+			is.Equal(first[1].Target, "b")
+			got := ""
+			for _, step := range d.Next(at(1), at(1+tc.left), "r1", tc.then, tc.targets) {
+				got += fmt.Sprint(step.Stream, " ", step.Choice, " ", step.Target)
+			}
+			is.Equal(got, tc.want)
+		})
+	}
+}
+
+func TestLearnedRates(t *testing.T) {
+	is := is.New(t)
+	d := drain.NewDrain(rates)
+	for range 40 {
+		d.Learn(1000, 4e6, time.Second)
+	}
+	is.True(d.Rates().KVBytes > 3999)
+	is.True(d.Rates().TransferBytes < 4.1e6)
+	// 1,000 tokens now take 1 s to transfer: no less than twice the recompute.
+	steps := d.Next(at(0), at(5), "r1", []drain.Stream{stream("s", 1000, 900)}, []drain.Target{{Host: "a", Region: "r1", Free: 1}})
+	is.Equal(steps[0].Choice, drain.ChoiceTransfer)
+	for range 40 {
+		d.Learn(1000, 4e6, 2*time.Second)
+	}
+	steps = d.Next(at(9), at(15), "r1", []drain.Stream{stream("s", 1000, 900)}, []drain.Target{{Host: "a", Region: "r1", Free: 1}})
+	is.Equal(steps[0].Choice, drain.ChoiceRecompute)
+}
--- a/drain/handoff.go
+++ b/drain/handoff.go
@@ -1,5 +1,7 @@
 package drain
 
+import "slices"
+
 // Hold is what a host does with a request.
 type Hold string
 
@@ -30,6 +32,8 @@
 	// MaybeTaken is set when an offer may have arrived: the request may have
 	// run elsewhere.
 	MaybeTaken bool
+	// Tried lists the takers that were offered the request since Start.
+	Tried []string
 }
 
 // maxLost is how many calls in a row fail before a peer counts as gone.
@@ -76,18 +80,19 @@
 	if h.Hold != HoldRunning || len(candidates) == 0 {
 		return false
 	}
+	h.Tried = nil
 	h.offer(candidates[0])
 	return true
 }
 
 func (h *Handoff) offer(taker string) {
 	h.Hold, h.Taker, h.Lost = HoldOffered, taker, 0
+	h.Tried = append(h.Tried, taker)
 	h.Epoch++
 }
 
 // Step takes an event and returns what to do. candidates are the hosts that
-// may take the request now, best first; those before the present taker have
-// been tried.
+// may take the request now, best first.
 func (h *Handoff) Step(e Event, candidates []string) Action {
 	if h.Hold == HoldOffered {
 		return h.offered(e, candidates)
@@ -110,12 +115,12 @@
 	return h.next(candidates)
 }
 
-// next offers the request to the candidate after the present taker, or takes
-// it back.
+// next offers the request to the best candidate not tried yet, or takes it
+// back.
 func (h *Handoff) next(candidates []string) Action {
-	for i, c := range candidates {
-		if c == h.Taker && i+1 < len(candidates) {
-			h.offer(candidates[i+1])
+	for _, c := range candidates {
+		if !slices.Contains(h.Tried, c) {
+			h.offer(c)
 			return ActOffer
 		}
 	}
@@ -205,6 +210,20 @@
 	return best, best.Hold != HoldNone
 }
 
+// Successor returns the location that a giver follows after its taker is
+// gone: an owner under its own epoch or a higher one, or a host that relays
+// under a higher one. Epochs grow along a chain of givers, so that none ever
+// follows itself.
+func Successor(found []Location, epoch int64) (Location, bool) {
+	var rest []Location
+	for _, l := range found {
+		if l.Epoch > epoch || (l.Epoch == epoch && l.Hold == HoldRunning) {
+			rest = append(rest, l)
+		}
+	}
+	return Best(rest)
+}
+
 func better(a, b Location) bool {
 	if (a.Hold == HoldRunning) != (b.Hold == HoldRunning) {
 		return a.Hold == HoldRunning
--- a/node/attempts.go
+++ b/node/attempts.go
@@ -42,6 +42,9 @@
 	mu      sync.Mutex
 	current *running
 	move    *Move
+	// moving is closed when the transfer of the current attempt's KV cache
+	// has ended; nil while there is none.
+	moving chan struct{}
 }
 
 // running is one attempt at an endpoint.
@@ -50,6 +53,8 @@
 	host    port.Host
 	started time.Time
 	cancel  context.CancelCauseFunc
+	// from is the index of its first chunk.
+	from int
 	// kvHandle names the KV cache to go on from; empty for none.
 	kvHandle string
 }
@@ -68,7 +73,7 @@
 func (a *Accepted) Move(m Move) bool {
 	a.work.mu.Lock()
 	defer a.work.mu.Unlock()
-	if a.work.current == nil || !a.Request.Repeatable {
+	if a.work.current == nil || a.work.moving != nil || !a.Request.Repeatable {
 		return false
 	}
 	a.work.move = &m
@@ -111,7 +116,7 @@
 	plan := attempt.NewPlan(a.Request.Repeatable, a.Request.Deadline)
 	budget := n.budget(a.Request.Service)
 	budget.Fresh(time.Now())
-	var next Move
+	next := a.takeMove()
 	var last error
 	for {
 		where, allowed := n.place(ctx, a, plan.Tried())
@@ -195,16 +200,20 @@
 func (n *Node) attemptAt(ctx context.Context, a *Accepted, r *running, run runAttempt) (attempt.Result, error) {
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	r.cancel, r.started = cancel, time.Now()
+	r.cancel, r.started, r.from = cancel, time.Now(), a.Answer.Len()
 	a.setCurrent(r)
 	n.flights.enter(r.host.ID, r.id, a.Request.Fingerprint)
 	err := run(attemptCtx, r)
-	n.flights.leave(r.host.ID, r.id, isAny(err, port.ErrEndpointBroken), time.Now())
+	moved := err != nil && a.awaitMove(ctx)
+	n.flights.leave(r.host.ID, r.id, !moved && isAny(err, port.ErrEndpointBroken), time.Now())
 	n.flights.isolate(r.host.ID, false)
 	a.setCurrent(nil)
 	n.endpoints.release(a.Request, r.host.ID, usageOf(a))
 	a.bookSpend(r.host, time.Since(r.started))
-	result := n.resultOf(ctx, a, r, err, context.Cause(attemptCtx))
+	result := attempt.ResultMoved
+	if !moved {
+		result = n.resultOf(ctx, a, r, err, context.Cause(attemptCtx))
+	}
 	n.metrics.attempts.WithLabelValues(a.Request.Service, string(result)).Inc()
 	if err != nil {
 		n.logAttempt(a, r, result, err)
--- a/node/execute.go
+++ b/node/execute.go
@@ -29,6 +29,9 @@
 
 // fail ends a request with a problem.
 func (n *Node) fail(a *Accepted, p *problem.Problem) {
+	if a.isFrozen() || n.context().Err() != nil {
+		return // a peer goes on with it, or the caller finds the connection cut
+	}
 	p.RequestID = a.Request.ID.String()
 	_ = a.Answer.Finish(answer.End{Problem: p}) // ended before: the first end stands
 }
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -42,6 +42,14 @@
 	t.notices[n.Host] = n
 }
 
+// notice returns the notice under which a host is.
+func (t *hostTable) notice(host string) (port.Notice, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	n, ok := t.notices[host]
+	return n, ok
+}
+
 func (t *hostTable) lastNotice() int64 {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
@@ -94,7 +102,11 @@
 	schedule := n.schedule()
 	for _, h := range n.hosts.all() {
 		if h.Role == port.RoleEndpoint {
-			rows = append(rows, endpointRow{host: h, leaving: n.endpointLeaving(schedule, h)})
+			rows = append(rows, endpointRow{
+				host:     h,
+				leaving:  n.endpointLeaving(schedule, h),
+				deadline: n.doomed(schedule, h, time.Now()),
+			})
 		}
 	}
 	n.endpoints.update(rows)
--- a/node/node.go
+++ b/node/node.go
@@ -68,11 +68,15 @@
 	leaving  *leavingTable
 	queues   admit.Table
 	// budgets holds an *attempt.Budget for each service.
-	budgets    sync.Map
 	flights    *flights
 	quarantine *quarantine.Table
 	// deathTurn counts the exchanges of deaths with peers.
 	deathTurn atomic.Int64
+	budgets   sync.Map
+	handoffs  *handoffMetrics
+	drains    *endpointDrain
+	// searches bounds the searches for requests of other hosts.
+	searches chan struct{}
 }
 
 // incarnationDigits is how many random hex digits tell two processes of one
@@ -107,6 +111,9 @@
 	n.writer = newWriter(n)
 	n.stopping = newStopState(n.settings.AddressLifetime.Std())
 	n.leaving = newLeavingTable()
+	n.drains = newEndpointDrain()
+	n.handoffs = newHandoffMetrics(registry)
+	n.searches = make(chan struct{}, searchesAtOnce)
 	return n
 }
 
@@ -129,6 +136,7 @@
 	n.pool.every(&n.tomb, "requests", time.Second, n.expireRequests)
 	n.pool.every(&n.tomb, "capacity", capacityInterval, newCapacityJob(n).run)
 	n.pool.every(&n.tomb, "stop", stopInterval, n.stepStop)
+	n.pool.every(&n.tomb, "endpoint drains", drainInterval, n.drainEndpoints)
 	n.tomb.Go(n.watchNotices)
 }
 
--- a/node/operator.go
+++ b/node/operator.go
@@ -30,6 +30,8 @@
 	// deaths that speak against them.
 	Suspected []quarantine.Row   `json:"suspected"`
 	Deaths    []quarantine.Death `json:"deaths"`
+	// Drains are the latest choices for streams on endpoints that go away.
+	Drains []DrainStep `json:"drains,omitempty"`
 }
 
 // RequestState is one row of the request table.
@@ -50,6 +52,7 @@
 		Hosts:     n.hosts.all(),
 		Choice:    n.endpoints.state(time.Now()),
 		Stop:      n.stopState(),
+		Drains:    n.drains.state(),
 	}
 	now := time.Now()
 	s.Suspected, s.Deaths = n.quarantine.State(now), n.quarantine.Deaths(now)
--- a/node/order.go
+++ b/node/order.go
@@ -20,6 +20,10 @@
 func (n *Node) executeOrder(ctx context.Context, a *Accepted) {
 	key := claim.Key{Service: a.Request.Service, Workspace: a.Request.Workspace, Key: orderKey(a)}
 	digest := xxhash.Sum64(a.Request.Body)
+	if !n.mayClaim(ctx, a) {
+		n.fail(a, problem.Refuse(&a.guard, http.StatusServiceUnavailable, problem.TypeStopping, "the entry host is stopping"))
+		return
+	}
 	entry, ok, _ := n.claims.Get(key)
 	mine := ""
 	if !ok {
--- a/node/peers.go
+++ b/node/peers.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net"
 
 	"github.com/cicadanotch/cicadanotch/port"
@@ -26,12 +27,14 @@
 
 // PeerHandlers returns the methods that peers may call.
 func (n *Node) PeerHandlers() map[string]port.PeerHandler {
-	return map[string]port.PeerHandler{
+	handlers := map[string]port.PeerHandler{
 		MethodPing:    n.handlePing,
 		MethodState:   n.handleState,
 		MethodLeaving: n.handleLeaving,
 		MethodDeaths:  n.handleDeaths,
 	}
+	maps.Copy(handlers, n.handoffHandlers())
+	return handlers
 }
 
 func (n *Node) handlePing(context.Context, json.RawMessage) (any, error) {
--- a/node/plan.go
+++ b/node/plan.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"context"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
@@ -11,7 +10,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"github.com/cicadanotch/cicadanotch/answer"
 	"github.com/cicadanotch/cicadanotch/config"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/prefix"
@@ -62,37 +60,15 @@
 		p.RequestID = req.ID.String()
 		return nil, p
 	}
-	ctx, cancel := context.WithDeadline(n.context(), req.Deadline)
-	a := &Accepted{Request: req, Answer: answer.NewBuffer(), cancel: cancel, lastRead: time.Now()}
+	a := newAccepted(req)
 	a.work.entry = entry
 	booked, added := n.requests.add(a)
 	if !added {
-		cancel()
 		n.withdraw(req.Service, entry)
 		return attachTo(booked, req, &guard)
 	}
 	n.metrics.accepted.WithLabelValues(req.Service, req.Workspace).Inc()
-	n.tomb.Go(func() error {
-		defer cancel()
-		n.execute(ctx, a)
-		n.ended(a)
-		return nil
-	})
-	return a, nil
-}
-
-// Attach returns a request that was accepted before. Only its own workspace
-// may attach; for others it does not exist.
-func (n *Node) Attach(id request.ID, key, workspace string) (*Accepted, *problem.Problem) {
-	a, ok := n.requests.get(id)
-	if !ok {
-		return nil, problem.Unknown(http.StatusNotFound, problem.TypeNotFound, "no such request here")
-	}
-	rev, _ := n.documents.Service(a.Request.Service)
-	w, ok := findWorkspace(rev.Document, key, workspace)
-	if !ok || w.Name != a.Request.Workspace {
-		return nil, problem.Unknown(http.StatusNotFound, problem.TypeNotFound, "no such request here")
-	}
+	n.run(a, n.execute)
 	return a, nil
 }
 
--- a/node/requests.go
+++ b/node/requests.go
@@ -24,8 +24,12 @@
 	guard   problem.Guard
 	work    work
 	cancel  context.CancelFunc
+	// passing is closed when the answer, which another host owns, cannot be
+	// passed on any more; nil on requests of this host.
+	passing chan struct{}
 
 	mu       sync.Mutex
+	hand     handed
 	readers  int
 	lastRead time.Time
 	endedAt  time.Time
@@ -72,6 +76,20 @@
 	return a, ok
 }
 
+func (t *requestTable) knows(id request.ID) bool {
+	_, ok := t.get(id)
+	return ok
+}
+
+// drop takes a request out that this host did not take over.
+func (t *requestTable) drop(a *Accepted) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.rows[a.Request.ID] == a {
+		delete(t.rows, a.Request.ID)
+	}
+}
+
 func (t *requestTable) all() []*Accepted {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -88,27 +106,37 @@
 	delete(t.rows, id)
 }
 
+// detached reports whether nobody has read the answer for long.
+func (a *Accepted) detached(now time.Time) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.readers == 0 && now.Sub(a.lastRead) > detachedLimit
+}
+
 // expireRequests cancels requests that nobody reads and drops old ones.
 func (n *Node) expireRequests() {
 	now := time.Now()
 	for _, a := range n.requests.all() {
 		a.mu.Lock()
-		detached := a.readers == 0 && now.Sub(a.lastRead) > detachedLimit
 		expired := !a.endedAt.IsZero() && now.Sub(a.endedAt) > endedKept
 		a.mu.Unlock()
 		switch {
 		case expired:
 			n.requests.remove(a.Request.ID)
-		case detached && a.Request.Kind == request.KindGenerate:
-			a.cancel()
+		case a.detached(now) && a.Request.Kind == request.KindGenerate:
+			a.stopRun()
 		}
 	}
 }
 
-func (n *Node) ended(a *Accepted) {
+func (a *Accepted) markEnded() {
 	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.endedAt = time.Now()
-	a.mu.Unlock()
+}
+
+func (n *Node) ended(a *Accepted) {
+	a.markEnded()
 	result := "whole"
 	if end := a.Answer.Ended(); end != nil && end.Problem != nil {
 		result = string(end.Problem.Type)
--- a/node/stop.go
+++ b/node/stop.go
@@ -53,6 +53,12 @@
 	s.servers = append(s.servers, server)
 }
 
+func (s *stopState) leaving() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stop.Leaving()
+}
+
 // Drain begins the stop of this host, or sharpens the one under way. It leaves
 // the address answers at once and goes on serving; a zero deadline waits for
 // the requests in progress however long. Drained tells the end.
@@ -80,6 +86,9 @@
 
 // phase returns the phase of the stop now.
 func (n *Node) phase() drain.Phase {
+	if !n.stopping.leaving() {
+		return drain.PhaseServing
+	}
 	open := len(n.openRequests())
 	n.stopping.mu.Lock()
 	defer n.stopping.mu.Unlock()
@@ -119,9 +128,11 @@
 // stepStop carries a stop on; it runs on the pool.
 func (n *Node) stepStop() {
 	n.followMaintenance(time.Now())
-	switch phase := n.phase(); phase {
+	switch n.phase() {
 	case drain.PhaseServing:
 		return
+	case drain.PhaseHandingOver:
+		n.handOverAll()
 	case drain.PhaseDone:
 		n.finishStop()
 		return
@@ -141,6 +152,7 @@
 		return
 	}
 	n.tomb.Go(func() error {
+		n.handOverAll()
 		for _, s := range servers {
 			_ = s.Shutdown(n.context()) // fails only when the node is killed meanwhile
 		}
