Replay traces from the command line; count a host's cost while it runs

Cause: replay had no command, the demo no log, and its cost counted hosts that were gone or not yet started.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -20,6 +20,7 @@
 
 	"github.com/cicadanotch/cicadanotch/adapter/jsonhttp"
 	"github.com/cicadanotch/cicadanotch/config"
+	"github.com/cicadanotch/cicadanotch/replay"
 )
 
 // Errors of this package.
@@ -49,6 +50,9 @@
 
 // Main runs the tool; it returns the exit code.
 func Main(args []string, stdout, stderr io.Writer) int {
+	if len(args) > 0 && args[0] == replayName {
+		return replay.Main(args[1:], stdout, stderr)
+	}
 	t := &tool{stdout: stdout, stderr: stderr, client: &http.Client{Transport: jsonhttp.NewTransport(nil)}}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -87,7 +91,7 @@
 		Subcommands: []*ffcli.Command{
 			t.validateCommand(), t.publishCommand(), t.getCommand(), t.diffCommand(),
 			t.addressesCommand(), t.dumpCommand(),
-			t.demoCommand(),
+			t.demoCommand(), t.replayCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -127,3 +127,13 @@
 	is.Equal(code, cli.ExitUsage)
 	is.True(strings.Contains(stderr, "--wait needs"))
 }
+
+func TestReplay(t *testing.T) {
+	is := is.New(t)
+	code, stdout, _ := run("replay", "--policy", "ours", "../traces/quiet-day.jsonl")
+	is.True(code != cli.ExitUsage) // the verdict on the outcomes is package replay's
+	is.True(strings.Contains(stdout, "quiet-day"))
+	code, _, stderr := run("replay", "none.jsonl")
+	is.Equal(code, cli.ExitUsage)
+	is.True(strings.Contains(stderr, "none.jsonl"))
+}
--- a/cli/demo.go
+++ b/cli/demo.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"os"
 	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
 	"github.com/cicadanotch/cicadanotch/demo"
@@ -17,6 +19,7 @@
 	seed := flags.Uint64("seed", 1, "seed of the load's choices")
 	quiet := flags.Bool("quiet", false, "print the table only")
 	asJSON := flags.Bool("json", false, "print the report as JSON")
+	logFile := flags.String("log", "", "write the entry hosts' log to this `file`")
 	return &ffcli.Command{
 		Name:       "demo",
 		ShortUsage: "cicadanotch demo [--profile NAME] [--length D] [--seed N]",
@@ -31,6 +34,14 @@
 			if !*quiet {
 				opts.Progress = t.stderr
 			}
+			if *logFile != "" {
+				file, err := os.Create(*logFile)
+				if err != nil {
+					return errors.Wrap(ErrUsage, err.Error())
+				}
+				defer file.Close()
+				opts.Logger = &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: file}}
+			}
 			report, err := demo.Run(ctx, opts)
 			if err != nil {
 				return errors.Wrap(err, "demo")
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -26,10 +26,33 @@
 	Service *standin.Service
 	Faults  *standin.Faults
 	server  *http.Server
+	started time.Time
+
+	mu    sync.Mutex
+	ended time.Time
+}
+
+// Cost returns the price of the host from its start to its end, or to now.
+func (e *EndpointHost) Cost(now time.Time) float64 {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.ended.IsZero() {
+		now = e.ended
+	}
+	return e.Host.PricePerHour * now.Sub(e.started).Hours()
+}
+
+func (e *EndpointHost) end() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.ended.IsZero() {
+		e.ended = time.Now()
+	}
 }
 
 // Kill ends the endpoint's server and breaks its connections.
 func (e *EndpointHost) Kill() {
+	e.end()
 	if e.Engine != nil {
 		e.Engine.Crash()
 	}
@@ -176,14 +199,17 @@
 }
 
 func (d *Deployment) newEndpoint(z ZoneProfile, service, id string) (*EndpointHost, error) {
-	e := &EndpointHost{Faults: standin.NewFaults()}
+	e := &EndpointHost{Faults: standin.NewFaults(), started: time.Now()}
 	var handler http.Handler
 	if service == d.Profile.ModelService {
 		opts := d.Profile.Engine
 		opts.Models = []string{d.Profile.Model}
 		opts.Ledger, opts.Faults = d.Ledger, e.Faults
 		opts.CrashMarker = CrashMarker
-		opts.OnCrash = func() { d.Cloud.RemoveHost(id) }
+		opts.OnCrash = func() {
+			d.Cloud.RemoveHost(id)
+			e.end()
+		}
 		e.Engine = standin.NewEngine(opts)
 		handler = e.Engine.Handler()
 	} else {
--- a/demo/load.go
+++ b/demo/load.go
@@ -14,7 +14,6 @@
 
 	"github.com/cicadanotch/cicadanotch/adapter/jsonhttp"
 	"github.com/cicadanotch/cicadanotch/client"
-	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/problem"
 	"github.com/cicadanotch/cicadanotch/request"
 	"github.com/cicadanotch/cicadanotch/standin"
@@ -228,12 +227,3 @@
 	l.tally.Sent()
 	l.tally.Add(l.generate(ctx, w, KindKiller, "Please "+CrashMarker, questionTokens))
 }
-
-// hostCost returns the price of the endpoint hosts for the time that each ran.
-func hostCost(hosts []port.Host, took time.Duration) float64 {
-	cost := 0.0
-	for _, h := range hosts {
-		cost += h.PricePerHour * took.Hours()
-	}
-	return cost
-}
--- a/demo/run.go
+++ b/demo/run.go
@@ -9,8 +9,6 @@
 
 	"github.com/phuslu/log"
 	"github.com/pkg/errors"
-
-	"github.com/cicadanotch/cicadanotch/port"
 )
 
 // Names of the promises that a run judges.
@@ -133,11 +131,10 @@
 		Prefilled: prefilled, Recomputed: recomputed,
 		LinkBytes: r.deployment.Network.LinkBytes(), Took: took,
 	}
-	var hosts []port.Host
+	now := time.Now()
 	for _, e := range r.deployment.Endpoints() {
-		hosts = append(hosts, e.Host)
+		report.HostCost += e.Cost(now)
 	}
-	report.HostCost = hostCost(hosts, took)
 	report.judgeOrders(r.deployment.Ledger.Executions())
 	r.judge(report)
 	return report
