Prove double handoffs and orders under notice; bound an offer by the deadline

Cause: a silent peer could hold up one offer for 2 s, six in all with its repeats, on a notice of 5 s. Change: an offer may take a tenth of the time to the deadline. The dump says who owns each request under which epoch. Two end-to-end tests: a stream handed over twice with the log down, both givers dead before their notices end; orders under way and new ones on an entry host under notice. Conclusion: the answer is whole, other workspaces get 404, each order ran once.

--- /dev/null
+++ b/demo/handoff_test.go
@@ -0,0 +1,151 @@
+package demo_test
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadanotch/cicadanotch/client"
+	"github.com/cicadanotch/cicadanotch/demo"
+	"github.com/cicadanotch/cicadanotch/drain"
+	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/request"
+	"github.com/cicadanotch/cicadanotch/standin"
+)
+
+// owner returns the entry host that owns a request under an epoch or a later
+// one; nil while there is none.
+func owner(d *demo.Deployment, id request.ID, epoch int64) *demo.EntryHost {
+	for _, e := range d.Entries() {
+		for _, r := range e.Node.State().Requests {
+			if r.ID == id.String() && r.Hold == drain.HoldRunning && r.Epoch >= epoch {
+				return e
+			}
+		}
+	}
+	return nil
+}
+
+// handOver announces the end of an entry host and waits until another owns
+// the request.
+func handOver(t *testing.T, d *demo.Deployment, from *demo.EntryHost, id request.ID, epoch int64) *demo.EntryHost {
+	t.Helper()
+	d.Cloud.Announce(from.Host.ID, port.NoticeReclaim, time.Now().Add(time.Minute))
+	var to *demo.EntryHost
+	eventually(t, "another host owns the request", func() bool {
+		to = owner(d, id, epoch)
+		return to != nil && to != from
+	})
+	return to
+}
+
+// TestTakerIsReclaimedTooWithTheLogDown hands a stream over twice while the
+// platform's log does not answer. Both hosts die before their notices end. The
+// caller goes on at a host that never saw the request.
+func TestTakerIsReclaimedTooWithTheLogDown(t *testing.T) {
+	is := is.New(t)
+	p := wave()
+	d := start(t, p)
+	d.LogFaults.Add(standin.Fault{Point: standin.PointAppend, Action: standin.ActionFail})
+	d.LogFaults.Add(standin.Fault{Point: standin.PointRead, Action: standin.ActionFail})
+
+	giver := d.Entries()[0]
+	id := request.NewID()
+	body, want := chatBody(p, "A season summary, please.", 300)
+	first := make(chan struct{})
+	type result struct {
+		answer client.Answer
+		err    error
+	}
+	answered := make(chan result, 1)
+	go func() {
+		answer, err := newClient(d, giver.Host.CallerAddress).Generate(context.Background(), client.Generate{
+			ID: id, Body: []byte(body),
+			OnChunk: func(index int, _ string) {
+				if index == 5 {
+					close(first)
+				}
+			},
+		})
+		answered <- result{answer, err}
+	}()
+	<-first
+	giver = owner(d, id, 0)
+	taker := handOver(t, d, giver, id, 1)
+	is.Equal(taker.Host.Region, giver.Host.Region) // the same region first
+
+	// Only the request's own workspace finds it, at any host.
+	away := entryIn(d, p.Zones[2].Zone)
+	path := "http://" + away.Host.CallerAddress + "/v1/requests/" + id.String()
+	resp, _ := do(t, "GET", path, p.Workspaces[1].Key(), "")
+	is.Equal(resp.StatusCode, http.StatusNotFound)
+	resp, _ = do(t, "GET", path, "no key of anybody", "")
+	is.Equal(resp.StatusCode, http.StatusNotFound)
+
+	kill(d, []string{giver.Host.ID})
+	second := handOver(t, d, taker, id, 2)
+	kill(d, []string{taker.Host.ID})
+	is.True(second != giver)
+
+	got := <-answered
+	is.NoErr(got.err)
+	is.Equal(got.answer.Text, want)
+	is.True(got.answer.Streams > 1)
+
+	// A late caller finds the whole answer at any host.
+	resp, text := do(t, "GET", path, p.Workspaces[0].Key(), "")
+	is.Equal(resp.StatusCode, http.StatusOK)
+	whole, done := events(t, text)
+	is.True(done)
+	is.Equal(whole, want)
+}
+
+// TestOrdersUnderNotice reclaims an entry host with one order under way at the
+// plain service and one that comes after the notice.
+func TestOrdersUnderNotice(t *testing.T) {
+	is := is.New(t)
+	p := wave()
+	d := start(t, p)
+	for _, e := range d.Endpoints() {
+		if e.Service != nil {
+			e.Faults.Add(standin.Fault{Point: standin.PointCall, Action: standin.ActionDelay, Delay: 700 * time.Millisecond})
+		}
+	}
+	giver := d.Entries()[0]
+	type result struct {
+		response client.Response
+		err      error
+	}
+	send := func(body string) <-chan result {
+		out := make(chan result, 1)
+		go func() {
+			cl := newClient(d, giver.Host.CallerAddress)
+			resp, err := cl.Call(context.Background(), client.Call{Service: p.PlainService, Method: http.MethodPost, Path: p.OrderPath, Body: []byte(body)})
+			out <- result{resp, err}
+		}()
+		return out
+	}
+	before := send("fan 1 on")
+	eventually(t, "the order is sent", func() bool {
+		for _, e := range d.Endpoints() {
+			if e.Service != nil && e.Faults.Calls(standin.PointCall) > 0 {
+				return true
+			}
+		}
+		return false
+	})
+	d.Cloud.Announce(giver.Host.ID, port.NoticeReclaim, time.Now().Add(time.Minute))
+	eventually(t, "the notice is known", func() bool { return giver.Node.State().Stop.Phase == drain.PhaseHandingOver })
+	resp, text := do(t, "POST", "http://"+giver.Host.CallerAddress+"/services/"+p.PlainService+p.OrderPath, p.Workspaces[0].Key(), "fan 2 on")
+	is.Equal(resp.StatusCode, http.StatusOK)
+	is.True(strings.Contains(text, "run"))
+	got := <-before
+	is.NoErr(got.err)
+	is.Equal(got.response.Status, http.StatusOK)
+	is.Equal(d.Ledger.Executions()["fan 1 on"], 1)
+	is.Equal(d.Ledger.Executions()["fan 2 on"], 1)
+}
--- a/node/handoff.go
+++ b/node/handoff.go
@@ -16,8 +16,12 @@
 )
 
 const (
-	// offerTimeout bounds one offer of a request to a peer.
-	offerTimeout = 2 * time.Second
+	// minOffer and maxOffer bound one offer of a request to a peer; between
+	// them it may take one part in offerParts of the time to the deadline, so
+	// that a silent peer leaves time for the next.
+	minOffer   = 100 * time.Millisecond
+	maxOffer   = 2 * time.Second
+	offerParts = 10
 	// exportTimeout bounds the export of a KV cache while a request is handed
 	// over.
 	exportTimeout = 500 * time.Millisecond
@@ -314,7 +318,7 @@
 	if !ok {
 		return drain.EventGone
 	}
-	ctx, cancel := context.WithTimeout(n.context(), offerTimeout)
+	ctx, cancel := context.WithTimeout(n.context(), n.offerTimeout(time.Now()))
 	defer cancel()
 	var reply OfferReply
 	err := n.ports.Peers.Call(ctx, peer.PeerAddress, MethodOffer, offer, &reply)
@@ -327,6 +331,16 @@
 	return drain.EventLost
 }
 
+func (n *Node) offerTimeout(now time.Time) time.Duration {
+	n.stopping.mu.Lock()
+	deadline := n.stopping.stop.Deadline
+	n.stopping.mu.Unlock()
+	if deadline.IsZero() {
+		return maxOffer
+	}
+	return min(max(deadline.Sub(now)/offerParts, minOffer), maxOffer)
+}
+
 // takeBack goes on with a request here after nobody took it.
 func (n *Node) takeBack(a *Accepted, kv *KVSource) {
 	a.mu.Lock()
--- a/node/operator.go
+++ b/node/operator.go
@@ -9,6 +9,7 @@
 
 	"github.com/cicadanotch/cicadanotch/admit"
 	"github.com/cicadanotch/cicadanotch/config"
+	"github.com/cicadanotch/cicadanotch/drain"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/publish"
 	"github.com/cicadanotch/cicadanotch/quarantine"
@@ -41,6 +42,11 @@
 	Workspace string `json:"workspace"`
 	Chunks    int    `json:"chunks"`
 	Ended     bool   `json:"ended"`
+	// Hold tells whether this host owns the request or relays it from Taker;
+	// Epoch counts the changes of its owner.
+	Hold  drain.Hold `json:"hold"`
+	Epoch int64      `json:"epoch,omitempty"`
+	Taker string     `json:"taker,omitempty"`
 }
 
 // State returns the dump of the node's tables.
@@ -61,12 +67,16 @@
 		s.Queues[service] = n.queues.Queue(service).State(now)
 	}
 	for _, a := range n.requests.all() {
+		h := a.handoff()
 		s.Requests = append(s.Requests, RequestState{
 			ID:        a.Request.ID.String(),
 			Service:   a.Request.Service,
 			Workspace: a.Request.Workspace,
 			Chunks:    a.Answer.Len(),
 			Ended:     a.Answer.Ended() != nil,
+			Hold:      h.Hold,
+			Epoch:     h.Epoch,
+			Taker:     h.Taker,
 		})
 	}
 	return s
