route: home of a prompt at the first block that none holds

Cause: all prompts of a workspace had one home by their first four blocks, so a busy workspace overflowed from it and its documents were copied. Change: the home is by the first block that no endpoint holds.

--- a/replay/policy.go
+++ b/replay/policy.go
@@ -112,10 +112,13 @@
 	return best
 }
 
+// homeBlocks is how many blocks prompts have in common that share a home.
+const homeBlocks = 4
+
 // pickHome takes the first in rendezvous rank for the first blocks, whatever
 // its load.
 func pickHome(_ *entry, c *call, hosts []port.Host) port.Host {
-	key := route.PrefixOf(c.blocks)
+	key := c.blocks[min(len(c.blocks), homeBlocks)-1]
 	best, highest := hosts[0], uint64(0)
 	for _, h := range hosts {
 		if rank := mix(key ^ xxhash.Sum64String(h.ID)); rank >= highest {
--- a/route/chooser.go
+++ b/route/chooser.go
@@ -80,7 +80,7 @@
 	var held prefix.Held
 	if len(blocks) > 0 {
 		index.Lookup(blocks, &held)
-		q.Held, q.Prefix = &held, PrefixOf(blocks)
+		q.Held, q.Prefix = &held, PrefixOf(blocks, &held)
 	}
 	choice, err := c.table.Choose(&q, now)
 	if err != nil {
--- a/route/example_test.go
+++ b/route/example_test.go
@@ -33,7 +33,7 @@
 	var held prefix.Held
 	index.Lookup(prompt, &held)
 	choice, err := table.Choose(&route.Query{
-		Service: "assistant", Prefix: route.PrefixOf(prompt), PromptTokens: 1024, Held: &held,
+		Service: "assistant", Prefix: route.PrefixOf(prompt, &held), PromptTokens: 1024, Held: &held,
 	}, time.Now())
 	fmt.Println(choice.Host.ID, choice.CachedTokens, err)
 	table.Release(choice.Booking)
--- a/route/route.go
+++ b/route/route.go
@@ -120,21 +120,25 @@
 	LinkBytesPerHour int64
 }
 
-// PrefixOf returns the hash that gives a prompt its home: that of its first
-// blocks.
-func PrefixOf(blocks []uint64) uint64 {
+// PrefixOf returns the hash that gives a prompt its home: that of the first
+// block which no endpoint holds, so that prompts that part there spread over
+// homes; nil held means that none is held.
+func PrefixOf(blocks []uint64, held *prefix.Held) uint64 {
 	if len(blocks) == 0 {
 		return 0
 	}
-	return blocks[min(len(blocks), homeBlocks)-1]
+	deepest := 0
+	if held != nil {
+		for _, n := range held.Blocks {
+			deepest = max(deepest, int(n))
+		}
+	}
+	return blocks[min(deepest, len(blocks)-1)]
 }
 
 // EventBytesPerToken is what one token of an answer puts on the wire.
 const EventBytesPerToken = 160
 
-// homeBlocks is how many blocks prompts have in common that share a home.
-const homeBlocks = 4
-
 // Terms are the parts of a score, in milliseconds.
 type Terms struct {
 	// Queue is the wait for the prefill of what came before and for a place
