route: price the busy time that a request adds; copies by what others hold

Cause: a request on an idle endpoint keeps a whole host busy, which the score did not count; copies were counted for tokens that nobody held. Change: the price term is prefill plus the decode time not shared with others, times the relative price. The copy term counts tokens that another endpoint nearby holds; what none holds counts against all but the home.

--- a/route/choose.go
+++ b/route/choose.go
@@ -132,7 +132,8 @@
 	c.terms.Prefill = float64(q.PromptTokens-c.cached) * perToken
 	c.terms.Way = t.way(e.near, q.Bytes)
 	c.terms.Reclaim = e.reclaim(q, interval, perToken, now)
-	c.terms.Price = e.priceOver * milliseconds(t.opts.PriceWeight)
+	busy := c.terms.Prefill + float64(q.AnswerTokens)*interval/((1+running)*(1+running))
+	c.terms.Price = t.opts.PriceWeight * e.price * busy
 }
 
 // load returns how many requests an endpoint likely runs and how many tokens
@@ -180,29 +181,40 @@
 	return cut * float64(q.PromptTokens+q.AnswerTokens) * perToken
 }
 
-// addCopies counts the prefill of a new copy of the prefix against all but its
-// home; the second in rank, where a hot home's load goes first, pays half.
+// addCopies counts what would be computed again: tokens that another endpoint
+// nearby holds, and the part that none holds but the prompt's home will. The
+// second in rank, where a hot home's load goes first, pays half of the latter.
 func (t *Table) addCopies(g *group, q *Query) {
-	if q.Prefix == 0 || t.opts.CopyWeight == 0 {
-		return
-	}
+	perToken := millisPerSecond / g.rate
 	first, second := t.ranks()
-	copyCost := t.opts.CopyWeight * float64(min(q.PromptTokens, maxCopyTokens)) * millisPerSecond / g.rate
+	held := t.mostCached()
+	home := t.opts.HomeWeight * float64(min(q.PromptTokens-held, maxHomeTokens)) * perToken
 	for i := range t.scratch {
 		c := &t.scratch[i]
-		missing := 1 - float64(c.cached)/float64(max(q.PromptTokens, 1))
-		switch i {
-		case first:
-		case second:
-			c.terms.Copy = copyCost * missing / 2
+		c.terms.Copy = t.opts.CopyWeight * float64(max(held-c.cached, 0)) * perToken
+		switch {
+		case q.Prefix == 0 || i == first:
+		case i == second:
+			c.terms.Copy += home / 2
 		default:
-			c.terms.Copy = copyCost * missing
+			c.terms.Copy += home
+		}
+	}
+}
+
+// mostCached returns the most tokens that an endpoint nearby holds.
+func (t *Table) mostCached() int {
+	most := 0
+	for i := range t.scratch {
+		if c := &t.scratch[i]; c.endpoint.near != otherRegion {
+			most = max(most, c.cached)
 		}
 	}
+	return most
 }
 
-// maxCopyTokens bounds the tokens of a prefix that later prompts likely share.
-const maxCopyTokens = 2048
+// maxHomeTokens bounds the tokens of a prompt that later ones likely share.
+const maxHomeTokens = 2048
 
 // ranks returns the home and the second in rank among the near endpoints.
 func (t *Table) ranks() (first, second int) {
--- a/route/route.go
+++ b/route/route.go
@@ -55,12 +55,15 @@
 	LinkBytesPerSecond float64
 	// Seed is the process's own, so that ties fall differently in each.
 	Seed uint64
-	// PriceWeight is how many milliseconds of delay are worth a price twice
-	// as high as that of the cheapest endpoint.
-	PriceWeight time.Duration
-	// CopyWeight is the part of the prefill of a new copy of a prefix that is
-	// counted against endpoints that are not its home.
+	// PriceWeight is how much delay is worth as much as the time for which a
+	// request keeps a host of the cheapest price busy.
+	PriceWeight float64
+	// CopyWeight is how often the prefill of tokens that another endpoint
+	// nearby holds counts beyond its delay.
 	CopyWeight float64
+	// HomeWeight is the part of the prefill of tokens that none holds that is
+	// counted against endpoints that are not the prompt's home.
+	HomeWeight float64
 	// CrowdWeight is the delay counted against a full batch.
 	CrowdWeight time.Duration
 	// TieWindow is the difference of scores that counts as a tie.
@@ -77,8 +80,9 @@
 		ZoneDelay:              1500 * time.Microsecond,
 		RegionDelay:            30 * time.Millisecond,
 		LinkBytesPerSecond:     30e6 / 8,
-		PriceWeight:            40 * time.Millisecond,
-		CopyWeight:             0.5,
+		PriceWeight:            0.1,
+		CopyWeight:             2,
+		HomeWeight:             0.2,
 		CrowdWeight:            100 * time.Millisecond,
 		TieWindow:              2 * time.Millisecond,
 	}
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -124,7 +124,7 @@
 			is := is.New(t)
 			rows := zoneRows(2)
 			opts := route.DefaultOptions()
-			opts.CopyWeight = 0 // the home is not what is under test
+			opts.CopyWeight, opts.HomeWeight = 0, 0 // the home is not what is under test
 			table := route.NewTable(here, opts)
 			var held prefix.Held
 			table.Update(rows)
--- a/route/table.go
+++ b/route/table.go
@@ -24,8 +24,8 @@
 	row  Row
 	hash uint64
 	near nearness
-	// cheapest is the least price among the service's endpoints.
-	priceOver    float64
+	// price is relative to the cheapest of the service's endpoints.
+	price        float64
 	inFlight     int
 	ownPrefill   int
 	suspectUntil time.Time
@@ -155,9 +155,9 @@
 		}
 	}
 	for _, e := range g.rows {
-		e.priceOver = 0
+		e.price = 1
 		if p := e.row.Host.PricePerHour; p > cheapest {
-			e.priceOver = p/cheapest - 1
+			e.price = p / cheapest
 		}
 	}
 }
