route: learn the prefill speed of endpoints that decode apart

Cause: the speed was learned only from endpoints that were alone, but prefill is slower while a batch decodes, so queues were judged too short. Change: two speeds are learned, alone and shared, from every first token.

--- a/route/choose.go
+++ b/route/choose.go
@@ -119,8 +119,8 @@
 
 func (t *Table) fillTerms(c *candidate, g *group, q *Query, now time.Time) {
 	e := c.endpoint
-	perToken := millisPerSecond / g.rate
-	running, ahead := e.load(g.rate, now)
+	running, ahead := e.load(g.shared, now)
+	perToken := g.perToken(running)
 	c.terms.Queue = ahead * perToken
 	limit := e.limit(t.opts.MaxRunning)
 	interval := milliseconds(t.opts.TokenInterval)
@@ -136,6 +136,14 @@
 	c.terms.Price = t.opts.PriceWeight * e.price * busy
 }
 
+// perToken returns the prefill time of one token, in milliseconds.
+func (g *group) perToken(running float64) float64 {
+	if running < aloneBelow {
+		return millisPerSecond / g.alone
+	}
+	return millisPerSecond / g.shared
+}
+
 // load returns how many requests an endpoint likely runs and how many tokens
 // wait there for prefill.
 func (e *endpoint) load(rate float64, now time.Time) (running, ahead float64) {
@@ -157,13 +165,22 @@
 }
 
 func (t *Table) way(near nearness, bytes int) float64 {
+	way := milliseconds(t.delay(near))
+	if near == otherRegion {
+		way += float64(bytes) / t.opts.LinkBytesPerSecond * millisPerSecond
+	}
+	return way
+}
+
+// delay returns the delay there and back.
+func (t *Table) delay(near nearness) time.Duration {
 	switch near {
 	case sameZone:
 		return 0
 	case sameRegion:
-		return 2 * milliseconds(t.opts.ZoneDelay)
+		return 2 * t.opts.ZoneDelay
 	}
-	return 2*milliseconds(t.opts.RegionDelay) + float64(bytes)/t.opts.LinkBytesPerSecond*millisPerSecond
+	return 2 * t.opts.RegionDelay
 }
 
 // reclaim returns the expected cost of doing again what a known reclaim cuts
@@ -185,7 +202,7 @@
 // nearby holds, and the part that none holds but the prompt's home will. The
 // second in rank, where a hot home's load goes first, pays half of the latter.
 func (t *Table) addCopies(g *group, q *Query) {
-	perToken := millisPerSecond / g.rate
+	perToken := millisPerSecond / g.alone
 	first, second := t.ranks()
 	held := t.mostCached()
 	home := t.opts.HomeWeight * float64(min(q.PromptTokens-held, maxHomeTokens)) * perToken
--- a/route/route.go
+++ b/route/route.go
@@ -82,7 +82,7 @@
 		LinkBytesPerSecond:     30e6 / 8,
 		PriceWeight:            0.1,
 		CopyWeight:             2,
-		HomeWeight:             0.2,
+		HomeWeight:             .5,
 		CrowdWeight:            100 * time.Millisecond,
 		TieWindow:              2 * time.Millisecond,
 	}
--- a/route/table.go
+++ b/route/table.go
@@ -15,6 +15,9 @@
 	// Bounds of the prefill speed that answers can show, as parts of the
 	// assumed one.
 	minRate, maxRate = 0.1, 10.0
+	// aloneBelow is the number of requests below which an endpoint has nothing
+	// to do.
+	aloneBelow = 0.5
 	// minRateSample is the least number of tokens that shows a speed.
 	minRateSample = 256
 )
@@ -48,8 +51,10 @@
 // group is the endpoints of one service.
 type group struct {
 	rows []*endpoint
-	rate float64
-	link bucket
+	// alone and shared are prefill speeds, in tokens a second: of an endpoint
+	// with nothing else to do, and of one that decodes meanwhile.
+	alone, shared float64
+	link          bucket
 }
 
 type booking struct {
@@ -59,8 +64,11 @@
 	used     bool
 	started  bool
 	prefill  int
-	ahead    int
-	at       time.Time
+	// ahead is how many tokens waited for prefill when it was booked; alone
+	// tells that the endpoint had nothing to do then.
+	ahead float64
+	alone bool
+	at    time.Time
 }
 
 // Table holds the endpoints of all services, their load and this process's
@@ -124,7 +132,7 @@
 func (t *Table) group(service string) *group {
 	g, ok := t.groups[service]
 	if !ok {
-		g = &group{rate: t.opts.PrefillTokensPerSecond}
+		g = &group{alone: t.opts.PrefillTokensPerSecond, shared: t.opts.PrefillTokensPerSecond}
 		t.groups[service] = g
 	}
 	return g
@@ -222,25 +230,22 @@
 	}
 	k.started = true
 	k.endpoint.ownPrefill -= k.prefill
-	if t.speedKnown(k) {
-		k.group.learn(k.ahead+k.prefill, now.Sub(k.at), t.opts)
-	}
-}
-
-// speedKnown reports whether a booking shows how fast its endpoint prefills: it
-// was there alone.
-func (t *Table) speedKnown(k *booking) bool {
-	return k.endpoint.inFlight == 1 && k.endpoint.othersRunning == 0 && k.prefill >= minRateSample
+	t.learn(k, now)
 }
 
-func (g *group) learn(tokens int, took time.Duration, opts Options) {
-	took -= opts.TokenInterval
-	if took <= 0 {
+// learn corrects the prefill speeds by how long a first token took.
+func (t *Table) learn(k *booking, now time.Time) {
+	took := now.Sub(k.at) - t.opts.TokenInterval - t.delay(k.endpoint.near)
+	if took <= 0 || k.prefill < minRateSample {
 		return
 	}
-	seen := float64(tokens) / took.Seconds()
-	seen = min(max(seen, minRate*opts.PrefillTokensPerSecond), maxRate*opts.PrefillTokensPerSecond)
-	g.rate += (seen - g.rate) * rateWeight
+	speed := &k.group.shared
+	if k.alone {
+		speed = &k.group.alone
+	}
+	assumed := t.opts.PrefillTokensPerSecond
+	seen := (k.ahead + float64(k.prefill)) / took.Seconds()
+	*speed += (min(max(seen, minRate*assumed), maxRate*assumed) - *speed) * rateWeight
 }
 
 // Release ends a booking. It is idempotent.
@@ -272,6 +277,7 @@
 
 // book is called with the lock held.
 func (t *Table) book(g *group, e *endpoint, prefill int, now time.Time) Booking {
+	running, ahead := e.load(g.shared, now)
 	if len(t.free) == 0 {
 		t.bookings = append(t.bookings, booking{epoch: 1})
 		t.free = append(t.free, int32(len(t.bookings)-1))
@@ -281,7 +287,7 @@
 	k := &t.bookings[index]
 	*k = booking{
 		endpoint: e, group: g, epoch: k.epoch, used: true,
-		prefill: prefill, ahead: e.ownPrefill, at: now,
+		prefill: prefill, ahead: ahead, alone: running < aloneBelow, at: now,
 	}
 	e.inFlight++
 	e.ownPrefill += prefill
