route: choose homes among the endpoints at work

Cause: the home of a new prompt was often an idle endpoint, which was woken. Change: homes are ranked among the endpoints with work, if there are any.

--- a/route/choose.go
+++ b/route/choose.go
@@ -22,7 +22,8 @@
 	cached   int
 	blocks   int
 	// rank is the rendezvous weight for the request's prefix.
-	rank uint64
+	rank    uint64
+	running float64
 }
 
 // Choose picks the endpoint for a request and books the request there;
@@ -120,6 +121,7 @@
 func (t *Table) fillTerms(c *candidate, g *group, q *Query, now time.Time) {
 	e := c.endpoint
 	running, ahead := e.load(g.shared, now)
+	c.running = running
 	perToken := g.perToken(running)
 	c.terms.Queue = ahead * perToken
 	limit := e.limit(t.opts.MaxRunning)
@@ -233,17 +235,27 @@
 // maxHomeTokens bounds the tokens of a prompt that later ones likely share.
 const maxHomeTokens = 2048
 
-// ranks returns the home and the second in rank among the near endpoints.
+// ranks returns the home and the second in rank among the endpoints nearby that
+// are at work, so that work gathers there, or among all nearby when none is.
 func (t *Table) ranks() (first, second int) {
+	first, second = t.ranksAbove(aloneBelow)
+	if first < 0 {
+		return t.ranksAbove(0)
+	}
+	return first, second
+}
+
+func (t *Table) ranksAbove(running float64) (first, second int) {
 	first, second = -1, -1
 	for i := range t.scratch {
-		if t.scratch[i].endpoint.near == otherRegion {
+		c := &t.scratch[i]
+		if c.endpoint.near == otherRegion || c.running < running {
 			continue
 		}
 		switch {
-		case first < 0 || t.scratch[i].rank > t.scratch[first].rank:
+		case first < 0 || c.rank > t.scratch[first].rank:
 			first, second = i, first
-		case second < 0 || t.scratch[i].rank > t.scratch[second].rank:
+		case second < 0 || c.rank > t.scratch[second].rank:
 			second = i
 		}
 	}
--- a/route/route.go
+++ b/route/route.go
@@ -80,9 +80,9 @@
 		ZoneDelay:              1500 * time.Microsecond,
 		RegionDelay:            30 * time.Millisecond,
 		LinkBytesPerSecond:     30e6 / 8,
-		PriceWeight:            0.1,
+		PriceWeight:            0.05,
 		CopyWeight:             2,
-		HomeWeight:             .5,
+		HomeWeight:             0.5,
 		CrowdWeight:            100 * time.Millisecond,
 		TieWindow:              2 * time.Millisecond,
 	}
