replay: a prompt enters the model's cache when its prefill is planned

Cause: two prompts with the same prefix whose prefills met in one step were both computed, which engines that hash blocks on scheduling do not do. Change: the model of the engine stores blocks when the last chunk is planned.

--- a/replay/engine.go
+++ b/replay/engine.go
@@ -115,7 +115,8 @@
 	})
 }
 
-// plan returns who decodes in this step and spends its prefill budget.
+// plan returns who decodes in this step and spends its prefill budget; a prompt
+// whose prefill is planned to its end enters the cache.
 func (e *engine) plan() (decoding []*attempt, prefilled int) {
 	budget := e.spec.ChunkTokens
 	for _, a := range slices.Clone(e.running) {
@@ -133,6 +134,9 @@
 		a.left -= part
 		budget -= part
 		prefilled += part
+		if a.looked && a.left == 0 {
+			e.cache.store(a.request.blocks)
+		}
 	}
 	return decoding, prefilled
 }
@@ -150,19 +154,13 @@
 	e.world.ledger.prefill(a)
 }
 
-// finish ends a step: those who decoded have a token each, and a prompt that
-// is prefilled enters the cache.
+// finish ends a step: those who decoded have a token each.
 func (e *engine) finish(decoding []*attempt) {
 	for _, a := range decoding {
 		if !a.ended {
 			e.emit(a)
 		}
 	}
-	for _, a := range e.running {
-		if a.looked && a.left == 0 && a.made == 0 {
-			e.cache.store(a.request.blocks)
-		}
-	}
 	e.step()
 }
 
