route: active endpoints in one order for all processes

Cause: which endpoints are at work differs between processes with lagged reports, so their homes differed. Change: the smoothed load of the region says how many endpoints are active; they are the first in an order by price and hash that all processes share.

--- a/route/choose.go
+++ b/route/choose.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"math"
 	"time"
 )
 
@@ -8,6 +9,8 @@
 	// reportHalfLife is the age at which a report's word on others counts
 	// half.
 	reportHalfLife = time.Second
+	// loadWindow is the time over which a service's load is followed.
+	loadWindow = 5 * time.Second
 	// reclaimFloor is the time left that no request should be sent into.
 	reclaimFloor = 2 * time.Second
 	// millisPerSecond turns seconds into the unit of scores.
@@ -24,6 +27,8 @@
 	// rank is the rendezvous weight for the request's prefix.
 	rank    uint64
 	running float64
+	// active endpoints can be homes.
+	active bool
 }
 
 // Choose picks the endpoint for a request and books the request there;
@@ -112,6 +117,7 @@
 		c.rank = rendezvous(q.Prefix, e.hash)
 		t.fillTerms(c, g, q, now)
 	}
+	t.activate(g, now)
 	t.addCopies(g, q)
 	for i := range t.scratch {
 		t.scratch[i].score = t.scratch[i].terms.Score()
@@ -235,21 +241,12 @@
 // maxHomeTokens bounds the tokens of a prompt that later ones likely share.
 const maxHomeTokens = 2048
 
-// ranks returns the home and the second in rank among the endpoints nearby that
-// are at work, so that work gathers there, or among all nearby when none is.
+// ranks returns the home and the second in rank among the active endpoints.
 func (t *Table) ranks() (first, second int) {
-	first, second = t.ranksAbove(aloneBelow)
-	if first < 0 {
-		return t.ranksAbove(0)
-	}
-	return first, second
-}
-
-func (t *Table) ranksAbove(running float64) (first, second int) {
 	first, second = -1, -1
 	for i := range t.scratch {
 		c := &t.scratch[i]
-		if c.endpoint.near == otherRegion || c.running < running {
+		if !c.active {
 			continue
 		}
 		switch {
@@ -262,6 +259,37 @@
 	return first, second
 }
 
+// activate marks the first endpoints nearby, in the service's order, that are
+// enough for its load. Homes are among them, so that work gathers there and
+// all processes that see about the same load agree on homes.
+func (t *Table) activate(g *group, now time.Time) {
+	load, limit := 0.0, float64(t.opts.MaxRunning)
+	for i := range t.scratch {
+		if c := &t.scratch[i]; c.endpoint.near != otherRegion {
+			load += c.running
+			limit = c.endpoint.limit(t.opts.MaxRunning)
+		}
+	}
+	g.smooth(load, now)
+	wanted := math.Ceil(g.load/(limit*t.opts.ActiveFill)) + 1
+	for i := range t.scratch {
+		if c := &t.scratch[i]; c.endpoint.near != otherRegion && wanted > 0 {
+			c.active = true
+			wanted--
+		}
+	}
+}
+
+// smooth follows the load of a service slowly.
+func (g *group) smooth(load float64, now time.Time) {
+	passed := now.Sub(g.loadAt)
+	if g.loadAt.IsZero() || passed > loadWindow {
+		g.load, passed = load, 0
+	}
+	g.load += (load - g.load) * float64(max(passed, 0)) / float64(loadWindow)
+	g.loadAt = now
+}
+
 // lowest returns the index of the lowest score among the near or the far
 // endpoints, or -1. Among ties the process's own hash decides.
 func (t *Table) lowest(far bool) int {
--- a/route/route.go
+++ b/route/route.go
@@ -64,6 +64,8 @@
 	// HomeWeight is the part of the prefill of tokens that none holds that is
 	// counted against endpoints that are not the prompt's home.
 	HomeWeight float64
+	// ActiveFill is the part of a batch that an active endpoint should have.
+	ActiveFill float64
 	// CrowdWeight is the delay counted against a full batch.
 	CrowdWeight time.Duration
 	// TieWindow is the difference of scores that counts as a tie.
@@ -83,6 +85,7 @@
 		PriceWeight:            0.05,
 		CopyWeight:             2,
 		HomeWeight:             0.5,
+		ActiveFill:             0.2,
 		CrowdWeight:            100 * time.Millisecond,
 		TieWindow:              2 * time.Millisecond,
 	}
--- a/route/table.go
+++ b/route/table.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"sync"
@@ -55,6 +56,9 @@
 	// with nothing else to do, and of one that decodes meanwhile.
 	alone, shared float64
 	link          bucket
+	// load is the smoothed number of requests at the endpoints nearby.
+	load   float64
+	loadAt time.Time
 }
 
 type booking struct {
@@ -109,6 +113,7 @@
 	}
 	for _, g := range t.groups {
 		g.setPrices()
+		g.sort()
 	}
 }
 
@@ -123,7 +128,6 @@
 		t.byID[row.Host.ID] = e
 		g := t.group(row.Host.Service)
 		g.rows = append(g.rows, e)
-		slices.SortFunc(g.rows, func(a, b *endpoint) int { return int(int64(a.hash>>1) - int64(b.hash>>1)) })
 	}
 	e.row = row
 	e.near = t.nearness(row.Host)
@@ -170,6 +174,17 @@
 	}
 }
 
+// sort puts the service's endpoints in the order in which they become active:
+// the cheapest first.
+func (g *group) sort() {
+	slices.SortFunc(g.rows, func(a, b *endpoint) int {
+		if a.price != b.price {
+			return cmp.Compare(a.price, b.price)
+		}
+		return cmp.Compare(a.hash, b.hash)
+	})
+}
+
 // Report takes an endpoint's load report.
 func (t *Table) Report(id string, r port.LoadReport) {
 	t.mu.Lock()
