--- a/replay/entry.go
+++ b/replay/entry.go
@@ -85,6 +85,7 @@
 	own := xxhash.Sum64String(host.ID) + seed
 	opts := route.DefaultOptions()
 	opts.Seed = own
+	opts.Peers = h.entriesIn(host.Region)
 	opts.LinkBytesPerSecond = h.LinkBytesPerSecond / float64(h.entriesIn(host.Region))
 	return &entry{
 		world: w, host: host, policy: p, rng: rand.New(rand.NewPCG(own, 2)),
--- a/route/choose.go
+++ b/route/choose.go
@@ -8,7 +8,7 @@
 const (
 	// reportHalfLife is the age at which a report's word on others counts
 	// half.
-	reportHalfLife = time.Second
+	reportHalfLife = 5 * time.Second
 	// loadWindow is the time over which a service's load is followed.
 	loadWindow = 5 * time.Second
 	// reclaimFloor is the time left that no request should be sent into.
@@ -126,7 +126,7 @@
 
 func (t *Table) fillTerms(c *candidate, g *group, q *Query, now time.Time) {
 	e := c.endpoint
-	running, ahead := e.load(g.shared, now)
+	running, ahead := t.load(e, g.shared, now)
 	c.running = running
 	perToken := g.perToken(running)
 	c.terms.Queue = ahead * perToken
@@ -153,8 +153,10 @@
 }
 
 // load returns how many requests an endpoint likely runs and how many tokens
-// wait there for prefill.
-func (e *endpoint) load(rate float64, now time.Time) (running, ahead float64) {
+// wait there for prefill: this process's own, what the last report says of
+// others, aged, and for the time since then as much from each peer as from
+// this process.
+func (t *Table) load(e *endpoint, rate float64, now time.Time) (running, ahead float64) {
 	running, ahead = float64(e.inFlight), float64(e.ownPrefill)
 	if !e.reported {
 		return running, ahead
@@ -162,7 +164,8 @@
 	age := max(now.Sub(e.report.At), 0)
 	running += float64(e.othersRunning) / (1 + float64(age)/float64(reportHalfLife))
 	ahead += max(e.othersPrefill-age.Seconds()*rate, 0)
-	return running, ahead
+	peers := t.opts.PeerWeight * float64(max(t.opts.Peers-1, 0))
+	return running + peers*float64(e.sinceRunning), ahead + peers*float64(e.sincePrefill)
 }
 
 func (e *endpoint) limit(assumed int) float64 {
--- a/route/route.go
+++ b/route/route.go
@@ -53,6 +53,10 @@
 	RegionDelay time.Duration
 	// LinkBytesPerSecond is this process's share of the link between regions.
 	LinkBytesPerSecond float64
+	// Peers is how many processes choose for the same callers, this one
+	// included; PeerWeight is how far they are taken to do as this one does.
+	Peers      int
+	PeerWeight float64
 	// Seed is the process's own, so that ties fall differently in each.
 	Seed uint64
 	// PriceWeight is how much delay is worth as much as the time for which a
@@ -84,7 +88,8 @@
 		LinkBytesPerSecond:     30e6 / 8,
 		PriceWeight:            0.05,
 		CopyWeight:             2,
-		HomeWeight:             0.5,
+		HomeWeight:             1,
+		PeerWeight:             1,
 		ActiveFill:             0.2,
 		CrowdWeight:            100 * time.Millisecond,
 		TieWindow:              2 * time.Millisecond,
--- a/route/table.go
+++ b/route/table.go
@@ -38,6 +38,10 @@
 	// others is what the last report says beyond this process's own.
 	othersRunning int
 	othersPrefill float64
+	// sinceRunning and sincePrefill are this process's own requests and
+	// waiting tokens that the last report cannot know of.
+	sinceRunning int
+	sincePrefill int
 	gone          bool
 }
 
@@ -195,6 +199,7 @@
 	}
 	running, prefill := t.ownAt(e, r.At)
 	e.report, e.reported = r, true
+	e.sinceRunning, e.sincePrefill = e.inFlight-running, e.ownPrefill-prefill
 	e.othersRunning = max(r.Running+r.Waiting-running, 0)
 	e.othersPrefill = math.Max(float64(r.WaitingTokens-prefill), 0)
 }
@@ -244,7 +249,7 @@
 		return
 	}
 	k.started = true
-	k.endpoint.ownPrefill -= k.prefill
+	k.endpoint.prefilled(k)
 	t.learn(k, now)
 }
 
@@ -272,13 +277,24 @@
 		return
 	}
 	k.endpoint.inFlight--
+	if k.at.After(k.endpoint.report.At) {
+		k.endpoint.sinceRunning--
+	}
 	if !k.started {
-		k.endpoint.ownPrefill -= k.prefill
+		k.endpoint.prefilled(k)
 	}
 	*k = booking{epoch: k.epoch + 1}
 	t.free = append(t.free, b.index)
 }
 
+// prefilled takes a booking's tokens from those that wait.
+func (e *endpoint) prefilled(k *booking) {
+	e.ownPrefill -= k.prefill
+	if k.at.After(e.report.At) {
+		e.sincePrefill -= k.prefill
+	}
+}
+
 func (t *Table) booking(b Booking) *booking {
 	if int(b.index) >= len(t.bookings) {
 		return nil
@@ -292,7 +308,7 @@
 
 // book is called with the lock held.
 func (t *Table) book(g *group, e *endpoint, prefill int, now time.Time) Booking {
-	running, ahead := e.load(g.shared, now)
+	running, ahead := t.load(e, g.shared, now)
 	if len(t.free) == 0 {
 		t.bookings = append(t.bookings, booking{epoch: 1})
 		t.free = append(t.free, int32(len(t.bookings)-1))
@@ -306,6 +322,10 @@
 	}
 	e.inFlight++
 	e.ownPrefill += prefill
+	if now.After(e.report.At) {
+		e.sinceRunning++
+		e.sincePrefill += prefill
+	}
 	return Booking{index: index, epoch: k.epoch}
 }
 
