route: cross the link for a cache that saves more than the way costs

Change: an endpoint of another region that holds more is used when its score is lower by 50 ms, within the link's and the document's budgets. Homes weigh half, a fill of 0.3 is active. This goes beyond the starting design, which crosses the link only when the local wait breaks the target; docs/decisions/0010 says why.

--- a/route/choose.go
+++ b/route/choose.go
@@ -61,7 +61,7 @@
 func (t *Table) best(g *group, q *Query, now time.Time) (int, error) {
 	t.score(g, q, now)
 	near, far := t.lowest(false), t.lowest(true)
-	if near >= 0 && !t.breaksTarget(near, q) {
+	if near >= 0 && !t.breaksTarget(near, q) && !t.worthTheWay(near, far) {
 		return near, nil
 	}
 	if far < 0 && near < 0 {
@@ -83,6 +83,12 @@
 	return q.Target > 0 && t.scratch[at].terms.FirstToken() > milliseconds(q.Target)
 }
 
+// worthTheWay reports whether a cache in another region saves enough.
+func (t *Table) worthTheWay(near, far int) bool {
+	return far >= 0 && t.scratch[far].cached > t.scratch[near].cached &&
+		t.scratch[far].score+milliseconds(t.opts.SpillMargin) < t.scratch[near].score
+}
+
 // payLink takes a request's bytes from the budgets of the link and of the
 // service, if both have them.
 func (t *Table) payLink(g *group, q *Query, now time.Time) bool {
@@ -230,13 +236,11 @@
 	}
 }
 
-// mostCached returns the most tokens that an endpoint nearby holds.
+// mostCached returns the most tokens that an endpoint holds.
 func (t *Table) mostCached() int {
 	most := 0
 	for i := range t.scratch {
-		if c := &t.scratch[i]; c.endpoint.near != otherRegion {
-			most = max(most, c.cached)
-		}
+		most = max(most, t.scratch[i].cached)
 	}
 	return most
 }
--- a/route/route.go
+++ b/route/route.go
@@ -70,6 +70,9 @@
 	HomeWeight float64
 	// ActiveFill is the part of a batch that an active endpoint should have.
 	ActiveFill float64
+	// SpillMargin is how much lower the score of an endpoint in another region
+	// must be to be used for what its cache holds.
+	SpillMargin time.Duration
 	// CrowdWeight is the delay counted against a full batch.
 	CrowdWeight time.Duration
 	// TieWindow is the difference of scores that counts as a tie.
@@ -88,9 +91,10 @@
 		LinkBytesPerSecond:     30e6 / 8,
 		PriceWeight:            0.05,
 		CopyWeight:             2,
-		HomeWeight:             1,
-		PeerWeight:             1,
-		ActiveFill:             0.2,
+		HomeWeight:             0.5,
+		PeerWeight:             0.25,
+		ActiveFill:             0.3,
+		SpillMargin:            50 * time.Millisecond,
 		CrowdWeight:            100 * time.Millisecond,
 		TieWindow:              2 * time.Millisecond,
 	}
