route: keep work in the region while the other one does not answer

Cause: while the regions were parted, each request tried the other one again. Change: an endpoint of another region that fails keeps its region out for three seconds longer than itself.

--- a/route/choose.go
+++ b/route/choose.go
@@ -111,7 +111,7 @@
 func (t *Table) score(g *group, q *Query, now time.Time) {
 	t.scratch = t.scratch[:0]
 	for _, e := range g.rows {
-		if e.row.Leaving || now.Before(e.suspectUntil) || q.Excluded[e.row.Host.ID] {
+		if e.row.Leaving || now.Before(e.suspectUntil) || q.Excluded[e.row.Host.ID] || t.isCutOff(e, now) {
 			continue
 		}
 		t.scratch = append(t.scratch, candidate{endpoint: e})
@@ -130,6 +130,10 @@
 	}
 }
 
+func (t *Table) isCutOff(e *endpoint, now time.Time) bool {
+	return e.near == otherRegion && now.Before(t.cutOff[e.row.Host.Region])
+}
+
 func (t *Table) fillTerms(c *candidate, g *group, q *Query, now time.Time) {
 	e := c.endpoint
 	running, ahead := t.load(e, g.shared, now)
--- a/route/table.go
+++ b/route/table.go
@@ -16,6 +16,8 @@
 	// Bounds of the prefill speed that answers can show, as parts of the
 	// assumed one.
 	minRate, maxRate = 0.1, 10.0
+	// partedFor is how much longer than one of its endpoints a region is out.
+	partedFor = 3 * time.Second
 	// aloneBelow is the number of requests below which an endpoint has nothing
 	// to do.
 	aloneBelow = 0.5
@@ -94,11 +96,13 @@
 	link     bucket
 	choices  uint64
 	recent   recent
+	// cutOff tells until when a region is taken to be out of reach.
+	cutOff map[string]time.Time
 }
 
 // NewTable returns an empty table of a process at place.
 func NewTable(place Place, opts Options) *Table {
-	return &Table{opts: opts, place: place, groups: map[string]*group{}, byID: map[string]*endpoint{}}
+	return &Table{opts: opts, place: place, groups: map[string]*group{}, byID: map[string]*endpoint{}, cutOff: map[string]time.Time{}}
 }
 
 // Update replaces what the platform says. Load and bookings stay.
@@ -220,12 +224,19 @@
 	return running, prefill
 }
 
-// Suspect keeps new work from an endpoint until a time.
+// Suspect keeps new work from an endpoint until a time. An endpoint of another
+// region that fails may mean that the regions are parted: work stays in the
+// region for a while.
 func (t *Table) Suspect(id string, until time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if e, ok := t.byID[id]; ok {
-		e.suspectUntil = until
+	e, ok := t.byID[id]
+	if !ok {
+		return
+	}
+	e.suspectUntil = until
+	if e.near == otherRegion {
+		t.cutOff[e.row.Host.Region] = until.Add(partedFor)
 	}
 }
 
