route: share the link and the spend among the entry hosts that there are

Cause: each process took the link's and the document's whole budget for itself. Change: SetPeers tells how many entry hosts the region and all regions have; node counts them in the platform's list.

--- a/node/choice.go
+++ b/node/choice.go
@@ -92,3 +92,18 @@
 	table := t.chooser.Table()
 	return ChoiceState{Endpoints: table.Loads(now), Prefixes: t.chooser.Prefixes(), Recent: table.Explain()}
 }
+
+// entryCounts returns how many entry hosts the own region has, and how many
+// there are in all.
+func (n *Node) entryCounts() (inRegion, all int) {
+	for _, h := range n.hosts.all() {
+		if h.Role != port.RoleEntry {
+			continue
+		}
+		all++
+		if h.Region == n.settings.Region {
+			inRegion++
+		}
+	}
+	return inRegion, all
+}
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -109,6 +109,7 @@
 			})
 		}
 	}
+	n.endpoints.routes.SetPeers(n.entryCounts())
 	n.endpoints.update(rows)
 }
 
--- a/replay/entry.go
+++ b/replay/entry.go
@@ -85,24 +85,26 @@
 	own := xxhash.Sum64String(host.ID) + seed
 	opts := route.DefaultOptions()
 	opts.Seed = own
-	opts.Peers = h.entriesIn(host.Region)
-	opts.LinkBytesPerSecond = h.LinkBytesPerSecond / float64(h.entriesIn(host.Region))
-	return &entry{
+	opts.LinkBytesPerSecond = h.LinkBytesPerSecond
+	e := &entry{
 		world: w, host: host, policy: p, rng: rand.New(rand.NewPCG(own, 2)),
 		chooser: route.NewChooser(route.Place{Region: host.Region, Zone: host.Zone}, opts),
 		rows:    map[string]route.Row{}, suspect: map[string]time.Duration{},
 		inFlight: map[string]int{}, reports: map[string]port.LoadReport{},
 	}
+	e.chooser.Table().SetPeers(h.entries(host.Region))
+	return e
 }
 
-func (h *Header) entriesIn(region string) int {
-	n := 0
+// entries returns how many entry hosts a region has, and how many there are.
+func (h *Header) entries(region string) (inRegion, all int) {
 	for _, z := range h.Zones {
+		all += z.Entries
 		if z.Region == region {
-			n += z.Entries
+			inRegion += z.Entries
 		}
 	}
-	return n
+	return inRegion, all
 }
 
 // update takes the platform's list.
--- a/replay/policy.go
+++ b/replay/policy.go
@@ -56,7 +56,7 @@
 		Bytes:            c.tokens*4 + left*route.EventBytesPerToken,
 		Excluded:         c.excluded,
 		Target:           milliseconds(h.FirstTokenMS),
-		LinkBytesPerHour: h.LinkBytesPerHour / int64(h.entriesIn(e.host.Region)),
+		LinkBytesPerHour: h.LinkBytesPerHour,
 	}, c.blocks, e.world.clock.time())
 }
 
--- a/route/choose.go
+++ b/route/choose.go
@@ -92,12 +92,12 @@
 // payLink takes a request's bytes from the budgets of the link and of the
 // service, if both have them.
 func (t *Table) payLink(g *group, q *Query, now time.Time) bool {
-	t.link.fill(t.opts.LinkBytesPerSecond, now)
+	t.link.fill(t.linkShare(), now)
 	if t.link.level < float64(q.Bytes) {
 		return false
 	}
 	if q.LinkBytesPerHour > 0 {
-		g.link.fill(float64(q.LinkBytesPerHour)/time.Hour.Seconds(), now)
+		g.link.fill(float64(q.LinkBytesPerHour)/float64(t.all)/time.Hour.Seconds(), now)
 		if g.link.level < float64(q.Bytes) {
 			return false
 		}
@@ -107,6 +107,9 @@
 	return true
 }
 
+// linkShare returns this process's part of the link, in bytes a second.
+func (t *Table) linkShare() float64 { return t.opts.LinkBytesPerSecond / float64(t.peers) }
+
 // score fills scratch with the endpoints that may be chosen.
 func (t *Table) score(g *group, q *Query, now time.Time) {
 	t.scratch = t.scratch[:0]
@@ -174,7 +177,7 @@
 	age := max(now.Sub(e.report.At), 0)
 	running += float64(e.othersRunning) / (1 + float64(age)/float64(reportHalfLife))
 	ahead += max(e.othersPrefill-age.Seconds()*rate, 0)
-	peers := t.opts.PeerWeight * float64(max(t.opts.Peers-1, 0))
+	peers := t.opts.PeerWeight * float64(t.peers-1)
 	return running + peers*float64(e.sinceRunning), ahead + peers*float64(e.sincePrefill)
 }
 
@@ -188,7 +191,7 @@
 func (t *Table) way(near nearness, bytes int) float64 {
 	way := milliseconds(t.delay(near))
 	if near == otherRegion {
-		way += float64(bytes) / t.opts.LinkBytesPerSecond * millisPerSecond
+		way += float64(bytes) / t.linkShare() * millisPerSecond
 	}
 	return way
 }
--- a/route/route.go
+++ b/route/route.go
@@ -51,11 +51,11 @@
 	// ZoneDelay and RegionDelay are the one-way delays.
 	ZoneDelay   time.Duration
 	RegionDelay time.Duration
-	// LinkBytesPerSecond is this process's share of the link between regions.
+	// LinkBytesPerSecond is the capacity of the link between regions; each
+	// process of the region has an equal share.
 	LinkBytesPerSecond float64
-	// Peers is how many processes choose for the same callers, this one
-	// included; PeerWeight is how far they are taken to do as this one does.
-	Peers      int
+	// PeerWeight is how far the other processes of the region are taken to do
+	// as this one does.
 	PeerWeight float64
 	// Seed is the process's own, so that ties fall differently in each.
 	Seed uint64
@@ -131,8 +131,8 @@
 	// Target is the first token's target; a local wait beyond it may spill
 	// to another region. Zero never spills while the region has endpoints.
 	Target time.Duration
-	// LinkBytesPerHour is the document's limit on bytes between regions,
-	// for this process; zero means no limit.
+	// LinkBytesPerHour is the document's limit on bytes between regions, of
+	// which each process has an equal share; zero means no limit.
 	LinkBytesPerHour int64
 }
 
--- a/route/route_test.go
+++ b/route/route_test.go
@@ -151,6 +151,9 @@
 			opts.Seed = seed * 31
 			table := route.NewTable(here, opts)
 			table.Update(zoneRows(8))
+			for i := range 8 { // enough load for all to be active
+				table.Report("e"+strconv.Itoa(i), port.LoadReport{At: start, Running: 8})
+			}
 			got, err := table.Choose(&q, start)
 			is.NoErr(err)
 			is.True(home == "" || home == got.Host.ID)
--- a/route/table.go
+++ b/route/table.go
@@ -44,7 +44,7 @@
 	// waiting tokens that the last report cannot know of.
 	sinceRunning int
 	sincePrefill int
-	gone          bool
+	gone         bool
 }
 
 type nearness uint8
@@ -95,14 +95,25 @@
 	scratch  []candidate
 	link     bucket
 	choices  uint64
-	recent   recent
+	// peers is how many processes choose in the region, all in all regions,
+	// this one included.
+	peers, all int
+	recent     recent
 	// cutOff tells until when a region is taken to be out of reach.
 	cutOff map[string]time.Time
 }
 
 // NewTable returns an empty table of a process at place.
 func NewTable(place Place, opts Options) *Table {
-	return &Table{opts: opts, place: place, groups: map[string]*group{}, byID: map[string]*endpoint{}, cutOff: map[string]time.Time{}}
+	return &Table{opts: opts, place: place, groups: map[string]*group{}, byID: map[string]*endpoint{}, cutOff: map[string]time.Time{}, peers: 1, all: 1}
+}
+
+// SetPeers tells how many processes choose in the region and in all regions,
+// this one included.
+func (t *Table) SetPeers(region, all int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.peers, t.all = max(region, 1), max(all, 1)
 }
 
 // Update replaces what the platform says. Load and bookings stay.
