--- a/demo/path_test.go
+++ b/demo/path_test.go
@@ -19,7 +19,7 @@
 
 const startLimit = 30 * time.Second
 
-func start(t *testing.T, p demo.Profile) *demo.Deployment {
+func start(t testing.TB, p demo.Profile) *demo.Deployment {
 	t.Helper()
 	is := is.New(t)
 	ctx, cancel := context.WithTimeout(t.Context(), startLimit)
--- a/demo/reclaim_test.go
+++ b/demo/reclaim_test.go
@@ -182,7 +182,7 @@
 
 // metric sums a counter over all entry hosts and over the rows that have a
 // label of that value.
-func metric(t *testing.T, d *demo.Deployment, name, value string) float64 {
+func metric(t testing.TB, d *demo.Deployment, name, value string) float64 {
 	t.Helper()
 	is := is.New(t)
 	sum := 0.0
--- a/demo/stop_test.go
+++ b/demo/stop_test.go
@@ -29,7 +29,7 @@
 }
 
 // eventually waits until ok holds; the test's own limit ends it otherwise.
-func eventually(t *testing.T, what string, ok func() bool) {
+func eventually(t testing.TB, what string, ok func() bool) {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), startLimit)
 	defer cancel()
