--- a/adapter/callerhttp/callerhttp.go
+++ b/adapter/callerhttp/callerhttp.go
@@ -5,8 +5,11 @@
 import (
 	"io"
 	"net/http"
+	"os"
+	"slices"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/uptrace/bunrouter"
@@ -35,18 +38,26 @@
 // server serves one node's callers.
 type server struct {
 	node *node.Node
+	// bodyTimeout is how long a caller may take to send a body.
+	bodyTimeout time.Duration
 }
 
 // Handler returns the handler for the callers' address of a node.
 func Handler(n *node.Node) http.Handler {
-	s := &server{node: n}
+	return newHandler(n, bodyTimeout)
+}
+
+func newHandler(n *node.Node, bodyTimeout time.Duration) http.Handler {
+	s := &server{node: n, bodyTimeout: bodyTimeout}
 	router := bunrouter.New(
+		bunrouter.WithMiddleware(checkHeaders),
 		bunrouter.WithNotFoundHandler(s.notFound),
 		bunrouter.WithMethodNotAllowedHandler(s.notFound),
 	)
 	router.POST("/v1/chat/completions", s.generate(port.APIChat))
 	router.POST("/v1/completions", s.generate(port.APICompletion))
 	router.GET("/v1/models", s.models)
+	router.GET("/v1/models/:model", s.model)
 	router.GET("/v1/addresses", s.addresses)
 	router.GET("/v1/requests/:id", s.attach)
 	for _, method := range []string{http.MethodGet, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete} {
@@ -90,6 +101,39 @@
 	return nil
 }
 
+// maxHeaderBytes bounds the header lines of a request, maxHeaderLines their
+// number.
+const (
+	maxHeaderBytes = 16 << 10
+	maxHeaderLines = 100
+)
+
+// checkHeaders refuses requests whose header is too large, and those that name
+// their sender twice: which of the two is meant must not be guessed.
+func checkHeaders(next bunrouter.HandlerFunc) bunrouter.HandlerFunc {
+	return func(w http.ResponseWriter, r bunrouter.Request) error {
+		var guard problem.Guard
+		size, lines := len(r.RequestURI), 0
+		for name, values := range r.Header {
+			for _, v := range values {
+				size += len(name) + len(v)
+				lines++
+			}
+		}
+		if size > maxHeaderBytes || lines > maxHeaderLines {
+			writeProblem(w, problem.Refuse(&guard, http.StatusRequestHeaderFieldsTooLarge, problem.TypeTooLarge, "the header is too large"))
+			return nil
+		}
+		for _, name := range []string{"Authorization", HeaderWorkspace, HeaderRequestID, HeaderIdempotencyKey} {
+			if len(r.Header.Values(name)) > 1 {
+				writeProblem(w, problem.Refuse(&guard, http.StatusBadRequest, problem.TypeBadRequest, "header "+name+" stands more than once"))
+				return nil
+			}
+		}
+		return next(w, r)
+	}
+}
+
 // readCall reads what all calls have in common.
 func (s *server) readCall(w http.ResponseWriter, r bunrouter.Request) (node.Call, *problem.Problem) {
 	var guard problem.Guard
@@ -101,12 +145,15 @@
 		}
 		call.ID = &id
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.node.Settings().MaxBody))
+	body, err := s.readBody(w, r)
 	var tooLarge *http.MaxBytesError
 	if errors.As(err, &tooLarge) {
 		detail := "the body is larger than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"
 		return call, problem.Refuse(&guard, http.StatusRequestEntityTooLarge, problem.TypeTooLarge, detail)
 	}
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return call, problem.Refuse(&guard, http.StatusRequestTimeout, problem.TypeTimeout, "the body came too slowly")
+	}
 	if err != nil {
 		return call, problem.Refuse(&guard, http.StatusBadRequest, problem.TypeBadRequest, "the body could not be read")
 	}
@@ -114,6 +161,19 @@
 	return call, nil
 }
 
+// bodyTimeout is how long a caller may take to send a body.
+const bodyTimeout = 15 * time.Second
+
+func (s *server) readBody(w http.ResponseWriter, r bunrouter.Request) ([]byte, error) {
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(s.bodyTimeout)) // readers that have no deadlines read without
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.node.Settings().MaxBody))
+	if err == nil {
+		_ = control.SetReadDeadline(time.Time{}) // as above
+	}
+	return body, err
+}
+
 func bearer(h http.Header) string {
 	scheme, key, _ := strings.Cut(h.Get("Authorization"), " ")
 	if !strings.EqualFold(scheme, "Bearer") {
@@ -167,20 +227,58 @@
 	}
 }
 
+// modelBody is a model of the OpenAI API.
+type modelBody struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	OwnedBy string `json:"owned_by"`
+}
+
+// modelList is a list of models of the OpenAI API.
+type modelList struct {
+	Object string      `json:"object"`
+	Data   []modelBody `json:"data"`
+}
+
+func newModel(name string) modelBody {
+	return modelBody{ID: name, Object: "model", OwnedBy: "cicadanotch"}
+}
+
 func (s *server) models(w http.ResponseWriter, r bunrouter.Request) error {
-	type model struct {
-		ID      string `json:"id"`
-		Object  string `json:"object"`
-		OwnedBy string `json:"owned_by"`
+	names, known := s.node.Models(bearer(r.Header), r.Header.Get(HeaderWorkspace))
+	if !known {
+		s.refuseKey(w)
+		return nil
 	}
-	data := []model{}
-	for _, name := range s.node.Models(bearer(r.Header), r.Header.Get(HeaderWorkspace)) {
-		data = append(data, model{ID: name, Object: "model", OwnedBy: "cicadanotch"})
+	list := modelList{Object: "list", Data: []modelBody{}}
+	for _, name := range names {
+		list.Data = append(list.Data, newModel(name))
 	}
-	jsonhttp.Write(w, http.StatusOK, map[string]any{"object": "list", "data": data})
+	jsonhttp.Write(w, http.StatusOK, list)
 	return nil
 }
 
+func (s *server) model(w http.ResponseWriter, r bunrouter.Request) error {
+	names, known := s.node.Models(bearer(r.Header), r.Header.Get(HeaderWorkspace))
+	if !known {
+		s.refuseKey(w)
+		return nil
+	}
+	if name := r.Param("model"); slices.Contains(names, name) {
+		jsonhttp.Write(w, http.StatusOK, newModel(name))
+		return nil
+	}
+	var guard problem.Guard
+	writeProblem(w, problem.Refuse(&guard, http.StatusNotFound, problem.TypeNotFound, "no such model"))
+	return nil
+}
+
+func (s *server) refuseKey(w http.ResponseWriter) {
+	var guard problem.Guard
+	writeProblem(w, problem.Refuse(&guard, http.StatusUnauthorized, problem.TypeUnauthorized, "no workspace has this key"))
+}
+
 func (s *server) addresses(w http.ResponseWriter, r bunrouter.Request) error {
 	q := r.URL.Query()
 	jsonhttp.Write(w, http.StatusOK, s.node.Addresses(q.Get("service"), q.Get("workspace")))
--- /dev/null
+++ b/adapter/callerhttp/events_test.go
@@ -0,0 +1,124 @@
+package callerhttp
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadanotch/cicadanotch/answer"
+	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/problem"
+	"github.com/cicadanotch/cicadanotch/request"
+)
+
+func chatRequest(api port.GenerateAPI) *request.Request {
+	return &request.Request{API: api, Model: `m "quoted"`, Arrived: time.Unix(1_800_000_000, 0)}
+}
+
+// streamEvent is an event as a client of the OpenAI API reads it.
+type streamEvent struct {
+	ID      string `json:"id"`
+	Object  string `json:"object"`
+	Created int64  `json:"created"`
+	Model   string `json:"model"`
+	Choices []struct {
+		Index int `json:"index"`
+		Delta *struct {
+			Role    string `json:"role"`
+			Content string `json:"content"`
+		} `json:"delta"`
+		Text         *string `json:"text"`
+		FinishReason *string `json:"finish_reason"`
+	} `json:"choices"`
+	Usage *usageBody `json:"usage"`
+	Error *apiError  `json:"error"`
+}
+
+func decodeEvent(t *testing.T, text string) (id string, ev streamEvent) {
+	t.Helper()
+	is := is.New(t)
+	lines := strings.Split(text, "\n")
+	id, ok := strings.CutPrefix(lines[0], "id: ")
+	is.True(ok)
+	data, ok := strings.CutPrefix(lines[1], "data: ")
+	is.True(ok)
+	is.Equal(lines[2], "") // an empty line ends the event
+	is.NoErr(json.Unmarshal([]byte(data), &ev))
+	return id, ev
+}
+
+func TestEventTexts(t *testing.T) {
+	for _, api := range []port.GenerateAPI{port.APIChat, port.APICompletion} {
+		e := newEventEncoder(chatRequest(api))
+		for i, text := range []string{" plain", "", `"quoted" \ back`, "line\nbreak", "data: x\n\ndata: [DONE]", "é 漢 \u2028", "<&>", "\x00\x1f"} {
+			is := is.New(t)
+			id, ev := decodeEvent(t, string(e.chunk(nil, &answer.Chunk{Index: i, Text: text})))
+			is.Equal(id, string(rune('0'+i)))
+			is.Equal(ev.Model, `m "quoted"`)
+			is.Equal(ev.Created, int64(1_800_000_000))
+			is.True(ev.Choices[0].FinishReason == nil)
+			if api == port.APIChat {
+				is.Equal(ev.Object, "chat.completion.chunk")
+				is.Equal(ev.Choices[0].Delta.Content, text)
+				is.Equal(ev.Choices[0].Delta.Role == "assistant", i == 0)
+				continue
+			}
+			is.Equal(ev.Object, "text_completion")
+			is.Equal(*ev.Choices[0].Text, text)
+		}
+	}
+}
+
+func TestEventEnd(t *testing.T) {
+	is := is.New(t)
+	e := newEventEncoder(chatRequest(port.APIChat))
+	text := string(e.end(nil, &answer.End{FinishReason: "stop", Usage: &port.Usage{PromptTokens: 7, CompletionTokens: 2, CachedTokens: 5}}, 9))
+	is.True(strings.HasSuffix(text, "\n\ndata: [DONE]\n\n"))
+	id, ev := decodeEvent(t, text)
+	is.Equal(id, "9")
+	is.Equal(*ev.Choices[0].FinishReason, "stop")
+	is.Equal(ev.Usage.TotalTokens, 9)
+	is.Equal(ev.Usage.Details.CachedTokens, 5)
+
+	text = string(e.end(nil, &answer.End{Problem: problem.Unknown(503, problem.TypeUnavailable, "gone")}, 3))
+	is.True(!strings.Contains(text, "[DONE]")) // never passed on as whole
+	_, ev = decodeEvent(t, text)
+	is.Equal(ev.Error.Type, string(problem.TypeUnavailable))
+}
+
+// BenchmarkEvent carries one chunk from the engine's side of an answer to the
+// text of the caller's event; json encodes the same event from structs.
+func BenchmarkEvent(b *testing.B) {
+	ctx := context.Background()
+	b.Run("event", func(b *testing.B) {
+		b.ReportAllocs()
+		e := newEventEncoder(chatRequest(port.APIChat))
+		buffer := answer.NewBuffer()
+		var buf []byte
+		for i := range b.N {
+			if err := buffer.Append(answer.Chunk{Index: i, Text: " token"}); err != nil {
+				b.Fatal(err)
+			}
+			chunks, _, err := buffer.Next(ctx, i)
+			if err != nil {
+				b.Fatal(err)
+			}
+			buf = e.chunk(buf[:0], &chunks[0])
+		}
+	})
+	b.Run("json", func(b *testing.B) {
+		b.ReportAllocs()
+		r := chatRequest(port.APIChat)
+		for range b.N {
+			body := completionBody{ID: "chatcmpl-" + r.ID.String(), Object: "chat.completion.chunk", Created: 1, Model: r.Model}
+			body.Choices = []completionChoice{{Message: &message{Content: " token"}}}
+			if _, err := json.Marshal(body); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
--- a/adapter/enginehttp/stream.go
+++ b/adapter/enginehttp/stream.go
@@ -28,6 +28,7 @@
 	cancel  context.CancelFunc
 	attempt string
 	event   event
+	shape   shape
 	done    bool
 }
 
@@ -109,17 +110,20 @@
 	if index < 0 {
 		return port.Chunk{}, errors.Wrap(port.ErrEndpointBroken, "event without id")
 	}
-	s.event.Usage = nil
-	clear(s.event.Choices[:cap(s.event.Choices)])
-	s.event.Choices = s.event.Choices[:0]
-	if err := json.Unmarshal(data, &s.event); err != nil {
-		return port.Chunk{}, errors.Wrap(port.ErrEndpointBroken, err.Error())
-	}
 	c := port.Chunk{AttemptID: s.attempt, Index: index}
+	if text, ok := s.shape.match(data); ok {
+		c.Text = string(text)
+		return c, nil
+	}
+	if err := s.decode(data); err != nil {
+		return port.Chunk{}, err
+	}
+	c.Text = s.event.text()
+	if s.event.bare() {
+		s.shape.learn(data, c.Text)
+	}
 	if len(s.event.Choices) > 0 {
-		choice := &s.event.Choices[0]
-		c.Text = choice.Delta.Content + choice.Text
-		c.FinishReason = choice.FinishReason
+		c.FinishReason = s.event.Choices[0].FinishReason
 	}
 	if u := s.event.Usage; u != nil {
 		c.Usage = &port.Usage{
@@ -132,6 +136,14 @@
 	return c, nil
 }
 
+func (s *stream) decode(data []byte) error {
+	s.event = event{}
+	if err := json.Unmarshal(data, &s.event); err != nil {
+		return errors.Wrap(port.ErrEndpointBroken, err.Error())
+	}
+	return nil
+}
+
 // Close implements port.Stream. The connection is used again only when the
 // answer was read to its very end and nothing but the end mark followed.
 func (s *stream) Close() error {
--- /dev/null
+++ b/adapter/enginehttp/stream_test.go
@@ -0,0 +1,260 @@
+package enginehttp
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/port"
+)
+
+func streamOf(text string) *stream {
+	return newStream(io.NopCloser(strings.NewReader(text)), func() {})
+}
+
+// chunkEvent returns the text of one event as an engine sends it.
+func chunkEvent(attempt string, index int, text string) string {
+	return fmt.Sprintf("id: %s/%d\ndata: {\"choices\":[{\"index\":0,\"delta\":{\"content\":%q},\"finish_reason\":null}]}\n\n", attempt, index, text)
+}
+
+const finishEvent = "id: a/2\ndata: {\"choices\":[{\"index\":0,\"delta\":{},\"finish_reason\":\"stop\"}],\"usage\":{\"prompt_tokens\":7,\"completion_tokens\":2,\"prompt_tokens_details\":{\"cached_tokens\":5}}}\n\ndata: [DONE]\n\n"
+
+func TestRecv(t *testing.T) {
+	whole := chunkEvent("a", 0, "x") + chunkEvent("a", 1, "y") + finishEvent
+	for name, tc := range map[string]struct {
+		text   string
+		chunks int
+		broken bool
+	}{
+		"whole":                 {whole, 3, false},
+		"comments between":      {": hello\n\n" + whole, 3, false},
+		"CRLF lines":            {strings.ReplaceAll(whole, "\n", "\r\n"), 3, false},
+		"cut in an event":       {whole[:60], 0, true},
+		"cut between events":    {chunkEvent("a", 0, "x"), 1, true},
+		"end mark, no finish":   {chunkEvent("a", 0, "x") + "data: [DONE]\n\n", 1, true},
+		"no id":                 {"data: {}\n\n", 0, true},
+		"id without index":      {"id: a\ndata: {}\n\n", 0, true},
+		"id with a bad index":   {"id: a/-1\ndata: {}\n\n", 0, true},
+		"broken JSON":           {"id: a/0\ndata: {\n\n", 0, true},
+		"a line beyond bounds":  {"id: a/0\ndata: " + strings.Repeat("x", maxLine+1), 0, true},
+		"id of an event before": {chunkEvent("a", 0, "x") + "data: {}\n\n", 1, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			s := streamOf(tc.text)
+			count := 0
+			for {
+				c, err := s.Recv()
+				if err == nil {
+					is.Equal(c.Index, count)
+					count++
+					continue
+				}
+				is.Equal(errors.Is(err, port.ErrEndpointBroken), tc.broken)
+				is.Equal(errors.Is(err, io.EOF), !tc.broken)
+				break
+			}
+			is.Equal(count, tc.chunks)
+		})
+	}
+}
+
+// TestNothingOfOneEventIsLeftInTheNext sends events whose members differ.
+func TestNothingOfOneEventIsLeftInTheNext(t *testing.T) {
+	is := is.New(t)
+	s := streamOf(chunkEvent("a", 0, "x") + "id: a/1\ndata: {\"choices\":[{}]}\n\n" + "id: b/2\ndata: {}\n\n")
+	for i, want := range []port.Chunk{{AttemptID: "a", Index: 0, Text: "x"}, {AttemptID: "a", Index: 1}, {AttemptID: "b", Index: 2}} {
+		c, err := s.Recv()
+		is.NoErr(err)
+		is.Equal(c, want) // chunk
+		is.Equal(c.Index, i)
+	}
+}
+
+// TestConnectionReuse tells when the connection of an answer is used again.
+func TestConnectionReuse(t *testing.T) {
+	for name, tc := range map[string]struct {
+		body string
+		// hold keeps the answer open after the body.
+		hold  bool
+		read  int
+		conns int64
+	}{
+		"read to its end":        {chunkEvent("a", 0, "x") + finishEvent, false, 3, 1},
+		"left unread":            {chunkEvent("a", 0, "x"), true, 1, 2},
+		"bytes after the finish": {finishEvent + chunkEvent("b", 3, "of another"), true, 2, 2},
+		"no end after the mark":  {finishEvent, true, 2, 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var conns atomic.Int64
+			server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				_, _ = io.WriteString(w, tc.body) // the client may have left
+				if tc.hold {
+					_ = http.NewResponseController(w).Flush() // likewise
+					<-r.Context().Done()
+				}
+			}))
+			server.Config.ConnState = countNew(&conns)
+			server.Start()
+			defer server.Close()
+			e := New(nil)
+			for range 2 {
+				st, err := e.Generate(t.Context(), strings.TrimPrefix(server.URL, "http://"), port.GenerateRequest{AttemptID: "a", Body: []byte("{}")})
+				is.NoErr(err)
+				for range tc.read {
+					_, _ = st.Recv() // some rows end the stream
+				}
+				is.NoErr(st.Close())
+			}
+			is.Equal(conns.Load(), tc.conns)
+		})
+	}
+}
+
+func countNew(n *atomic.Int64) func(net.Conn, http.ConnState) {
+	return func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			n.Add(1)
+		}
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	for name, tc := range map[string]struct {
+		status  int
+		headers map[string]string
+		want    error
+		not     error
+	}{
+		"declined by id":      {503, map[string]string{HeaderAttempt: "a", HeaderAttemptRun: RunNot}, port.ErrDeclined, nil},
+		"no word about it":    {503, nil, port.ErrEndpointRefused, port.ErrDeclined},
+		"of another attempt":  {503, map[string]string{HeaderAttempt: "b", HeaderAttemptRun: RunNot}, port.ErrEndpointRefused, port.ErrDeclined},
+		"too many requests":   {429, nil, port.ErrEndpointRefused, port.ErrDeclined},
+		"failure":             {500, nil, port.ErrEndpointBroken, port.ErrEndpointRefused},
+		"the request's fault": {400, nil, port.ErrRequestInvalid, port.ErrEndpointBroken},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				for k, v := range tc.headers {
+					w.Header().Set(k, v)
+				}
+				w.WriteHeader(tc.status)
+			}))
+			defer server.Close()
+			sent := 0
+			_, err := New(nil).Generate(t.Context(), strings.TrimPrefix(server.URL, "http://"), port.GenerateRequest{AttemptID: "a", Body: []byte("{}"), Sending: func() { sent++ }})
+			is.True(errors.Is(err, tc.want))
+			is.True(tc.not == nil || !errors.Is(err, tc.not))
+			is.Equal(sent, 1)
+		})
+	}
+}
+
+func TestUnreachableIsNotSent(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(nil)
+	address := strings.TrimPrefix(server.URL, "http://")
+	server.Close()
+	_, err := New(nil).Generate(t.Context(), address, port.GenerateRequest{AttemptID: "a", Body: []byte("{}"), Sending: func() { t.Error("nothing was sent") }})
+	is.True(errors.Is(err, port.ErrEndpointUnreachable))
+}
+
+// TestShape compares chunks that match a learned shape with decoded ones.
+func TestShape(t *testing.T) {
+	before := `{"choices":[{"delta":{"content":"`
+	for name, tc := range map[string]struct{ first, second string }{
+		"plain":                 {before + `x"}}]}`, before + `y"}}]}`},
+		"escapes":               {before + `x"}}]}`, before + `a\"b\n"}}]}`},
+		"not UTF-8":             {before + `x"}}]}`, before + "\xff" + `"}}]}`},
+		"empty":                 {before + `x"}}]}`, before + `"}}]}`},
+		"finish":                {before + `x"}}]}`, before + `y"},"finish_reason":"stop"}]}`},
+		"injected members":      {before + `x"}}]}`, before + `y"},"text":"z"}}]}`},
+		"text in a member more": {`{"model":"x","choices":[{"delta":{"content":"x"}}]}`, `{"model":"y","choices":[{"delta":{"content":"x"}}]}`},
+		"text in escapes":       {`{"model":"x","choices":[{"delta":{"content":"\u0078"}}]}`, `{"model":"y","choices":[{"delta":{"content":"\u0078"}}]}`},
+		"two texts":             {`{"choices":[{"delta":{"content":"x"},"text":"x"}]}`, `{"choices":[{"delta":{"content":"y"},"text":"x"}]}`},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			learned := streamOf("id: a/0\ndata: " + tc.first + "\n\nid: a/1\ndata: " + tc.second + "\n\n")
+			_, err := learned.Recv()
+			is.NoErr(err)
+			got, gotErr := learned.Recv()
+			want, wantErr := streamOf("id: a/1\ndata: " + tc.second + "\n\n").Recv()
+			is.Equal(gotErr == nil, wantErr == nil)
+			is.Equal(got, want)
+		})
+	}
+}
+
+func FuzzRecv(f *testing.F) {
+	f.Add([]byte(chunkEvent("a", 0, "x") + finishEvent))
+	f.Add([]byte("data: [DONE]\n\n"))
+	f.Add([]byte("id: a/0\ndata: {\"choices\":[{\"text\":\"\\u0000\"}]}\n"))
+	f.Add([]byte("id: /\ndata:"))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		s := newStream(io.NopCloser(bytes.NewReader(data)), func() {})
+		for range len(data) + 1 {
+			c, err := s.Recv()
+			if err != nil {
+				if !errors.Is(err, io.EOF) && !errors.Is(err, port.ErrEndpointBroken) {
+					t.Fatalf("error of no kind: %v", err)
+				}
+				return
+			}
+			if c.Index < 0 {
+				t.Fatalf("index %d", c.Index)
+			}
+		}
+		t.Fatal("more chunks than bytes")
+	})
+}
+
+// BenchmarkRecv reads one chunk of an engine's stream; json decodes the bare
+// JSON of the event alone.
+func BenchmarkRecv(b *testing.B) {
+	event := chunkEvent("0123456789abcdef0123456789abcdef", 7, " token")
+	b.Run("recv", func(b *testing.B) {
+		b.ReportAllocs()
+		s := newStream(io.NopCloser(&endless{text: []byte(event)}), func() {})
+		for range b.N {
+			if _, err := s.Recv(); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+	b.Run("json", func(b *testing.B) {
+		b.ReportAllocs()
+		data := []byte(strings.TrimSpace(event[strings.Index(event, "{"):]))
+		for range b.N {
+			var ev struct{ Choices []eventChoice }
+			if err := json.Unmarshal(data, &ev); err != nil {
+				b.Fatal(err)
+			}
+		}
+	})
+}
+
+// endless repeats a text for ever.
+type endless struct {
+	text []byte
+	at   int
+}
+
+// Read implements io.Reader.
+func (e *endless) Read(p []byte) (int, error) {
+	n := copy(p, e.text[e.at:])
+	e.at = (e.at + n) % len(e.text)
+	return n, nil
+}
--- a/node/node.go
+++ b/node/node.go
@@ -181,7 +181,7 @@
 const (
 	readHeaderTimeout = 5 * time.Second
 	idleTimeout       = 60 * time.Second
-	maxHeaderBytes    = 32 << 10
+	maxHeaderBytes    = 256 << 10
 )
 
 // Registry returns the node's metrics.
--- a/node/plan.go
+++ b/node/plan.go
@@ -147,20 +147,21 @@
 	return nil, false
 }
 
-// Models returns the names of the models that the holder of a key may use.
-func (n *Node) Models(key, workspace string) []string {
-	var names []string
+// Models returns the names of the models that the holder of a key may use,
+// and whether any service knows the key.
+func (n *Node) Models(key, workspace string) (names []string, known bool) {
 	for _, rev := range n.documents.All() {
 		if _, ok := findWorkspace(rev.Document, key, workspace); !ok {
 			continue
 		}
+		known = true
 		for _, m := range rev.Document.Models {
 			names = append(names, m.Name)
 			names = append(names, m.Adapters...)
 		}
 	}
 	slices.Sort(names)
-	return names
+	return slices.Compact(names), known
 }
 
 // findWorkspace returns the workspace that has the key, or the named one when
