Orders: abandon claims that may land late, notice dead owners

Three faults in the order path, each with a row in the crash-point table that failed before: - a claim whose append was not confirmed was refused and forgotten; its record could land later and hold the key for ever. The owner now appends an abandonment, which also bars a claim that lands after it. - recording the outcome held up the caller during a log outage. The caller is answered at once; duplicates at other hosts ask the owner. - a duplicate learned of its owner's death only at its own deadline. It now asks the owner's process, which knows its claims by incarnation, and looks at the platform's list.

Keys that endpoints see carry the workspace: two workspaces with the same key would have met at an endpoint that honours keys. A lookup route or an endpoint that honours keys settles an unknown end. The table is bounded (65,536 keys, 8 MiB of answers; full means refusal, never forgetting), and its window runs in log time: the second latest stamp of two hosts.

--- a/node/admission.go
+++ b/node/admission.go
@@ -39,7 +39,7 @@
 	if req.Kind != request.KindCall || req.Repeatable {
 		return false
 	}
-	key := claim.Key{Service: req.Service, Workspace: req.Workspace, Key: orderKey(&Accepted{Request: req})}
+	key := claim.Key{Service: req.Service, Workspace: req.Workspace, Key: orderKey(req)}
 	_, claimed, _ := n.claims.Get(key)
 	return claimed
 }
--- a/node/execute.go
+++ b/node/execute.go
@@ -152,19 +152,6 @@
 	})
 }
 
-// sendOrder sends a call that must run at most once, as attemptID, and returns
-// its response. It goes on to another endpoint only after one that did not run
-// the call. With an error the caller of the request has its final answer.
-func (n *Node) sendOrder(ctx context.Context, a *Accepted, attemptID string) (port.ServiceResponse, error) {
-	var resp port.ServiceResponse
-	err := n.retry(ctx, a, func(ctx context.Context, r *running) error {
-		var err error
-		resp, err = n.callOnce(ctx, a, r.host, attemptID)
-		return err
-	})
-	return resp, err
-}
-
 func (n *Node) callOnce(ctx context.Context, a *Accepted, host port.Host, attemptID string) (port.ServiceResponse, error) {
 	req := serviceRequest(a.Request, attemptID)
 	sending := a.sending()
--- a/node/handoff_peers.go
+++ b/node/handoff_peers.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cicadanotch/cicadanotch/answer"
-	"github.com/cicadanotch/cicadanotch/claim"
 	"github.com/cicadanotch/cicadanotch/drain"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/problem"
@@ -113,8 +112,7 @@
 // its giver goes on with.
 func (n *Node) awaitClaimed(ctx context.Context, a *Accepted) {
 	a.startClaim()
-	key := claim.Key{Service: a.Request.Service, Workspace: a.Request.Workspace, Key: orderKey(a)}
-	n.awaitOutcome(ctx, a, key)
+	n.awaitOutcome(ctx, a)
 }
 
 // IDParams names a request.
--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -1,9 +1,11 @@
 package node
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -76,6 +78,9 @@
 			return port.ServiceResponse{}, err
 		}
 	}
+	if r.Sending != nil {
+		r.Sending()
+	}
 	s.mu.Lock()
 	s.calls[string(r.Body)]++
 	resp := port.ServiceResponse{Status: 200, Body: fmt.Appendf(nil, "run %d of %s", s.calls[string(r.Body)], r.Body)}
@@ -142,14 +147,29 @@
 	p.nodes[address] = n
 }
 
+// claimLog is a log on which appends of claims take effect late.
+type claimLog struct {
+	port.Log
+	delay atomic.Int64
+}
+
+func (l *claimLog) Append(ctx context.Context, data []byte) (int64, error) {
+	if d := time.Duration(l.delay.Load()); d > 0 && bytes.Contains(data, []byte(`"kind":"claim"`)) {
+		pause(ctx, d)
+	}
+	return l.Log.Append(ctx, data)
+}
+
 // cluster is a few nodes over one log, without a network.
 type cluster struct {
 	t        *testing.T
 	log      *standin.Log
+	slow     *claimLog
 	faults   *standin.Faults
 	cloud    *fakeCloud
 	services *fakeServices
 	peers    *fakePeers
+	mu       sync.Mutex
 	nodes    []*Node
 }
 
@@ -180,6 +200,7 @@
 		services: newFakeServices(),
 		peers:    &fakePeers{nodes: map[string]*Node{}},
 	}
+	c.slow = &claimLog{Log: c.log}
 	_, err := publish.Publish(t.Context(), c.log, testService, 0, testDocument())
 	is.NoErr(err)
 	c.cloud.hosts = append(c.cloud.hosts, port.Host{
@@ -205,7 +226,7 @@
 	n := New(Settings{
 		Host: id, Region: "plateau", Zone: "jos-a", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
 		PollInterval: config.Duration(time.Second), LoadInterval: config.Duration(time.Second),
-	}, Ports{Log: c.log, Cloud: c.cloud, Services: c.services, Peers: c.peers, Engine: fakeEngine{}})
+	}, Ports{Log: c.slow, Cloud: c.cloud, Services: c.services, Peers: c.peers, Engine: fakeEngine{}})
 	n.Start()
 	c.peers.set(id, n)
 	return n
@@ -213,10 +234,19 @@
 
 // kill ends a node at once; peers cannot reach it any more.
 func (c *cluster) kill(i int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.peers.set(c.nodes[i].settings.Host, nil)
 	c.nodes[i].tomb.Kill(nil)
 }
 
+// restart starts a new process on the host of a node.
+func (c *cluster) restart(i int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.nodes[i] = c.start(c.nodes[i].settings.Host)
+}
+
 func (c *cluster) stop() {
 	for _, n := range c.nodes {
 		_ = n.Stop() // its errors do not matter here
--- a/node/node.go
+++ b/node/node.go
@@ -60,6 +60,7 @@
 	tail      *tail
 	writer    *writer
 	holders   *leaseHolders
+	orders    *orderTable
 	// incarnation is unique to this process, not only to its host.
 	incarnation string
 	// behind is set while peers are known to be further in the log.
@@ -107,6 +108,7 @@
 	}
 	n.incarnation = n.settings.Host + "/" + record.NewID()[:incarnationDigits]
 	n.holders = newLeaseHolders(n)
+	n.orders = newOrderTable()
 	n.tail = newTail(n)
 	n.writer = newWriter(n)
 	n.stopping = newStopState(n.settings.AddressLifetime.Std())
--- /dev/null
+++ b/node/order_test.go
@@ -0,0 +1,302 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadanotch/cicadanotch/claim"
+	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/problem"
+	"github.com/cicadanotch/cicadanotch/record"
+	"github.com/cicadanotch/cicadanotch/standin"
+)
+
+func (s *fakeServices) ran(body string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls[body]
+}
+
+func (s *fakeServices) setLookup(path, body string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lookups[path] = port.ServiceResponse{Status: 200, Body: []byte(body)}
+}
+
+// order sends an order to a node; the answer comes later.
+func (c *cluster) order(node int, key, body string) *Accepted {
+	c.t.Helper()
+	a, p := c.nodes[node].Accept(Call{
+		Service: testService, Workspace: "bokkos", Method: "POST", Path: testRoute, Body: []byte(body), IdempotencyKey: key,
+	})
+	if p != nil {
+		c.t.Fatal(p)
+	}
+	return a
+}
+
+// end waits for the end of an order and returns "200 <body>" or the problem's
+// run and type.
+func (c *cluster) end(a *Accepted) string {
+	c.t.Helper()
+	ctx, cancel := context.WithTimeout(c.t.Context(), 2*time.Minute)
+	defer cancel()
+	_, end, err := a.Answer.Next(ctx, 0)
+	if err != nil {
+		c.t.Fatal("the order never ended")
+	}
+	if end.Problem != nil {
+		return string(end.Problem.Run) + " " + string(end.Problem.Type)
+	}
+	return fmt.Sprint(end.Response.Status, " ", string(end.Response.Body))
+}
+
+const (
+	once        = "200 run 1 of fan on"
+	unknownEnd  = "unknown outcome-unknown"
+	notRunNoLog = "not-run log-unavailable"
+)
+
+// TestOrderCrashPoints stops the owner, or the log, at each point between the
+// steps of an order, and repeats the order at the same and at another host.
+func TestOrderCrashPoints(t *testing.T) {
+	type want struct{ first, second string }
+	for name, tc := range map[string]struct {
+		// fault is added before the first order.
+		fault *standin.Fault
+		// slow is how late appends of claims take effect.
+		slow time.Duration
+		// before and after run around the effect of the endpoint's first call.
+		before, after func(c *cluster) error
+		// between runs between the first order's end, if it ends, and the
+		// second order.
+		between func(c *cluster)
+		// deadOwner is set when the owner dies: its caller gets no answer.
+		deadOwner bool
+		same      bool
+		want      want
+		runs      int
+	}{
+		"no fault, same host":  {same: true, want: want{once, once}, runs: 1},
+		"no fault, other host": {want: want{once, once}, runs: 1},
+		"all replies lost": {
+			fault: &standin.Fault{Point: standin.PointAppend, Action: standin.ActionLoseReply},
+			want:  want{once, once}, runs: 1,
+		},
+		"claim appended twice": {
+			fault: &standin.Fault{Point: standin.PointAppend, Action: standin.ActionRepeat},
+			want:  want{once, once}, runs: 1,
+		},
+		"claim rate limited for a while": {
+			fault: &standin.Fault{Point: standin.PointAppend, Action: standin.ActionRefuse, ToCall: 4},
+			want:  want{once, once}, runs: 1,
+		},
+		"log down before the claim, back before the second": {
+			fault:   &standin.Fault{Point: standin.PointAppend, Action: standin.ActionFail},
+			between: func(c *cluster) { c.faults.Clear(standin.PointAppend) },
+			want:    want{notRunNoLog, once}, runs: 1,
+		},
+		"log down before the claim, same host": {
+			fault:   &standin.Fault{Point: standin.PointAppend, Action: standin.ActionFail},
+			between: func(c *cluster) { c.faults.Clear(standin.PointAppend) },
+			same:    true,
+			want:    want{notRunNoLog, once}, runs: 1,
+		},
+		"log stays down": {
+			fault: &standin.Fault{Point: standin.PointAppend, Action: standin.ActionFail},
+			want:  want{notRunNoLog, notRunNoLog}, runs: 0,
+		},
+		"claim lands, no reply and no read until later": {
+			fault: &standin.Fault{Point: standin.PointRead, Action: standin.ActionFail},
+			between: func(c *cluster) {
+				c.faults.Clear(standin.PointRead)
+				c.faults.Clear(standin.PointAppend)
+			},
+			want: want{notRunNoLog, once}, runs: 1,
+		},
+		"claim lands after the deadline": {
+			slow:    25 * time.Second,
+			between: func(c *cluster) { c.slow.delay.Store(0); time.Sleep(time.Second) },
+			want:    want{notRunNoLog, once}, runs: 1,
+		},
+		"owner dies before the send": {
+			before:    func(c *cluster) error { c.kill(0); return port.ErrEndpointUnreachable },
+			deadOwner: true,
+			between:   func(c *cluster) { c.cloud.remove("entry-0") },
+			want:      want{"", unknownEnd}, runs: 0,
+		},
+		"owner dies after the call ran": {
+			after:     func(c *cluster) error { c.kill(0); return port.ErrEndpointBroken },
+			deadOwner: true,
+			between:   func(c *cluster) { c.cloud.remove("entry-0") },
+			want:      want{"", unknownEnd}, runs: 1,
+		},
+		"owner dies after the call ran, still listed": {
+			after:     func(c *cluster) error { c.kill(0); return port.ErrEndpointBroken },
+			deadOwner: true,
+			want:      want{"", unknownEnd}, runs: 1,
+		},
+		"owner restarts after the call ran": {
+			after:     func(c *cluster) error { c.kill(0); return port.ErrEndpointBroken },
+			deadOwner: true,
+			between:   func(c *cluster) { c.restart(0); time.Sleep(3 * time.Second) },
+			same:      true,
+			want:      want{"", unknownEnd}, runs: 1,
+		},
+		"owner dies, the service can look the order up": {
+			after: func(c *cluster) error {
+				c.services.setLookup("/lookup/bokkos:k:key-1", "run 1 of fan on")
+				c.kill(0)
+				return port.ErrEndpointBroken
+			},
+			deadOwner: true,
+			between:   func(c *cluster) { c.cloud.remove("entry-0") },
+			want:      want{"", once}, runs: 1,
+		},
+		"answer lost, the service can look the order up": {
+			after: func(c *cluster) error {
+				c.services.setLookup("/lookup/bokkos:k:key-1", "run 1 of fan on")
+				return port.ErrEndpointBroken
+			},
+			want: want{once, once}, runs: 1,
+		},
+		"answer lost": {
+			after: func(*cluster) error { return port.ErrEndpointBroken },
+			want:  want{unknownEnd, unknownEnd}, runs: 1,
+		},
+		"endpoint unreachable at first": {
+			before: func(*cluster) error { return port.ErrEndpointUnreachable },
+			want:   want{once, once}, runs: 1,
+		},
+		"log down after the call ran, owner alive": {
+			after: func(c *cluster) error {
+				c.faults.Add(standin.Fault{Point: standin.PointAppend, Action: standin.ActionFail})
+				return nil
+			},
+			want: want{once, once}, runs: 1,
+		},
+		"log down after the call ran, owner dies": {
+			after: func(c *cluster) error {
+				c.faults.Add(standin.Fault{Point: standin.PointAppend, Action: standin.ActionFail})
+				return nil
+			},
+			between: func(c *cluster) { c.kill(0); c.cloud.remove("entry-0") },
+			want:    want{once, unknownEnd}, runs: 1,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, 2)
+				c.slow.delay.Store(int64(tc.slow))
+				if tc.fault != nil {
+					fault := *tc.fault
+					base := c.faults.Calls(fault.Point)
+					if fault.ToCall > 0 {
+						fault.FromCall, fault.ToCall = base+1, base+fault.ToCall
+					}
+					c.faults.Add(fault)
+					time.Sleep(2 * tailWait) // reads under way end
+				}
+				first := true
+				c.services.before = func(port.ServiceRequest) error {
+					if first && tc.before != nil {
+						first = false
+						return tc.before(c)
+					}
+					return nil
+				}
+				c.services.after = func(port.ServiceRequest) error {
+					if first && tc.after != nil {
+						first = false
+						return tc.after(c)
+					}
+					return nil
+				}
+				a := c.order(0, "key-1", "fan on")
+				if tc.deadOwner {
+					time.Sleep(time.Second)
+				} else {
+					is.Equal(c.end(a), tc.want.first)
+				}
+				if tc.between != nil {
+					tc.between(c)
+				}
+				second := 1
+				if tc.same {
+					second = 0
+				}
+				is.Equal(c.end(c.order(second, "key-1", "fan on")), tc.want.second)
+				is.Equal(c.services.ran("fan on"), tc.runs)
+			})
+		})
+	}
+}
+
+// TestOrdersAtOnce sends the same order to all hosts and twice to each.
+func TestOrdersAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 3)
+		var all []*Accepted
+		for i := range 6 {
+			all = append(all, c.order(i%3, "key-1", "fan on"))
+		}
+		for _, a := range all {
+			is.Equal(c.end(a), once)
+		}
+		is.Equal(c.services.ran("fan on"), 1)
+		is.Equal(c.end(c.order(1, "key-1", "fan off")), "not-run "+string(problem.TypeConflict))
+		is.Equal(c.services.ran("fan off"), 0)
+	})
+}
+
+// TestDuplicateDuringOwnersCall sends the same order again while the first one
+// runs, and kills the owner before it answers.
+func TestDuplicateDuringOwnersCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 2)
+		c.services.after = func(port.ServiceRequest) error {
+			time.Sleep(5 * time.Second)
+			c.kill(0)
+			c.cloud.remove("entry-0")
+			return port.ErrEndpointBroken
+		}
+		c.order(0, "key-1", "fan on")
+		time.Sleep(time.Second)
+		began := time.Now()
+		is.Equal(c.end(c.order(1, "key-1", "fan on")), unknownEnd)
+		is.True(time.Since(began) < 15*time.Second) // told by the owner's absence, not by the deadline
+		is.Equal(c.services.ran("fan on"), 1)
+	})
+}
+
+// TestPausedOwner resumes an owner after the time in which it may send.
+func TestPausedOwner(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 2)
+		n := c.nodes[0]
+		a := c.order(1, "key-0", "warm up")
+		c.end(a)
+		o := &order{node: n, a: &Accepted{Request: a.Request, Answer: a.Answer}, digest: 1}
+		o.key = claim.Key{Service: testService, Workspace: "bokkos", Key: "k:key-1"}
+		o.hold = claim.Hold{ClaimID: "paused", Began: time.Now(), Limit: dispatchLimit, Deadline: time.Now().Add(time.Hour)}
+		e, err := record.New(record.KindClaim, "entry-0", claim.Claim{Key: o.key, Digest: 1, Owner: "entry-0", Incarnation: n.incarnation})
+		is.NoErr(err)
+		e.ID = "paused"
+		is.NoErr(n.append(t.Context(), classOrder, e))
+		time.Sleep(dispatchLimit)
+		o.step(t.Context())
+		is.Equal(c.services.ran("fan on"), 0)
+		time.Sleep(time.Second)
+		_, known, _ := n.claims.Get(o.key)
+		is.True(!known) // the key is free again
+	})
+}
--- a/node/peers.go
+++ b/node/peers.go
@@ -30,6 +30,7 @@
 	handlers := map[string]port.PeerHandler{
 		MethodPing:    n.handlePing,
 		MethodState:   n.handleState,
+		MethodOrder:   n.handleOrder,
 		MethodLeaving: n.handleLeaving,
 		MethodDeaths:  n.handleDeaths,
 	}
--- a/node/requests.go
+++ b/node/requests.go
@@ -33,6 +33,9 @@
 	readers  int
 	lastRead time.Time
 	endedAt  time.Time
+	// ownerMissed is since when the owner of the order that this one repeats
+	// is missing.
+	ownerMissed time.Time
 }
 
 // Enter counts a reader of the answer; the result ends it.
--- a/node/stop.go
+++ b/node/stop.go
@@ -89,7 +89,7 @@
 	if !n.stopping.leaving() {
 		return drain.PhaseServing
 	}
-	open := len(n.openRequests())
+	open := len(n.openRequests()) + n.orders.len()
 	n.stopping.mu.Lock()
 	defer n.stopping.mu.Unlock()
 	return n.stopping.stop.Phase(time.Now(), open)
