replay: quarantine in front of every policy

Cause: the killer's trace ended 20 engines, since the replay had no part of package quarantine. Change: entry hosts of a replay book deaths, share them, and keep suspects apart, alone or out by quarantine's verdicts, under each policy alike.

--- a/replay/engine.go
+++ b/replay/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"strconv"
 	"time"
 
 	"github.com/cicadanotch/cicadanotch/port"
@@ -14,6 +13,8 @@
 	request *call
 	entry   *entry
 	engine  *engine
+	// life is the engine's process that it was sent to.
+	life int
 	// sent is how many tokens of the answer were there before; they are
 	// prefilled with the prompt.
 	sent   int
@@ -197,6 +198,6 @@
 	return port.LoadReport{
 		At: e.world.clock.time(), Running: len(e.running), Waiting: len(e.waiting),
 		WaitingTokens: waiting, MaxRunning: e.spec.MaxRunning,
-		Incarnation: e.host.ID + "/" + strconv.Itoa(e.life), Models: []string{e.world.trace.Header.Model},
+		Incarnation: incarnation(e.host.ID, e.life), Models: []string{e.world.trace.Header.Model},
 	}
 }
--- a/replay/entry.go
+++ b/replay/entry.go
@@ -10,6 +10,7 @@
 
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/prefix"
+	"github.com/cicadanotch/cicadanotch/quarantine"
 	"github.com/cicadanotch/cicadanotch/route"
 )
 
@@ -28,6 +29,11 @@
 	blocks  []uint64
 	tokens  int
 	arrived time.Duration
+	// fingerprint is that of package quarantine; suspectSince is when the
+	// request became one to be tried alone, aloneAt the endpoint kept for it.
+	fingerprint  uint64
+	suspectSince time.Duration
+	aloneAt      string
 
 	current  *attempt
 	choice   route.Choice
@@ -46,7 +52,7 @@
 func newCall(w *world, e *Event) *call {
 	return &call{
 		event: e, arrived: w.clock.now, excluded: map[string]bool{},
-		blocks: e.blocks, tokens: e.tokens,
+		blocks: e.blocks, tokens: e.tokens, fingerprint: fingerprintOf(e),
 	}
 }
 
@@ -78,6 +84,11 @@
 	inFlight map[string]int
 	reports  map[string]port.LoadReport
 	turn     int
+
+	suspects *quarantine.Table
+	running  map[*call]bool
+	booked   map[deathOf]bool
+	isolated map[string]bool
 }
 
 func newEntry(w *world, host port.Host, p policy, seed uint64) *entry {
@@ -91,6 +102,8 @@
 		chooser: route.NewChooser(route.Place{Region: host.Region, Zone: host.Zone}, opts),
 		rows:    map[string]route.Row{}, suspect: map[string]time.Duration{},
 		inFlight: map[string]int{}, reports: map[string]port.LoadReport{},
+		suspects: quarantine.NewTable(), running: map[*call]bool{},
+		booked: map[deathOf]bool{}, isolated: map[string]bool{},
 	}
 	e.chooser.Table().SetPeers(h.entries(host.Region))
 	return e
@@ -159,8 +172,15 @@
 		e.world.note("gave up", c.event.ID)
 		return
 	}
-	choice, err := e.policy.choose(e, c)
-	if err != nil {
+	excluded, wait, ok := e.place(c)
+	if !ok {
+		c.ended = true
+		e.world.note("quarantined", c.event.ID)
+		return
+	}
+	choice, err := e.chooseAt(c, excluded)
+	if wait || err != nil {
+		e.leaveAlone(c)
 		clear(c.excluded)
 		e.world.clock.after(retryPause, func() { e.try(c) })
 		return
@@ -170,10 +190,11 @@
 
 func (e *entry) dispatch(c *call, choice route.Choice) {
 	target := e.world.engine(choice.Host.ID)
-	a := &attempt{request: c, entry: e, engine: target, sent: c.received, breakAfter: e.world.answers[c.event.ID]}
+	a := &attempt{request: c, entry: e, engine: target, life: target.life, sent: c.received, breakAfter: e.world.answers[c.event.ID]}
 	delete(e.world.answers, c.event.ID)
 	c.current, c.choice, c.started = a, choice, false
 	c.attempts++
+	e.running[c] = true
 	e.inFlight[choice.Host.ID]++
 	e.world.note("send", c.event.ID, choice.Host.ID)
 	if e.world.isParted(e.host, target.host) {
@@ -220,6 +241,7 @@
 	usage := port.Usage{PromptTokens: c.tokens, CompletionTokens: c.received, CachedTokens: a.cached}
 	e.release(c, route.Ended{Usage: &usage, Started: true})
 	c.ended, c.whole = true, true
+	e.suspects.Whole(e.world.clock.time(), c.fingerprint)
 	e.world.note("whole", c.event.ID)
 }
 
@@ -229,16 +251,26 @@
 	if c.current != a {
 		return
 	}
+	dead := !a.engine.alive || a.engine.life != a.life
+	if dead {
+		e.died(a)
+	}
 	e.release(c, route.Ended{Started: c.started})
 	id := a.engine.host.ID
 	c.excluded[id] = true
 	e.suspect[id] = e.world.clock.now + suspectFor
 	e.chooser.Table().Suspect(id, e.world.clock.time().Add(suspectFor))
+	if dead {
+		e.world.clock.after(deathGrace, func() { e.try(c) })
+		return
+	}
 	e.try(c)
 }
 
 func (e *entry) release(c *call, end route.Ended) {
 	e.inFlight[c.choice.Host.ID]--
+	delete(e.running, c)
+	e.leaveAlone(c)
 	e.chooser.Release(&c.choice, c.blocks, end)
 	c.current = nil
 }
