Keep the causes of a stop apart; prove dates and a taker's sudden death

Cause: a maintenance date taken out of a document withdrew a reclaim or notice that held besides it, and a date that moved later kept its earlier deadline. Change: a stop holds one demand for each cause, and each cause takes back only its own. The lead of maintenance dates is worked out once a round, not once a host. End-to-end tests of dates and of a taker that dies unannounced. Conclusion: the rows on causes pass; the giver takes its request back and its caller's connection goes on.

--- a/demo/stop_test.go
+++ b/demo/stop_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -11,8 +12,11 @@
 	"github.com/matryer/is"
 
 	"github.com/cicadanotch/cicadanotch/client"
+	"github.com/cicadanotch/cicadanotch/config"
 	"github.com/cicadanotch/cicadanotch/demo"
 	"github.com/cicadanotch/cicadanotch/drain"
+	"github.com/cicadanotch/cicadanotch/record"
+	"github.com/cicadanotch/cicadanotch/request"
 	"github.com/cicadanotch/cicadanotch/standin"
 )
 
@@ -102,3 +106,70 @@
 	is.Equal(got.answer.Streams, 1) // one connection from the first byte to the last
 	is.NoErr(<-ended)
 }
+
+// revise publishes the next revision of the plain service's document.
+func revise(t *testing.T, d *demo.Deployment, change func(*config.Document)) {
+	t.Helper()
+	is := is.New(t)
+	doc := d.Profile.PlainDocument()
+	change(&doc)
+	text, err := json.Marshal(doc)
+	is.NoErr(err)
+	base := d.Entries()[0].Node.State().Documents[doc.Service].Offset
+	e, err := record.New(record.KindDocument, "operator", config.Change{Service: doc.Service, Base: base, Text: string(text)})
+	is.NoErr(err)
+	data, err := e.Encode()
+	is.NoErr(err)
+	_, err = d.Log.Append(t.Context(), data)
+	is.NoErr(err)
+}
+
+// TestMaintenanceDates publishes a date for one entry host and one endpoint of
+// the service, and takes it out again.
+func TestMaintenanceDates(t *testing.T) {
+	p := small()
+	p.AddressLifetime = 50 * time.Millisecond
+	d := start(t, p)
+	leaving, other := d.Entries()[0], d.Entries()[1]
+	named := func() bool { return named(other, leaving.Host.ID, p.ModelService) }
+	phase := func() drain.Phase { return leaving.Node.State().Stop.Phase }
+	soon := time.Now().Add(time.Minute)
+	revise(t, d, func(doc *config.Document) {
+		doc.Maintenance = []config.Maintenance{{Host: leaving.Host.ID, Starts: soon, Ends: soon.Add(time.Hour)}}
+	})
+	eventually(t, "the host leaves the answers", func() bool { return !named() })
+	eventually(t, "new requests are refused", func() bool { return phase() == drain.PhaseWaiting })
+	revise(t, d, func(doc *config.Document) { doc.Maintenance = nil })
+	eventually(t, "the host serves again", func() bool { return phase() == drain.PhaseServing })
+	eventually(t, "the host is back in the answers", named)
+}
+
+// TestTakerDiesUnannounced kills the host that took a stream over while its
+// giver still lives: the caller's connection goes on.
+func TestTakerDiesUnannounced(t *testing.T) {
+	is := is.New(t)
+	p := wave()
+	d := start(t, p)
+	id := request.NewID()
+	body, want := chatBody(p, "How are the fans?", 250)
+	first := make(chan struct{})
+	answered := make(chan client.Answer, 1)
+	go func() {
+		answer, err := newClient(d, d.Entries()[0].Host.CallerAddress).Generate(context.Background(), client.Generate{
+			ID: id, Body: []byte(body),
+			OnChunk: func(index int, _ string) {
+				if index == 0 {
+					close(first)
+				}
+			},
+		})
+		is.NoErr(err)
+		answered <- answer
+	}()
+	<-first
+	giver := owner(d, id, 0)
+	kill(d, []string{handOver(t, d, giver, id, 1).Host.ID})
+	answer := <-answered
+	is.Equal(answer.Text, want)
+	is.Equal(answer.Streams, 1)
+}
--- a/drain/stop.go
+++ b/drain/stop.go
@@ -36,62 +36,112 @@
 	PhaseDone Phase = "done"
 )
 
-// Stop is the stop of one entry host. The zero value is no stop.
-type Stop struct {
+// Cause tells who asked for a stop. Each can take back only its own.
+type Cause string
+
+// Causes of a stop.
+const (
+	// CauseSignal is never taken back.
+	CauseSignal Cause = "signal"
+	// CauseNotice is a notice of the cloud.
+	CauseNotice Cause = "notice"
+	// CauseDate is a maintenance date in a service document.
+	CauseDate Cause = "date"
+)
+
+// Demand is what one cause asks for.
+type Demand struct {
 	Reason Reason
-	Began  time.Time
 	// Deadline is when the host ends; zero when the stop waits however long.
 	Deadline time.Time
+}
+
+// Stop is the stop of one entry host, for one cause or several. The zero value
+// is no stop.
+type Stop struct {
 	// AcceptFor is how long callers may hold an older address answer.
 	AcceptFor time.Duration
 	// Lead is the time before the deadline at which handing over begins.
 	Lead time.Duration
-	// Exit is set when the process is to end once nothing is in progress; a
-	// stop that a notice announces stays up till the host is taken, since the
-	// notice may be withdrawn.
-	Exit bool
+	// Began is when the first of the present causes came.
+	Began time.Time
+
+	demands map[Cause]Demand
 }
 
-// Begin starts a stop, or sharpens the one under way: a reclaim goes before a
-// planned stop, and the earlier deadline before the later. A second signal
-// changes nothing.
-func (s *Stop) Begin(now time.Time, reason Reason, deadline time.Time) {
-	s.Exit = s.Exit || reason == ReasonSignal
-	if s.Began.IsZero() {
-		s.Began, s.Reason, s.Deadline = now, reason, deadline
-		return
+// Begin starts a stop, or adds a cause to the one under way. A cause that
+// asks again keeps the sharper of its demands: a reclaim goes before a planned
+// stop, and the earlier deadline before the later. A second signal changes
+// nothing.
+func (s *Stop) Begin(now time.Time, cause Cause, d Demand) {
+	if s.demands == nil {
+		s.demands = map[Cause]Demand{}
 	}
-	if reason == ReasonReclaim {
-		s.Reason = reason
+	if len(s.demands) == 0 {
+		s.Began = now
 	}
-	if s.Deadline.IsZero() || (!deadline.IsZero() && deadline.Before(s.Deadline)) {
-		s.Deadline = deadline
+	if known, ok := s.demands[cause]; ok {
+		d = sharper(known, d)
 	}
+	s.demands[cause] = d
 }
 
-// Withdraw takes a notice back. A stop by signal goes on without a deadline;
-// any other ends, unless its requests are handed over already: that cannot
-// be undone, but new ones are accepted again.
-func (s *Stop) Withdraw() {
-	if s.Exit {
-		s.Reason, s.Deadline = ReasonSignal, time.Time{}
-		return
+// sharper joins two demands. The reason of a is kept unless b is a reclaim.
+func sharper(a, b Demand) Demand {
+	if b.Reason == ReasonReclaim {
+		a.Reason = b.Reason
 	}
-	s.Began, s.Reason, s.Deadline = time.Time{}, "", time.Time{}
+	if a.Deadline.IsZero() || (!b.Deadline.IsZero() && b.Deadline.Before(a.Deadline)) {
+		a.Deadline = b.Deadline
+	}
+	return a
+}
+
+// Withdraw takes a cause back; the others go on.
+func (s *Stop) Withdraw(cause Cause) {
+	delete(s.demands, cause)
+	if len(s.demands) == 0 {
+		s.Began = time.Time{}
+	}
+}
+
+// Demand returns what all causes together ask for.
+func (s *Stop) Demand() Demand {
+	var out Demand
+	for _, cause := range []Cause{CauseSignal, CauseNotice, CauseDate} {
+		d, ok := s.demands[cause]
+		switch {
+		case !ok:
+		case out.Reason == "":
+			out = d
+		default:
+			out = sharper(out, d)
+		}
+	}
+	return out
+}
+
+// exit reports whether the process is to end once nothing is in progress. A
+// stop that only a notice or a date asks for stays up till the host is taken,
+// since it may be withdrawn.
+func (s *Stop) exit() bool {
+	_, ok := s.demands[CauseSignal]
+	return ok
 }
 
 // Leaving reports whether the host must not be in the address answers.
-func (s *Stop) Leaving() bool { return !s.Began.IsZero() }
+func (s *Stop) Leaving() bool { return len(s.demands) > 0 }
 
 // Phase returns the phase at a time, with open requests and answers in
 // progress.
 func (s *Stop) Phase(now time.Time, open int) Phase {
+	d := s.Demand()
 	switch {
-	case s.Began.IsZero():
+	case !s.Leaving():
 		return PhaseServing
-	case s.Exit && open == 0 && s.outlived(now):
+	case s.exit() && open == 0 && s.outlived(now):
 		return PhaseDone
-	case s.Reason == ReasonReclaim, s.pressed(now):
+	case d.Reason == ReasonReclaim, s.pressed(now, d.Deadline):
 		return PhaseHandingOver
 	case !s.outlived(now):
 		return PhaseAccepting
@@ -105,8 +155,8 @@
 
 // pressed reports whether a planned stop has come so near to its deadline
 // that waiting no longer does.
-func (s *Stop) pressed(now time.Time) bool {
-	return !s.Deadline.IsZero() && !now.Before(s.Deadline.Add(-s.Lead))
+func (s *Stop) pressed(now, deadline time.Time) bool {
+	return !deadline.IsZero() && !now.Before(deadline.Add(-s.Lead))
 }
 
 // Accepts reports whether new requests are taken in a phase. While handing
--- a/drain/stop_test.go
+++ b/drain/stop_test.go
@@ -16,39 +16,55 @@
 func newStop() *drain.Stop { return &drain.Stop{AcceptFor: 10 * time.Second, Lead: 5 * time.Second} }
 
 func TestStopPhases(t *testing.T) {
-	signal := func(s *drain.Stop) { s.Begin(at(0), drain.ReasonSignal, time.Time{}) }
-	maintenance := func(s *drain.Stop) { s.Begin(at(0), drain.ReasonMaintenance, at(60)) }
-	reclaim := func(s *drain.Stop) { s.Begin(at(0), drain.ReasonReclaim, at(5)) }
-	second := func(s *drain.Stop) { s.Begin(at(20), drain.ReasonSignal, time.Time{}) }
-	late := func(s *drain.Stop) { s.Begin(at(20), drain.ReasonReclaim, at(25)) }
-	withdrawn := func(s *drain.Stop) { s.Withdraw() }
+	signal := func(s *drain.Stop) { s.Begin(at(0), drain.CauseSignal, drain.Demand{Reason: drain.ReasonSignal}) }
+	maintenance := func(s *drain.Stop) {
+		s.Begin(at(0), drain.CauseNotice, drain.Demand{Reason: drain.ReasonMaintenance, Deadline: at(60)})
+	}
+	reclaim := func(s *drain.Stop) {
+		s.Begin(at(0), drain.CauseNotice, drain.Demand{Reason: drain.ReasonReclaim, Deadline: at(5)})
+	}
+	second := func(s *drain.Stop) { s.Begin(at(20), drain.CauseSignal, drain.Demand{Reason: drain.ReasonSignal}) }
+	late := func(s *drain.Stop) {
+		s.Begin(at(20), drain.CauseNotice, drain.Demand{Reason: drain.ReasonReclaim, Deadline: at(25)})
+	}
+	withdrawn := func(s *drain.Stop) { s.Withdraw(drain.CauseNotice) }
+	date := func(s *drain.Stop) {
+		s.Begin(at(0), drain.CauseDate, drain.Demand{Reason: drain.ReasonMaintenance, Deadline: at(90)})
+	}
+	noDate := func(s *drain.Stop) { s.Withdraw(drain.CauseDate) }
 	for name, tc := range map[string]struct {
 		events []func(*drain.Stop)
 		at     float64
 		open   int
 		want   drain.Phase
 	}{
-		"no stop":                             {nil, 100, 0, drain.PhaseServing},
-		"signal: older answers are served":    {[]func(*drain.Stop){signal}, 9.9, 0, drain.PhaseAccepting},
-		"signal: waits":                       {[]func(*drain.Stop){signal}, 10, 1, drain.PhaseWaiting},
-		"signal: waits however long":          {[]func(*drain.Stop){signal}, 1e6, 1, drain.PhaseWaiting},
-		"signal: done":                        {[]func(*drain.Stop){signal}, 10, 0, drain.PhaseDone},
-		"second signal does not cut":          {[]func(*drain.Stop){signal, second}, 21, 1, drain.PhaseWaiting},
-		"second signal does not begin anew":   {[]func(*drain.Stop){signal, second}, 21, 0, drain.PhaseDone},
-		"maintenance: stays up when idle":     {[]func(*drain.Stop){maintenance}, 30, 0, drain.PhaseWaiting},
-		"maintenance, then a signal: done":    {[]func(*drain.Stop){maintenance, second}, 30, 0, drain.PhaseDone},
-		"reclaim, then a signal: idle":        {[]func(*drain.Stop){reclaim, second}, 30, 0, drain.PhaseDone},
-		"reclaim, then a signal: no cut":      {[]func(*drain.Stop){reclaim, second}, 30, 1, drain.PhaseHandingOver},
-		"maintenance: waits":                  {[]func(*drain.Stop){maintenance}, 54, 1, drain.PhaseWaiting},
-		"maintenance: its end presses":        {[]func(*drain.Stop){maintenance}, 55, 1, drain.PhaseHandingOver},
-		"maintenance, then a signal: no cut":  {[]func(*drain.Stop){maintenance, second}, 30, 1, drain.PhaseWaiting},
-		"maintenance keeps its deadline":      {[]func(*drain.Stop){maintenance, second}, 56, 1, drain.PhaseHandingOver},
-		"signal, then a reclaim":              {[]func(*drain.Stop){signal, late}, 20, 1, drain.PhaseHandingOver},
-		"reclaim: at once":                    {[]func(*drain.Stop){reclaim}, 0, 1, drain.PhaseHandingOver},
-		"reclaim withdrawn":                   {[]func(*drain.Stop){reclaim, withdrawn}, 3, 1, drain.PhaseServing},
-		"signal, reclaim of it withdrawn":     {[]func(*drain.Stop){signal, maintenance, withdrawn}, 90, 1, drain.PhaseWaiting},
-		"maintenance withdrawn, then a wave":  {[]func(*drain.Stop){maintenance, withdrawn, late}, 20, 0, drain.PhaseHandingOver},
-		"double notice: the earlier deadline": {[]func(*drain.Stop){maintenance, func(s *drain.Stop) { s.Begin(at(1), drain.ReasonMaintenance, at(30)) }}, 25, 1, drain.PhaseHandingOver},
+		"no stop":                            {nil, 100, 0, drain.PhaseServing},
+		"signal: older answers are served":   {[]func(*drain.Stop){signal}, 9.9, 0, drain.PhaseAccepting},
+		"signal: waits":                      {[]func(*drain.Stop){signal}, 10, 1, drain.PhaseWaiting},
+		"signal: waits however long":         {[]func(*drain.Stop){signal}, 1e6, 1, drain.PhaseWaiting},
+		"signal: done":                       {[]func(*drain.Stop){signal}, 10, 0, drain.PhaseDone},
+		"second signal does not cut":         {[]func(*drain.Stop){signal, second}, 21, 1, drain.PhaseWaiting},
+		"second signal does not begin anew":  {[]func(*drain.Stop){signal, second}, 21, 0, drain.PhaseDone},
+		"maintenance: stays up when idle":    {[]func(*drain.Stop){maintenance}, 30, 0, drain.PhaseWaiting},
+		"maintenance, then a signal: done":   {[]func(*drain.Stop){maintenance, second}, 30, 0, drain.PhaseDone},
+		"reclaim, then a signal: idle":       {[]func(*drain.Stop){reclaim, second}, 30, 0, drain.PhaseDone},
+		"reclaim, then a signal: no cut":     {[]func(*drain.Stop){reclaim, second}, 30, 1, drain.PhaseHandingOver},
+		"maintenance: waits":                 {[]func(*drain.Stop){maintenance}, 54, 1, drain.PhaseWaiting},
+		"maintenance: its end presses":       {[]func(*drain.Stop){maintenance}, 55, 1, drain.PhaseHandingOver},
+		"maintenance, then a signal: no cut": {[]func(*drain.Stop){maintenance, second}, 30, 1, drain.PhaseWaiting},
+		"maintenance keeps its deadline":     {[]func(*drain.Stop){maintenance, second}, 56, 1, drain.PhaseHandingOver},
+		"signal, then a reclaim":             {[]func(*drain.Stop){signal, late}, 20, 1, drain.PhaseHandingOver},
+		"reclaim: at once":                   {[]func(*drain.Stop){reclaim}, 0, 1, drain.PhaseHandingOver},
+		"reclaim withdrawn":                  {[]func(*drain.Stop){reclaim, withdrawn}, 3, 1, drain.PhaseServing},
+		"signal, reclaim of it withdrawn":    {[]func(*drain.Stop){signal, maintenance, withdrawn}, 90, 1, drain.PhaseWaiting},
+		"date taken out, reclaim goes on":    {[]func(*drain.Stop){date, reclaim, noDate}, 3, 1, drain.PhaseHandingOver},
+		"reclaim withdrawn, date goes on":    {[]func(*drain.Stop){date, reclaim, withdrawn}, 50, 1, drain.PhaseWaiting},
+		"date taken out":                     {[]func(*drain.Stop){date, noDate}, 3, 1, drain.PhaseServing},
+		"date taken out, signal goes on":     {[]func(*drain.Stop){date, second, noDate}, 120, 1, drain.PhaseWaiting},
+		"maintenance withdrawn, then a wave": {[]func(*drain.Stop){maintenance, withdrawn, late}, 20, 0, drain.PhaseHandingOver},
+		"double notice: the earlier deadline": {[]func(*drain.Stop){maintenance, func(s *drain.Stop) {
+			s.Begin(at(1), drain.CauseNotice, drain.Demand{Reason: drain.ReasonMaintenance, Deadline: at(30)})
+		}}, 25, 1, drain.PhaseHandingOver},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -73,11 +89,10 @@
 }
 
 func TestSchedule(t *testing.T) {
-	const lead = 30 * time.Second
-	s := drain.Schedule{
+	s := drain.Schedule{Lead: 30 * time.Second, Windows: []drain.Window{
 		{Service: "a", Zone: "z1", Starts: at(100), Ends: at(200)},
 		{Service: "b", Host: "h2", Starts: at(50), Ends: at(300)},
-	}
+	}}
 	for name, tc := range map[string]struct {
 		service, host, zone string
 		at                  float64
@@ -96,9 +111,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			w, ok := s.Entry(tc.host, tc.zone, at(tc.at), lead)
+			w, ok := s.Entry(tc.host, tc.zone, at(tc.at))
 			if tc.service != "" {
-				w, ok = s.Endpoint(tc.service, tc.host, tc.zone, at(tc.at), lead)
+				w, ok = s.Endpoint(tc.service, tc.host, tc.zone, at(tc.at))
 			}
 			is.Equal(ok, tc.starts != 0)
 			if ok {
--- a/node/drain.go
+++ b/node/drain.go
@@ -91,7 +91,7 @@
 	if notice, ok := n.hosts.notice(h.ID); ok {
 		return notice.Deadline
 	}
-	w, _ := schedule.Endpoint(h.Service, h.ID, h.Zone, now, n.maintenanceLead())
+	w, _ := schedule.Endpoint(h.Service, h.ID, h.Zone, now)
 	return w.Starts
 }
 
--- a/node/handoff.go
+++ b/node/handoff.go
@@ -333,7 +333,7 @@
 
 func (n *Node) offerTimeout(now time.Time) time.Duration {
 	n.stopping.mu.Lock()
-	deadline := n.stopping.stop.Deadline
+	deadline := n.stopping.stop.Demand().Deadline
 	n.stopping.mu.Unlock()
 	if deadline.IsZero() {
 		return maxOffer
--- a/node/stop.go
+++ b/node/stop.go
@@ -63,21 +63,28 @@
 // the address answers at once and goes on serving; a zero deadline waits for
 // the requests in progress however long. Drained tells the end.
 func (n *Node) Drain(reason drain.Reason, deadline time.Time) {
+	cause := drain.CauseNotice
+	if reason == drain.ReasonSignal {
+		cause = drain.CauseSignal
+	}
+	n.drainFor(cause, drain.Demand{Reason: reason, Deadline: deadline})
+}
+
+func (n *Node) drainFor(cause drain.Cause, d drain.Demand) {
 	n.stopping.mu.Lock()
-	n.stopping.stop.Begin(time.Now(), reason, deadline)
-	now := n.stopping.stop
+	n.stopping.stop.Begin(time.Now(), cause, d)
 	n.stopping.mu.Unlock()
-	n.log.Info().Str("reason", string(now.Reason)).Time("deadline", now.Deadline).Int("open", len(n.openRequests())).Msg("stop begun")
+	n.log.Info().Str("cause", string(cause)).Str("reason", string(d.Reason)).Time("deadline", d.Deadline).Int("open", len(n.openRequests())).Msg("stop begun")
 	n.sayLeaving(true)
 }
 
-// withdrawStop takes the notice of this host's end back.
-func (n *Node) withdrawStop() {
+// withdrawStop takes one cause of the stop back.
+func (n *Node) withdrawStop(cause drain.Cause) {
 	n.stopping.mu.Lock()
-	n.stopping.stop.Withdraw()
+	n.stopping.stop.Withdraw(cause)
 	leaving := n.stopping.stop.Leaving()
 	n.stopping.mu.Unlock()
-	n.log.Info().Bool("leaving", leaving).Msg("notice withdrawn")
+	n.log.Info().Str("cause", string(cause)).Bool("leaving", leaving).Msg("cause of the stop withdrawn")
 	n.sayLeaving(leaving)
 }
 
@@ -210,11 +217,12 @@
 func (n *Node) stopState() StopState {
 	open := n.openRequests()
 	n.stopping.mu.Lock()
-	stop := n.stopping.stop
+	stop := &n.stopping.stop
+	now, demand := time.Now(), stop.Demand()
+	s := StopState{Phase: stop.Phase(now, len(open)), Reason: demand.Reason, Began: stop.Began, Deadline: demand.Deadline}
+	leaving := stop.Leaving()
 	n.stopping.mu.Unlock()
-	now := time.Now()
-	s := StopState{Phase: stop.Phase(now, len(open)), Reason: stop.Reason, Began: stop.Began, Deadline: stop.Deadline}
-	if !stop.Leaving() {
+	if !leaving {
 		return s
 	}
 	s.Open = len(open)
@@ -248,7 +256,7 @@
 	case port.NoticeMaintenance:
 		n.Drain(drain.ReasonMaintenance, notice.Deadline)
 	case port.NoticeWithdrawn:
-		n.withdrawStop()
+		n.withdrawStop(drain.CauseNotice)
 	}
 }
 
--- a/node/stop_peers.go
+++ b/node/stop_peers.go
@@ -170,10 +170,10 @@
 
 // schedule returns the maintenance dates of all documents.
 func (n *Node) schedule() drain.Schedule {
-	var out drain.Schedule
+	out := drain.Schedule{Lead: n.maintenanceLead()}
 	for service, rev := range n.documents.All() {
 		for _, m := range rev.Document.Maintenance {
-			out = append(out, drain.Window{Service: service, Zone: m.Zone, Host: m.Host, Starts: m.Starts, Ends: m.Ends})
+			out.Windows = append(out.Windows, drain.Window{Service: service, Zone: m.Zone, Host: m.Host, Starts: m.Starts, Ends: m.Ends})
 		}
 	}
 	return out
@@ -192,22 +192,25 @@
 // underMaintenance reports whether a date of its own service's document takes
 // an endpoint out of use.
 func (n *Node) underMaintenance(s drain.Schedule, h port.Host) bool {
-	_, due := s.Endpoint(h.Service, h.ID, h.Zone, time.Now(), n.maintenanceLead())
+	_, due := s.Endpoint(h.Service, h.ID, h.Zone, time.Now())
 	return due
 }
 
 // followMaintenance begins and ends the stop that a document's dates ask of
 // this host.
 func (n *Node) followMaintenance(now time.Time) {
-	w, due := n.schedule().Entry(n.settings.Host, n.settings.Zone, now, n.maintenanceLead())
+	w, due := n.schedule().Entry(n.settings.Host, n.settings.Zone, now)
 	n.stopping.mu.Lock()
 	known := n.stopping.maintenance
 	n.stopping.maintenance = w
+	if w != known {
+		n.stopping.stop.Withdraw(drain.CauseDate) // a date that moved begins anew
+	}
 	n.stopping.mu.Unlock()
 	switch {
 	case due && w != known:
-		n.Drain(drain.ReasonMaintenance, w.Starts)
+		n.drainFor(drain.CauseDate, drain.Demand{Reason: drain.ReasonMaintenance, Deadline: w.Starts})
 	case !due && known != (drain.Window{}):
-		n.withdrawStop()
+		n.withdrawStop(drain.CauseDate)
 	}
 }
