--- a/adapter/callerhttp/events.go
+++ b/adapter/callerhttp/events.go
@@ -41,6 +41,8 @@
 	buf      []byte
 	started  bool
 	deadline time.Time
+	// writeTimeout is how long the caller may take no bytes.
+	writeTimeout time.Duration
 }
 
 func newEventWriter(w http.ResponseWriter, a *node.Accepted) *eventWriter {
@@ -49,6 +51,8 @@
 		control: http.NewResponseController(w),
 		answer:  a.Answer,
 		encoder: newEventEncoder(a.Request),
+
+		writeTimeout: writeTimeout,
 	}
 }
 
@@ -93,8 +97,8 @@
 		o.w.Header().Set("Cache-Control", "no-store")
 		o.w.WriteHeader(http.StatusOK)
 	}
-	if now := time.Now(); now.Sub(o.deadline) > deadlineStep-writeTimeout {
-		o.deadline = now.Add(writeTimeout)
+	if now := time.Now(); now.Sub(o.deadline) > deadlineStep-o.writeTimeout {
+		o.deadline = now.Add(o.writeTimeout)
 		_ = o.control.SetWriteDeadline(o.deadline) // writers that have no deadlines write without
 	}
 	if _, err := o.w.Write(o.buf); err != nil {
