node: state how each attempt's end is answered, in passed time

Rows for every end of an attempt: where it goes on, what is cancelled, what the final answer says and when. An attempt counts as sent unless the port says otherwise; a request that can still be answered in time is given up as unavailable before its deadline; the slots of a host never exceed what the endpoints have together.

--- a/node/admission.go
+++ b/node/admission.go
@@ -21,8 +21,10 @@
 	plainRunning = 64
 	// prefillCost is the cost of one prompt token against one of the answer.
 	prefillCost = 1.0 / 160
-	// minPatience is the least part of the timeout that a request may wait.
+	// minPatience and maxPatience bound the part of the timeout that a request
+	// may wait.
 	minPatience = 0.25
+	maxPatience = 0.75
 )
 
 // admitRequest queues a request. A repeat of an order that is claimed already
@@ -102,9 +104,10 @@
 // patience is how long a request may wait and still end before its deadline.
 func patience(doc *config.Document, service time.Duration) time.Duration {
 	timeout := doc.Latency.RequestTimeout.Std()
-	wait := max(timeout-service, time.Duration(minPatience*float64(timeout)))
-	if most := doc.Latency.MaxQueueWait.Std(); most > 0 {
-		wait = min(wait, most)
+	least, most := time.Duration(minPatience*float64(timeout)), time.Duration(maxPatience*float64(timeout))
+	wait := min(max(timeout-service, least), most)
+	if bound := doc.Latency.MaxQueueWait.Std(); bound > 0 {
+		wait = min(wait, bound)
 	}
 	return wait
 }
@@ -200,7 +203,7 @@
 // equal share of the live endpoints, or, where other hosts use less than
 // theirs, what it runs already and half of what is free.
 func slots(service string, kind config.Kind, loads []route.LoadState, hosts int) int {
-	total, own, free := 0, 0, 0
+	total, own, others, free := 0, 0, 0, 0
 	for _, l := range loads {
 		if l.Service != service || l.Leaving || l.Suspect {
 			continue
@@ -211,10 +214,11 @@
 		}
 		total += limit
 		own += l.InFlight
+		others += max(l.Others, 0)
 		free += max(limit-l.InFlight-max(l.Others, 0), 0)
 	}
 	share := (total + hosts - 1) / hosts
-	return max(share, own+(free+1)/2)
+	return max(share, min(own+(free+1)/2, total-others))
 }
 
 func assumedRunning(kind config.Kind) int {
--- a/node/attempts.go
+++ b/node/attempts.go
@@ -143,7 +143,10 @@
 		if ctx.Err() != nil {
 			step = attempt.Step{Action: attempt.ActionStop, Reason: attempt.StopDeadline}
 		}
-		if step.Action == attempt.ActionStop || !n.delay(ctx, a, budget, step) {
+		if step.Action != attempt.ActionStop && !n.delay(ctx, a, budget, step) {
+			step = attempt.Step{Action: attempt.ActionStop, Reason: attempt.StopUnavailable}
+		}
+		if step.Action == attempt.ActionStop {
 			n.giveUp(a, step.Reason, last)
 			return errors.Wrapf(errGivenUp, "%s: %v", step.Reason, last)
 		}
@@ -297,7 +300,7 @@
 		p = problem.Unknown(http.StatusBadGateway, problem.TypeOutcomeUnknown, detail)
 	case reason == attempt.StopInvalid:
 		p = problem.Refuse(&a.guard, http.StatusBadRequest, problem.TypeBadRequest, detail)
-	case reason == attempt.StopDeadline:
+	case reason == attempt.StopDeadline && !time.Now().Before(a.Request.Deadline):
 		p = problem.Refuse(&a.guard, http.StatusGatewayTimeout, problem.TypeTimeout, "the deadline passed; "+detail).WithRetryAfter(retryAfter)
 	default:
 		p = problem.Refuse(&a.guard, http.StatusServiceUnavailable, problem.TypeUnavailable, "no endpoint took the request; "+detail).WithRetryAfter(retryAfter)
--- /dev/null
+++ b/node/attempts_test.go
@@ -0,0 +1,311 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadanotch/cicadanotch/config"
+	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/problem"
+	"github.com/cicadanotch/cicadanotch/publish"
+	"github.com/cicadanotch/cicadanotch/standin"
+)
+
+// act is what an engine does with one attempt.
+type act string
+
+const (
+	actWhole       act = "whole"
+	actUnreachable act = "unreachable"
+	actDecline     act = "decline"
+	actRefuse      act = "refuse"
+	actBreak       act = "break"
+	// actBreakMid brings one chunk, then breaks.
+	actBreakMid act = "break-mid"
+	// actSilent brings one chunk, then nothing.
+	actSilent act = "silent"
+	// actMute accepts and brings nothing.
+	actMute act = "mute"
+)
+
+// scriptedEngine acts out one act for each attempt, and the last for ever.
+type scriptedEngine struct {
+	fakeEngine
+	acts []act
+	// deaf engines do not answer probes.
+	deaf bool
+
+	mu        sync.Mutex
+	addresses []string
+	cancelled int
+}
+
+func (e *scriptedEngine) next(address string) act {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	at := min(len(e.addresses), len(e.acts)-1)
+	e.addresses = append(e.addresses, address)
+	return e.acts[at]
+}
+
+// Generate implements port.Engine.
+func (e *scriptedEngine) Generate(ctx context.Context, address string, r port.GenerateRequest) (port.Stream, error) {
+	doing := e.next(address)
+	if doing == actUnreachable {
+		return nil, port.ErrEndpointUnreachable
+	}
+	r.Sending()
+	switch doing {
+	case actDecline:
+		return nil, port.ErrDeclined
+	case actRefuse:
+		return nil, port.ErrEndpointRefused
+	case actBreak:
+		return nil, port.ErrEndpointBroken
+	case actMute:
+		<-ctx.Done()
+		return nil, port.ErrEndpointBroken
+	}
+	return &scriptedStream{ctx: ctx, act: doing, id: r.AttemptID, index: r.ResumeIndex}, nil
+}
+
+// Probe implements port.Engine.
+func (e *scriptedEngine) Probe(context.Context, string) error {
+	if e.deaf {
+		return port.ErrEndpointUnreachable
+	}
+	return nil
+}
+
+// Cancel implements port.Engine.
+func (e *scriptedEngine) Cancel(context.Context, string, string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cancelled++
+	return nil
+}
+
+// scriptedStream brings one chunk and then acts.
+type scriptedStream struct {
+	ctx   context.Context
+	act   act
+	id    string
+	index int
+	sent  bool
+}
+
+// Recv implements port.Stream.
+func (s *scriptedStream) Recv() (port.Chunk, error) {
+	c := port.Chunk{AttemptID: s.id, Index: s.index, Text: fmt.Sprint(s.index)}
+	if !s.sent {
+		s.sent = true
+		s.index++
+		return c, nil
+	}
+	switch s.act {
+	case actWhole:
+		c.FinishReason = "stop"
+		s.act = ""
+		return c, nil
+	case actBreakMid:
+		return c, port.ErrEndpointBroken
+	case actSilent:
+		<-s.ctx.Done()
+		return c, port.ErrEndpointBroken
+	}
+	return c, io.EOF
+}
+
+// Close implements port.Stream.
+func (s *scriptedStream) Close() error { return nil }
+
+const modelDocument = `{"schema": 1, "service": "llm", "kind": "model", "models": [{"name": "m", "version": "1"}],
+	"placement": {"availability_zones": ["jos-a"], "machine_classes": ["l4"]},
+	"latency": {"request_timeout": "20s"}, "workspaces": [{"name": "bokkos", "weight": 1%s}]}`
+
+// startModel starts one node before three engines that share a script. Run it
+// in a synctest bubble.
+func startModel(t *testing.T, engine port.Engine, limits string) *Node {
+	t.Helper()
+	is := is.New(t)
+	log := standin.NewLog(standin.LogOptions{})
+	_, err := publish.Publish(t.Context(), log, "llm", 0, fmt.Sprintf(modelDocument, limits))
+	is.NoErr(err)
+	cloud := &fakeCloud{}
+	for i := range 3 {
+		id := fmt.Sprintf("engine-%d", i)
+		cloud.hosts = append(cloud.hosts, port.Host{ID: id, Role: port.RoleEndpoint, Region: "plateau", Zone: "jos-a", Service: "llm", State: port.HostLive, EndpointAddress: id})
+	}
+	cloud.hosts = append(cloud.hosts, port.Host{ID: "entry", Role: port.RoleEntry, Region: "plateau", Zone: "jos-a", State: port.HostLive})
+	n := New(Settings{
+		Host: "entry", Region: "plateau", Zone: "jos-a", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+		PollInterval: config.Duration(time.Second), LoadInterval: config.Duration(time.Second),
+	}, Ports{Log: log, Cloud: cloud, Services: newFakeServices(), Peers: &fakePeers{}, Engine: engine})
+	n.Start()
+	t.Cleanup(func() { _ = n.Stop() })
+	time.Sleep(3 * time.Second)
+	synctest.Wait()
+	return n
+}
+
+func modelCall(prompt string) Call {
+	return Call{Workspace: "bokkos", API: port.APICompletion, Body: fmt.Appendf(nil, `{"model":"m","prompt":%q}`, prompt)}
+}
+
+func TestAttempts(t *testing.T) {
+	for name, tc := range map[string]struct {
+		acts []act
+		deaf bool
+		// text is the whole answer; empty when the request is given up.
+		text string
+		kind problem.Type
+		run  problem.Run
+		// tries are the attempts that reached the port.
+		tries     int
+		cancelled int
+	}{
+		"whole":                   {acts: []act{actWhole}, text: "0", tries: 1},
+		"declined, then whole":    {acts: []act{actDecline, actWhole}, text: "0", tries: 2},
+		"broken, then whole":      {acts: []act{actBreak, actWhole}, text: "0", tries: 2, cancelled: 1},
+		"broken in the stream":    {acts: []act{actBreakMid, actBreakMid, actWhole}, text: "012", tries: 3, cancelled: 2},
+		"silent in the stream":    {acts: []act{actSilent, actWhole}, text: "01", tries: 2, cancelled: 1},
+		"silent from the start":   {acts: []act{actMute, actWhole}, text: "0", tries: 2, cancelled: 1},
+		"silent engine":           {acts: []act{actSilent, actWhole}, deaf: true, text: "01", tries: 2, cancelled: 1},
+		"all unreachable":         {acts: []act{actUnreachable}, kind: problem.TypeUnavailable, run: problem.RunNot},
+		"all decline":             {acts: []act{actDecline}, kind: problem.TypeUnavailable, run: problem.RunNot},
+		"refused without a word":  {acts: []act{actRefuse}, kind: problem.TypeUnavailable, run: problem.RunUnknown},
+		"one broke, rest decline": {acts: []act{actBreak, actDecline}, kind: problem.TypeUnavailable, run: problem.RunUnknown, cancelled: 1},
+		"all break":               {acts: []act{actBreak}, kind: problem.TypeUnavailable, run: problem.RunUnknown, tries: 5, cancelled: 5},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				engine := &scriptedEngine{acts: tc.acts, deaf: tc.deaf}
+				n := startModel(t, engine, "")
+				a, refused := n.Accept(modelCall("a"))
+				is.True(refused == nil)
+				begun := time.Now()
+				for a.Answer.Ended() == nil {
+					time.Sleep(10 * time.Millisecond)
+				}
+				took := time.Since(begun)
+				synctest.Wait()
+				end := a.Answer.Ended()
+				if tc.text != "" {
+					is.True(end.Problem == nil)
+					is.Equal(a.Answer.Text(), tc.text)
+				} else {
+					is.Equal(end.Problem.Type, tc.kind)
+					is.Equal(end.Problem.Run, tc.run)
+					is.True(end.Problem.RetryAfter > 0)
+					is.True(took < 20*time.Second) // not held back until the deadline
+				}
+				if tc.tries > 0 {
+					is.Equal(len(engine.addresses), tc.tries)
+				}
+				is.Equal(engine.cancelled, tc.cancelled)
+			})
+		})
+	}
+}
+
+// TestWhereItGoesOn checks the endpoint after a broken connection.
+func TestWhereItGoesOn(t *testing.T) {
+	for name, tc := range map[string]struct {
+		acts []act
+		deaf bool
+		// same tells of each attempt after the first whether it is at the
+		// endpoint of the one before.
+		same []bool
+	}{
+		"the connection broke":      {acts: []act{actBreakMid, actWhole}, same: []bool{true}},
+		"it broke twice":            {acts: []act{actBreak, actBreak, actWhole}, same: []bool{true, false}},
+		"the connection was silent": {acts: []act{actSilent, actWhole}, same: []bool{true}},
+		"the endpoint is gone":      {acts: []act{actBreakMid, actWhole}, deaf: true, same: []bool{false}},
+		"the endpoint declined":     {acts: []act{actDecline, actWhole}, same: []bool{false}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				engine := &scriptedEngine{acts: tc.acts, deaf: tc.deaf}
+				n := startModel(t, engine, "")
+				a, refused := n.Accept(modelCall("a"))
+				is.True(refused == nil)
+				for a.Answer.Ended() == nil {
+					time.Sleep(10 * time.Millisecond)
+				}
+				var same []bool
+				for i := 1; i < len(engine.addresses); i++ {
+					same = append(same, engine.addresses[i] == engine.addresses[i-1])
+				}
+				is.Equal(same, tc.same)
+			})
+		})
+	}
+}
+
+// TestLimitsOnArrival sends calls beyond each limit of a workspace.
+func TestLimitsOnArrival(t *testing.T) {
+	for name, tc := range map[string]struct {
+		limits string
+		sent   int
+		want   int
+		kind   problem.Type
+	}{
+		"rate":  {`, "requests_per_second": 3`, 5, 3, problem.TypeLimit},
+		"slots": {``, 60, 48, ""}, // three engines of 16; the rest waits
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				n := startModel(t, &scriptedEngine{acts: []act{actMute}}, tc.limits)
+				var refusals []*problem.Problem
+				for i := range tc.sent {
+					if _, p := n.Accept(modelCall(fmt.Sprint(i))); p != nil {
+						refusals = append(refusals, p)
+					}
+				}
+				synctest.Wait()
+				is.Equal(n.State().Queues["llm"].Running, tc.want)
+				for _, p := range refusals {
+					is.Equal(p.Type, tc.kind)
+					is.Equal(p.Run, problem.RunNot)
+					is.True(p.RetryAfter > 0)
+				}
+				is.Equal(len(refusals) > 0, tc.kind != "")
+			})
+		})
+	}
+}
+
+// TestWaitingRequestGetsItsAnswerInTime leaves the endpoints no room: a queued
+// request is given up when it can no longer start, as not run.
+func TestWaitingRequestGetsItsAnswerInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := startModel(t, &scriptedEngine{acts: []act{actMute}}, "")
+		var all []*Accepted
+		for i := range 49 {
+			a, p := n.Accept(modelCall(fmt.Sprint(i)))
+			is.True(p == nil)
+			all = append(all, a)
+		}
+		synctest.Wait()
+		waiting := all[slices.IndexFunc(all, func(a *Accepted) bool { _, _, runs := a.Running(); return !runs })]
+		for waiting.Answer.Ended() == nil {
+			time.Sleep(10 * time.Millisecond)
+		}
+		end := waiting.Answer.Ended()
+		is.Equal(end.Problem.Type, problem.TypeOverloaded)
+		is.Equal(end.Problem.Run, problem.RunNot)
+		is.True(end.Problem.RetryAfter > 0)
+	})
+}
--- a/node/execute.go
+++ b/node/execute.go
@@ -90,8 +90,8 @@
 		Deadline:    a.Request.Deadline,
 		Sending:     sending.begin,
 	})
+	sending.end(err)
 	if err != nil {
-		sending.end(err)
 		return err
 	}
 	defer stream.Close()
@@ -157,9 +157,7 @@
 	sending := a.sending()
 	req.Sending = sending.begin
 	resp, err := n.ports.Services.Call(ctx, host.EndpointAddress, req)
-	if err != nil {
-		sending.end(err)
-	}
+	sending.end(err)
 	return resp, err
 }
 
--- a/node/sending.go
+++ b/node/sending.go
@@ -28,8 +28,12 @@
 	}
 }
 
-// end takes the attempt back when the endpoint stated that it did not run it.
+// end books how the attempt ended: an endpoint that stated that it did not run
+// it takes it back. An attempt counts as sent unless the port says otherwise.
 func (s *sending) end(err error) {
+	if !errors.Is(err, port.ErrEndpointUnreachable) {
+		s.begin()
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.sent != nil && errors.Is(err, port.ErrDeclined) {
