Judge entry hosts by heartbeats to a few neighbours

Cause: the platform's list lags, so hosts that are gone were still used. Change: package member holds the verdicts: K watchers per host on a ring, a check by others before a report, a majority of watchers for a death, flapping damped, a host that reaches nobody blames nobody. Package relay holds a port.Log that reads and appends by way of relays.

--- /dev/null
+++ b/member/member_test.go
@@ -0,0 +1,247 @@
+package member_test
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadanotch/cicadanotch/member"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func list(n int, change func(*member.Host)) []member.Host {
+	var out []member.Host
+	for i := range n {
+		h := member.Host{ID: fmt.Sprintf("h%d", i), Region: "r", Zone: fmt.Sprintf("z%d", i%3)}
+		if change != nil {
+			change(&h)
+		}
+		out = append(out, h)
+	}
+	return out
+}
+
+// group runs one table per host and carries heartbeats, checks and reports
+// between them at one-second steps.
+type group struct {
+	now    time.Time
+	hosts  []member.Host
+	tables map[string]*member.Table
+	// cut[a][b]: what a sends to b is lost. down hosts do nothing.
+	cut      map[[2]string]bool
+	down     map[string]bool
+	sequence int64
+}
+
+func newGroup(hosts []member.Host) *group {
+	g := &group{now: start, hosts: hosts, tables: map[string]*member.Table{}, cut: map[[2]string]bool{}, down: map[string]bool{}}
+	for _, h := range hosts {
+		g.tables[h.ID] = member.NewTable(h.ID, member.DefaultOptions())
+	}
+	g.setList(hosts)
+	return g
+}
+
+func (g *group) setList(hosts []member.Host) {
+	for _, t := range g.tables {
+		t.SetList(g.now, hosts)
+	}
+}
+
+func (g *group) reaches(a, b string) bool { return !g.down[a] && !g.down[b] && !g.cut[[2]string{a, b}] }
+
+func (g *group) find(a, target string) member.Finding {
+	finding := member.FoundNothing
+	for _, helper := range g.tables[a].Helpers(target, 2) {
+		switch {
+		case !g.reaches(a, helper):
+		case g.reaches(helper, target):
+			return member.FoundAnswering
+		default:
+			finding = member.FoundSilent
+		}
+	}
+	return finding
+}
+
+func (g *group) step() {
+	g.now = g.now.Add(time.Second)
+	g.sequence++
+	for a, t := range g.tables {
+		if g.down[a] {
+			continue
+		}
+		for _, target := range t.Targets() {
+			if g.reaches(a, target) {
+				t.Answered(g.now, target)
+			} else if t.Missed(g.now, target) {
+				t.Checked(g.now, target, g.find(a, target))
+			}
+		}
+	}
+	g.spread()
+}
+
+func (g *group) spread() {
+	for a, t := range g.tables {
+		report := member.Report{By: a, Sequence: g.sequence, Dead: t.Own()}
+		for b, other := range g.tables {
+			if g.reaches(a, b) {
+				other.Hear(g.now, report)
+			}
+		}
+	}
+	for _, t := range g.tables {
+		t.Judge(g.now)
+	}
+}
+
+func (g *group) run(steps int) {
+	for range steps {
+		g.step()
+	}
+}
+
+func (g *group) row(at, id string) member.Row {
+	for _, r := range g.tables[at].Rows() {
+		if r.ID == id {
+			return r
+		}
+	}
+	return member.Row{}
+}
+
+func TestFaults(t *testing.T) {
+	const steps = 6
+	for name, tc := range map[string]struct {
+		hosts  int
+		fault  func(g *group)
+		verd   member.Verdict
+		reason string // of h1 as held by every other live host; empty: any
+	}{
+		"all well":                {9, func(*group) {}, member.Alive, ""},
+		"listed as live but dead": {9, func(g *group) { g.down["h1"] = true }, member.Dead, member.ReasonDead},
+		"dead, two hosts in all":  {2, func(g *group) { g.down["h1"] = true }, member.Dead, member.ReasonDead},
+		"listed as leaving, answers": {9, func(g *group) {
+			g.setList(list(9, func(h *member.Host) { h.Leaving = h.ID == "h1" }))
+		}, member.Leaving, ""},
+		"listed as leaving, dead": {9, func(g *group) {
+			g.setList(list(9, func(h *member.Host) { h.Leaving = h.ID == "h1" }))
+			g.down["h1"] = true
+		}, member.Dead, member.ReasonLeavingSilent},
+		"dead with its whole zone": {30, func(g *group) {
+			for _, h := range g.hosts {
+				g.down[h.ID] = h.Zone == "z1"
+			}
+		}, member.Dead, member.ReasonDead},
+		"cut off from one watcher": {9, func(g *group) {
+			g.cut[[2]string{g.watcher("h1"), "h1"}] = true
+		}, member.Alive, ""},
+		"cut off from all": {9, func(g *group) {
+			for _, h := range g.hosts {
+				g.cut[[2]string{h.ID, "h1"}] = true
+			}
+		}, member.Dead, member.ReasonDead},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			g := newGroup(list(tc.hosts, nil))
+			g.run(2)
+			tc.fault(g)
+			g.run(steps)
+			for _, h := range g.hosts {
+				if h.ID == "h1" || g.down[h.ID] {
+					continue
+				}
+				row := g.row(h.ID, "h1")
+				is.Equal(row.Verdict, tc.verd)
+				is.True(tc.reason == "" || row.Reason == tc.reason) // reason
+			}
+		})
+	}
+}
+
+// watcher returns the first host that sends heartbeats to id.
+func (g *group) watcher(id string) string {
+	for _, h := range g.hosts {
+		if slices.Contains(g.tables[h.ID].Targets(), id) {
+			return h.ID
+		}
+	}
+	return ""
+}
+
+func TestOneDirectionNamesItsReason(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(list(9, nil))
+	watcher := g.watcher("h1")
+	g.cut[[2]string{watcher, "h1"}] = true
+	g.run(4)
+	is.Equal(g.row(watcher, "h1").Reason, member.ReasonOneDirection)
+}
+
+func TestHostThatIsCutOffDoubtsItself(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(list(9, nil))
+	for _, h := range g.hosts {
+		g.cut[[2]string{"h0", h.ID}] = true
+		g.cut[[2]string{h.ID, "h0"}] = true
+	}
+	g.run(20)
+	is.Equal(len(g.tables["h0"].Own()), 0) // blames nobody
+	is.Equal(g.row("h2", "h0").Verdict, member.Dead)
+}
+
+func TestFlappingIsDamped(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(list(9, nil))
+	var waits []int
+	for range 4 {
+		g.down["h1"] = true
+		g.run(6)
+		is.Equal(g.row("h0", "h1").Verdict, member.Dead)
+		g.down["h1"] = false
+		wait := 0
+		for g.row("h0", "h1").Verdict == member.Dead && wait < 100 {
+			g.step()
+			wait++
+		}
+		waits = append(waits, wait)
+	}
+	is.True(waits[3] > waits[1] && waits[1] > waits[0]) // each death holds it back longer
+	g.run(301)                                          // deaths are forgotten
+	is.Equal(g.row("h0", "h1").Deaths, 0)
+}
+
+func TestHostTakesItselfOut(t *testing.T) {
+	is := is.New(t)
+	tab := member.NewTable("h0", member.DefaultOptions())
+	tab.SetList(start, list(3, nil))
+	is.True(tab.Hear(start, member.Report{By: "h1", Sequence: 2, Out: "stale"}))
+	is.True(!tab.Hear(start, member.Report{By: "h1", Sequence: 1})) // late report
+	v, _ := tab.Verdict("h1")
+	is.Equal(v, member.Out)
+	tab.Judge(start.Add(time.Minute)) // a report does not count for ever
+	v, _ = tab.Verdict("h1")
+	is.Equal(v, member.Alive)
+}
+
+func TestEachHostHasTheSameNumberOfWatchers(t *testing.T) {
+	is := is.New(t)
+	watchers := map[string]int{}
+	for _, h := range list(50, nil) {
+		tab := member.NewTable(h.ID, member.DefaultOptions())
+		tab.SetList(start, list(50, nil))
+		for _, target := range tab.Targets() {
+			watchers[target]++
+		}
+	}
+	for _, n := range watchers {
+		is.Equal(n, member.DefaultOptions().Neighbours)
+	}
+	is.Equal(len(watchers), 50)
+}
--- /dev/null
+++ b/relay/log_test.go
@@ -0,0 +1,425 @@
+package relay_test
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/record"
+	"github.com/cicadanotch/cicadanotch/relay"
+	"github.com/cicadanotch/cicadanotch/standin"
+)
+
+type mode int
+
+const (
+	well   mode = iota
+	dead        // no connection can be opened
+	paused      // takes calls and answers none
+	gaps        // leaves out the first record
+)
+
+// zone is a zone of hosts whose first two are its relays.
+type zone struct {
+	log   *standin.Log
+	fault *standin.Faults
+	logs  []*relay.Log
+	hosts []*relay.Server
+
+	mu    sync.Mutex
+	modes map[string]mode
+}
+
+func (z *zone) set(address string, m mode) {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	z.modes[address] = m
+}
+
+func (z *zone) mode(address string) mode {
+	z.mu.Lock()
+	defer z.mu.Unlock()
+	return z.modes[address]
+}
+
+// Call implements port.Peers inside the process.
+func (z *zone) Call(ctx context.Context, address, method string, params, result any) error {
+	switch z.mode(address) {
+	case dead:
+		return port.ErrPeerUnreachable
+	case paused:
+		<-ctx.Done()
+		return port.ErrPeerBroken
+	}
+	var server *relay.Server
+	for i, s := range z.hosts {
+		if fmt.Sprint("r", i) == address {
+			server = s
+		}
+	}
+	raw, _ := json.Marshal(params)
+	reply, err := serve(ctx, server, method, raw)
+	if read, ok := reply.(relay.ReadReply); ok && z.mode(address) == gaps && len(read.Page.Records) > 0 {
+		read.Page.Records = read.Page.Records[1:]
+		reply = read
+	}
+	out, _ := json.Marshal(reply)
+	if err != nil || ctx.Err() != nil {
+		return port.ErrPeerBroken
+	}
+	return json.Unmarshal(out, result)
+}
+
+func serve(ctx context.Context, s *relay.Server, method string, raw []byte) (any, error) {
+	if method == relay.MethodRead {
+		var call relay.ReadCall
+		err := json.Unmarshal(raw, &call)
+		return s.Read(ctx, call), err
+	}
+	var call relay.AppendCall
+	err := json.Unmarshal(raw, &call)
+	return s.Append(ctx, call), err
+}
+
+func newZone(ctx context.Context, hosts, window int) *zone {
+	z := &zone{fault: standin.NewFaults(), modes: map[string]mode{}}
+	z.log = standin.NewLog(standin.LogOptions{Faults: z.fault})
+	for i := range hosts {
+		server := relay.NewServer(ctx, z.log, fmt.Sprint("r", i), window)
+		z.hosts = append(z.hosts, server)
+		z.logs = append(z.logs, relay.NewLog(z.log, z, server, func() []relay.Peer { return relaysFor(i) }))
+	}
+	return z
+}
+
+func relaysFor(i int) []relay.Peer {
+	peers := []relay.Peer{{ID: "r0", Address: "r0"}, {ID: "r1", Address: "r1"}}
+	if i < 2 {
+		peers[i].Address = ""
+		return []relay.Peer{peers[i], peers[1-i]}
+	}
+	return peers
+}
+
+// reader follows the log and checks that no offset is left out or repeated.
+type reader struct {
+	mu   sync.Mutex
+	next int64
+	// at is when each offset arrived.
+	at  map[int64]time.Time
+	bad bool
+}
+
+func (r *reader) follow(ctx context.Context, l port.Log) {
+	r.next = 1
+	r.at = map[int64]time.Time{}
+	for ctx.Err() == nil {
+		page, err := l.Read(ctx, r.next, 100, 2*time.Second)
+		if err != nil {
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		r.mu.Lock()
+		for _, rec := range page.Records {
+			r.bad = r.bad || rec.Offset != r.next
+			r.at[rec.Offset] = time.Now()
+			r.next = rec.Offset + 1
+		}
+		r.mu.Unlock()
+	}
+}
+
+func (r *reader) latency(offset int64, since time.Time) (time.Duration, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	at, ok := r.at[offset]
+	return at.Sub(since), ok && !r.bad
+}
+
+func envelope(is *is.I, n int) []byte {
+	e, err := record.New(record.KindDocument, "t", n)
+	is.NoErr(err)
+	data, err := e.Encode()
+	is.NoErr(err)
+	return data
+}
+
+func bubble(t *testing.T, run func(ctx context.Context, is *is.I)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		run(ctx, is.New(t))
+		cancel()
+		time.Sleep(10 * time.Second) // everything that was waiting sees the end
+	})
+}
+
+// TestRelayFaults causes a fault in the relay that is in use and appends at
+// the log at once: the record must arrive in under a second, in order.
+func TestRelayFaults(t *testing.T) {
+	for name, tc := range map[string]struct {
+		first, second mode
+	}{
+		"both well":                {well, well},
+		"relay dies":               {dead, well},
+		"relay pauses":             {paused, well},
+		"relay leaves records out": {gaps, well},
+		"both die":                 {dead, dead},
+		"one dies, one has gaps":   {dead, gaps},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(ctx context.Context, is *is.I) {
+				z := newZone(ctx, 5, 1<<20)
+				r := &reader{}
+				go r.follow(ctx, z.logs[4])
+				for i := range 3 {
+					_, err := z.log.Append(ctx, envelope(is, i))
+					is.NoErr(err)
+					time.Sleep(time.Second)
+				}
+				z.set("r0", tc.first)
+				z.set("r1", tc.second)
+				start := time.Now()
+				offset, err := z.log.Append(ctx, envelope(is, 3))
+				is.NoErr(err)
+				time.Sleep(2 * time.Second)
+				latency, ok := r.latency(offset, start)
+				is.True(ok)
+				is.True(latency < time.Second)
+			})
+		})
+	}
+}
+
+func TestPauseOfBothRelaysIsNoticed(t *testing.T) {
+	bubble(t, func(ctx context.Context, is *is.I) {
+		z := newZone(ctx, 3, 1<<20)
+		r := &reader{}
+		go r.follow(ctx, z.logs[2])
+		time.Sleep(time.Second)
+		z.set("r0", paused)
+		z.set("r1", paused)
+		start := time.Now()
+		offset, err := z.log.Append(ctx, envelope(is, 1))
+		is.NoErr(err)
+		time.Sleep(4 * time.Second)
+		latency, ok := r.latency(offset, start)
+		is.True(ok)
+		is.True(latency < 2*time.Second) // a second for each
+	})
+}
+
+func TestLogReadsGrowWithRelaysAndNotWithHosts(t *testing.T) {
+	reads := map[int]int{}
+	for _, hosts := range []int{4, 40} {
+		bubble(t, func(ctx context.Context, is *is.I) {
+			z := newZone(ctx, hosts, 1<<20)
+			for _, l := range z.logs {
+				go (&reader{}).follow(ctx, l)
+			}
+			time.Sleep(5 * time.Second)
+			_, before := z.log.Counts()
+			time.Sleep(20 * time.Second)
+			_, after := z.log.Counts()
+			reads[hosts] = after - before
+		})
+	}
+	is.New(t).True(reads[40] <= reads[4]+reads[4]/10)
+}
+
+func TestStaleRelayIsLeft(t *testing.T) {
+	bubble(t, func(ctx context.Context, is *is.I) {
+		z := newZone(ctx, 3, 1<<20)
+		lost := standin.NewFaults(standin.Fault{Point: standin.PointRead, Action: standin.ActionFail, From: 3 * time.Second})
+		z.hosts[0] = relay.NewServer(ctx, cutLog{z.log, lost}, "r0", 1<<20)
+		r := &reader{}
+		go r.follow(ctx, z.logs[2])
+		time.Sleep(10 * time.Second)
+		start := time.Now()
+		offset, err := z.log.Append(ctx, envelope(is, 1))
+		is.NoErr(err)
+		time.Sleep(2 * time.Second)
+		latency, ok := r.latency(offset, start)
+		is.True(ok)
+		is.True(latency < time.Second)
+	})
+}
+
+// cutLog is the log as seen by a relay that loses it.
+type cutLog struct {
+	port.Log
+	faults *standin.Faults
+}
+
+func (l cutLog) Read(ctx context.Context, from int64, limit int, wait time.Duration) (port.Page, error) {
+	if _, hit := l.faults.Hit(standin.PointRead); hit {
+		return port.Page{}, port.ErrLogUnavailable
+	}
+	return l.Log.Read(ctx, from, limit, wait)
+}
+
+func TestLogOutageIsNotAStampede(t *testing.T) {
+	const hosts, outage = 40, 60
+	bubble(t, func(ctx context.Context, is *is.I) {
+		z := newZone(ctx, hosts, 1<<20)
+		r := &reader{}
+		go r.follow(ctx, z.logs[hosts-1])
+		for _, l := range z.logs[:hosts-1] {
+			go (&reader{}).follow(ctx, l)
+		}
+		time.Sleep(5 * time.Second)
+		z.fault.Add(standin.Fault{Point: standin.PointRead, Action: standin.ActionFail})
+		before := z.fault.Calls(standin.PointRead)
+		time.Sleep(outage * time.Second)
+		failed := z.fault.Calls(standin.PointRead) - before
+		is.True(failed < outage*hosts) // below one read a second and process
+		z.fault.Clear(standin.PointRead)
+		start := time.Now()
+		offset, err := z.log.Append(ctx, envelope(is, 1))
+		is.NoErr(err)
+		time.Sleep(4 * time.Second)
+		latency, ok := r.latency(offset, start)
+		is.True(ok)
+		is.True(latency < 3*time.Second)
+	})
+}
+
+func TestSlowLogMakesProgress(t *testing.T) {
+	bubble(t, func(ctx context.Context, is *is.I) {
+		z := newZone(ctx, 3, 1<<20)
+		z.fault.Add(standin.Fault{Point: standin.PointRead, Action: standin.ActionDelay, Delay: 2 * time.Second})
+		r := &reader{}
+		go r.follow(ctx, z.logs[2])
+		offset, err := z.log.Append(ctx, envelope(is, 1))
+		is.NoErr(err)
+		time.Sleep(30 * time.Second)
+		_, ok := r.latency(offset, time.Now())
+		is.True(ok)
+	})
+}
+
+func TestNewcomerBehindTheWindow(t *testing.T) {
+	bubble(t, func(ctx context.Context, is *is.I) {
+		z := newZone(ctx, 4, 2000) // the window holds a few records
+		first := &reader{}
+		go first.follow(ctx, z.logs[2])
+		var last int64
+		for i := range 50 {
+			var err error
+			last, err = z.log.Append(ctx, envelope(is, i))
+			is.NoErr(err)
+			time.Sleep(50 * time.Millisecond)
+		}
+		is.True(z.hosts[0].Counts().WindowBytes <= 2000)
+		late := &reader{}
+		go late.follow(ctx, z.logs[3])
+		time.Sleep(3 * time.Second)
+		_, ok := late.latency(last, time.Now())
+		is.True(ok)
+		uses, source := z.logs[3].Uses()
+		is.True(uses[relay.SourceDirect] > 0)
+		is.Equal(source, "r0") // back at the relay
+	})
+}
+
+func TestAppendsAreFannedIn(t *testing.T) {
+	const hosts, each = 10, 20
+	bubble(t, func(ctx context.Context, is *is.I) {
+		z := newZone(ctx, hosts, 1<<20)
+		z.fault.Add(standin.Fault{Point: standin.PointAppend, Action: standin.ActionDelay, Delay: 10 * time.Millisecond})
+		var wg sync.WaitGroup
+		for _, l := range z.logs {
+			for range each {
+				wg.Go(func() {
+					_, err := l.Append(ctx, envelope(is, 1))
+					is.NoErr(err)
+				})
+			}
+		}
+		wg.Wait()
+		page, err := z.log.Read(ctx, 1, 1000, 0)
+		is.NoErr(err)
+		ids := map[string]bool{}
+		for _, rec := range page.Records {
+			envelopes, err := record.Decode(rec.Data)
+			is.NoErr(err)
+			for _, e := range envelopes {
+				ids[e.ID] = true
+			}
+		}
+		is.Equal(len(ids), hosts*each)                // none lost, ids kept
+		is.True(len(page.Records) <= hosts*each/10+8) // a tenth of the appends
+	})
+}
+
+func TestAppendFaults(t *testing.T) {
+	for name, tc := range map[string]struct {
+		mode mode
+		row  *standin.Fault
+		err  error
+		most time.Duration
+	}{
+		"relay dead":   {dead, nil, nil, time.Second},
+		"relay paused": {paused, nil, nil, time.Second},
+		"rate limited": {well, &standin.Fault{Point: standin.PointAppend, Action: standin.ActionRefuse}, port.ErrLogRateLimited, time.Second},
+		"log down":     {well, &standin.Fault{Point: standin.PointAppend, Action: standin.ActionFail}, port.ErrLogUnavailable, time.Second},
+		"reply lost":   {well, &standin.Fault{Point: standin.PointAppend, Action: standin.ActionLoseReply}, port.ErrLogUnavailable, time.Second},
+		"log slow":     {well, &standin.Fault{Point: standin.PointAppend, Action: standin.ActionDelay, Delay: 2 * time.Second}, nil, 3 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			bubble(t, func(ctx context.Context, is *is.I) {
+				z := newZone(ctx, 3, 1<<20)
+				go (&reader{}).follow(ctx, z.logs[2])
+				time.Sleep(time.Second)
+				z.set("r0", tc.mode)
+				if tc.row != nil {
+					z.fault.Add(*tc.row)
+				}
+				start := time.Now()
+				_, err := z.logs[2].Append(ctx, envelope(is, 1))
+				is.True(errors.Is(err, tc.err))
+				is.True(time.Since(start) < tc.most)
+				appends, _ := z.log.Counts()
+				is.True(appends <= 1) // a slow log is not sent the record twice
+			})
+		})
+	}
+}
+
+func TestMalformedDataGoesAlone(t *testing.T) {
+	bubble(t, func(ctx context.Context, is *is.I) {
+		z := newZone(ctx, 1, 1<<20)
+		z.fault.Add(standin.Fault{Point: standin.PointAppend, Action: standin.ActionDelay, Delay: 10 * time.Millisecond})
+		var wg sync.WaitGroup
+		for i := range 9 {
+			wg.Go(func() {
+				data := envelope(is, i)
+				if i%3 == 0 {
+					data = []byte("not an envelope")
+				}
+				_, err := z.logs[0].Append(ctx, data)
+				is.NoErr(err)
+			})
+		}
+		wg.Wait()
+		page, err := z.log.Read(ctx, 1, 100, 0)
+		is.NoErr(err)
+		good, bad := 0, 0
+		for _, rec := range page.Records {
+			envelopes, err := record.Decode(rec.Data)
+			if err != nil {
+				bad++
+			}
+			good += len(envelopes)
+		}
+		is.Equal(good, 6)
+		is.Equal(bad, 3)
+	})
+}
