Read and append the log through relays of the availability zone

Cause: every process read the log itself, so its load grew with processes. Change: two entry hosts per availability zone, by rendezvous over the hosts held alive, read the log and serve the zone's others by long polls; appends go through them in batches. Reads fall back to the second relay and to the log. Heartbeats, checks by others and reports run between entry hosts, and the state dump shows verdicts and relays. Catching up reads the log itself.

--- a/node/hosts.go
+++ b/node/hosts.go
@@ -56,6 +56,18 @@
 	return t.after
 }
 
+// get returns the row of a host.
+func (t *hostTable) get(id string) (port.Host, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, h := range t.hosts {
+		if h.ID == id {
+			return h, true
+		}
+	}
+	return port.Host{}, false
+}
+
 // leaving reports whether a host is listed as leaving or under notice.
 func (t *hostTable) leaving(h port.Host) bool {
 	t.mu.RLock()
@@ -94,6 +106,7 @@
 		return
 	}
 	n.hosts.set(hosts)
+	n.setMembers(hosts)
 	n.updateEndpoints()
 }
 
--- a/node/node.go
+++ b/node/node.go
@@ -25,6 +25,7 @@
 	"github.com/cicadanotch/cicadanotch/claim"
 	"github.com/cicadanotch/cicadanotch/config"
 	"github.com/cicadanotch/cicadanotch/lease"
+	"github.com/cicadanotch/cicadanotch/member"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/quarantine"
 	"github.com/cicadanotch/cicadanotch/record"
@@ -56,6 +57,9 @@
 	capacity  *capacity.Table
 	endpoints *endpointTable
 	hosts     *hostTable
+	members   *member.Table
+	reports   *reportTable
+	relays    *relays
 	requests  *requestTable
 	tail      *tail
 	writer    *writer
@@ -76,6 +80,8 @@
 	budgets   sync.Map
 	handoffs  *handoffMetrics
 	drains    *endpointDrain
+	// heartbeats belongs to the job of that name.
+	heartbeats heartbeats
 	// searches bounds the searches for requests of other hosts.
 	searches chan struct{}
 }
@@ -106,6 +112,9 @@
 	if n.log == nil {
 		n.log = &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: discard{}}}
 	}
+	n.members = member.NewTable(n.settings.Host, member.DefaultOptions())
+	n.reports = newReportTable()
+	n.relays = newRelays(n)
 	n.incarnation = n.settings.Host + "/" + record.NewID()[:incarnationDigits]
 	n.holders = newLeaseHolders(n)
 	n.orders = newOrderTable()
@@ -130,6 +139,7 @@
 	n.tomb.Go(n.writer.run)
 	n.pool.every(&n.tomb, "leases", leaseInterval, n.holders.step)
 	n.pool.every(&n.tomb, "staleness", time.Second, n.checkStaleness)
+	n.pool.every(&n.tomb, "heartbeats", heartbeatInterval, n.beat)
 	n.pool.every(&n.tomb, "hosts", n.settings.PollInterval.Std(), n.pollHosts)
 	n.pool.every(&n.tomb, "loads", n.settings.LoadInterval.Std(), n.pollLoads)
 	n.pool.every(&n.tomb, "cache events", n.settings.LoadInterval.Std(), n.pollEvents)
@@ -140,6 +150,11 @@
 	n.pool.every(&n.tomb, "stop", stopInterval, n.stepStop)
 	n.pool.every(&n.tomb, "endpoint drains", drainInterval, n.drainEndpoints)
 	n.tomb.Go(n.watchNotices)
+	n.tomb.Go(func() error {
+		<-n.tomb.Dying()
+		n.relays.server.Wait()
+		return nil
+	})
 }
 
 // Stop ends the node at once and waits until its work has ended.
--- a/node/operator.go
+++ b/node/operator.go
@@ -10,6 +10,7 @@
 	"github.com/cicadanotch/cicadanotch/admit"
 	"github.com/cicadanotch/cicadanotch/config"
 	"github.com/cicadanotch/cicadanotch/drain"
+	"github.com/cicadanotch/cicadanotch/member"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/publish"
 	"github.com/cicadanotch/cicadanotch/quarantine"
@@ -23,6 +24,9 @@
 	Hosts     []port.Host                `json:"hosts"`
 	Requests  []RequestState             `json:"requests"`
 	Choice    ChoiceState                `json:"choice"`
+	// Members are the verdicts on the entry hosts.
+	Members []member.Row `json:"members"`
+	Relays  RelayState   `json:"relays"`
 	// Stop tells how far a stop of this host has come and what it waits for.
 	Stop StopState `json:"stop"`
 	// Queues are the queues of the services.
@@ -57,6 +61,8 @@
 		Documents: n.documents.All(),
 		Hosts:     n.hosts.all(),
 		Choice:    n.endpoints.state(time.Now()),
+		Members:   n.members.Rows(),
+		Relays:    n.RelayState(),
 		Stop:      n.stopState(),
 		Drains:    n.drains.state(),
 	}
--- a/node/peers.go
+++ b/node/peers.go
@@ -7,6 +7,7 @@
 	"net"
 
 	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/relay"
 )
 
 // Methods that peers call.
@@ -33,6 +34,12 @@
 		MethodOrder:   n.handleOrder,
 		MethodLeaving: n.handleLeaving,
 		MethodDeaths:  n.handleDeaths,
+
+		MethodCheck:        n.handleCheck,
+		MethodReport:       n.handleReport,
+		MethodReports:      n.handleReports,
+		relay.MethodRead:   n.handleLogRead,
+		relay.MethodAppend: n.handleLogAppend,
 	}
 	maps.Copy(handlers, n.handoffHandlers())
 	return handlers
--- a/node/tail.go
+++ b/node/tail.go
@@ -82,7 +82,7 @@
 			t.start(ctx)
 			continue
 		}
-		page, err := t.node.ports.Log.Read(ctx, t.state.Next(), tailLimit, tailWait)
+		page, err := t.node.relays.log.Read(ctx, t.state.Next(), tailLimit, tailWait)
 		switch {
 		case errors.Is(err, port.ErrLogExpired):
 			t.fellOut(page)
--- a/node/writer.go
+++ b/node/writer.go
@@ -207,7 +207,7 @@
 		if w.limiter.Wait(ctx) != nil {
 			return
 		}
-		_, err := w.node.ports.Log.Append(ctx, data)
+		_, err := w.node.relays.log.Append(ctx, data)
 		w.node.metrics.appends.WithLabelValues(appendResult(err)).Inc()
 		if err == nil {
 			w.confirm(idsOf(batch))
--- a/relay/log.go
+++ b/relay/log.go
@@ -23,9 +23,10 @@
 	avoidFirst = time.Second
 	avoidMax   = 8 * time.Second
 	// appendWait is how long an append may stay without a sign of life from
-	// the relay, appendMax how long it may take in all.
-	appendWait = 900 * time.Millisecond
-	appendMax  = 3 * time.Second
+	// the relay, looked at every appendCheck; appendMax bounds it in all.
+	appendWait  = pollWait + replyGrace
+	appendCheck = 50 * time.Millisecond
+	appendMax   = 3 * time.Second
 )
 
 // Peer is one relay.
@@ -208,22 +209,28 @@
 	if p.Address == "" {
 		return l.server.Append(ctx, AppendCall{Data: data}), nil
 	}
-	start := time.Now()
-	watch := time.AfterFunc(appendWait, func() {
-		if !l.heardSince(p.ID, start) {
-			cancel()
-		}
-	})
-	defer watch.Stop()
+	go l.cancelWhenSilent(ctx, p.ID, cancel)
 	var reply AppendReply
 	err := l.peers.Call(ctx, p.Address, MethodAppend, AppendCall{Data: data}, &reply)
 	return reply, err
 }
 
-func (l *Log) heardSince(id string, t time.Time) bool {
+// cancelWhenSilent cancels a call when its relay has shown no sign of life for
+// appendWait; it returns when the call has ended.
+func (l *Log) cancelWhenSilent(ctx context.Context, id string, cancel func()) {
+	start := time.Now()
+	for ctx.Err() == nil {
+		sleep(ctx, appendCheck)
+		if time.Since(start) >= appendWait && time.Since(l.lastHeard(id)) >= appendWait {
+			cancel()
+		}
+	}
+}
+
+func (l *Log) lastHeard(id string) time.Time {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.heard[id].After(t)
+	return l.heard[id]
 }
 
 // candidates returns the relays that are not passed over.
--- a/relay/log_test.go
+++ b/relay/log_test.go
@@ -71,6 +71,9 @@
 		read.Page.Records = read.Page.Records[1:]
 		reply = read
 	}
+	if z.mode(address) == paused {
+		<-ctx.Done()
+	}
 	out, _ := json.Marshal(reply)
 	if err != nil || ctx.Err() != nil {
 		return port.ErrPeerBroken
--- a/relay/server.go
+++ b/relay/server.go
@@ -102,7 +102,9 @@
 
 	mu      sync.Mutex
 	running bool
-	asked   time.Time
+	// closed forbids new goroutines.
+	closed bool
+	asked  time.Time
 	// fresh is when the log last answered, oldest and logEnd what it said.
 	fresh  time.Time
 	oldest int64
@@ -122,7 +124,8 @@
 // Wait returns when the relay's goroutines have ended, after its context has.
 func (s *Server) Wait() {
 	s.mu.Lock()
-	s.mu.Unlock() //nolint:staticcheck // a demand that saw the context alive has booked its goroutine
+	s.closed = true
+	s.mu.Unlock()
 	s.wg.Wait()
 	s.writer.wait()
 }
@@ -187,7 +190,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.asked = time.Now()
-	if s.running || s.ctx.Err() != nil {
+	if s.running || s.closed || s.ctx.Err() != nil {
 		return
 	}
 	s.running = true
--- a/relay/writer.go
+++ b/relay/writer.go
@@ -47,7 +47,9 @@
 	mu      sync.Mutex
 	queue   []*pending
 	senders int
-	wg      sync.WaitGroup
+	// closed forbids new senders.
+	closed bool
+	wg     sync.WaitGroup
 }
 
 func newWriter(ctx context.Context, source string, send func(context.Context, []byte) (int64, error)) *writer {
@@ -55,7 +57,12 @@
 }
 
 // wait returns when the senders have ended; the context has ended before.
-func (w *writer) wait() { w.wg.Wait() }
+func (w *writer) wait() {
+	w.mu.Lock()
+	w.closed = true
+	w.mu.Unlock()
+	w.wg.Wait()
+}
 
 // append returns when the envelope stands in the log or the append failed.
 func (w *writer) append(ctx context.Context, data []byte) (int64, error) {
@@ -75,7 +82,7 @@
 func (w *writer) enqueue(p *pending) error {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.ctx.Err() != nil {
+	if w.closed || w.ctx.Err() != nil {
 		return port.ErrLogUnavailable
 	}
 	if len(w.queue) >= maxQueued {
