Give each workspace a shard of the entry hosts

Cause: every caller was given every entry host, so one workspace could bring down all of them, and at 2,400 hosts the answer would be a list of all. Change: package address: five hosts by rendezvous of (service, workspace), three of them in the caller's region over two zones; nearest first; hosts that leave, are dead or behind are out at once, suspects come last. Callers may name their availability zone. Out of hosts at all: all of them.

--- a/adapter/callerhttp/callerhttp.go
+++ b/adapter/callerhttp/callerhttp.go
@@ -281,6 +281,6 @@
 
 func (s *server) addresses(w http.ResponseWriter, r bunrouter.Request) error {
 	q := r.URL.Query()
-	jsonhttp.Write(w, http.StatusOK, s.node.Addresses(q.Get("service"), q.Get("workspace")))
+	jsonhttp.Write(w, http.StatusOK, s.node.Addresses(q.Get("service"), q.Get("workspace"), q.Get("availability_zone")))
 	return nil
 }
--- a/demo/stop_test.go
+++ b/demo/stop_test.go
@@ -48,7 +48,7 @@
 
 // named reports whether an entry host answers that another may be used.
 func named(in *demo.EntryHost, host string, service string) bool {
-	for _, a := range in.Node.Addresses(service, "").Addresses {
+	for _, a := range in.Node.Addresses(service, "", "").Addresses {
 		if a.Host == host {
 			return true
 		}
--- a/node/addresses.go
+++ b/node/addresses.go
@@ -1,9 +1,8 @@
 package node
 
 import (
-	"slices"
-	"strings"
-
+	"github.com/cicadanotch/cicadanotch/address"
+	"github.com/cicadanotch/cicadanotch/member"
 	"github.com/cicadanotch/cicadanotch/port"
 )
 
@@ -22,30 +21,45 @@
 	LifetimeSeconds float64 `json:"lifetime_seconds"`
 }
 
-// Addresses returns the entry hosts that a caller of a service may use.
-func (n *Node) Addresses(service, workspace string) AddressList {
+// Addresses returns the entry hosts that a caller of a service may use. zone
+// is the caller's availability zone; empty or unknown stands for this host's.
+func (n *Node) Addresses(service, workspace, zone string) AddressList {
 	list := AddressList{LifetimeSeconds: n.settings.AddressLifetime.Std().Seconds()}
-	var leaving []Address
+	hosts := n.candidateHosts()
+	for _, h := range address.Shard(hosts, service, workspace, n.placeOf(hosts, zone)) {
+		list.Addresses = append(list.Addresses, Address{h.ID, h.Region, h.Zone, h.Address})
+	}
+	return list
+}
+
+// candidateHosts returns the entry hosts with what speaks against them. Leaving
+// counts from the moment that it is known, before the next verdict.
+func (n *Node) candidateHosts() []address.Host {
+	var out []address.Host
 	for _, h := range n.hosts.all() {
-		address := Address{h.ID, h.Region, h.Zone, h.CallerAddress}
-		switch {
-		case h.Role != port.RoleEntry:
-		case n.entryLeaving(h):
-			leaving = append(leaving, address)
-		default:
-			list.Addresses = append(list.Addresses, address)
+		if h.Role != port.RoleEntry {
+			continue
 		}
+		verdict, _ := n.members.Verdict(h.ID)
+		out = append(out, address.Host{
+			ID: h.ID, Region: h.Region, Zone: h.Zone, Address: h.CallerAddress,
+			Out:     n.entryLeaving(h) || verdict == member.Dead || verdict == member.Out || n.staleSelf(h.ID),
+			Suspect: verdict == member.Suspect,
+		})
 	}
-	if len(list.Addresses) == 0 {
-		list.Addresses = leaving // better than nowhere
-	}
-	slices.SortFunc(list.Addresses, func(a, b Address) int {
-		if d := n.distance(a) - n.distance(b); d != 0 {
-			return d
+	return out
+}
+
+// staleSelf reports whether id is this host and it is behind its peers.
+func (n *Node) staleSelf(id string) bool { return id == n.settings.Host && n.Behind() }
+
+func (n *Node) placeOf(hosts []address.Host, zone string) address.Place {
+	for _, h := range hosts {
+		if h.Zone == zone {
+			return address.Place{Region: h.Region, Zone: h.Zone}
 		}
-		return strings.Compare(a.Host, b.Host)
-	})
-	return list
+	}
+	return address.Place{Region: n.settings.Region, Zone: n.settings.Zone}
 }
 
 // distance ranks an address: same zone, same region, elsewhere.
