route: read what a choice needs from a few fields

Cause: a choice among 64 endpoints read wide rows and did its time arithmetic for each of them. Change: what is the same for all candidates is worked out once; the fields read stand first in a row, times as nanoseconds.

--- a/route/choose.go
+++ b/route/choose.go
@@ -7,8 +7,8 @@
 
 const (
 	// reportHalfLife is the age at which a report's word on others counts
-	// half.
-	reportHalfLife = 5 * time.Second
+	// half, in milliseconds.
+	reportHalfLife = 5000.0
 	// loadWindow is the time over which a service's load is followed.
 	loadWindow = 5 * time.Second
 	// reclaimFloor is the time left that no request should be sent into.
@@ -110,21 +110,50 @@
 // linkShare returns this process's part of the link, in bytes a second.
 func (t *Table) linkShare() float64 { return t.opts.LinkBytesPerSecond / float64(t.peers) }
 
+// pass holds what is the same for all candidates of one choice, in the units
+// of scores.
+type pass struct {
+	q   *Query
+	now int64
+	// alone and shared are the prefill times of a token.
+	alone, shared float64
+	// rate is the tokens that an endpoint prefills in a millisecond.
+	rate     float64
+	interval float64
+	answer   float64
+	prompt   float64
+	crowd    float64
+	peers    float64
+	ways     [otherRegion + 1]float64
+}
+
+func (t *Table) newPass(g *group, q *Query, now time.Time) pass {
+	p := pass{
+		q: q, now: now.UnixNano(),
+		alone: millisPerSecond / g.alone, shared: millisPerSecond / g.shared,
+		rate:     g.shared / millisPerSecond,
+		interval: milliseconds(t.opts.TokenInterval),
+		answer:   float64(q.AnswerTokens), prompt: float64(q.PromptTokens),
+		crowd: milliseconds(t.opts.CrowdWeight),
+		peers: t.opts.PeerWeight * float64(t.peers-1),
+	}
+	for near := range p.ways {
+		p.ways[near] = milliseconds(t.delay(nearness(near)))
+	}
+	p.ways[otherRegion] += float64(q.Bytes) / t.linkShare() * millisPerSecond
+	return p
+}
+
 // score fills scratch with the endpoints that may be chosen.
 func (t *Table) score(g *group, q *Query, now time.Time) {
 	t.scratch = t.scratch[:0]
+	p := t.newPass(g, q, now)
 	for _, e := range g.rows {
-		if e.row.Leaving || now.Before(e.suspectUntil) || q.Excluded[e.row.Host.ID] || t.isCutOff(e, now) {
+		if e.leaving || p.now < e.suspectUntil || (len(q.Excluded) > 0 && q.Excluded[e.row.Host.ID]) || t.isCutOff(e, now) {
 			continue
 		}
-		t.scratch = append(t.scratch, candidate{endpoint: e})
-		c := &t.scratch[len(t.scratch)-1]
-		c.cached = min(q.Held.Tokens(e.row.Slot), q.PromptTokens)
-		if q.Held != nil && e.row.Slot >= 0 {
-			c.blocks = int(q.Held.Blocks[e.row.Slot])
-		}
-		c.rank = rendezvous(q.Prefix, e.hash)
-		t.fillTerms(c, g, q, now)
+		t.scratch = append(t.scratch, candidate{endpoint: e, rank: rendezvous(q.Prefix, e.hash)})
+		t.weigh(&t.scratch[len(t.scratch)-1], &p)
 	}
 	t.activate(g, now)
 	t.addCopies(g, q)
@@ -137,63 +166,47 @@
 	return e.near == otherRegion && now.Before(t.cutOff[e.row.Host.Region])
 }
 
-func (t *Table) fillTerms(c *candidate, g *group, q *Query, now time.Time) {
+// weigh fills the terms that do not depend on other candidates.
+func (t *Table) weigh(c *candidate, p *pass) {
 	e := c.endpoint
-	running, ahead := t.load(e, g.shared, now)
+	if held := p.q.Held; held != nil && e.slot >= 0 {
+		c.blocks = int(held.Blocks[e.slot])
+		c.cached = min(held.Tokens(e.slot), p.q.PromptTokens)
+	}
+	running, ahead := e.load(p)
+	perToken := p.shared
+	if running < aloneBelow {
+		perToken = p.alone
+	}
 	c.running = running
-	perToken := g.perToken(running)
 	c.terms.Queue = ahead * perToken
-	limit := e.limit(t.opts.MaxRunning)
-	interval := milliseconds(t.opts.TokenInterval)
-	if over := running + 1 - limit; over > 0 {
-		c.terms.Queue += over * float64(q.AnswerTokens) * interval / limit
+	if over := running + 1 - e.limit; over > 0 {
+		c.terms.Queue += over * p.answer * p.interval / e.limit
 	}
-	fill := (running + 1) / limit
-	c.terms.Crowd = fill * fill * milliseconds(t.opts.CrowdWeight)
-	c.terms.Prefill = float64(q.PromptTokens-c.cached) * perToken
-	c.terms.Way = t.way(e.near, q.Bytes)
-	c.terms.Reclaim = e.reclaim(q, interval, perToken, now)
-	busy := c.terms.Prefill + float64(q.AnswerTokens)*interval/((1+running)*(1+running))
+	fill := (running + 1) / e.limit
+	c.terms.Crowd = fill * fill * p.crowd
+	c.terms.Prefill = (p.prompt - float64(c.cached)) * perToken
+	c.terms.Way = p.ways[e.near]
+	c.terms.Reclaim = e.reclaim(p, perToken)
+	busy := c.terms.Prefill + p.answer*p.interval/((1+running)*(1+running))
 	c.terms.Price = t.opts.PriceWeight * e.price * busy
 }
 
-// perToken returns the prefill time of one token, in milliseconds.
-func (g *group) perToken(running float64) float64 {
-	if running < aloneBelow {
-		return millisPerSecond / g.alone
-	}
-	return millisPerSecond / g.shared
-}
-
 // load returns how many requests an endpoint likely runs and how many tokens
 // wait there for prefill: this process's own, what the last report says of
 // others, aged, and for the time since then as much from each peer as from
 // this process.
-func (t *Table) load(e *endpoint, rate float64, now time.Time) (running, ahead float64) {
+func (e *endpoint) load(p *pass) (running, ahead float64) {
 	running, ahead = float64(e.inFlight), float64(e.ownPrefill)
-	if !e.reported {
+	if e.reportAt == 0 {
 		return running, ahead
 	}
-	age := max(now.Sub(e.report.At), 0)
-	running += float64(e.othersRunning) / (1 + float64(age)/float64(reportHalfLife))
-	ahead += max(e.othersPrefill-age.Seconds()*rate, 0)
-	peers := t.opts.PeerWeight * float64(t.peers-1)
-	return running + peers*float64(e.sinceRunning), ahead + peers*float64(e.sincePrefill)
-}
-
-func (e *endpoint) limit(assumed int) float64 {
-	if e.report.MaxRunning > 0 {
-		return float64(e.report.MaxRunning)
-	}
-	return float64(assumed)
-}
-
-func (t *Table) way(near nearness, bytes int) float64 {
-	way := milliseconds(t.delay(near))
-	if near == otherRegion {
-		way += float64(bytes) / t.linkShare() * millisPerSecond
+	age := float64(max(p.now-e.reportAt, 0)) / float64(time.Millisecond)
+	if e.othersRunning > 0 {
+		running += float64(e.othersRunning) / (1 + age/reportHalfLife)
 	}
-	return way
+	ahead += max(e.othersPrefill-age*p.rate, 0)
+	return running + p.peers*float64(e.sinceRunning), ahead + p.peers*float64(e.sincePrefill)
 }
 
 // delay returns the delay there and back.
@@ -209,17 +222,17 @@
 
 // reclaim returns the expected cost of doing again what a known reclaim cuts
 // off.
-func (e *endpoint) reclaim(q *Query, interval, perToken float64, now time.Time) float64 {
-	if e.row.Deadline.IsZero() {
+func (e *endpoint) reclaim(p *pass, perToken float64) float64 {
+	if e.deadline == 0 {
 		return 0
 	}
-	left := milliseconds(e.row.Deadline.Sub(now) - reclaimFloor)
-	needed := float64(q.PromptTokens)*perToken + float64(q.AnswerTokens)*interval
+	left := float64(e.deadline-p.now)/float64(time.Millisecond) - milliseconds(reclaimFloor)
+	needed := p.prompt*perToken + p.answer*p.interval
 	if left >= needed {
 		return 0
 	}
 	cut := 1 - max(left, 0)/needed
-	return cut * float64(q.PromptTokens+q.AnswerTokens) * perToken
+	return cut * (p.prompt + p.answer) * perToken
 }
 
 // addCopies counts what would be computed again: tokens that another endpoint
@@ -281,7 +294,7 @@
 	for i := range t.scratch {
 		if c := &t.scratch[i]; c.endpoint.near != otherRegion {
 			load += c.running
-			limit = c.endpoint.limit(t.opts.MaxRunning)
+			limit = c.endpoint.limit
 		}
 	}
 	g.smooth(load, now)
--- a/route/explain.go
+++ b/route/explain.go
@@ -133,7 +133,7 @@
 	for id, e := range t.byID {
 		out = append(out, LoadState{
 			Endpoint: id, Service: e.row.Host.Service,
-			Leaving: e.row.Leaving, Suspect: now.Before(e.suspectUntil),
+			Leaving: e.row.Leaving, Suspect: now.UnixNano() < e.suspectUntil,
 			InFlight: e.inFlight, Prefill: e.ownPrefill,
 			Others: e.othersRunning, OthersPrefill: e.othersPrefill, ReportAt: e.report.At, MaxRunning: e.report.MaxRunning,
 		})
--- a/route/table.go
+++ b/route/table.go
@@ -25,26 +25,33 @@
 	minRateSample = 256
 )
 
-// endpoint is one row of a Table.
+// endpoint is one row of a Table. What a choice reads of each stands first.
+// Times are in nanoseconds since 1970, zero for none.
 type endpoint struct {
-	row  Row
-	hash uint64
-	near nearness
+	hash    uint64
+	near    nearness
+	leaving bool
+	slot    int
 	// price is relative to the cheapest of the service's endpoints.
-	price        float64
+	price float64
+	// limit is how many requests it runs at once.
+	limit        float64
+	deadline     int64
+	suspectUntil int64
+	reportAt     int64
 	inFlight     int
 	ownPrefill   int
-	suspectUntil time.Time
-	report       port.LoadReport
-	reported     bool
-	// others is what the last report says beyond this process's own.
+	// othersRunning and othersPrefill are what the last report says beyond
+	// this process's own.
 	othersRunning int
 	othersPrefill float64
 	// sinceRunning and sincePrefill are this process's own requests and
 	// waiting tokens that the last report cannot know of.
 	sinceRunning int
 	sincePrefill int
-	gone         bool
+
+	row    Row
+	report port.LoadReport
 }
 
 type nearness uint8
@@ -143,13 +150,17 @@
 		ok = false
 	}
 	if !ok {
-		e = &endpoint{hash: hashID(row.Host.ID)}
+		e = &endpoint{hash: hashID(row.Host.ID), limit: float64(t.opts.MaxRunning)}
 		t.byID[row.Host.ID] = e
 		g := t.group(row.Host.Service)
 		g.rows = append(g.rows, e)
 	}
 	e.row = row
-	e.near = t.nearness(row.Host)
+	e.near, e.leaving, e.slot = t.nearness(row.Host), row.Leaving, row.Slot
+	e.deadline = 0
+	if !row.Deadline.IsZero() {
+		e.deadline = row.Deadline.UnixNano()
+	}
 }
 
 func (t *Table) group(service string) *group {
@@ -172,7 +183,6 @@
 }
 
 func (t *Table) remove(id string, e *endpoint) {
-	e.gone = true
 	delete(t.byID, id)
 	g := t.groups[e.row.Host.Service]
 	g.rows = slices.DeleteFunc(g.rows, func(other *endpoint) bool { return other == e })
@@ -209,11 +219,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e, ok := t.byID[id]
-	if !ok || (e.reported && r.At.Before(e.report.At)) {
+	if !ok || r.At.Before(e.report.At) {
 		return
 	}
 	running, prefill := t.ownAt(e, r.At)
-	e.report, e.reported = r, true
+	e.report, e.reportAt = r, r.At.UnixNano()
+	if r.MaxRunning > 0 {
+		e.limit = float64(r.MaxRunning)
+	}
 	e.sinceRunning, e.sincePrefill = e.inFlight-running, e.ownPrefill-prefill
 	e.othersRunning = max(r.Running+r.Waiting-running, 0)
 	e.othersPrefill = math.Max(float64(r.WaitingTokens-prefill), 0)
@@ -245,7 +258,7 @@
 	if !ok {
 		return
 	}
-	e.suspectUntil = until
+	e.suspectUntil = until.UnixNano()
 	if e.near == otherRegion {
 		t.cutOff[e.row.Host.Region] = until.Add(partedFor)
 	}
@@ -330,7 +343,8 @@
 
 // book is called with the lock held.
 func (t *Table) book(g *group, e *endpoint, prefill int, now time.Time) Booking {
-	running, ahead := t.load(e, g.shared, now)
+	p := t.newPass(g, &Query{}, now)
+	running, ahead := e.load(&p)
 	if len(t.free) == 0 {
 		t.bookings = append(t.bookings, booking{epoch: 1})
 		t.free = append(t.free, int32(len(t.bookings)-1))
