route: fill candidates in place

Cause: each candidate was built apart and copied. Change: candidates are filled in the scratch rows, with the inverse of the batch limit kept.

--- a/route/choose.go
+++ b/route/choose.go
@@ -146,15 +146,21 @@
 
 // score fills scratch with the endpoints that may be chosen.
 func (t *Table) score(g *group, q *Query, now time.Time) {
-	t.scratch = t.scratch[:0]
+	if cap(t.scratch) < len(g.rows) {
+		t.scratch = make([]candidate, 0, 2*len(g.rows))
+	}
+	rows := t.scratch[:len(g.rows)]
 	p := t.newPass(g, q, now)
+	n := 0
 	for _, e := range g.rows {
 		if e.leaving || p.now < e.suspectUntil || (len(q.Excluded) > 0 && q.Excluded[e.row.Host.ID]) || t.isCutOff(e, now) {
 			continue
 		}
-		t.scratch = append(t.scratch, candidate{endpoint: e, rank: rendezvous(q.Prefix, e.hash)})
-		t.weigh(&t.scratch[len(t.scratch)-1], &p)
+		rows[n].endpoint, rows[n].rank = e, rendezvous(q.Prefix, e.hash)
+		t.weigh(&rows[n], &p)
+		n++
 	}
+	t.scratch = rows[:n]
 	t.activate(g, now)
 	t.addCopies(g, q)
 	for i := range t.scratch {
@@ -169,6 +175,7 @@
 // weigh fills the terms that do not depend on other candidates.
 func (t *Table) weigh(c *candidate, p *pass) {
 	e := c.endpoint
+	c.blocks, c.cached, c.active = 0, 0, false
 	if held := p.q.Held; held != nil && e.slot >= 0 {
 		c.blocks = int(held.Blocks[e.slot])
 		c.cached = min(held.Tokens(e.slot), p.q.PromptTokens)
@@ -181,15 +188,16 @@
 	c.running = running
 	c.terms.Queue = ahead * perToken
 	if over := running + 1 - e.limit; over > 0 {
-		c.terms.Queue += over * p.answer * p.interval / e.limit
+		c.terms.Queue += over * p.answer * p.interval * e.perPlace
 	}
-	fill := (running + 1) / e.limit
+	fill := (running + 1) * e.perPlace
 	c.terms.Crowd = fill * fill * p.crowd
 	c.terms.Prefill = (p.prompt - float64(c.cached)) * perToken
 	c.terms.Way = p.ways[e.near]
 	c.terms.Reclaim = e.reclaim(p, perToken)
 	busy := c.terms.Prefill + p.answer*p.interval/((1+running)*(1+running))
 	c.terms.Price = t.opts.PriceWeight * e.price * busy
+	c.terms.Copy = 0
 }
 
 // load returns how many requests an endpoint likely runs and how many tokens
--- a/route/table.go
+++ b/route/table.go
@@ -34,8 +34,9 @@
 	slot    int
 	// price is relative to the cheapest of the service's endpoints.
 	price float64
-	// limit is how many requests it runs at once.
+	// limit is how many requests it runs at once, perPlace one through limit.
 	limit        float64
+	perPlace     float64
 	deadline     int64
 	suspectUntil int64
 	reportAt     int64
@@ -150,7 +151,8 @@
 		ok = false
 	}
 	if !ok {
-		e = &endpoint{hash: hashID(row.Host.ID), limit: float64(t.opts.MaxRunning)}
+		e = &endpoint{hash: hashID(row.Host.ID)}
+		e.setLimit(t.opts.MaxRunning)
 		t.byID[row.Host.ID] = e
 		g := t.group(row.Host.Service)
 		g.rows = append(g.rows, e)
@@ -163,6 +165,11 @@
 	}
 }
 
+func (e *endpoint) setLimit(n int) {
+	e.limit = float64(max(n, 1))
+	e.perPlace = 1 / e.limit
+}
+
 func (t *Table) group(service string) *group {
 	g, ok := t.groups[service]
 	if !ok {
@@ -225,7 +232,7 @@
 	running, prefill := t.ownAt(e, r.At)
 	e.report, e.reportAt = r, r.At.UnixNano()
 	if r.MaxRunning > 0 {
-		e.limit = float64(r.MaxRunning)
+		e.setLimit(r.MaxRunning)
 	}
 	e.sinceRunning, e.sincePrefill = e.inFlight-running, e.ownPrefill-prefill
 	e.othersRunning = max(r.Running+r.Waiting-running, 0)
