--- /dev/null
+++ b/route/policy_test.go
@@ -0,0 +1,179 @@
+package route_test
+
+import (
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/prefix"
+	"github.com/cicadanotch/cicadanotch/route"
+)
+
+func choose(t *testing.T, table *route.Table, q route.Query, at time.Time) route.Choice {
+	t.Helper()
+	is := is.New(t)
+	got, err := table.Choose(&q, at)
+	is.NoErr(err)
+	return got
+}
+
+// TestCrossingForACache has the prompt cached in the other region alone.
+func TestCrossingForACache(t *testing.T) {
+	const slotFar = 1
+	for name, tc := range map[string]struct {
+		change func(*route.Table, *route.Query, *prefix.Held)
+		want   string
+	}{
+		"saves much": {func(*route.Table, *route.Query, *prefix.Held) {}, "far"},
+		"saves little": {func(_ *route.Table, _ *route.Query, h *prefix.Held) {
+			h.Blocks[slotFar] = 1
+		}, "near"},
+		"near holds it too": {func(_ *route.Table, _ *route.Query, h *prefix.Held) {
+			h.Blocks[0], h.Confidence[0] = h.Blocks[slotFar], 1
+		}, "near"},
+		"spend is used up": {func(_ *route.Table, q *route.Query, _ *prefix.Held) {
+			q.Bytes, q.LinkBytesPerHour = 20_000, 3600
+		}, "near"},
+		"other peers share the spend": {func(t *route.Table, q *route.Query, _ *prefix.Held) {
+			t.SetPeers(5, 20)
+			q.Bytes, q.LinkBytesPerHour = 2000, 3600*2000 // fits one process, not a twentieth
+		}, "near"},
+		"the region failed before": {func(t *route.Table, _ *route.Query, _ *prefix.Held) {
+			t.Suspect("far-2", start.Add(time.Second))
+		}, "near"},
+		"the region failed long ago": {func(t *route.Table, _ *route.Query, _ *prefix.Held) {
+			t.Suspect("far-2", start.Add(-time.Minute))
+		}, "far"},
+		"a near one failed before": {func(t *route.Table, _ *route.Query, _ *prefix.Held) {
+			t.Suspect("near-2", start.Add(time.Second))
+		}, "far"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := table(
+				row("near", here.Region, here.Zone, 0), row("far", "r2", "r2-a", slotFar),
+				row("near-2", here.Region, here.Zone, 2), row("far-2", "r2", "r2-a", 3),
+			)
+			held := prefix.Held{}
+			held.Blocks[slotFar], held.Confidence[slotFar] = 15, 1
+			q := question()
+			q.Held = &held
+			tc.change(table, &q, &held)
+			got := choose(t, table, q, start)
+			is.Equal(got.Spilled, tc.want == "far")
+		})
+	}
+}
+
+// TestWorkGathers sends few requests to many idle endpoints.
+func TestWorkGathers(t *testing.T) {
+	is := is.New(t)
+	table := table(zoneRows(16)...)
+	used := map[string]bool{}
+	for i := range 8 {
+		q := question()
+		q.Prefix = uint64(i)*7919 + 1
+		got := choose(t, table, q, start.Add(time.Duration(i)*time.Second))
+		table.Started(got.Booking, start.Add(time.Duration(i)*time.Second+200*time.Millisecond))
+		used[got.Host.ID] = true
+	}
+	is.True(len(used) <= 4) // half of a batch of 16 would fit one
+}
+
+func TestCheapestIsActiveFirst(t *testing.T) {
+	is := is.New(t)
+	rows := zoneRows(8)
+	rows[5].Host.PricePerHour = 0.5
+	table := table(rows...)
+	is.Equal(choose(t, table, question(), start).Host.ID, "e5")
+	rows[5].Host.PricePerHour, rows[2].Host.PricePerHour = 1, 0.5 // prices cross over
+	table.Update(rows)
+	q := question()
+	q.Prefix++
+	is.Equal(choose(t, table, q, start.Add(time.Minute)).Host.ID, "e2")
+}
+
+// TestPeersCountSinceTheReport books requests after a report that shows none.
+func TestPeersCountSinceTheReport(t *testing.T) {
+	is := is.New(t)
+	queue := map[int]float64{}
+	for _, peers := range []int{1, 5} {
+		table := table(zoneRows(1)...)
+		table.SetPeers(peers, peers)
+		table.Report("e0", port.LoadReport{At: start})
+		choose(t, table, question(), start.Add(time.Second))
+		queue[peers] = choose(t, table, question(), start.Add(time.Second)).Terms.Queue
+		table.Report("e0", port.LoadReport{At: start.Add(2 * time.Second), WaitingTokens: 2000})
+		after := choose(t, table, question(), start.Add(2*time.Second)).Terms.Queue
+		is.True(after < 2.01*queue[1]) // the report knows of both: nothing is guessed
+	}
+	is.True(queue[5] > queue[1])
+}
+
+// TestPrefillSpeedIsLearned lets first tokens come four times slower than
+// assumed.
+func TestPrefillSpeedIsLearned(t *testing.T) {
+	is := is.New(t)
+	table := table(zoneRows(1)...)
+	at := start
+	first := choose(t, table, question(), at)
+	table.Release(first.Booking)
+	for range 60 {
+		c := choose(t, table, question(), at)
+		at = at.Add(500 * time.Millisecond) // 1,000 tokens take 125 ms as assumed
+		table.Started(c.Booking, at)
+		table.Release(c.Booking)
+	}
+	later := choose(t, table, question(), at)
+	is.True(later.Terms.Prefill > 3*first.Terms.Prefill)
+	is.True(later.Terms.Prefill < 4.5*first.Terms.Prefill)
+}
+
+func TestChooserBooksAndCorrects(t *testing.T) {
+	is := is.New(t)
+	c := route.NewChooser(here, route.DefaultOptions())
+	rows := zoneRows(3)
+	c.Update(rows)
+	blocks := []uint64{1, 2, 3, 4}
+	q := route.Query{Service: service, PromptTokens: 4 * prefix.BlockTokens, AnswerTokens: 10}
+	first, err := c.Choose(q, blocks, start)
+	is.NoErr(err)
+	is.Equal(first.CachedTokens, 0)
+	second, err := c.Choose(q, blocks, start)
+	is.NoErr(err)
+	is.Equal(second.Host.ID, first.Host.ID) // expected to hold it at once
+	is.Equal(second.CachedTokens, 4*prefix.BlockTokens)
+
+	c.Release(&second, blocks, route.Ended{Usage: &port.Usage{CachedTokens: 0}})
+	is.True(c.Index(service).Confidence(first.Host.ID) < 1)
+	c.Release(&first, blocks, route.Ended{}) // ended without a token
+	third, err := c.Choose(q, blocks, start)
+	is.NoErr(err)
+	is.Equal(third.CachedTokens, 0)
+
+	host := third.Host
+	c.Report(host, port.LoadReport{At: start, Incarnation: "a"})
+	c.Report(host, port.LoadReport{At: start, Incarnation: "b"})
+	is.Equal(c.Prefixes()[service].Drops, int64(1))
+	c.Update(nil)
+	_, err = c.Choose(q, blocks, start)
+	is.Equal(err, route.ErrNoEndpoint)
+	is.Equal(c.Prefixes()[service].Blocks, 0)
+}
+
+func TestManyEndpointsBeyondTheIndex(t *testing.T) {
+	is := is.New(t)
+	c := route.NewChooser(here, route.DefaultOptions())
+	rows := zoneRows(prefix.MaxEndpoints + 6)
+	c.Update(rows)
+	c.Update(rows) // slots stay
+	for i := range rows {
+		c.Table().Suspect("e"+strconv.Itoa(i), start.Add(time.Hour))
+		q := route.Query{Service: service, PromptTokens: 1000}
+		_, err := c.Choose(q, []uint64{uint64(i)}, start)
+		is.Equal(err == nil, i < len(rows)-1) // those beyond the index serve too
+	}
+}
