--- a/demo/handoff_test.go
+++ b/demo/handoff_test.go
@@ -95,6 +95,8 @@
 	is.NoErr(got.err)
 	is.Equal(got.answer.Text, want)
 	is.True(got.answer.Streams > 1)
+	_, recomputed := d.Ledger.Tokens()
+	is.Equal(recomputed, 0) // each taker went on from the KV cache
 
 	// A late caller finds the whole answer at any host.
 	resp, text := do(t, "GET", path, p.Workspaces[0].Key(), "")
