Prove both sides of the connections between entry hosts

Change: mutual TLS when the settings name keys; a certificate must carry the id of the host that is listed at the address; a report counts only from the host that it is by. Conclusion: a wrong name, an unlisted address, another authority and a caller without keys are all turned away before a call runs.

--- a/adapter/peerrpc/peerrpc.go
+++ b/adapter/peerrpc/peerrpc.go
@@ -7,6 +7,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"net"
 	"sync"
@@ -15,18 +16,24 @@
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
 
-	"github.com/cicadanotch/cicadanotch/adapter/jsonhttp"
 	"github.com/cicadanotch/cicadanotch/port"
 )
 
-const dialTimeout = 2 * time.Second
+// methodHeartbeat is answered by every server.
+const methodHeartbeat = "peer.heartbeat"
+
+// handshakeTimeout bounds the TLS handshake of a caller.
+const handshakeTimeout = 5 * time.Second
 
 // Server answers the calls of peers. Register all methods before Serve.
 type Server struct {
 	handlers map[string]port.PeerHandler
+	keys     *Keys
 
 	mu    sync.Mutex
 	conns map[*jsonrpc2.Conn]struct{}
+	// closed is set by Close.
+	closed bool
 }
 
 // NewServer returns a server without methods.
@@ -34,6 +41,10 @@
 	return &Server{handlers: map[string]port.PeerHandler{}, conns: map[*jsonrpc2.Conn]struct{}{}}
 }
 
+// UseKeys makes the server accept only callers that show a certificate of the
+// authority. Call it before Serve.
+func (s *Server) UseKeys(keys *Keys) { s.keys = keys }
+
 // Handle registers the handler of a method.
 func (s *Server) Handle(method string, h port.PeerHandler) { s.handlers[method] = h }
 
@@ -52,10 +63,34 @@
 }
 
 func (s *Server) open(ctx context.Context, conn net.Conn) {
+	if s.keys == nil {
+		s.serve(ctx, conn)
+		return
+	}
+	go s.prove(ctx, conn)
+}
+
+// prove serves a caller after its handshake.
+func (s *Server) prove(ctx context.Context, conn net.Conn) {
+	secured := tls.Server(conn, s.keys.server())
+	handshake, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	if err := secured.HandshakeContext(handshake); err != nil {
+		_ = conn.Close() // no call came over it
+		return
+	}
+	s.serve(port.WithPeerNames(ctx, secured.ConnectionState().PeerCertificates[0].DNSNames), secured)
+}
+
+func (s *Server) serve(ctx context.Context, conn net.Conn) {
 	c := jsonrpc2.NewConn(ctx, newStream(conn), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)))
 	s.mu.Lock()
+	closed := s.closed
 	s.conns[c] = struct{}{}
 	s.mu.Unlock()
+	if closed {
+		_ = c.Close() // the server ended meanwhile
+	}
 	go func() {
 		<-c.DisconnectNotify()
 		s.mu.Lock()
@@ -64,11 +99,10 @@
 	}()
 }
 
-func newStream(conn net.Conn) jsonrpc2.ObjectStream {
-	return jsonrpc2.NewBufferedStream(conn, jsonrpc2.VSCodeObjectCodec{})
-}
-
 func (s *Server) handle(ctx context.Context, _ *jsonrpc2.Conn, req *jsonrpc2.Request) (any, error) {
+	if req.Method == methodHeartbeat {
+		return true, nil
+	}
 	h, ok := s.handlers[req.Method]
 	if !ok {
 		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "unknown method " + req.Method}
@@ -84,100 +118,8 @@
 func (s *Server) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.closed = true
 	for c := range s.conns {
 		_ = c.Close() // already closed is closed
 	}
 }
-
-// Client calls peers, with one connection to each. Safe for concurrent use.
-type Client struct {
-	dial jsonhttp.DialFunc
-
-	mu    sync.Mutex
-	conns map[string]*jsonrpc2.Conn
-}
-
-var _ port.Peers = (*Client)(nil)
-
-// NewClient returns a client that dials with dial; nil dials directly.
-func NewClient(dial jsonhttp.DialFunc) *Client {
-	if dial == nil {
-		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
-	}
-	return &Client{dial: dial, conns: map[string]*jsonrpc2.Conn{}}
-}
-
-// Call implements port.Peers.
-func (c *Client) Call(ctx context.Context, address, method string, params, result any) error {
-	conn, err := c.connect(ctx, address)
-	if err != nil {
-		return errors.Wrap(port.ErrPeerUnreachable, err.Error())
-	}
-	err = conn.Call(ctx, method, params, result)
-	var refused *jsonrpc2.Error
-	switch {
-	case err == nil:
-		return nil
-	case errors.As(err, &refused):
-		return errors.Wrap(port.ErrPeerRefused, refused.Message)
-	}
-	c.drop(address, conn)
-	return errors.Wrap(port.ErrPeerBroken, err.Error())
-}
-
-func (c *Client) connect(ctx context.Context, address string) (*jsonrpc2.Conn, error) {
-	c.mu.Lock()
-	conn, ok := c.conns[address]
-	c.mu.Unlock()
-	if ok {
-		return conn, nil
-	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	raw, err := c.dial(ctx, "tcp", address)
-	if err != nil {
-		return nil, err
-	}
-	return c.keep(address, raw), nil
-}
-
-// keep books a new connection, or takes the one that came first.
-func (c *Client) keep(address string, raw net.Conn) *jsonrpc2.Conn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if known, ok := c.conns[address]; ok {
-		_ = raw.Close() // nothing was sent on it
-		return known
-	}
-	refuse := jsonrpc2.HandlerWithError(func(context.Context, *jsonrpc2.Conn, *jsonrpc2.Request) (any, error) {
-		return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeMethodNotFound, Message: "this side only calls"}
-	})
-	conn := jsonrpc2.NewConn(context.Background(), newStream(raw), refuse)
-	c.conns[address] = conn
-	go func() {
-		<-conn.DisconnectNotify()
-		c.drop(address, conn)
-	}()
-	return conn
-}
-
-// drop closes a connection, so that the next call opens a new one.
-func (c *Client) drop(address string, conn *jsonrpc2.Conn) {
-	c.mu.Lock()
-	if c.conns[address] == conn {
-		delete(c.conns, address)
-	}
-	c.mu.Unlock()
-	_ = conn.Close() // already closed is closed
-}
-
-// Close ends all connections.
-func (c *Client) Close() {
-	c.mu.Lock()
-	conns := c.conns
-	c.conns = map[string]*jsonrpc2.Conn{}
-	c.mu.Unlock()
-	for _, conn := range conns {
-		_ = conn.Close() // already closed is closed
-	}
-}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -66,17 +66,28 @@
 	Logger *log.Logger
 }
 
-// Start starts a node with HTTP adapters at the listeners.
-func Start(s node.Settings, l Listeners, opts Options) *node.Node {
-	n := node.New(s, node.Ports{
+// Start starts a node with HTTP adapters at the listeners. It fails when the
+// keys that the settings name cannot be used.
+func Start(s node.Settings, l Listeners, opts Options) (*node.Node, error) {
+	keys, err := loadKeys(s)
+	if err != nil {
+		return nil, err
+	}
+	var n *node.Node
+	var secured []peerrpc.ClientOption
+	if keys != nil {
+		secured = append(secured, peerrpc.WithKeys(keys, func(address string) (string, bool) { return n.PeerAt(address) }))
+	}
+	n = node.New(s, node.Ports{
 		Log:      loghttp.New(s.LogURL, opts.Dial),
 		Cloud:    cloudhttp.New(s.CloudURL, opts.Dial),
 		Engine:   enginehttp.New(opts.Dial),
 		Services: servicehttp.New(opts.Dial),
-		Peers:    peerrpc.NewClient(opts.Dial),
+		Peers:    peerrpc.NewClient(opts.Dial, secured...),
 		Logger:   opts.Logger,
 	})
 	peers := peerrpc.NewServer()
+	peers.UseKeys(keys)
 	for method, handler := range n.PeerHandlers() {
 		peers.Handle(method, handler)
 	}
@@ -84,7 +95,16 @@
 	n.ServePeers(l.Peer, peers)
 	n.Serve(l.Caller, callerhttp.Handler(n))
 	n.Serve(l.Operator, n.OperatorHandler())
-	return n
+	return n, nil
+}
+
+// loadKeys returns nil when the settings name no keys.
+func loadKeys(s node.Settings) (*peerrpc.Keys, error) {
+	if s.PeerTLS == nil {
+		return nil, nil
+	}
+	keys, err := peerrpc.LoadKeys(s.PeerTLS.CertFile, s.PeerTLS.KeyFile, s.PeerTLS.CAFile, s.Host)
+	return keys, errors.Wrap(err, `field "peer_tls"`)
 }
 
 // Main runs the daemon until a signal; it returns the exit code.
@@ -124,7 +144,10 @@
 		return err
 	}
 	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: os.Stderr}}
-	n := Start(settings, listeners, Options{Logger: logger})
+	n, err := Start(settings, listeners, Options{Logger: logger})
+	if err != nil {
+		return err
+	}
 	return n.Supervise(ctx, stopSignals(ctx))
 }
 
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -276,7 +276,10 @@
 	if err != nil {
 		return nil, err
 	}
-	n := daemon.Start(settings, listeners, daemon.Options{Dial: d.Network.Dialer(ip), Logger: d.logger})
+	n, err := daemon.Start(settings, listeners, daemon.Options{Dial: d.Network.Dialer(ip), Logger: d.logger})
+	if err != nil {
+		return nil, err
+	}
 	e := &EntryHost{Node: n, Host: port.Host{
 		ID: id, Role: port.RoleEntry, Region: z.Region, Zone: z.Zone, State: port.HostLive,
 		CallerAddress: listeners.Caller.Addr().String(), PeerAddress: listeners.Peer.Addr().String(),
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -68,6 +68,18 @@
 	return port.Host{}, false
 }
 
+// peerAt returns the id of the entry host with a peer address.
+func (t *hostTable) peerAt(address string) (string, bool) {
+	t.mu.RLock()
+	defer t.mu.RUnlock()
+	for _, h := range t.hosts {
+		if h.PeerAddress == address && h.Role == port.RoleEntry {
+			return h.ID, true
+		}
+	}
+	return "", false
+}
+
 // leaving reports whether a host is listed as leaving or under notice.
 func (t *hostTable) leaving(h port.Host) bool {
 	t.mu.RLock()
--- a/node/member.go
+++ b/node/member.go
@@ -197,12 +197,12 @@
 	return out
 }
 
-func (n *Node) handleReport(_ context.Context, params json.RawMessage) (any, error) {
+func (n *Node) handleReport(ctx context.Context, params json.RawMessage) (any, error) {
 	var r member.Report
 	if err := json.Unmarshal(params, &r); err != nil {
 		return nil, err
 	}
-	if _, listed := n.members.Verdict(r.By); !listed {
+	if _, listed := n.members.Verdict(r.By); !listed || !port.PeerMayBe(ctx, r.By) {
 		return nil, ErrUnknownHost
 	}
 	n.hear(r)
--- a/node/peers.go
+++ b/node/peers.go
@@ -49,6 +49,9 @@
 	return n.settings.Host, nil
 }
 
+// PeerAt returns the id of the entry host that is listed at a peer address.
+func (n *Node) PeerAt(address string) (host string, ok bool) { return n.hosts.peerAt(address) }
+
 // ServePeers serves peers at the listener until the node dies.
 func (n *Node) ServePeers(l net.Listener, server PeerServer) {
 	n.tomb.Go(func() error { return server.Serve(n.context(), l) })
--- a/port/peer.go
+++ b/port/peer.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 )
 
 // Errors of calls between entry hosts.
@@ -28,3 +29,18 @@
 // PeerHandler answers one method that peers call. Its result is encoded as
 // JSON.
 type PeerHandler func(ctx context.Context, params json.RawMessage) (any, error)
+
+type peerNamesKey struct{}
+
+// WithPeerNames returns a context that carries the proven names of the calling
+// host.
+func WithPeerNames(ctx context.Context, names []string) context.Context {
+	return context.WithValue(ctx, peerNamesKey{}, names)
+}
+
+// PeerMayBe reports whether the calling host may speak for a host: it proved
+// that name, or callers prove none.
+func PeerMayBe(ctx context.Context, host string) bool {
+	names, proven := ctx.Value(peerNamesKey{}).([]string)
+	return !proven || slices.Contains(names, host)
+}
