node: prefer to keep suspects apart, but do not hold them up for it

Neighbours of a dead endpoint waited for one another when they were more than the endpoints left. They now run beside their company when nothing else is free. TestCompanyIsNotHeldUp, 12 requests on three engines, failed before.

--- a/node/attempts.go
+++ b/node/attempts.go
@@ -170,7 +170,7 @@
 }
 
 // chooseFor books an endpoint: the one to run alone at, the wanted one, or any
-// that is not excluded.
+// that is not to be kept away from.
 func (n *Node) chooseFor(a *Accepted, where placement, wanted string) (port.Host, bool) {
 	if where.alone != "" {
 		host, ok := n.acquire(a, n.allBut(a.Request.Service, where.alone))
@@ -179,13 +179,16 @@
 		}
 		return host, ok
 	}
-	if wanted != "" && !where.excluded[wanted] {
+	if wanted != "" && !where.away[wanted] {
 		return n.acquire(a, n.allBut(a.Request.Service, wanted))
 	}
 	if wanted != "" {
 		return port.Host{}, false
 	}
-	return n.acquire(a, where.excluded)
+	if host, ok := n.acquire(a, where.away); ok || len(where.away) == len(where.tried) {
+		return host, ok
+	}
+	return n.acquire(a, where.tried) // beside company rather than not at all
 }
 
 // allBut returns the endpoints of a service but one.
--- a/node/attempts_test.go
+++ b/node/attempts_test.go
@@ -16,6 +16,7 @@
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/problem"
 	"github.com/cicadanotch/cicadanotch/publish"
+	"github.com/cicadanotch/cicadanotch/quarantine"
 	"github.com/cicadanotch/cicadanotch/standin"
 )
 
@@ -34,8 +35,12 @@
 	actSilent act = "silent"
 	// actMute accepts and brings nothing.
 	actMute act = "mute"
+	// actSlow takes slowAnswer for a whole answer.
+	actSlow act = "slow"
 )
 
+const slowAnswer = 2 * time.Second
+
 // scriptedEngine acts out one act for each attempt, and the last for ever.
 type scriptedEngine struct {
 	fakeEngine
@@ -111,7 +116,10 @@
 		return c, nil
 	}
 	switch s.act {
-	case actWhole:
+	case actWhole, actSlow:
+		if s.act == actSlow {
+			pause(s.ctx, slowAnswer)
+		}
 		c.FinishReason = "stop"
 		s.act = ""
 		return c, nil
@@ -252,6 +260,38 @@
 	}
 }
 
+// TestCompanyIsNotHeldUp runs the neighbours of a death again: there are more
+// of them than endpoints, and none waits for another's end.
+func TestCompanyIsNotHeldUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		n := startModel(t, &scriptedEngine{acts: []act{actSlow}}, "")
+		d := quarantine.Death{Endpoint: "gone", Zone: "jos-a", At: time.Now()}
+		var calls []Call
+		for i := range 12 {
+			call := modelCall(fmt.Sprint(i))
+			req, p := n.plan(call, &problem.Guard{})
+			is.True(p == nil)
+			d.Running = append(d.Running, req.Fingerprint)
+			calls = append(calls, call)
+		}
+		n.quarantine.Add(time.Now(), d)
+		begun := time.Now()
+		for _, call := range calls {
+			_, p := n.Accept(call)
+			is.True(p == nil)
+		}
+		time.Sleep(slowAnswer + time.Millisecond)
+		synctest.Wait()
+		for _, a := range n.requests.all() {
+			end := a.Answer.Ended()
+			is.True(end != nil) // all at the same time
+			is.Equal(end.FinishReason, "stop")
+		}
+		is.Equal(time.Since(begun), slowAnswer+time.Millisecond)
+	})
+}
+
 // TestLimitsOnArrival sends calls beyond each limit of a workspace.
 func TestLimitsOnArrival(t *testing.T) {
 	for name, tc := range map[string]struct {
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -288,7 +288,10 @@
 
 // placement says where a request may run, by the verdict on it.
 type placement struct {
-	excluded map[string]bool
+	// tried are the endpoints not to go back to, away those that also
+	// have company to keep from: used only when no other is left.
+	tried map[string]bool
+	away  map[string]bool
 	// alone is the endpoint to run alone at; empty for none.
 	alone string
 }
@@ -304,10 +307,10 @@
 			return placement{alone: endpoint}, true
 		}
 	case quarantine.VerdictClear:
-		return placement{excluded: union(tried, n.flights.isolatedEndpoints())}, true
+		return placement{tried: tried, away: union(tried, n.flights.isolatedEndpoints())}, true
 	}
 	away := append(n.flights.isolatedEndpoints(), n.flights.beside(j.Company)...)
-	return placement{excluded: union(tried, away)}, true
+	return placement{tried: tried, away: union(tried, away)}, true
 }
 
 func union(set map[string]bool, more []string) map[string]bool {
