quarantine: let the second death decide when crowds are not very large

In the demo a killer took three engines: each death had four to eight requests from several entry hosts, so that two deaths scored below a half and it ran once more, alone. Two deaths whose companies have nobody in common have only it in common; a score of 0.05 now does. Announced deaths no longer excuse others in their zone.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -29,7 +29,7 @@
 	// minDeaths and minScore are needed together for a quarantine; a death
 	// scores one over the number of requests that ran there.
 	minDeaths = 2
-	minScore  = 0.5
+	minScore  = 0.05
 	// isolateScore is the score from which a request is tried alone.
 	isolateScore = 0.5
 	// maxDeaths and maxRunning bound the table.
@@ -224,7 +224,7 @@
 		return false
 	}
 	for _, other := range t.deaths {
-		if other.Zone != d.Zone || other.Endpoint == d.Endpoint || other.At.Sub(d.At).Abs() > zoneWindow {
+		if other.Zone != d.Zone || other.Endpoint == d.Endpoint || other.Announced || other.At.Sub(d.At).Abs() > zoneWindow {
 			continue
 		}
 		if _, ranThere := slices.BinarySearch(other.Running, fingerprint); !ranThere {
