Call no endpoint whose protocol is not known yet; serve the demo

Cause: until a service's document was folded, its plain endpoints were asked for load at an engine's path, which a plain service may take for a call.

--- a/cli/demo.go
+++ b/cli/demo.go
@@ -19,10 +19,11 @@
 	seed := flags.Uint64("seed", 1, "seed of the load's choices")
 	quiet := flags.Bool("quiet", false, "print the table only")
 	asJSON := flags.Bool("json", false, "print the report as JSON")
+	serve := flags.Bool("serve", false, "keep a deployment up without load, for trials by hand, until a signal")
 	logFile := flags.String("log", "", "write the entry hosts' log to this `file`")
 	return &ffcli.Command{
 		Name:       "demo",
-		ShortUsage: "cicadanotch demo [--profile NAME] [--length D] [--seed N]",
+		ShortUsage: "cicadanotch demo [--profile NAME] [--length D] [--seed N] [--serve]",
 		ShortHelp:  "Run a deployment on loopback under load and faults, and judge the promises.",
 		FlagSet:    flags,
 		Exec: func(ctx context.Context, _ []string) error {
@@ -42,6 +43,9 @@
 				defer file.Close()
 				opts.Logger = &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: file}}
 			}
+			if *serve {
+				return errors.Wrap(demo.Serve(ctx, opts, t.stdout), "demo")
+			}
 			report, err := demo.Run(ctx, opts)
 			if err != nil {
 				return errors.Wrap(err, "demo")
--- a/demo/deployment.go
+++ b/demo/deployment.go
@@ -116,7 +116,7 @@
 }
 
 func (d *Deployment) startPlatform() error {
-	place := standin.Place{Zone: d.Profile.StoreZone, Region: d.regionOf(d.Profile.StoreZone)}
+	place := d.storePlace()
 	logAddress, err := d.serve(place, standin.LogHandler(d.Log))
 	if err != nil {
 		return err
@@ -129,6 +129,11 @@
 	return nil
 }
 
+// storePlace is where the platform's services stand.
+func (d *Deployment) storePlace() standin.Place {
+	return standin.Place{Zone: d.Profile.StoreZone, Region: d.regionOf(d.Profile.StoreZone)}
+}
+
 func (d *Deployment) regionOf(zone string) string {
 	for _, z := range d.Profile.Zones {
 		if z.Zone == zone {
--- a/demo/scene.go
+++ b/demo/scene.go
@@ -137,12 +137,8 @@
 
 // failLog takes the log down for a while.
 func failLog(ctx context.Context, r *runner) error {
-	for _, p := range []standin.Point{standin.PointAppend, standin.PointRead} {
-		r.deployment.LogFaults.Add(standin.Fault{Point: p, Action: standin.ActionFail})
-	}
+	r.deployment.failLogFor(logOutage)
 	wait(ctx, logOutage)
-	r.deployment.LogFaults.Clear(standin.PointAppend)
-	r.deployment.LogFaults.Clear(standin.PointRead)
 	// The reply to the next append is lost after it took effect.
 	next := r.deployment.LogFaults.Calls(standin.PointAppend) + 1
 	r.deployment.LogFaults.Add(standin.Fault{Point: standin.PointAppend, Action: standin.ActionLoseReply, FromCall: next, ToCall: next})
--- a/node/choice.go
+++ b/node/choice.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"context"
 	"time"
 
+	"github.com/pkg/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cicadanotch/cicadanotch/config"
@@ -107,3 +109,18 @@
 	}
 	return inRegion, all
 }
+
+// loadOf reads the load of an endpoint. Without the service's document nobody
+// knows which protocol the endpoint speaks, and it is not called.
+func (n *Node) loadOf(ctx context.Context, h port.Host) (port.LoadReport, error) {
+	doc := n.documentOf(h.Service)
+	switch {
+	case doc == nil:
+		return port.LoadReport{}, errNoDocument
+	case doc.Kind == config.KindPlain:
+		return n.ports.Services.Load(ctx, h.EndpointAddress)
+	}
+	return n.ports.Engine.Load(ctx, h.EndpointAddress)
+}
+
+var errNoDocument = errors.New("no document of the service")
--- a/node/execute.go
+++ b/node/execute.go
@@ -173,11 +173,3 @@
 		Once:           !req.Repeatable,
 	}
 }
-
-func (n *Node) loadOf(ctx context.Context, h port.Host) (port.LoadReport, error) {
-	rev, ok := n.documents.Service(h.Service)
-	if ok && rev.Document.Kind == "plain" {
-		return n.ports.Services.Load(ctx, h.EndpointAddress)
-	}
-	return n.ports.Engine.Load(ctx, h.EndpointAddress)
-}
