--- a/node/capacity.go
+++ b/node/capacity.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"slices"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -28,7 +29,7 @@
 // capacityJob decides about the endpoint hosts of all services. Only the
 // holder of a service's capacity lease carries plans out; a start needs no
 // lease to be safe because its token is deterministic. It runs on one worker
-// at a time and needs no lock of its own.
+// at a time; only the rows for the dump have a lock.
 type capacityJob struct {
 	node     *Node
 	planners map[string]*capacity.Planner
@@ -36,6 +37,10 @@
 	pending  map[string]pendingStart
 	// listed holds the hosts of the last round by start token.
 	listed map[string]port.Host
+
+	// mu guards last, the last plans for the dump.
+	mu   sync.Mutex
+	last []CapacityState
 }
 
 type pendingStart struct {
@@ -66,9 +71,11 @@
 	for _, doc := range j.services() {
 		if _, ok := j.node.lease(capacityLease(doc.Service)); !ok {
 			delete(j.planners, doc.Service)
+			j.forget(doc.Service)
 			continue
 		}
 		plan := j.planner(doc.Service).Plan(j.input(now, doc, prices))
+		j.note(doc.Service, plan)
 		budget -= j.carryOut(ctx, now, doc, plan, budget)
 	}
 }
@@ -223,3 +230,40 @@
 	}
 	return out
 }
+
+// CapacityState is a row of the dump: the last plan of a service that this
+// process decides about.
+type CapacityState struct {
+	Service string `json:"service"`
+	Wanted  int    `json:"wanted"`
+	Have    int    `json:"have"`
+	// Short says why fewer hosts are started than wanted.
+	Short string `json:"short,omitempty"`
+}
+
+// states returns the last plans, by service.
+func (j *capacityJob) states() []CapacityState {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return slices.Clone(j.last)
+}
+
+// note keeps a plan for the dump.
+func (j *capacityJob) note(service string, plan capacity.Plan) {
+	row := CapacityState{Service: service, Wanted: plan.Wanted, Have: plan.Have, Short: plan.Short}
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.forgetLocked(service)
+	j.last = append(j.last, row)
+}
+
+// forget drops the row of a service that another process decides about.
+func (j *capacityJob) forget(service string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.forgetLocked(service)
+}
+
+func (j *capacityJob) forgetLocked(service string) {
+	j.last = slices.DeleteFunc(j.last, func(s CapacityState) bool { return s.Service == service })
+}
--- a/node/node.go
+++ b/node/node.go
@@ -51,20 +51,21 @@
 	metrics  *metrics
 	registry *prometheus.Registry
 
-	documents *config.Table
-	claims    *claim.Table
-	leases    *lease.Table
-	capacity  *capacity.Table
-	endpoints *endpointTable
-	hosts     *hostTable
-	members   *member.Table
-	reports   *reportTable
-	relays    *relays
-	requests  *requestTable
-	tail      *tail
-	writer    *writer
-	holders   *leaseHolders
-	orders    *orderTable
+	documents   *config.Table
+	claims      *claim.Table
+	leases      *lease.Table
+	capacity    *capacity.Table
+	endpoints   *endpointTable
+	hosts       *hostTable
+	members     *member.Table
+	reports     *reportTable
+	relays      *relays
+	requests    *requestTable
+	tail        *tail
+	writer      *writer
+	holders     *leaseHolders
+	orders      *orderTable
+	capacityJob *capacityJob
 	// incarnation is unique to this process, not only to its host.
 	incarnation string
 	// behind is set while peers are known to be further in the log.
@@ -118,6 +119,7 @@
 	n.incarnation = n.settings.Host + "/" + record.NewID()[:incarnationDigits]
 	n.holders = newLeaseHolders(n)
 	n.orders = newOrderTable()
+	n.capacityJob = newCapacityJob(n)
 	n.tail = newTail(n)
 	n.writer = newWriter(n)
 	n.stopping = newStopState(n.settings.AddressLifetime.Std())
@@ -146,7 +148,7 @@
 	n.pool.every(&n.tomb, "deaths", deathSyncInterval, n.syncDeaths)
 	n.pool.every(&n.tomb, "queues", n.settings.LoadInterval.Std(), n.refreshQueues)
 	n.pool.every(&n.tomb, "requests", time.Second, n.expireRequests)
-	n.pool.every(&n.tomb, "capacity", capacityInterval, newCapacityJob(n).run)
+	n.pool.every(&n.tomb, "capacity", capacityInterval, n.capacityJob.run)
 	n.pool.every(&n.tomb, "stop", stopInterval, n.stepStop)
 	n.pool.every(&n.tomb, "endpoint drains", drainInterval, n.drainEndpoints)
 	n.tomb.Go(n.watchNotices)
--- a/node/operator.go
+++ b/node/operator.go
@@ -25,8 +25,9 @@
 	Requests  []RequestState             `json:"requests"`
 	Choice    ChoiceState                `json:"choice"`
 	// Members are the verdicts on the entry hosts.
-	Members []member.Row `json:"members"`
-	Relays  RelayState   `json:"relays"`
+	Members  []member.Row    `json:"members"`
+	Relays   RelayState      `json:"relays"`
+	Capacity []CapacityState `json:"capacity"`
 	// Stop tells how far a stop of this host has come and what it waits for.
 	Stop StopState `json:"stop"`
 	// Queues are the queues of the services.
@@ -63,6 +64,7 @@
 		Choice:    n.endpoints.state(time.Now()),
 		Members:   n.members.Rows(),
 		Relays:    n.RelayState(),
+		Capacity:  n.capacityJob.states(),
 		Stop:      n.stopState(),
 		Drains:    n.drains.state(),
 	}
