--- a/client/client.go
+++ b/client/client.go
@@ -59,6 +59,8 @@
 	Seeds []string
 	// Service is the service whose addresses are asked for.
 	Service string
+	// Zone is the caller's availability zone; empty when it has none.
+	Zone string
 	// Key is the bearer key; Workspace is sent beside it.
 	Key       string
 	Workspace string
@@ -168,6 +170,9 @@
 	ctx, cancel := context.WithTimeout(ctx, addressTimeout)
 	defer cancel()
 	q := url.Values{"service": {c.opts.Service}, "workspace": {c.opts.Workspace}}
+	if c.opts.Zone != "" {
+		q.Set("availability_zone", c.opts.Zone)
+	}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+at+"/v1/addresses?"+q.Encode(), nil)
 	if err != nil {
 		return addressReply{}, errors.Wrap(err, "make request for addresses")
--- a/demo/stop_test.go
+++ b/demo/stop_test.go
@@ -15,6 +15,7 @@
 	"github.com/cicadanotch/cicadanotch/config"
 	"github.com/cicadanotch/cicadanotch/demo"
 	"github.com/cicadanotch/cicadanotch/drain"
+	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/record"
 	"github.com/cicadanotch/cicadanotch/request"
 	"github.com/cicadanotch/cicadanotch/standin"
@@ -144,6 +145,25 @@
 	eventually(t, "the host is back in the answers", named)
 }
 
+// TestAddressesWhenAllLeave puts every entry host under a maintenance notice:
+// callers still get the hosts, which serve.
+func TestAddressesWhenAllLeave(t *testing.T) {
+	is := is.New(t)
+	p := small()
+	d := start(t, p)
+	for _, e := range d.Entries() {
+		d.Cloud.Announce(e.Host.ID, port.NoticeMaintenance, time.Now().Add(time.Hour))
+	}
+	for _, e := range d.Entries() {
+		eventually(t, "the notices are known", func() bool { return e.Node.State().Stop.Phase != drain.PhaseServing })
+		is.True(len(e.Node.Addresses(p.ModelService, "", "").Addresses) > 0)
+	}
+	body, want := chatBody(p, "Anyone there?", 5)
+	answer, err := newClient(d, d.Entries()[0].Host.CallerAddress).Generate(t.Context(), client.Generate{Body: []byte(body)})
+	is.NoErr(err)
+	is.Equal(answer.Text, want)
+}
+
 // TestTakerDiesUnannounced kills the host that took a stream over while its
 // giver still lives: the caller's connection goes on.
 func TestTakerDiesUnannounced(t *testing.T) {
--- a/node/handoff.go
+++ b/node/handoff.go
@@ -10,6 +10,7 @@
 
 	"github.com/cicadanotch/cicadanotch/answer"
 	"github.com/cicadanotch/cicadanotch/drain"
+	"github.com/cicadanotch/cicadanotch/member"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/request"
 )
@@ -260,13 +261,19 @@
 func (n *Node) takers(id request.ID) []string {
 	var peers []drain.Peer
 	for _, h := range n.peerHosts() {
-		if !n.entryLeaving(h) {
+		if !n.entryLeaving(h) && !n.dead(h) {
 			peers = append(peers, drain.Peer{Host: h.ID, Region: h.Region})
 		}
 	}
 	return drain.Takers(id.String(), peers, n.settings.Region, takerLimit)
 }
 
+// dead reports whether heartbeats say that an entry host does not answer.
+func (n *Node) dead(h port.Host) bool {
+	verdict, _ := n.members.Verdict(h.ID)
+	return verdict == member.Dead
+}
+
 func (n *Node) peer(id string) (port.Host, bool) {
 	for _, h := range n.peerHosts() {
 		if h.ID == id {
