node: share a workspace's limits among the entry hosts

Each host applied the whole limit, so that a workspace with callers at three of them got three times its rate. Hosts now tell their nearest peers once a second at what rate requests of limited workspaces arrive, and use that part of the limit. TestHostsShareALimit: 240 calls against 80 allowed; between 60 and 100 are accepted.

--- a/admit/flow.go
+++ b/admit/flow.go
@@ -11,8 +11,10 @@
 	limits  Limits
 	queued  int
 	running int
-	rate    bucket
-	spend   bucket
+	// arrivals counts all requests, the refused ones too.
+	arrivals int64
+	rate     bucket
+	spend    bucket
 	// flows are its queues, one for each priority used.
 	flows []*flow
 }
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -159,6 +159,7 @@
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	w := q.workspace(item.Workspace)
+	w.arrivals++
 	if r := q.refuse(now, w, item); r != nil {
 		q.refused[r.Reason]++
 		return nil, r
@@ -320,6 +321,18 @@
 	return q.service
 }
 
+// Arrivals returns how many requests of each workspace have come, refused ones
+// included.
+func (q *Queue) Arrivals() map[string]int64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	out := make(map[string]int64, len(q.workspaces))
+	for name, w := range q.workspaces {
+		out[name] = w.arrivals
+	}
+	return out
+}
+
 // RetryAfter returns when the caller of a request that was given up should
 // come back.
 func (q *Queue) RetryAfter(now time.Time) time.Duration {
--- a/node/admission.go
+++ b/node/admission.go
@@ -62,9 +62,6 @@
 func (n *Node) arrive(req *request.Request, doc *config.Document, guard *problem.Guard) (*admit.Entry, *problem.Problem) {
 	now := time.Now()
 	q := n.queues.Queue(req.Service)
-	if w, ok := doc.WorkspaceNamed(req.Workspace); ok {
-		q.SetLimits(w.Name, limitsOf(w))
-	}
 	entry, refusal := q.Arrive(now, admissionItem(req, doc, q.ServiceTime()))
 	if refusal != nil {
 		n.metrics.refused.WithLabelValues(req.Service, string(refusal.Reason)).Inc()
@@ -74,15 +71,6 @@
 	return entry, nil
 }
 
-func limitsOf(w config.Workspace) admit.Limits {
-	return admit.Limits{
-		Weight:            w.Weight,
-		MaxConcurrent:     w.MaxConcurrent,
-		RequestsPerSecond: w.RequestsPerSecond,
-		SpendPerHour:      w.SpendPerHour,
-	}
-}
-
 func admissionItem(req *request.Request, doc *config.Document, service time.Duration) admit.Item {
 	item := admit.Item{
 		Workspace: req.Workspace,
@@ -182,7 +170,7 @@
 	for service, rev := range n.documents.All() {
 		q := n.queues.Queue(service)
 		for _, w := range rev.Document.Workspaces {
-			q.SetLimits(w.Name, limitsOf(w))
+			q.SetLimits(w.Name, n.limitsFor(service, w, hosts))
 		}
 		q.SetSlots(slots(service, rev.Document.Kind, loads, hosts))
 		n.startQueued(q)
--- a/node/attempts_test.go
+++ b/node/attempts_test.go
@@ -142,6 +142,12 @@
 // startModel starts one node before three engines that share a script. Run it
 // in a synctest bubble.
 func startModel(t *testing.T, engine port.Engine, limits string) *Node {
+	t.Helper()
+	return startModels(t, engine, limits, 1)[0]
+}
+
+// startModels starts several nodes before three engines.
+func startModels(t *testing.T, engine port.Engine, limits string, size int) []*Node {
 	t.Helper()
 	is := is.New(t)
 	log := standin.NewLog(standin.LogOptions{})
@@ -152,16 +158,25 @@
 		id := fmt.Sprintf("engine-%d", i)
 		cloud.hosts = append(cloud.hosts, port.Host{ID: id, Role: port.RoleEndpoint, Region: "plateau", Zone: "jos-a", Service: "llm", State: port.HostLive, EndpointAddress: id})
 	}
-	cloud.hosts = append(cloud.hosts, port.Host{ID: "entry", Role: port.RoleEntry, Region: "plateau", Zone: "jos-a", State: port.HostLive})
-	n := New(Settings{
-		Host: "entry", Region: "plateau", Zone: "jos-a", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
-		PollInterval: config.Duration(time.Second), LoadInterval: config.Duration(time.Second),
-	}, Ports{Log: log, Cloud: cloud, Services: newFakeServices(), Peers: &fakePeers{}, Engine: engine})
-	n.Start()
-	t.Cleanup(func() { _ = n.Stop() })
+	peers := &fakePeers{nodes: map[string]*Node{}}
+	var nodes []*Node
+	for i := range size {
+		id := fmt.Sprintf("entry-%d", i)
+		cloud.hosts = append(cloud.hosts, port.Host{ID: id, Role: port.RoleEntry, Region: "plateau", Zone: "jos-a", State: port.HostLive, PeerAddress: id})
+		n := New(Settings{
+			Host: id, Region: "plateau", Zone: "jos-a", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+			PollInterval: config.Duration(time.Second), LoadInterval: config.Duration(time.Second),
+		}, Ports{Log: log, Cloud: cloud, Services: newFakeServices(), Peers: peers, Engine: engine})
+		peers.set(id, n)
+		nodes = append(nodes, n)
+	}
+	for _, n := range nodes {
+		n.Start()
+		t.Cleanup(func() { _ = n.Stop() })
+	}
 	time.Sleep(3 * time.Second)
 	synctest.Wait()
-	return n
+	return nodes
 }
 
 func modelCall(prompt string) Call {
@@ -326,6 +341,29 @@
 	}
 }
 
+// TestHostsShareALimit sends a workspace's full rate to each of three hosts:
+// once they know of one another, they accept it once in all.
+func TestHostsShareALimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const perSecond, seconds, settle = 10, 12, 4
+		nodes := startModels(t, &scriptedEngine{acts: []act{actWhole}}, `, "requests_per_second": 10`, 3)
+		accepted := 0
+		for i := range seconds * perSecond {
+			for _, n := range nodes {
+				_, p := n.Accept(modelCall(fmt.Sprint(i)))
+				if p == nil && i >= settle*perSecond {
+					accepted++
+				}
+			}
+			time.Sleep(time.Second / perSecond)
+		}
+		const allowed = perSecond * (seconds - settle)
+		is.True(accepted <= allowed*5/4) // not three times the limit
+		is.True(accepted >= allowed*3/4) // and not far below it
+	})
+}
+
 // TestWaitingRequestGetsItsAnswerInTime leaves the endpoints no room: a queued
 // request is given up when it can no longer start, as not run.
 func TestWaitingRequestGetsItsAnswerInTime(t *testing.T) {
--- a/node/node.go
+++ b/node/node.go
@@ -74,6 +74,7 @@
 	leaving  *leavingTable
 	queues   admit.Table
 	// budgets holds an *attempt.Budget for each service.
+	usage      *usageTable
 	flights    *flights
 	quarantine *quarantine.Table
 	// deathTurn counts the exchanges of deaths with peers.
@@ -107,6 +108,7 @@
 		endpoints:  newEndpointTable(settings),
 		hosts:      newHostTable(),
 		requests:   newRequestTable(),
+		usage:      newUsageTable(),
 		flights:    newFlights(),
 		quarantine: quarantine.NewTable(),
 	}
@@ -145,6 +147,7 @@
 	n.pool.every(&n.tomb, "hosts", n.settings.PollInterval.Std(), n.pollHosts)
 	n.pool.every(&n.tomb, "loads", n.settings.LoadInterval.Std(), n.pollLoads)
 	n.pool.every(&n.tomb, "cache events", n.settings.LoadInterval.Std(), n.pollEvents)
+	n.pool.every(&n.tomb, "usage", usageInterval, n.shareUsage)
 	n.pool.every(&n.tomb, "deaths", deathSyncInterval, n.syncDeaths)
 	n.pool.every(&n.tomb, "queues", n.settings.LoadInterval.Std(), n.refreshQueues)
 	n.pool.every(&n.tomb, "requests", time.Second, n.expireRequests)
--- a/node/peers.go
+++ b/node/peers.go
@@ -34,6 +34,7 @@
 		MethodOrder:   n.handleOrder,
 		MethodLeaving: n.handleLeaving,
 		MethodDeaths:  n.handleDeaths,
+		MethodUsage:   n.handleUsage,
 
 		MethodCheck:        n.handleCheck,
 		MethodReport:       n.handleReport,
