Take back a second fallback of the address answers; correct its claim

Change: the second fallback goes. Conclusion: what leaves is that hosts which heartbeats call dead are offered no request, and the client's availability zone.

--- a/demo/stop_test.go
+++ b/demo/stop_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -155,7 +156,11 @@
 		d.Cloud.Announce(e.Host.ID, port.NoticeMaintenance, time.Now().Add(time.Hour))
 	}
 	for _, e := range d.Entries() {
-		eventually(t, "the notices are known", func() bool { return e.Node.State().Stop.Phase != drain.PhaseServing })
+		eventually(t, "all notices are known", func() bool {
+			return !slices.ContainsFunc(e.Node.State().Hosts, func(h port.Host) bool {
+				return h.Role == port.RoleEntry && h.State != port.HostLeaving
+			})
+		})
 		is.True(len(e.Node.Addresses(p.ModelService, "", "").Addresses) > 0)
 	}
 	body, want := chatBody(p, "Anyone there?", 5)
--- a/node/addresses.go
+++ b/node/addresses.go
@@ -1,8 +1,6 @@
 package node
 
 import (
-	"slices"
-
 	"github.com/cicadanotch/cicadanotch/address"
 	"github.com/cicadanotch/cicadanotch/member"
 	"github.com/cicadanotch/cicadanotch/port"
@@ -49,21 +47,9 @@
 			Suspect: verdict == member.Suspect,
 		})
 	}
-	if !slices.ContainsFunc(out, func(h address.Host) bool { return !h.Out }) {
-		n.bringBack(out)
-	}
 	return out
 }
 
-// bringBack gives callers the hosts that leave when there are no others: they
-// still serve. Dead ones stay out.
-func (n *Node) bringBack(hosts []address.Host) {
-	for i := range hosts {
-		verdict, _ := n.members.Verdict(hosts[i].ID)
-		hosts[i].Out = verdict == member.Dead
-	}
-}
-
 // staleSelf reports whether id is this host and it is behind its peers.
 func (n *Node) staleSelf(id string) bool { return id == n.settings.Host && n.Behind() }
 
