route: lean on homes while reports are stale

Cause: with reports three seconds old and events lost, entry hosts did not know what their peers had placed where, and placed it again elsewhere. Change: for each second by which reports are older than one second, homes weigh once more and the active set grows by 0.3 of itself: what is not known of peers is replaced by what all agree on.

--- a/route/choose.go
+++ b/route/choose.go
@@ -6,6 +6,10 @@
 )
 
 const (
+	// freshReport is the age up to which reports count as fresh; mostStale
+	// bounds what is beyond it.
+	freshReport = time.Second
+	mostStale   = 4 * time.Second
 	// reportHalfLife is the age at which a report's word on others counts
 	// half, in milliseconds.
 	reportHalfLife = 5000.0
@@ -161,8 +165,9 @@
 		n++
 	}
 	t.scratch = rows[:n]
-	t.activate(g, now)
-	t.addCopies(g, q)
+	stale := t.staleness(p.now)
+	t.activate(g, stale, now)
+	t.addCopies(g, q, stale)
 	for i := range t.scratch {
 		t.scratch[i].score = t.scratch[i].terms.Score()
 	}
@@ -246,11 +251,11 @@
 // addCopies counts what would be computed again: tokens that another endpoint
 // nearby holds, and the part that none holds but the prompt's home will. The
 // second in rank, where a hot home's load goes first, pays half of the latter.
-func (t *Table) addCopies(g *group, q *Query) {
+func (t *Table) addCopies(g *group, q *Query, stale float64) {
 	perToken := millisPerSecond / g.alone
 	first, second := t.ranks()
 	held := t.mostCached()
-	home := t.opts.HomeWeight * float64(min(q.PromptTokens-held, maxHomeTokens)) * perToken
+	home := t.opts.HomeWeight * (1 + t.opts.StaleHome*stale) * float64(min(q.PromptTokens-held, maxHomeTokens)) * perToken
 	for i := range t.scratch {
 		c := &t.scratch[i]
 		c.terms.Copy = t.opts.CopyWeight * float64(max(held-c.cached, 0)) * perToken
@@ -294,10 +299,29 @@
 	return first, second
 }
 
+// staleness returns how much older than freshReport the reports of endpoints
+// nearby are on the whole, in seconds.
+func (t *Table) staleness(now int64) float64 {
+	total, count := 0.0, 0.0
+	for i := range t.scratch {
+		e := t.scratch[i].endpoint
+		if e.near == otherRegion || e.reportAt == 0 {
+			continue
+		}
+		total += float64(now - e.reportAt)
+		count++
+	}
+	if count == 0 {
+		return 0
+	}
+	mean := time.Duration(total / count)
+	return min(max(mean-freshReport, 0), mostStale).Seconds()
+}
+
 // activate marks the first endpoints nearby, in the service's order, that are
 // enough for its load. Homes are among them, so that work gathers there and
 // all processes that see about the same load agree on homes.
-func (t *Table) activate(g *group, now time.Time) {
+func (t *Table) activate(g *group, stale float64, now time.Time) {
 	load, limit := 0.0, float64(t.opts.MaxRunning)
 	for i := range t.scratch {
 		if c := &t.scratch[i]; c.endpoint.near != otherRegion {
@@ -306,7 +330,7 @@
 		}
 	}
 	g.smooth(load, now)
-	wanted := math.Ceil(g.load/(limit*t.opts.ActiveFill)) + 1
+	wanted := math.Ceil(g.load*(1+t.opts.StaleFill*stale)/(limit*t.opts.ActiveFill)) + 1
 	for i := range t.scratch {
 		if c := &t.scratch[i]; c.endpoint.near != otherRegion && wanted > 0 {
 			c.active = true
--- a/route/policy_test.go
+++ b/route/policy_test.go
@@ -177,3 +177,25 @@
 		is.Equal(err == nil, i < len(rows)-1) // those beyond the index serve too
 	}
 }
+
+// TestStaleReportsWidenTheHomes spreads more new prompts when reports are old.
+func TestStaleReportsWidenTheHomes(t *testing.T) {
+	is := is.New(t)
+	used := map[time.Duration]int{}
+	for _, age := range []time.Duration{0, 4 * time.Second} {
+		table := table(zoneRows(16)...)
+		for i := range 16 {
+			table.Report("e"+strconv.Itoa(i), port.LoadReport{At: start, Running: 2})
+		}
+		homes := map[string]bool{}
+		for i := range 40 {
+			q := question()
+			q.Prefix = uint64(i)*7919 + 1
+			got := choose(t, table, q, start.Add(age))
+			table.Release(got.Booking)
+			homes[got.Host.ID] = true
+		}
+		used[age] = len(homes)
+	}
+	is.True(used[4*time.Second] > used[0])
+}
--- a/route/route.go
+++ b/route/route.go
@@ -62,6 +62,11 @@
 	// PriceWeight is how much delay is worth as much as the time for which a
 	// request keeps a host of the cheapest price busy.
 	PriceWeight float64
+	// StaleHome and StaleFill are by how much HomeWeight and the active
+	// endpoints grow for each second by which reports are stale: what is not
+	// known of peers is replaced by what all agree on.
+	StaleHome float64
+	StaleFill float64
 	// CopyWeight is how often the prefill of tokens that another endpoint
 	// nearby holds counts beyond its delay.
 	CopyWeight float64
@@ -90,6 +95,8 @@
 		RegionDelay:            30 * time.Millisecond,
 		LinkBytesPerSecond:     30e6 / 8,
 		PriceWeight:            0.05,
+		StaleHome:              1,
+		StaleFill:              0.3,
 		CopyWeight:             2,
 		HomeWeight:             0.5,
 		PeerWeight:             0.25,
