--- a/node/endpoints.go
+++ b/node/endpoints.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"github.com/cicadanotch/cicadanotch/config"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/request"
@@ -24,7 +26,8 @@
 type endpointTable struct {
 	chooser *route.Chooser
 	// routes is the chooser's table.
-	routes *route.Table
+	routes  *route.Table
+	metrics *choiceMetrics
 
 	mu       sync.Mutex
 	bookings map[bookingKey]booked
@@ -40,13 +43,14 @@
 	started bool
 }
 
-func newEndpointTable(s Settings) *endpointTable {
+func newEndpointTable(s Settings, r prometheus.Registerer) *endpointTable {
 	opts := route.DefaultOptions()
 	opts.Seed = maphash.String(maphash.MakeSeed(), s.Host)
 	chooser := route.NewChooser(route.Place{Region: s.Region, Zone: s.Zone}, opts)
 	return &endpointTable{
 		chooser:  chooser,
 		routes:   chooser.Table(),
+		metrics:  newChoiceMetrics(r),
 		bookings: map[bookingKey]booked{},
 	}
 }
@@ -71,6 +75,9 @@
 	if err != nil {
 		return port.Host{}, false
 	}
+	if choice.Spilled {
+		t.metrics.crossed.WithLabelValues(req.Service).Inc()
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.bookings[bookingKey{req.ID, choice.Host.ID}] = booked{choice: choice}
@@ -126,6 +133,7 @@
 	delete(t.bookings, key)
 	t.mu.Unlock()
 	if ok {
+		t.metrics.count(req.Service, usage)
 		t.chooser.Release(&b.choice, req.Blocks, route.Ended{Usage: usage, Started: b.started})
 	}
 }
--- a/node/node.go
+++ b/node/node.go
@@ -105,7 +105,7 @@
 		claims:     claim.NewTable(),
 		leases:     lease.NewTable(),
 		capacity:   capacity.NewTable(),
-		endpoints:  newEndpointTable(settings),
+		endpoints:  newEndpointTable(settings, registry),
 		hosts:      newHostTable(),
 		requests:   newRequestTable(),
 		usage:      newUsageTable(),
