Run suspects alone at once, each at an endpoint of its own

Cause: after a death, the killer and its neighbours were tried again by several entry hosts at the same endpoints, which hold their prompts, so that the second death was not held against the killer. Idle endpoints were taken in the order of their ids, so that suspects met there too. Change: route.Idle gives each suspect an idle endpoint by the hash of its fingerprint, the region's own first; a request under suspicion runs there at once if there is one.

--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -306,6 +306,10 @@
 		if endpoint := n.awaitIdle(ctx, a); endpoint != "" {
 			return placement{alone: endpoint}, true
 		}
+	case quarantine.VerdictSeparate:
+		if endpoint := n.takeIdle(a); endpoint != "" {
+			return placement{alone: endpoint}, true
+		}
 	case quarantine.VerdictClear:
 		return placement{tried: tried, away: union(tried, n.flights.isolatedEndpoints())}, true
 	}
@@ -327,17 +331,25 @@
 	return out
 }
 
+// takeIdle returns an endpoint without requests and keeps it free of others;
+// it returns "" when there is none.
+func (n *Node) takeIdle(a *Accepted) string {
+	taken := union(nil, n.flights.isolatedEndpoints())
+	endpoint, ok := n.endpoints.routes.Idle(a.Request.Service, a.Request.Fingerprint, taken, time.Now())
+	if !ok {
+		return ""
+	}
+	n.flights.isolate(endpoint, true)
+	return endpoint
+}
+
 // awaitIdle waits for an endpoint without requests and keeps it free of
 // others; it returns "" when none comes free in time.
 func (n *Node) awaitIdle(ctx context.Context, a *Accepted) string {
 	until := time.Now().Add(isolateWait)
 	for {
-		for _, l := range n.endpoints.routes.Loads(time.Now()) {
-			idle := l.Service == a.Request.Service && !l.Leaving && !l.Suspect && l.InFlight == 0 && l.Others <= 0
-			if idle && !slices.Contains(n.flights.isolatedEndpoints(), l.Endpoint) {
-				n.flights.isolate(l.Endpoint, true)
-				return l.Endpoint
-			}
+		if endpoint := n.takeIdle(a); endpoint != "" {
+			return endpoint
 		}
 		if ctx.Err() != nil || time.Now().After(until) {
 			return ""
--- a/replay/suspects.go
+++ b/replay/suspects.go
@@ -84,8 +84,12 @@
 	case quarantine.VerdictQuarantine:
 		return nil, false, false
 	case quarantine.VerdictIsolate:
-		return e.alone(c, excluded)
+		excluded, idle := e.alone(c, excluded)
+		return excluded, !idle && e.world.clock.now-c.suspectSince < isolateWait, true
 	case quarantine.VerdictSeparate:
+		if excluded, idle := e.alone(c, excluded); idle {
+			return excluded, false, true
+		}
 		for other := range e.running {
 			if other.current != nil && slices.Contains(j.Company, other.fingerprint) {
 				excluded[other.current.engine.host.ID] = true
@@ -95,20 +99,16 @@
 	return excluded, false, true
 }
 
-// alone leaves one idle endpoint to a suspect and keeps it free of others.
-func (e *entry) alone(c *call, excluded map[string]bool) (map[string]bool, bool, bool) {
-	now := e.world.clock.now
+// alone leaves one idle endpoint to a suspect and keeps it free of others; it
+// reports false when none is idle.
+func (e *entry) alone(c *call, excluded map[string]bool) (map[string]bool, bool) {
 	if c.suspectSince == 0 {
-		c.suspectSince = now
-	}
-	idle := ""
-	for _, l := range e.chooser.Table().Loads(e.world.clock.time()) {
-		if idle == "" && !l.Leaving && !l.Suspect && l.InFlight == 0 && l.Others <= 0 && !excluded[l.Endpoint] {
-			idle = l.Endpoint
-		}
+		c.suspectSince = e.world.clock.now
 	}
-	if idle == "" {
-		return excluded, now-c.suspectSince < isolateWait, true
+	service := e.world.trace.Header.Service
+	idle, ok := e.chooser.Table().Idle(service, c.fingerprint, excluded, e.world.clock.time())
+	if !ok {
+		return excluded, false
 	}
 	for id := range e.rows {
 		if id != idle {
@@ -117,7 +117,7 @@
 	}
 	c.aloneAt = idle
 	e.isolated[idle] = true
-	return excluded, false, true
+	return excluded, true
 }
 
 // leaveAlone frees the endpoint that a suspect had for itself.
--- a/route/policy_test.go
+++ b/route/policy_test.go
@@ -199,3 +199,50 @@
 	}
 	is.True(used[4*time.Second] > used[0])
 }
+
+func TestIdle(t *testing.T) {
+	for name, tc := range map[string]struct {
+		change func(*route.Table, []route.Row)
+		taken  map[string]bool
+		want   string
+	}{
+		"own region first":  {func(*route.Table, []route.Row) {}, nil, "near"},
+		"near one is busy":  {func(t *route.Table, _ []route.Row) { t.Report("near", port.LoadReport{At: start, Running: 1}) }, nil, "far"},
+		"near one is taken": {func(*route.Table, []route.Row) {}, map[string]bool{"near": true}, "far"},
+		"near one leaves":   {func(_ *route.Table, rows []route.Row) { rows[0].Leaving = true }, nil, "far"},
+		"near one suspect":  {func(t *route.Table, _ []route.Row) { t.Suspect("near", start.Add(time.Second)) }, nil, "far"},
+		"regions parted": {func(t *route.Table, rows []route.Row) {
+			rows[0].Leaving = true
+			t.Suspect("far", start.Add(-time.Second))
+		}, nil, ""},
+		"none": {func(*route.Table, []route.Row) {}, map[string]bool{"near": true, "far": true}, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			rows := []route.Row{row("near", here.Region, here.Zone, 0), row("far", "r2", "r2-a", 1)}
+			table := table(rows...)
+			tc.change(table, rows)
+			table.Update(rows)
+			got, ok := table.Idle(service, 1, tc.taken, start)
+			is.Equal(got, tc.want)
+			is.Equal(ok, tc.want != "")
+		})
+	}
+}
+
+// TestSuspectsDoNotMeet has two processes look for idle endpoints.
+func TestSuspectsDoNotMeet(t *testing.T) {
+	is := is.New(t)
+	first, second := table(zoneRows(16)...), table(zoneRows(16)...)
+	met := 0
+	for key := range uint64(32) {
+		a, _ := first.Idle(service, key*977, nil, start)
+		b, _ := second.Idle(service, key*977+1, nil, start)
+		again, _ := second.Idle(service, key*977, nil, start)
+		is.Equal(a, again) // the same request goes to the same one
+		if a == b {
+			met++
+		}
+	}
+	is.True(met < 8) // by chance 2 of 32
+}
