--- /dev/null
+++ b/node/quarantine_test.go
@@ -0,0 +1,68 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadanotch/cicadanotch/config"
+	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/quarantine"
+)
+
+// downLog does not answer.
+type downLog struct{}
+
+// Append implements port.Log.
+func (downLog) Append(context.Context, []byte) (int64, error) { return 0, port.ErrLogUnavailable }
+
+// Read implements port.Log.
+func (downLog) Read(ctx context.Context, _ int64, _ int, wait time.Duration) (port.Page, error) {
+	pause(ctx, wait)
+	return port.Page{}, port.ErrLogUnavailable
+}
+
+// TestQuarantineWithoutLog books two deaths at one host while the log is down:
+// the others know within a second, and a newcomer learns it after the host that
+// saw the deaths is gone.
+func TestQuarantineWithoutLog(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		const killer = 7
+		cloud := &fakeCloud{}
+		peers := &fakePeers{nodes: map[string]*Node{}}
+		for i := range 4 {
+			id := fmt.Sprintf("entry-%d", i)
+			cloud.hosts = append(cloud.hosts, port.Host{ID: id, Role: port.RoleEntry, Region: "plateau", Zone: "jos-a", State: port.HostLive, PeerAddress: id})
+		}
+		begin := func(id string) *Node {
+			n := New(Settings{
+				Host: id, Region: "plateau", Zone: "jos-a", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
+				PollInterval: config.Duration(time.Second), LoadInterval: config.Duration(time.Second),
+			}, Ports{Log: downLog{}, Cloud: cloud, Services: newFakeServices(), Peers: peers, Engine: fakeEngine{}})
+			n.Start()
+			t.Cleanup(func() { _ = n.Stop() })
+			peers.set(id, n)
+			return n
+		}
+		verdict := func(n *Node) quarantine.Verdict { return n.quarantine.Judge(time.Now(), killer).Verdict }
+		first, second, third := begin("entry-0"), begin("entry-1"), begin("entry-2")
+		time.Sleep(3 * time.Second)
+		for _, endpoint := range []string{"a", "b"} {
+			first.shareDeath(quarantine.Death{Endpoint: endpoint, Zone: "jos-a", At: time.Now(), Running: []uint64{killer}})
+		}
+		time.Sleep(time.Second)
+		for _, n := range []*Node{first, second, third} {
+			is.Equal(verdict(n), quarantine.VerdictQuarantine)
+		}
+		peers.set("entry-0", nil)
+		first.tomb.Kill(nil)
+		newcomer := begin("entry-3")
+		time.Sleep(4 * deathSyncInterval) // one peer at a time, and one is gone
+		is.Equal(verdict(newcomer), quarantine.VerdictQuarantine)
+	})
+}
