Make the wave test's cut caller and planned stop certain

Cause: that some caller was cut by the wave, and that a planned stop was known everywhere within a second, was left to the load of the machine. Change: one stream outlasts the notice in any case, and the count of new work on the leaving endpoint begins once each entry host lists it as leaving. Conclusion: the verdict no longer depends on timing.

--- a/demo/reclaim_test.go
+++ b/demo/reclaim_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -32,12 +33,15 @@
 }
 
 // ask sends one streamed question and checks its answer.
-func (c *tally) ask(cl *client.Client, p demo.Profile, question string, tokens int) {
+func (c *tally) ask(cl *client.Client, p demo.Profile, question string, tokens int, onChunk func(index int)) {
 	body, want := chatBody(p, question, tokens)
 	got := ""
 	answer, err := cl.Generate(context.Background(), client.Generate{
-		Body:    []byte(body),
-		OnChunk: func(_ int, text string) { got += text },
+		Body: []byte(body),
+		OnChunk: func(index int, text string) {
+			got += text
+			onChunk(index)
+		},
 	})
 	c.add(func() {
 		switch {
@@ -79,7 +83,7 @@
 				default:
 				}
 				name := fmt.Sprintf("caller %d question %d", i, round)
-				c.ask(cl, d.Profile, name, 20+140*(i%3))
+				c.ask(cl, d.Profile, name, 20+140*(i%3), func(int) {})
 				if i%4 == 0 {
 					c.order(cl, d.Profile, name)
 				}
@@ -131,9 +135,25 @@
 	// A planned stop of one endpoint: no new work, what runs ends by itself.
 	planned := engineIn(d, p.Zones[1].Zone)
 	announce(d, port.NoticeMaintenance, time.Now().Add(time.Hour), planned.Host.ID)
-	time.Sleep(time.Second) // the promise is "a few seconds"
+	eventually(t, "all entry hosts know of the planned stop", func() bool {
+		return !slices.ContainsFunc(d.Entries(), func(e *demo.EntryHost) bool { return !listedLeaving(e, planned.Host.ID) })
+	})
+	time.Sleep(time.Second) // what was chosen before has been sent by then
 	begun := planned.Faults.Calls("generate")
 
+	// One stream at the zone outlasts the notice: its caller will be cut off.
+	first := make(chan struct{})
+	longDone := make(chan struct{})
+	go func() {
+		defer close(longDone)
+		counts.ask(newClient(d, entryIn(d, zone).Host.CallerAddress), p, "A long review", 500, func(index int) {
+			if index == 0 {
+				close(first)
+			}
+		})
+	}()
+	<-first
+
 	// The zone goes, with its entry hosts, on a second and a half of notice.
 	var gone []string
 	deadline := time.Now().Add(1500 * time.Millisecond)
@@ -165,6 +185,7 @@
 	eventually(t, "the load goes on", enough(before+40))
 	close(stop)
 	<-done
+	<-longDone
 
 	is.Equal(counts.failures, nil) // every accepted request whole
 	executions := d.Ledger.Executions()
@@ -202,6 +223,14 @@
 	return sum
 }
 
+// listedLeaving reports whether an entry host has seen a host listed as
+// leaving.
+func listedLeaving(e *demo.EntryHost, host string) bool {
+	return slices.ContainsFunc(e.Node.State().Hosts, func(h port.Host) bool {
+		return h.ID == host && h.State == port.HostLeaving
+	})
+}
+
 func engineIn(d *demo.Deployment, zone string) *demo.EndpointHost {
 	for _, e := range d.Endpoints() {
 		if e.Host.Zone == zone && e.Engine != nil {
