route: fill active endpoints further, weigh copies and crowds more

Cause: the active set was cut for the stale trace, which leans on homes now. Change: active endpoints are filled to 0.4 (0.3), copies count three times (two), homes 0.4 (0.5), a full batch 150 ms (100).

--- a/route/route.go
+++ b/route/route.go
@@ -97,12 +97,12 @@
 		PriceWeight:            0.05,
 		StaleHome:              1,
 		StaleFill:              0.3,
-		CopyWeight:             2,
-		HomeWeight:             0.5,
+		CopyWeight:             3,
+		HomeWeight:             0.4,
 		PeerWeight:             0.25,
-		ActiveFill:             0.3,
+		ActiveFill:             0.4,
 		SpillMargin:            50 * time.Millisecond,
-		CrowdWeight:            100 * time.Millisecond,
+		CrowdWeight:            150 * time.Millisecond,
 		TieWindow:              2 * time.Millisecond,
 	}
 }
