Keep the peer library from writing to the standard logger

Cause: each connection that ended wrote plain lines beside the JSON log. Change: its logger is discarded; errors reach the callers of the calls. Conclusion: the log holds JSON lines only.

--- a/adapter/peerrpc/client.go
+++ b/adapter/peerrpc/client.go
@@ -174,7 +174,7 @@
 	})
 	conn := &connection{raw: &watchedConn{Conn: raw}, opened: time.Now(), calls: 1}
 	conn.raw.lastRead.Store(conn.opened.UnixNano())
-	conn.rpc = jsonrpc2.NewConn(context.Background(), newStream(conn.raw), refuse)
+	conn.rpc = jsonrpc2.NewConn(context.Background(), newStream(conn.raw), refuse, quiet)
 	c.conns[address] = conn
 	go c.watch(address, conn)
 	return conn
--- a/adapter/peerrpc/peerrpc.go
+++ b/adapter/peerrpc/peerrpc.go
@@ -9,6 +9,8 @@
 	"context"
 	"crypto/tls"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"sync"
 	"time"
@@ -25,6 +27,10 @@
 // handshakeTimeout bounds the TLS handshake of a caller.
 const handshakeTimeout = 5 * time.Second
 
+// quiet keeps the library from writing to the standard logger: errors reach
+// the callers, and a connection that ends is no event.
+var quiet = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
+
 // Server answers the calls of peers. Register all methods before Serve.
 type Server struct {
 	handlers map[string]port.PeerHandler
@@ -83,7 +89,7 @@
 }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	c := jsonrpc2.NewConn(ctx, newStream(conn), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)))
+	c := jsonrpc2.NewConn(ctx, newStream(conn), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)), quiet)
 	s.mu.Lock()
 	closed := s.closed
 	s.conns[c] = struct{}{}
