Measure what many entry hosts cost together

Cause: the cost per host at 2,400 hosts was not known. Change: package scale runs entry hosts in one process over stand-ins, counts bytes by kind of connection, messages, processor time, log reads and appends, and times changes until they are in force on all; its table draws the slopes out to the target and says which lines are over the limit. Conclusion: SCALE_FIGURES=1 go test -run Figures -v ./scale prints them.

--- /dev/null
+++ b/scale/table.go
@@ -0,0 +1,100 @@
+package scale
+
+import (
+	"fmt"
+	"io"
+	"text/tabwriter"
+)
+
+// The size that the system is designed for.
+const (
+	targetHosts     = 2400
+	targetEndpoints = 10_000
+	targetZones     = 28
+	relaysPerZone   = 2
+	// limitCores, limitHeap and limitBytes are what a host may spend on
+	// control: share of a core, bytes, bytes a second.
+	limitCores = 0.023
+	limitHeap  = 32 << 20
+	limitBytes = 12 << 10
+	// limitDelay is the time within which a change is in force, in
+	// milliseconds.
+	limitDelay = 4000
+	// logReadLimit stands for the several hundred calls a second that the
+	// log takes.
+	logReadLimit = 500
+)
+
+// Table prints the figures and what they come to at the target size.
+func (r Report) Table(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "entry hosts\tload\tcores/host\tlog B/s\tcloud B/s\tpeer B/s\tmessages/s\tlog reads/s in all\tlog appends/s in all\theap/host")
+	for _, s := range r.Sizes {
+		row(t, s, "idle", s.Idle)
+		row(t, s, fmt.Sprintf("%.1f changes/s", s.Changes), s.Loaded)
+	}
+	fmt.Fprintln(t)
+	fmt.Fprintln(t, "entry hosts\tpublish to in force everywhere, ms: p50\tp99\tmax")
+	for _, s := range r.Sizes {
+		fmt.Fprintf(t, "%d\t%.1f\t%.1f\t%.1f\n", s.Hosts, s.Delay.P50, s.Delay.P99, s.Delay.Max)
+	}
+	fmt.Fprintf(t, "\nmemory of a listed entry host\t%.0f B\nmemory of a listed endpoint\t%.0f B\n", r.EntryRowBytes, r.EndpointRowBytes)
+	fmt.Fprintf(t, "\nat %d entry hosts, %d endpoints, %d availability zones\tvalue\tlimit\t\n", targetHosts, targetEndpoints, targetZones)
+	for _, line := range r.Extrapolate() {
+		fmt.Fprintf(t, "%s\t%.4g %s\t%.4g\t%s\n", line.Name, line.Value, line.Unit, line.Limit, line.verdict())
+	}
+	return t.Flush()
+}
+
+func row(w io.Writer, s Size, load string, r Rates) {
+	fmt.Fprintf(w, "%d\t%s\t%.4f\t%.0f\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\t%.0f\n", s.Hosts, load,
+		r.Processor, r.LogBytes, r.CloudBytes, r.PeerBytes, r.Messages, r.LogReads, r.LogAppends, s.HeapBytes)
+}
+
+// Line is one figure at the target size.
+type Line struct {
+	Name  string  `json:"name"`
+	Value float64 `json:"value"`
+	Unit  string  `json:"unit"`
+	// Limit is what the target allows.
+	Limit float64 `json:"limit"`
+}
+
+// Over reports whether the line is over its limit.
+func (l Line) Over() bool { return l.Value > l.Limit }
+
+func (l Line) verdict() string {
+	if l.Over() {
+		return "OVER THE LIMIT"
+	}
+	return "within"
+}
+
+// Extrapolate draws straight lines through the smallest and the largest size
+// to the target. The host list is taken by its rows, endpoints included.
+func (r Report) Extrapolate() []Line {
+	if len(r.Sizes) < 2 {
+		return nil
+	}
+	a, b := r.Sizes[0], r.Sizes[len(r.Sizes)-1]
+	at := func(value func(Size) float64, hosts float64) float64 {
+		slope := (value(b) - value(a)) / float64(b.Hosts-a.Hosts)
+		return value(a) + slope*(hosts-float64(a.Hosts))
+	}
+	cloud := at(func(s Size) float64 { return s.Idle.CloudBytes }, targetHosts+targetEndpoints)
+	peers := at(func(s Size) float64 { return s.Idle.PeerBytes }, targetHosts)
+	logBytes := at(func(s Size) float64 { return s.Idle.LogBytes }, targetHosts)
+	rows := targetHosts*r.EntryRowBytes + targetEndpoints*r.EndpointRowBytes
+	reads := b.Idle.LogReads / float64(b.Zones*relaysPerZone) * targetZones * relaysPerZone
+	return []Line{
+		{"host list and notices, per host", cloud, "B/s", limitBytes},
+		{"peers, per host, idle", peers, "B/s", limitBytes},
+		{"log, per host, idle", max(logBytes, 0), "B/s", limitBytes},
+		{"all but the host list, per host", peers + max(logBytes, 0), "B/s", limitBytes},
+		{"processor, per host, idle, host list of entry hosts only", at(func(s Size) float64 { return s.Idle.Processor }, targetHosts), "cores", limitCores},
+		{"memory of the host list, per host", rows, "B", limitHeap},
+		{"heap of a host at the largest size measured", b.HeapBytes, "B", limitHeap},
+		{"log reads, all relays", reads, "/s", logReadLimit},
+		{"publish to in force, p99", at(func(s Size) float64 { return s.Delay.P99 }, targetHosts), "ms", limitDelay},
+	}
+}
