--- a/scale/scale.go
+++ b/scale/scale.go
@@ -33,9 +33,9 @@
 // DefaultOptions measure 24,000 changes a day a hundred times over.
 func DefaultOptions() Options {
 	return Options{
-		Settle:           12 * time.Second,
-		Window:           10 * time.Second,
-		Publishes:        20,
+		Settle:           8 * time.Second,
+		Window:           6 * time.Second,
+		Publishes:        10,
 		ChangesPerSecond: changesPerDay * loadFactor / secondsPerDay,
 	}
 }
--- a/scale/table.go
+++ b/scale/table.go
@@ -70,13 +70,14 @@
 	return "within"
 }
 
-// Extrapolate draws straight lines through the smallest and the largest size
-// to the target. The host list is taken by its rows, endpoints included.
+// Extrapolate draws straight lines through the two largest sizes to the
+// target; in small deployments most hosts are relays, so they tell little. The
+// host list is taken by its rows, endpoints included.
 func (r Report) Extrapolate() []Line {
 	if len(r.Sizes) < 2 {
 		return nil
 	}
-	a, b := r.Sizes[0], r.Sizes[len(r.Sizes)-1]
+	a, b := r.Sizes[len(r.Sizes)-2], r.Sizes[len(r.Sizes)-1]
 	at := func(value func(Size) float64, hosts float64) float64 {
 		slope := (value(b) - value(a)) / float64(b.Hosts-a.Hosts)
 		return value(a) + slope*(hosts-float64(a.Hosts))
