Part the regions and reclaim all entry hosts of a zone in the demo

Cause: faults came one at a time and left the second region alone. Change: two more scenes; the regions part while a zone's endpoints are being reclaimed.

--- a/demo/scene.go
+++ b/demo/scene.go
@@ -16,6 +16,8 @@
 	// noWorkDelay is when a leaving endpoint must get no new work any more.
 	noWorkDelay = 3 * time.Second
 	logOutage   = 2 * time.Second
+	// regionsParted is how long the regions lose each other.
+	regionsParted = 2 * time.Second
 )
 
 // scene is one fault that happens at a time after the start of the load. Its
@@ -31,11 +33,13 @@
 	return []scene{
 		{1 * time.Second, "operators race to change the model service's document", raceOperators},
 		{2 * time.Second, "an availability zone's endpoints are reclaimed in 5 s", reclaimZone},
+		{4 * time.Second, "the regions lose each other for 2 s", partRegions},
 		{8 * time.Second, "an entry host is reclaimed in 5 s", reclaimEntry},
 		{9 * time.Second, "open connections to an engine go silent", silenceEngine},
 		{10 * time.Second, "the log is down for 2 s", failLog},
 		{13 * time.Second, "a request that kills its engine is sent again and again", sendKiller},
 		{14 * time.Second, "an entry host is stopped as planned", stopEntry},
+		{15 * time.Second, "all entry hosts of an availability zone are reclaimed in 5 s", reclaimZoneEntries},
 	}
 }
 
@@ -102,19 +106,51 @@
 	return e.Faults.Calls(standin.PointGenerate) + e.Faults.Calls(standin.PointCall)
 }
 
-// reclaimEntry takes the first zone's last entry host and ends it when its
-// notice runs out.
+// reclaimEntry takes the first zone's last entry host.
 func reclaimEntry(ctx context.Context, r *runner) error {
-	e := r.entry(2)
+	return r.reclaimEntries(ctx, r.entry(2))
+}
+
+// reclaimZoneEntries takes all entry hosts of the last zone at once.
+func reclaimZoneEntries(ctx context.Context, r *runner) error {
+	zones := r.deployment.Profile.Zones
+	var leaving []*EntryHost
+	for _, e := range r.deployment.Entries() {
+		if e.Host.Zone == zones[len(zones)-1].Zone {
+			leaving = append(leaving, e)
+		}
+	}
+	return r.reclaimEntries(ctx, leaving...)
+}
+
+// reclaimEntries gives entry hosts their notice and ends them when it runs out.
+func (r *runner) reclaimEntries(ctx context.Context, leaving ...*EntryHost) error {
 	deadline := time.Now().Add(reclaimNotice)
-	r.deployment.Cloud.Announce(e.Host.ID, port.NoticeReclaim, deadline)
+	for _, e := range leaving {
+		r.deployment.Cloud.Announce(e.Host.ID, port.NoticeReclaim, deadline)
+	}
 	if !wait(ctx, time.Until(deadline)) {
 		return ctx.Err()
 	}
-	err := e.Node.Stop()
-	r.deployment.Cloud.RemoveHost(e.Host.ID)
-	r.note(promiseReclaim, "")
-	return err
+	for _, e := range leaving {
+		r.note(promiseReclaim, "")
+		if err := e.Node.Stop(); err != nil {
+			return err
+		}
+		r.deployment.Cloud.RemoveHost(e.Host.ID)
+	}
+	return nil
+}
+
+// partRegions cuts the first region off from the last for a while.
+func partRegions(ctx context.Context, r *runner) error {
+	zones := r.deployment.Profile.Zones
+	first, last := zones[0].Region, zones[len(zones)-1].Region
+	r.deployment.Network.Cut(first, last, true)
+	wait(ctx, regionsParted)
+	r.deployment.Network.Cut(first, last, false)
+	r.note(promiseWhole, "")
+	return ctx.Err()
 }
 
 // entry returns the i-th entry host of the first zone, or the last one.
