Find a killer among the neighbours that travel with it

Cause: a death at which somebody of the earlier company ran again did not count; suspects at two entry hosts took the same first idle endpoint and so died together again and again; and a host could judge by its own list before its peers' lists of the same death came. Excluded: the log's outage (the deaths came 1 s after its end), lost peer calls. Conclusion: one killer takes two engines, three when a neighbour ran at both.

--- a/node/attempts.go
+++ b/node/attempts.go
@@ -175,7 +175,7 @@
 	if where.alone != "" {
 		host, ok := n.acquire(a, n.allBut(a.Request.Service, where.alone))
 		if !ok {
-			n.flights.isolate(where.alone, false)
+			n.flights.share(where.alone)
 		}
 		return host, ok
 	}
@@ -212,7 +212,7 @@
 	err := run(attemptCtx, r)
 	moved := err != nil && a.awaitMove(ctx)
 	n.flights.leave(r.host.ID, r.id, !moved && isAny(err, port.ErrEndpointBroken), time.Now())
-	n.flights.isolate(r.host.ID, false)
+	n.flights.share(r.host.ID)
 	a.setCurrent(nil)
 	n.endpoints.release(a.Request, r.host.ID, usageOf(a))
 	a.bookSpend(r.host, time.Since(r.started))
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -29,6 +29,9 @@
 	brokenKept = 3 * time.Second
 	// deathCallTimeout bounds one call to a peer.
 	deathCallTimeout = 800 * time.Millisecond
+	// confirmTimeout bounds the wait for the peers' word on who ran at an
+	// endpoint that died.
+	confirmTimeout = 250 * time.Millisecond
 	// deathPeers bounds the peers that are told directly; the others learn
 	// of a death from the log.
 	deathPeers = 32
@@ -146,13 +149,22 @@
 	delete(f.dying, endpoint)
 }
 
-func (f *flights) isolate(endpoint string, alone bool) {
+// isolate keeps an endpoint for one request; it reports false when another has
+// it.
+func (f *flights) isolate(endpoint string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if alone {
-		f.isolated[endpoint] = true
-		return
+	if f.isolated[endpoint] {
+		return false
 	}
+	f.isolated[endpoint] = true
+	return true
+}
+
+// share ends what isolate began.
+func (f *flights) share(endpoint string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	delete(f.isolated, endpoint)
 }
 
@@ -188,6 +200,32 @@
 		Announced:   n.hosts.leaving(host),
 		Running:     n.flights.at(host.ID, now),
 	})
+	n.confirmBlame(ctx, n.flights.at(host.ID, now))
+}
+
+// confirmBlame asks the peers what else ran at the endpoints that died, before
+// a request is refused by what this host saw alone.
+func (n *Node) confirmBlame(ctx context.Context, running []uint64) {
+	blamed := slices.ContainsFunc(running, func(f uint64) bool {
+		return n.quarantine.Judge(time.Now(), f).Verdict == quarantine.VerdictQuarantine
+	})
+	if !blamed {
+		return
+	}
+	pause(ctx, deathGrace) // the peers hold their own word back as long
+	done := make(chan struct{})
+	n.tomb.Go(func() error {
+		defer close(done)
+		n.tellPeers(n.quarantine.Deaths(time.Now()))
+		return nil
+	})
+	timer := time.NewTimer(confirmTimeout)
+	defer timer.Stop()
+	select {
+	case <-done:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
 }
 
 // shareDeath books a death here, tells peers at once and the log when it can.
@@ -336,10 +374,9 @@
 func (n *Node) takeIdle(a *Accepted) string {
 	taken := union(nil, n.flights.isolatedEndpoints())
 	endpoint, ok := n.endpoints.routes.Idle(a.Request.Service, a.Request.Fingerprint, taken, time.Now())
-	if !ok {
+	if !ok || !n.flights.isolate(endpoint) {
 		return ""
 	}
-	n.flights.isolate(endpoint, true)
 	return endpoint
 }
 
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -6,15 +6,17 @@
 // same deaths in any order gives the same table, so that entry hosts which
 // share their deaths agree without talking about verdicts.
 //
-// A death counts against a request unless it was announced, unless endpoints
-// that did not run the request died in the same availability zone at about the
-// same time, and unless it was in the company of a request that it has been
-// blamed with before: whoever travels with a killer is blamed once.
+// A death counts against a request unless it was announced, and unless
+// endpoints that did not run the request died in the same availability zone at
+// about the same time. Two deaths on two endpoints put a request in quarantine
+// when nobody else ran at all of its deaths. While somebody did, each of them
+// runs alone, so that the next death tells which one it is.
 //
 // Time is passed in; the package does no I/O.
 package quarantine
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -186,35 +188,49 @@
 	j := Judgement{Verdict: VerdictClear}
 	endpoints := map[string]bool{}
 	company := map[uint64]bool{}
+	var common []uint64
 	for _, d := range t.deaths {
-		if !t.counts(d, fingerprint) || knows(company, d.Running, fingerprint) {
+		if !t.counts(d, fingerprint) {
 			continue
 		}
 		for _, f := range d.Running {
-			if f != fingerprint {
-				company[f] = true
-			}
+			company[f] = true
 		}
+		common = intersect(common, d.Running, len(endpoints) == 0)
 		endpoints[d.Endpoint] = true
 		j.Score += 1 / float64(len(d.Running))
 		j.Until = d.At.Add(SuspicionTime)
 	}
 	j.Deaths = len(endpoints)
+	j.Verdict = verdictOf(j, len(common) == 1)
+	delete(company, fingerprint)
+	j.Company = slices.Sorted(maps.Keys(company))
+	return j
+}
+
+// verdictOf returns the verdict on a request by the deaths that count; only
+// is set when nobody else ran at all of them.
+func verdictOf(j Judgement, only bool) Verdict {
 	switch {
 	case j.Deaths == 0:
-		return j
-	case j.Deaths >= minDeaths && j.Score >= minScore:
-		j.Verdict = VerdictQuarantine
+		return VerdictClear
+	case j.Deaths >= minDeaths && j.Score >= minScore && only:
+		return VerdictQuarantine
 	case j.Deaths >= minDeaths || j.Score >= isolateScore:
-		j.Verdict = VerdictIsolate
-	default:
-		j.Verdict = VerdictSeparate
+		return VerdictIsolate
 	}
-	for f := range company {
-		j.Company = append(j.Company, f)
+	return VerdictSeparate
+}
+
+// intersect returns what is in both sorted lists; the first list starts it.
+func intersect(common, running []uint64, first bool) []uint64 {
+	if first {
+		return slices.Clone(running)
 	}
-	slices.Sort(j.Company)
-	return j
+	return slices.DeleteFunc(common, func(f uint64) bool {
+		_, found := slices.BinarySearch(running, f)
+		return !found
+	})
 }
 
 // counts reports whether a death speaks against a request.
@@ -234,16 +250,6 @@
 	return true
 }
 
-// knows reports whether any request of a death but fingerprint is in company.
-func knows(company map[uint64]bool, running []uint64, fingerprint uint64) bool {
-	for _, f := range running {
-		if f != fingerprint && company[f] {
-			return true
-		}
-	}
-	return false
-}
-
 // Deaths returns the deaths that still count, oldest first.
 func (t *Table) Deaths(now time.Time) []Death {
 	t.mu.Lock()
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -42,15 +42,24 @@
 		at     time.Duration
 		want   quarantine.Verdict
 	}{
-		"nothing":                        {want: quarantine.VerdictClear},
-		"alone once":                     {deaths: []quarantine.Death{death("a", "z1", 0, killer)}, want: quarantine.VerdictIsolate},
-		"in a crowd once":                {deaths: []quarantine.Death{death("a", "z1", 0, beside(16, 100)...)}, want: quarantine.VerdictSeparate},
-		"alone on two endpoints":         {deaths: []quarantine.Death{death("a", "z1", 0, killer), death("b", "z1", time.Second, killer)}, want: quarantine.VerdictQuarantine},
-		"in a crowd, then alone":         {deaths: []quarantine.Death{death("a", "z1", 0, beside(16, 100)...), death("b", "z1", minute, killer)}, want: quarantine.VerdictQuarantine},
-		"twice in other crowds":          {deaths: []quarantine.Death{death("a", "z1", 0, beside(16, 100)...), death("b", "z1", minute, beside(16, 200)...)}, want: quarantine.VerdictQuarantine},
-		"twice in very large crowds":     {deaths: []quarantine.Death{death("a", "z1", 0, beside(64, 100)...), death("b", "z1", minute, beside(64, 200)...)}, want: quarantine.VerdictIsolate},
-		"beside an announced death":      {deaths: []quarantine.Death{death("a", "z1", 0, killer), death("b", "z1", time.Second, killer), announced(death("c", "z1", time.Second, 9))}, want: quarantine.VerdictQuarantine},
-		"twice in the same company":      {deaths: []quarantine.Death{death("a", "z1", 0, killer, 7), death("b", "z1", minute, killer, 7)}, want: quarantine.VerdictIsolate},
+		"nothing":                    {want: quarantine.VerdictClear},
+		"alone once":                 {deaths: []quarantine.Death{death("a", "z1", 0, killer)}, want: quarantine.VerdictIsolate},
+		"in a crowd once":            {deaths: []quarantine.Death{death("a", "z1", 0, beside(16, 100)...)}, want: quarantine.VerdictSeparate},
+		"alone on two endpoints":     {deaths: []quarantine.Death{death("a", "z1", 0, killer), death("b", "z1", time.Second, killer)}, want: quarantine.VerdictQuarantine},
+		"in a crowd, then alone":     {deaths: []quarantine.Death{death("a", "z1", 0, beside(16, 100)...), death("b", "z1", minute, killer)}, want: quarantine.VerdictQuarantine},
+		"twice in other crowds":      {deaths: []quarantine.Death{death("a", "z1", 0, beside(16, 100)...), death("b", "z1", minute, beside(16, 200)...)}, want: quarantine.VerdictQuarantine},
+		"twice in very large crowds": {deaths: []quarantine.Death{death("a", "z1", 0, beside(64, 100)...), death("b", "z1", minute, beside(64, 200)...)}, want: quarantine.VerdictIsolate},
+		"beside an announced death":  {deaths: []quarantine.Death{death("a", "z1", 0, killer), death("b", "z1", time.Second, killer), announced(death("c", "z1", time.Second, 9))}, want: quarantine.VerdictQuarantine},
+		"twice in the same company":  {deaths: []quarantine.Death{death("a", "z1", 0, killer, 7), death("b", "z1", minute, killer, 7)}, want: quarantine.VerdictIsolate},
+		"twice with one of the same crowd": {deaths: []quarantine.Death{
+			death("a", "z1", 0, beside(9, 100)...), death("b", "z1", minute, append(beside(9, 200), 100)...),
+		}, want: quarantine.VerdictIsolate},
+		"three times, nobody else at all": {deaths: []quarantine.Death{
+			death("a", "z1", 0, killer, 7, 8), death("b", "z1", minute, killer, 7, 9), death("c", "z1", 2*minute, killer, 8, 9),
+		}, want: quarantine.VerdictQuarantine},
+		"neighbour that went along once": {deaths: []quarantine.Death{
+			death("a", "z1", 0, killer, 7, 8), death("b", "z1", minute, killer, 7, 9), death("c", "z1", 2*minute, 7),
+		}, want: quarantine.VerdictIsolate},
 		"twice on one endpoint":          {deaths: []quarantine.Death{death("a", "z1", 0, killer), {Endpoint: "a", Incarnation: "y", Zone: "z1", At: start.Add(minute), Running: []uint64{killer}}}, want: quarantine.VerdictIsolate},
 		"the same death told twice":      {deaths: []quarantine.Death{death("a", "z1", 0, killer), death("a", "z1", time.Second, killer)}, want: quarantine.VerdictIsolate},
 		"announced":                      {deaths: []quarantine.Death{announced(death("a", "z1", 0, killer)), announced(death("b", "z1", minute, killer))}, want: quarantine.VerdictClear},
