Write checkpoints before records age out; contract of the log port

Nothing carried the state past the log's retention: a newcomer, or a process cut off for long, could not be brought up to date. A record that leaves a gap is not folded.

--- /dev/null
+++ b/adapter/loghttp/loghttp_test.go
@@ -0,0 +1,60 @@
+package loghttp_test
+
+import (
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/cicadanotch/cicadanotch/adapter/loghttp"
+	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/port/porttest"
+	"github.com/cicadanotch/cicadanotch/standin"
+)
+
+const retention = 20
+
+// rig returns the stand-in's log as seen through wrap.
+func rig(wrap func(port.Log) port.Log) porttest.LogRig {
+	faults := standin.NewFaults()
+	log := standin.NewLog(standin.LogOptions{Retention: retention, Faults: faults})
+	rows := map[porttest.LogFault]standin.Fault{
+		porttest.LogOutageBefore: {Point: standin.PointAppend, Action: standin.ActionFail},
+		porttest.LogReplyLost:    {Point: standin.PointAppend, Action: standin.ActionLoseReply},
+		porttest.LogRepeat:       {Point: standin.PointAppend, Action: standin.ActionRepeat},
+		porttest.LogLimited:      {Point: standin.PointAppend, Action: standin.ActionRefuse},
+		porttest.LogSlow:         {Point: standin.PointAppend, Action: standin.ActionDelay, Delay: 50 * time.Millisecond},
+		porttest.LogReadOutage:   {Point: standin.PointRead, Action: standin.ActionFail},
+	}
+	return porttest.LogRig{
+		Log:       wrap(log),
+		Retention: retention,
+		Inject: func(f porttest.LogFault, calls int) {
+			row := rows[f]
+			if calls > 0 {
+				row.ToCall = faults.Calls(row.Point) + calls
+			}
+			faults.Add(row)
+		},
+		Heal: func() {
+			faults.Clear(standin.PointAppend)
+			faults.Clear(standin.PointRead)
+		},
+	}
+}
+
+func TestContract(t *testing.T) {
+	t.Run("stand-in", func(t *testing.T) {
+		porttest.TestLog(t, func(*testing.T) porttest.LogRig {
+			return rig(func(l port.Log) port.Log { return l })
+		})
+	})
+	t.Run("over HTTP", func(t *testing.T) {
+		porttest.TestLog(t, func(t *testing.T) porttest.LogRig {
+			return rig(func(l port.Log) port.Log {
+				server := httptest.NewServer(standin.LogHandler(l))
+				t.Cleanup(server.Close)
+				return loghttp.New(server.URL, nil)
+			})
+		})
+	})
+}
--- a/catchup/catchup.go
+++ b/catchup/catchup.go
@@ -111,7 +111,9 @@
 		return err
 	}
 	if snap != nil {
-		return state.Restore(*snap)
+		if err := state.Restore(*snap); err != nil {
+			return err
+		}
 	}
 	page, err := bounds(ctx, log)
 	if err != nil {
@@ -139,7 +141,9 @@
 			return err
 		}
 		for _, r := range page.Records {
-			_, _ = state.Fold(r) // records that cannot be read are counted by the state
+			if _, err := state.Fold(r); errors.Is(err, fold.ErrGap) {
+				return errors.Wrap(port.ErrLogUnavailable, err.Error())
+			} // records that cannot be read are counted by the state
 		}
 		if state.Next() >= page.End {
 			return nil
--- a/fold/fold.go
+++ b/fold/fold.go
@@ -28,6 +28,8 @@
 	ErrOlder = errors.New("snapshot is older than the state")
 	// ErrDigest is returned for a snapshot that fails its digest.
 	ErrDigest = errors.New("snapshot does not match its digest")
+	// ErrGap is returned for a record that does not follow the last one.
+	ErrGap = errors.New("records are missing before this one")
 	// ErrIncomplete is returned for a snapshot whose writer skipped records
 	// that this process knows.
 	ErrIncomplete = errors.New("snapshot lacks records that this process knows")
@@ -101,13 +103,17 @@
 }
 
 // Fold applies one log record and returns the ids of its records. A record
-// below Next was folded before and has no effect.
+// below Next was folded before and has no effect; one above it is not folded,
+// ErrGap.
 func (s *State) Fold(r port.LogRecord) ([]string, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if r.Offset < s.next {
 		return nil, nil
 	}
+	if r.Offset > s.next {
+		return nil, errors.Wrapf(ErrGap, "got %d, want %d", r.Offset, s.next)
+	}
 	s.next = r.Offset + 1
 	envelopes, err := record.Decode(r.Data)
 	if err != nil {
--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -153,6 +153,42 @@
 	port.Log
 	delay atomic.Int64
 	wg    sync.WaitGroup
+
+	mu      sync.Mutex
+	cutHost string
+}
+
+// cut makes the log unreachable for one host; "" for none.
+func (l *claimLog) cut(host string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cutHost = host
+}
+
+func (l *claimLog) isCut(host string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return host == l.cutHost
+}
+
+// hostLog is the log as one host sees it.
+type hostLog struct {
+	*claimLog
+	host string
+}
+
+func (l hostLog) Append(ctx context.Context, data []byte) (int64, error) {
+	if l.isCut(l.host) {
+		return 0, port.ErrLogUnavailable
+	}
+	return l.claimLog.Append(ctx, data)
+}
+
+func (l hostLog) Read(ctx context.Context, from int64, limit int, wait time.Duration) (port.Page, error) {
+	if l.isCut(l.host) {
+		return port.Page{}, port.ErrLogUnavailable
+	}
+	return l.claimLog.Read(ctx, from, limit, wait)
 }
 
 func (l *claimLog) Append(ctx context.Context, data []byte) (int64, error) {
@@ -205,13 +241,19 @@
 // newCluster starts nodes and publishes the test document. Run it in a
 // synctest bubble.
 func newCluster(t *testing.T, size int) *cluster {
+	t.Helper()
+	return newClusterOn(t, size, standin.LogOptions{})
+}
+
+func newClusterOn(t *testing.T, size int, opts standin.LogOptions) *cluster {
 	t.Helper()
 	is := is.New(t)
 	faults := standin.NewFaults()
+	opts.Faults = faults
 	c := &cluster{
 		t:        t,
 		faults:   faults,
-		log:      standin.NewLog(standin.LogOptions{Faults: faults}),
+		log:      standin.NewLog(opts),
 		cloud:    &fakeCloud{},
 		services: newFakeServices(),
 		peers:    &fakePeers{nodes: map[string]*Node{}},
@@ -242,8 +284,8 @@
 func (c *cluster) start(id string) *Node {
 	n := New(Settings{
 		Host: id, Region: "plateau", Zone: "jos-a", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
-		PollInterval: config.Duration(time.Second), LoadInterval: config.Duration(time.Second),
-	}, Ports{Log: c.slow, Cloud: c.cloud, Services: c.services, Peers: c.peers, Engine: fakeEngine{}})
+		PollInterval: config.Duration(time.Second), LoadInterval: config.Duration(time.Second), LogRetention: config.Duration(30 * time.Minute),
+	}, Ports{Log: hostLog{c.slow, id}, Cloud: c.cloud, Services: c.services, Peers: c.peers, Engine: fakeEngine{}})
 	n.Start()
 	c.peers.set(id, n)
 	return n
@@ -261,6 +303,7 @@
 func (c *cluster) restart(i int) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.nodes[i].tomb.Kill(nil)
 	c.nodes[i] = c.start(c.nodes[i].settings.Host)
 }
 
--- a/node/metrics.go
+++ b/node/metrics.go
@@ -19,6 +19,8 @@
 	staleness     prometheus.Gauge
 	appends       *prometheus.CounterVec
 	appended      prometheus.Counter
+	// checkpointBytes counts the checkpoints' bytes in the log.
+	checkpointBytes prometheus.Counter
 }
 
 func newMetrics(r prometheus.Registerer) *metrics {
@@ -75,7 +77,10 @@
 			Name: "cicadanotch_log_records_appended_total", Help: "Records whose append was confirmed; one append carries several.",
 		}),
 	}
-	r.MustRegister(m.staleness, m.appends, m.appended)
+	m.checkpointBytes = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "cicadanotch_checkpoint_bytes_total", Help: "Bytes of checkpoints that this process appended to the log.",
+	})
+	r.MustRegister(m.checkpointBytes, m.staleness, m.appends, m.appended)
 	r.MustRegister(m.refused, m.queueWait, m.retryWait, m.silent, m.deaths, m.quarantined)
 	r.MustRegister(m.accepted, m.ended, m.attempts, m.droppedChunks, m.firstToken, m.foldErrors, m.logOffset)
 	return m
--- a/node/node.go
+++ b/node/node.go
@@ -51,20 +51,22 @@
 	metrics  *metrics
 	registry *prometheus.Registry
 
-	documents   *config.Table
-	claims      *claim.Table
-	leases      *lease.Table
-	capacity    *capacity.Table
-	endpoints   *endpointTable
-	hosts       *hostTable
-	members     *member.Table
-	reports     *reportTable
-	relays      *relays
-	requests    *requestTable
-	tail        *tail
-	writer      *writer
-	holders     *leaseHolders
-	orders      *orderTable
+	documents *config.Table
+	claims    *claim.Table
+	leases    *lease.Table
+	capacity  *capacity.Table
+	endpoints *endpointTable
+	hosts     *hostTable
+	members   *member.Table
+	reports   *reportTable
+	relays    *relays
+	requests  *requestTable
+	tail      *tail
+	writer    *writer
+	holders   *leaseHolders
+	orders    *orderTable
+	// checkpoints decides when this host writes a checkpoint.
+	checkpoints checkpointState
 	capacityJob *capacityJob
 	// incarnation is unique to this process, not only to its host.
 	incarnation string
@@ -141,6 +143,7 @@
 	n.pool = newPool(n.settings.Workers, &n.tomb)
 	n.tomb.Go(n.tail.run)
 	n.tomb.Go(n.writer.run)
+	n.pool.every(&n.tomb, "checkpoint", checkpointInterval, n.stepCheckpoint)
 	n.pool.every(&n.tomb, "leases", leaseInterval, n.holders.step)
 	n.pool.every(&n.tomb, "staleness", time.Second, n.checkStaleness)
 	n.pool.every(&n.tomb, "heartbeats", heartbeatInterval, n.beat)
--- a/node/settings.go
+++ b/node/settings.go
@@ -47,6 +47,8 @@
 	// AddressLifetime is how long callers may keep an answer to "which
 	// address do I use"; a planned stop serves them that long.
 	AddressLifetime config.Duration `json:"address_lifetime,omitempty"`
+	// LogRetention is how long the platform's log keeps a record.
+	LogRetention config.Duration `json:"log_retention,omitempty"`
 	// MaxBody bounds the body of a request, in bytes.
 	MaxBody int64 `json:"max_body_bytes,omitempty" validate:"gte=0"`
 }
@@ -67,6 +69,7 @@
 	DefaultWorkers      = 8
 	DefaultPollInterval = 500 * time.Millisecond
 	DefaultLoadInterval = 200 * time.Millisecond
+	DefaultLogRetention = 24 * time.Hour
 	DefaultMaxBody      = 4 << 20
 	// DefaultAddressLifetime is how long callers may keep an address answer.
 	DefaultAddressLifetime = 10 * time.Second
@@ -109,6 +112,9 @@
 	if s.AddressLifetime == 0 {
 		s.AddressLifetime = config.Duration(DefaultAddressLifetime)
 	}
+	if s.LogRetention == 0 {
+		s.LogRetention = config.Duration(DefaultLogRetention)
+	}
 	if s.MaxBody == 0 {
 		s.MaxBody = DefaultMaxBody
 	}
--- a/node/tail.go
+++ b/node/tail.go
@@ -86,6 +86,7 @@
 		switch {
 		case errors.Is(err, port.ErrLogExpired):
 			t.fellOut(page)
+			pause(ctx, tailRetry)
 		case err != nil:
 			pause(ctx, tailRetry)
 		default:
@@ -145,7 +146,10 @@
 // goroutine.
 func (t *tail) fold(page port.Page) {
 	for _, r := range page.Records {
-		t.foldRecord(r)
+		if errors.Is(t.foldRecord(r), fold.ErrGap) {
+			pause(t.node.context(), tailRetry)
+			break
+		}
 	}
 	now := time.Now()
 	t.mu.Lock()
@@ -159,7 +163,7 @@
 	}
 }
 
-func (t *tail) foldRecord(r port.LogRecord) {
+func (t *tail) foldRecord(r port.LogRecord) error {
 	before := t.state.Skipped()
 	ids, err := t.state.Fold(r)
 	after := t.state.Skipped()
@@ -169,6 +173,7 @@
 		t.node.log.Warn().Int64("offset", r.Offset).Err(err).Msg("log record skipped")
 	}
 	t.node.writer.confirm(ids)
+	return err
 }
 
 // wake tells all waiters that the state has changed.
--- /dev/null
+++ b/port/porttest/log.go
@@ -0,0 +1,276 @@
+// Package porttest holds contract tests that every implementation of a port
+// has to pass, with rows of faults.
+package porttest
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadanotch/cicadanotch/port"
+)
+
+// LogFault is a way in which a log can fail.
+type LogFault string
+
+// Faults of a log.
+const (
+	// LogOutageBefore fails appends before they take effect.
+	LogOutageBefore LogFault = "outage before the effect"
+	// LogReplyLost fails appends after they took effect.
+	LogReplyLost LogFault = "reply lost"
+	// LogRepeat makes appends take effect twice.
+	LogRepeat LogFault = "duplicate delivery"
+	// LogLimited refuses appends by rate.
+	LogLimited LogFault = "rate limited"
+	// LogSlow delays appends by a short time.
+	LogSlow LogFault = "slow"
+	// LogReadOutage fails reads.
+	LogReadOutage LogFault = "read outage"
+)
+
+// LogRig is a log under test.
+type LogRig struct {
+	Log port.Log
+	// Inject makes the next calls fail in that way, or all until Heal when
+	// calls is 0.
+	Inject func(f LogFault, calls int)
+	// Heal ends all faults.
+	Heal func()
+	// Retention is how many records the log keeps.
+	Retention int
+}
+
+// TestLog runs the contract of port.Log. open returns an empty log.
+func TestLog(t *testing.T, open func(t *testing.T) LogRig) {
+	for name, check := range map[string]func(*testing.T, LogRig){
+		"offsets grow by one":              offsetsGrow,
+		"concurrent appends":               concurrentAppends,
+		"binary data":                      binaryData,
+		"read limits":                      readLimits,
+		"read waits for a record":          readWaits,
+		"read gives up after its wait":     readGivesUp,
+		"read ends with its context":       readEnds,
+		"offset no longer kept":            offsetExpired,
+		"outage before the effect":         outageBefore,
+		"reply lost":                       replyLost,
+		"duplicate delivery":               duplicate,
+		"rate limited":                     rateLimited,
+		"slow":                             slow,
+		"read outage":                      readOutage,
+		"append ends with its context":     appendEnds,
+		"reads of the same offsets agree":  readsAgree,
+		"a reader from the end sees later": readFromEnd,
+	} {
+		t.Run(name, func(t *testing.T) { check(t, open(t)) })
+	}
+}
+
+func appendAll(t *testing.T, rig LogRig, count int) {
+	t.Helper()
+	for i := range count {
+		_, err := rig.Log.Append(t.Context(), fmt.Append(nil, i))
+		is.New(t).NoErr(err)
+	}
+}
+
+func read(t *testing.T, rig LogRig, from int64) port.Page {
+	t.Helper()
+	page, err := rig.Log.Read(t.Context(), from, rig.Retention, 0)
+	is.New(t).NoErr(err)
+	return page
+}
+
+func offsetsGrow(t *testing.T, rig LogRig) {
+	is := is.New(t)
+	empty := read(t, rig, 1)
+	is.Equal(len(empty.Records), 0)
+	is.Equal(empty.End, int64(1))
+	for want := int64(1); want <= 3; want++ {
+		offset, err := rig.Log.Append(t.Context(), []byte("x"))
+		is.NoErr(err)
+		is.Equal(offset, want)
+	}
+	page := read(t, rig, 1)
+	is.Equal(page.Oldest, int64(1))
+	is.Equal(page.End, int64(4))
+	for i, r := range page.Records {
+		is.Equal(r.Offset, int64(i+1))
+	}
+}
+
+func concurrentAppends(t *testing.T, rig LogRig) {
+	is := is.New(t)
+	offsets := make([]int64, rig.Retention)
+	var wg sync.WaitGroup
+	for i := range offsets {
+		wg.Go(func() {
+			offset, err := rig.Log.Append(t.Context(), fmt.Append(nil, i))
+			if err == nil {
+				offsets[i] = offset
+			}
+		})
+	}
+	wg.Wait()
+	page := read(t, rig, 1)
+	is.Equal(len(page.Records), rig.Retention)
+	for i, offset := range offsets {
+		is.Equal(string(page.Records[offset-1].Data), fmt.Sprint(i)) // the reply names the record's place
+	}
+}
+
+func binaryData(t *testing.T, rig LogRig) {
+	is := is.New(t)
+	data := []byte{0, 255, '\n', '"', 0xc3, 0x28}
+	_, err := rig.Log.Append(t.Context(), data)
+	is.NoErr(err)
+	data[0] = 9 // the log has its own copy
+	is.Equal(read(t, rig, 1).Records[0].Data, []byte{0, 255, '\n', '"', 0xc3, 0x28})
+}
+
+func readLimits(t *testing.T, rig LogRig) {
+	is := is.New(t)
+	appendAll(t, rig, 5)
+	page, err := rig.Log.Read(t.Context(), 2, 2, 0)
+	is.NoErr(err)
+	is.Equal(len(page.Records), 2)
+	is.Equal(page.Records[0].Offset, int64(2))
+	is.Equal(page.End, int64(6))
+}
+
+func readWaits(t *testing.T, rig LogRig) {
+	is := is.New(t)
+	done := make(chan port.Page, 1)
+	go func() {
+		page, _ := rig.Log.Read(t.Context(), 1, 10, time.Minute) // an empty page fails the test
+		done <- page
+	}()
+	_, err := rig.Log.Append(t.Context(), []byte("x"))
+	is.NoErr(err)
+	page := <-done
+	is.Equal(len(page.Records), 1)
+}
+
+func readGivesUp(t *testing.T, rig LogRig) {
+	is := is.New(t)
+	page, err := rig.Log.Read(t.Context(), 1, 10, 10*time.Millisecond)
+	is.NoErr(err)
+	is.Equal(len(page.Records), 0)
+	is.Equal(page.End, int64(1))
+}
+
+func readEnds(t *testing.T, rig LogRig) {
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() {
+		_, err := rig.Log.Read(ctx, 1, 10, time.Hour)
+		done <- err
+	}()
+	cancel()
+	is.New(t).True(errors.Is(<-done, port.ErrLogUnavailable))
+}
+
+func offsetExpired(t *testing.T, rig LogRig) {
+	is := is.New(t)
+	appendAll(t, rig, rig.Retention+3)
+	page, err := rig.Log.Read(t.Context(), 1, 10, 0)
+	is.True(errors.Is(err, port.ErrLogExpired))
+	is.Equal(page.Oldest, int64(4))
+	is.Equal(read(t, rig, page.Oldest).Records[0].Offset, int64(4))
+}
+
+func outageBefore(t *testing.T, rig LogRig) {
+	is := is.New(t)
+	rig.Inject(LogOutageBefore, 1)
+	_, err := rig.Log.Append(t.Context(), []byte("lost"))
+	is.True(errors.Is(err, port.ErrLogUnavailable))
+	is.Equal(read(t, rig, 1).End, int64(1))
+	offset, err := rig.Log.Append(t.Context(), []byte("x"))
+	is.NoErr(err)
+	is.Equal(offset, int64(1))
+}
+
+func replyLost(t *testing.T, rig LogRig) {
+	is := is.New(t)
+	rig.Inject(LogReplyLost, 1)
+	_, err := rig.Log.Append(t.Context(), []byte("kept"))
+	is.True(errors.Is(err, port.ErrLogUnavailable))
+	page := read(t, rig, 1)
+	is.Equal(len(page.Records), 1) // once: the adapter must not try again by itself
+	is.Equal(string(page.Records[0].Data), "kept")
+}
+
+func duplicate(t *testing.T, rig LogRig) {
+	is := is.New(t)
+	rig.Inject(LogRepeat, 1)
+	offset, err := rig.Log.Append(t.Context(), []byte("x"))
+	is.NoErr(err)
+	page := read(t, rig, 1)
+	is.Equal(len(page.Records), 2)
+	is.Equal(page.Records[0].Offset, offset)
+}
+
+func rateLimited(t *testing.T, rig LogRig) {
+	is := is.New(t)
+	rig.Inject(LogLimited, 1)
+	_, err := rig.Log.Append(t.Context(), []byte("x"))
+	is.True(errors.Is(err, port.ErrLogRateLimited))
+	is.Equal(read(t, rig, 1).End, int64(1)) // it had no effect
+}
+
+func slow(t *testing.T, rig LogRig) {
+	is := is.New(t)
+	rig.Inject(LogSlow, 1)
+	offset, err := rig.Log.Append(t.Context(), []byte("x"))
+	is.NoErr(err)
+	is.Equal(offset, int64(1))
+	is.Equal(len(read(t, rig, 1).Records), 1)
+}
+
+func readOutage(t *testing.T, rig LogRig) {
+	is := is.New(t)
+	appendAll(t, rig, 2)
+	rig.Inject(LogReadOutage, 0)
+	_, err := rig.Log.Read(t.Context(), 1, 10, 0)
+	is.True(errors.Is(err, port.ErrLogUnavailable))
+	rig.Heal()
+	is.Equal(len(read(t, rig, 1).Records), 2)
+}
+
+func appendEnds(t *testing.T, rig LogRig) {
+	is := is.New(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	rig.Inject(LogSlow, 1)
+	_, err := rig.Log.Append(ctx, []byte("x"))
+	is.True(errors.Is(err, port.ErrLogUnavailable)) // it may or may not have taken effect
+}
+
+func readsAgree(t *testing.T, rig LogRig) {
+	is := is.New(t)
+	appendAll(t, rig, 6)
+	whole := read(t, rig, 1)
+	var pieces []port.LogRecord
+	for from := int64(1); from < whole.End; {
+		page, err := rig.Log.Read(t.Context(), from, 2, 0)
+		is.NoErr(err)
+		pieces = append(pieces, page.Records...)
+		from = page.Records[len(page.Records)-1].Offset + 1
+	}
+	is.Equal(pieces, whole.Records)
+}
+
+func readFromEnd(t *testing.T, rig LogRig) {
+	is := is.New(t)
+	appendAll(t, rig, 2)
+	end := read(t, rig, 1).End
+	appendAll(t, rig, 1)
+	page := read(t, rig, end)
+	is.Equal(len(page.Records), 1)
+	is.Equal(page.Records[0].Offset, end)
+}
