Measure starts and orders; show leases, claims and skipped records

Orders at endpoints that honour idempotency keys have their test: each send carries the same key, also that of another host after the owner's death.

--- /dev/null
+++ b/catchup/catchup_test.go
@@ -0,0 +1,211 @@
+package catchup_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/catchup"
+	"github.com/cicadanotch/cicadanotch/config"
+	"github.com/cicadanotch/cicadanotch/fold"
+	"github.com/cicadanotch/cicadanotch/lease"
+	"github.com/cicadanotch/cicadanotch/record"
+	"github.com/cicadanotch/cicadanotch/standin"
+)
+
+// documents makes config.Table a fold.Table.
+type documents struct{ *config.Table }
+
+func (d documents) Fold(pos record.Position, e record.Envelope) error {
+	d.Table.Fold(pos, e)
+	return nil
+}
+
+func newState() (*fold.State, *config.Table) {
+	table := config.NewTable()
+	state := fold.New()
+	state.Register("documents", documents{table}, record.KindDocument)
+	return state, table
+}
+
+// writer appends to a log without a limit.
+type writer struct {
+	t    testing.TB
+	log  *standin.Log
+	base map[string]int64
+}
+
+func newWriter(t testing.TB, retention int) *writer {
+	log := standin.NewLog(standin.LogOptions{Retention: retention, AppendsPerSecond: 1e9})
+	return &writer{t: t, log: log, base: map[string]int64{}}
+}
+
+func (w *writer) append(e record.Envelope) int64 {
+	w.t.Helper()
+	data, err := e.Encode()
+	is.New(w.t).NoErr(err)
+	offset, err := w.log.Append(w.t.Context(), data)
+	is.New(w.t).NoErr(err)
+	return offset
+}
+
+// publish appends a revision of a service; filler makes its text longer.
+func (w *writer) publish(service, filler string) {
+	w.t.Helper()
+	text := fmt.Sprintf(`{"schema": 1, "service": %q, "kind": "model", // %s
+		"models": [{"name": "a", "version": "1"}], "latency": {"request_timeout": "30s"},
+		"placement": {"availability_zones": ["jos-a"], "machine_classes": ["l4"]},
+		"workspaces": [{"name": "bokkos", "weight": 1}]}`, service, filler)
+	e, err := record.New(record.KindDocument, "operator", config.Change{Service: service, Base: w.base[service], Text: text})
+	is.New(w.t).NoErr(err)
+	w.base[service] = w.append(e)
+}
+
+// pieces returns the checkpoint of the whole log.
+func (w *writer) pieces() []record.Envelope {
+	w.t.Helper()
+	is := is.New(w.t)
+	state, _ := newState()
+	is.NoErr(catchup.Sync(w.t.Context(), w.log, state))
+	snap, err := state.Snapshot()
+	is.NoErr(err)
+	pieces, err := snap.Pieces("host")
+	is.NoErr(err)
+	return pieces
+}
+
+func (w *writer) check(want string) {
+	w.t.Helper()
+	is := is.New(w.t)
+	state, table := newState()
+	is.NoErr(catchup.Sync(w.t.Context(), w.log, state))
+	raw, err := table.Export()
+	is.NoErr(err)
+	is.Equal(string(raw), want)
+}
+
+func (w *writer) whole() string {
+	w.t.Helper()
+	state, table := newState()
+	is.New(w.t).NoErr(catchup.Follow(w.t.Context(), w.log, state))
+	raw, err := table.Export()
+	is.New(w.t).NoErr(err)
+	return string(raw)
+}
+
+func TestSyncFromPieces(t *testing.T) {
+	is := is.New(t)
+	w := newWriter(t, 0)
+	for i := range 5 {
+		// Text that does not compress: the checkpoint needs several pieces.
+		w.publish(fmt.Sprint("service", i), noise(i))
+	}
+	pieces := w.pieces()
+	is.True(len(pieces) > 1)
+	for _, p := range pieces {
+		w.append(p)
+		for range 510 {
+			w.publish("busy", "") // pages lie between the pieces
+		}
+	}
+	w.append(pieces[0]) // a checkpoint whose writer died half way
+	want := w.whole()
+	w.check(want)
+}
+
+func noise(seed int) string {
+	var b strings.Builder
+	for i := range 6000 {
+		b.WriteString(record.NewID()[:(i+seed)%32])
+	}
+	return b.String()
+}
+
+func TestSyncAfterRetention(t *testing.T) {
+	is := is.New(t)
+	w := newWriter(t, 50)
+	w.publish("quiet", "")
+	for _, p := range w.pieces() {
+		w.append(p)
+	}
+	for range 20 {
+		w.publish("busy", "")
+	}
+	want := w.whole()
+	for range 48 - 20 {
+		_, err := w.log.Append(t.Context(), []byte("garbage"))
+		is.NoErr(err)
+	}
+	w.check(want) // the first record has aged out, its checkpoint has not
+
+	for range 50 {
+		_, err := w.log.Append(t.Context(), []byte("garbage"))
+		is.NoErr(err)
+	}
+	state, _ := newState()
+	is.True(errors.Is(catchup.Sync(t.Context(), w.log, state), catchup.ErrNoCheckpoint))
+}
+
+// TestOlderCheckpointForNewerReader skips a checkpoint whose writer did not know
+// a kind that the reader knows, and starts from an older one that lacks nothing.
+func TestOlderCheckpointForNewerReader(t *testing.T) {
+	is := is.New(t)
+	w := newWriter(t, 0)
+	w.publish("quiet", "")
+	newer, _ := newState()
+	leases := lease.NewTable()
+	newer.Register("leases", leases, record.KindLease)
+	is.NoErr(catchup.Follow(t.Context(), w.log, newer))
+	snap, err := newer.Snapshot()
+	is.NoErr(err)
+	whole, err := snap.Pieces("new")
+	is.NoErr(err)
+	w.append(whole[0])
+	body, err := json.Marshal(lease.Change{Name: "n", Verb: lease.VerbTake, Holder: "a"})
+	is.NoErr(err)
+	w.append(record.Envelope{ID: "l", Kind: record.KindLease, Version: 1, Body: body})
+	for _, p := range w.pieces() { // this writer does not know leases
+		w.append(p)
+	}
+
+	reader, _ := newState()
+	got := lease.NewTable()
+	reader.Register("leases", got, record.KindLease)
+	is.NoErr(catchup.Sync(t.Context(), w.log, reader))
+	is.Equal(got.Get("n").Holder, "a")
+}
+
+// BenchmarkStart compares the start of a process on a day's log of 24,000
+// changes: from a checkpoint 2,500 records before the end, and by replay.
+func BenchmarkStart(b *testing.B) {
+	w := newWriter(b, 0)
+	for i := range 24_000 {
+		if i == 21_500 {
+			for _, p := range w.pieces() {
+				w.append(p)
+			}
+		}
+		w.publish(fmt.Sprint("service", i%20), "")
+	}
+	for name, start := range map[string]func(*fold.State) error{
+		"checkpoint": func(s *fold.State) error { return catchup.Sync(b.Context(), w.log, s) },
+		"replay":     func(s *fold.State) error { return catchup.Follow(b.Context(), w.log, s) },
+	} {
+		b.Run(name, func(b *testing.B) {
+			b.ReportAllocs()
+			_, before := w.log.Counts()
+			for b.Loop() {
+				state, _ := newState()
+				if err := start(state); err != nil {
+					b.Fatal(err)
+				}
+			}
+			_, after := w.log.Counts()
+			b.ReportMetric(float64(after-before)/float64(b.N), "reads/start")
+		})
+	}
+}
--- a/node/operator.go
+++ b/node/operator.go
@@ -8,8 +8,11 @@
 	"github.com/uptrace/bunrouter"
 
 	"github.com/cicadanotch/cicadanotch/admit"
+	"github.com/cicadanotch/cicadanotch/claim"
 	"github.com/cicadanotch/cicadanotch/config"
 	"github.com/cicadanotch/cicadanotch/drain"
+	"github.com/cicadanotch/cicadanotch/fold"
+	"github.com/cicadanotch/cicadanotch/lease"
 	"github.com/cicadanotch/cicadanotch/member"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/publish"
@@ -21,9 +24,19 @@
 	Host      string                     `json:"host"`
 	LogOffset int64                      `json:"log_offset"`
 	Documents map[string]config.Revision `json:"documents"`
-	Hosts     []port.Host                `json:"hosts"`
-	Requests  []RequestState             `json:"requests"`
-	Choice    ChoiceState                `json:"choice"`
+	// Skipped counts the log records without effect, Behind the services whose
+	// accepted text this process is too old to use.
+	Skipped fold.Skipped `json:"skipped_records"`
+	Behind  []string     `json:"behind,omitempty"`
+	// Stale is set while the node keeps itself out of the address answers.
+	Stale bool `json:"stale"`
+	// Checkpoint is the newest one that came by.
+	Checkpoint fold.Checkpoint        `json:"checkpoint"`
+	Leases     map[string]lease.Lease `json:"leases"`
+	Claims     claim.Count            `json:"claims"`
+	Hosts      []port.Host            `json:"hosts"`
+	Requests   []RequestState         `json:"requests"`
+	Choice     ChoiceState            `json:"choice"`
 	// Members are the verdicts on the entry hosts.
 	Members  []member.Row    `json:"members"`
 	Relays   RelayState      `json:"relays"`
@@ -57,16 +70,22 @@
 // State returns the dump of the node's tables.
 func (n *Node) State() State {
 	s := State{
-		Host:      n.settings.Host,
-		LogOffset: n.tail.offset(),
-		Documents: n.documents.All(),
-		Hosts:     n.hosts.all(),
-		Choice:    n.endpoints.state(time.Now()),
-		Members:   n.members.Rows(),
-		Relays:    n.RelayState(),
-		Capacity:  n.capacityJob.states(),
-		Stop:      n.stopState(),
-		Drains:    n.drains.state(),
+		Host:       n.settings.Host,
+		LogOffset:  n.tail.offset(),
+		Documents:  n.documents.All(),
+		Skipped:    n.tail.state.Skipped(),
+		Behind:     n.documents.Behind(),
+		Stale:      n.Behind(),
+		Checkpoint: n.tail.state.Latest(),
+		Leases:     n.leases.All(),
+		Claims:     n.claims.Count(),
+		Hosts:      n.hosts.all(),
+		Choice:     n.endpoints.state(time.Now()),
+		Members:    n.members.Rows(),
+		Relays:     n.RelayState(),
+		Capacity:   n.capacityJob.states(),
+		Stop:       n.stopState(),
+		Drains:     n.drains.state(),
 	}
 	now := time.Now()
 	s.Suspected, s.Deaths = n.quarantine.State(now), n.quarantine.Deaths(now)
--- /dev/null
+++ b/node/order_bench_test.go
@@ -0,0 +1,44 @@
+package node
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+// BenchmarkOrders sends orders to one host at a steady rate over a log whose
+// appends take 5 ms. It prints the time from acceptance to the answer, of which
+// the claim is all but the endpoint's call, which takes none, and the appends
+// of all hosts per order.
+func BenchmarkOrders(b *testing.B) {
+	for _, perSecond := range []int{1, 10, 100} {
+		b.Run(fmt.Sprint(perSecond, " a second"), func(b *testing.B) {
+			c := newCluster(b, 2)
+			c.slow.everything.Store(int64(5 * time.Millisecond))
+			before, _ := c.log.Counts()
+			var mu sync.Mutex
+			var took []time.Duration
+			var wg sync.WaitGroup
+			for i := range b.N {
+				began := time.Now()
+				a := c.order(0, fmt.Sprint("key-", i), "fan on")
+				wg.Go(func() {
+					c.end(a)
+					mu.Lock()
+					defer mu.Unlock()
+					took = append(took, time.Since(began))
+				})
+				time.Sleep(time.Second / time.Duration(perSecond))
+			}
+			wg.Wait()
+			time.Sleep(100 * time.Millisecond) // the last outcomes
+			after, _ := c.log.Counts()
+			slices.Sort(took)
+			b.ReportMetric(float64(took[len(took)/2].Microseconds())/1000, "p50-ms")
+			b.ReportMetric(float64(took[len(took)*99/100].Microseconds())/1000, "p99-ms")
+			b.ReportMetric(float64(after-before)/float64(b.N), "appends/order")
+		})
+	}
+}
--- a/node/order_test.go
+++ b/node/order_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/cicadanotch/cicadanotch/claim"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/problem"
+	"github.com/cicadanotch/cicadanotch/publish"
 	"github.com/cicadanotch/cicadanotch/record"
 	"github.com/cicadanotch/cicadanotch/standin"
 )
@@ -277,6 +280,51 @@
 	})
 }
 
+// TestEndpointsThatHonourKeys sends an order again, under the same key, to a
+// service whose endpoints run a key once: by its owner after a lost answer, and
+// by another host after the owner's death.
+func TestEndpointsThatHonourKeys(t *testing.T) {
+	for name, ownerDies := range map[string]bool{"answer lost": false, "owner dies": true} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := newCluster(t, 2)
+				current, err := publish.Get(t.Context(), c.log, testService)
+				is.NoErr(err)
+				text := strings.Replace(testDocument(), `"kind"`, `"endpoints": {"honours_idempotency_keys": true}, "kind"`, 1)
+				_, err = publish.Publish(t.Context(), c.log, testService, current.Offset, text)
+				is.NoErr(err)
+				time.Sleep(time.Second)
+				var mu sync.Mutex
+				keys := map[string]int{}
+				c.services.after = func(r port.ServiceRequest) error {
+					mu.Lock()
+					defer mu.Unlock()
+					keys[r.IdempotencyKey]++
+					if keys[r.IdempotencyKey] > 1 {
+						return nil
+					}
+					if ownerDies {
+						c.kill(0)
+						c.cloud.remove("entry-0")
+					}
+					return port.ErrEndpointBroken
+				}
+				a := c.order(0, "key-1", "fan on")
+				if ownerDies {
+					time.Sleep(time.Second)
+				} else {
+					is.Equal(c.end(a), "200 run 2 of fan on") // the fake runs it again; the endpoint would not
+				}
+				is.Equal(c.end(c.order(1, "key-1", "fan on")), "200 run 2 of fan on")
+				mu.Lock()
+				defer mu.Unlock()
+				is.Equal(keys, map[string]int{"bokkos:k:key-1": 2}) // every send carried the same key
+			})
+		})
+	}
+}
+
 // TestPausedOwner resumes an owner after the time in which it may send.
 func TestPausedOwner(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
