catchup: test a checkpoint that covers too little

A checkpoint can stand in the log while the records after what it covers have aged out. Start took it over and reported success, and the tail went round without a pause: a node test never ended.

--- a/catchup/catchup_test.go
+++ b/catchup/catchup_test.go
@@ -150,6 +150,26 @@
 	is.True(errors.Is(catchup.Sync(t.Context(), w.log, state), catchup.ErrNoCheckpoint))
 }
 
+// TestCheckpointCoversTooLittle keeps a checkpoint in the log whose following
+// records have aged out: no state can go on from there.
+func TestCheckpointCoversTooLittle(t *testing.T) {
+	is := is.New(t)
+	w := newWriter(t, 50)
+	w.publish("quiet", "")
+	pieces := w.pieces()
+	for range 10 {
+		w.publish("busy", "")
+	}
+	for _, p := range pieces {
+		w.append(p)
+	}
+	for range 45 {
+		w.publish("busy", "")
+	}
+	state, _ := newState()
+	is.True(errors.Is(catchup.Sync(t.Context(), w.log, state), catchup.ErrNoCheckpoint))
+}
+
 // TestOlderCheckpointForNewerReader skips a checkpoint whose writer did not know
 // a kind that the reader knows, and starts from an older one that lacks nothing.
 func TestOlderCheckpointForNewerReader(t *testing.T) {
