Print the slopes at the planned size from the command line

Cause: the measured slopes could be had from Go code only. Change: cicadanotch capacity runs the measurement and prints the table. Conclusion: nobody copies figures by hand.

--- a/cli/cli.go
+++ b/cli/cli.go
@@ -91,7 +91,7 @@
 		Subcommands: []*ffcli.Command{
 			t.validateCommand(), t.publishCommand(), t.getCommand(), t.diffCommand(),
 			t.addressesCommand(), t.dumpCommand(),
-			t.demoCommand(), t.replayCommand(),
+			t.demoCommand(), t.replayCommand(), t.capacityCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
--- a/cli/cli_test.go
+++ b/cli/cli_test.go
@@ -70,6 +70,8 @@
 		"no file":         {[]string{"validate"}, cli.ExitUsage, "want one argument"},
 		"missing file":    {[]string{"validate", "none.json"}, cli.ExitUsage, "no such file"},
 		"missing flag":    {[]string{"dump"}, cli.ExitUsage, "flag --operator is missing"},
+		"one size":        {[]string{"capacity", "--hosts", "7"}, cli.ExitUsage, "at least two"},
+		"bad size":        {[]string{"capacity", "--hosts", "7,x"}, cli.ExitUsage, `"x" is no number`},
 		"nobody there":    {[]string{"dump", "--operator", "127.0.0.1:1"}, cli.ExitFailure, "connection refused"},
 	} {
 		t.Run(name, func(t *testing.T) {
