Pass the host list on through the relays of a zone, as rows that changed

Cause: each entry host read every row of the platform's list twice a second: 39 KB/s at 200 hosts, drawn out to 1.8 MB/s at the planned size, against 12 KB/s. Change: relays of an availability zone read the list and number its changes; the others ask a relay for what changed after their number, and read the platform's list when no relay has a fresh one. Conclusion: the list costs by its changes; relays still read it whole.

--- a/arch/arch_test.go
+++ b/arch/arch_test.go
@@ -19,7 +19,7 @@
 
 // domain lists the packages with the decisions.
 var domain = []string{
-	"address", "admit", "answer", "attempt", "capacity", "claim", "config", "drain", "fold", "lease", "member",
+	"address", "admit", "answer", "attempt", "capacity", "claim", "config", "drain", "fold", "hostlist", "lease", "member",
 	"prefix", "problem", "quarantine", "record", "request", "route",
 }
 
--- /dev/null
+++ b/hostlist/hostlist_test.go
@@ -0,0 +1,108 @@
+package hostlist_test
+
+import (
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadanotch/cicadanotch/hostlist"
+	"github.com/cicadanotch/cicadanotch/port"
+)
+
+var start = time.Unix(1_800_000_000, 0)
+
+// lists makes a list that changes by steps: rows come, go and change.
+func lists(rng *rand.Rand, steps int) [][]port.Host {
+	rows := map[string]port.Host{}
+	var out [][]port.Host
+	for range steps {
+		for range rng.IntN(4) {
+			id := fmt.Sprintf("h%d", rng.IntN(40))
+			switch _, ok := rows[id]; {
+			case !ok:
+				rows[id] = port.Host{ID: id, State: port.HostLive}
+			case rng.IntN(2) == 0:
+				delete(rows, id)
+			default:
+				rows[id] = port.Host{ID: id, State: port.HostLeaving, PricePerHour: rng.Float64()}
+			}
+		}
+		var list []port.Host
+		for _, h := range rows {
+			list = append(list, h)
+		}
+		slices.SortFunc(list, func(a, b port.Host) int { return cmp.Compare(a.ID, b.ID) })
+		out = append(out, list)
+	}
+	return out
+}
+
+// A view that asks now one feed, now another, now rarely, holds what the feed
+// that it asked last holds.
+func TestViewFollowsFeeds(t *testing.T) {
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(1, 0))
+	feeds := []*hostlist.Feed{hostlist.NewFeed("a"), hostlist.NewFeed("b")}
+	view := hostlist.NewView()
+	for _, list := range lists(rng, 2000) {
+		feed := feeds[rng.IntN(len(feeds))]
+		feed.Update(start, list)
+		if rng.IntN(3) > 0 {
+			continue
+		}
+		got := view.Apply(feed.Since(view.Place()))
+		is.Equal(len(got), len(list))
+		for i := range got {
+			is.Equal(got[i], list[i])
+		}
+	}
+}
+
+// A view that is behind what the feed remembers starts anew.
+func TestForgotten(t *testing.T) {
+	is := is.New(t)
+	feed, view := hostlist.NewFeed("a"), hostlist.NewView()
+	feed.Update(start, []port.Host{{ID: "stays"}, {ID: "goes"}})
+	view.Apply(feed.Since(view.Place()))
+	feed.Update(start, []port.Host{{ID: "stays"}})
+	for i := range 5000 {
+		feed.Update(start, []port.Host{{ID: "stays"}, {ID: fmt.Sprint(i)}})
+	}
+	feed.Update(start, []port.Host{{ID: "stays"}})
+	d := feed.Since(view.Place())
+	is.True(d.All)
+	is.Equal(len(view.Apply(d)), 1)
+}
+
+// deltaBytes returns the bytes of the delta for a list without changes, next
+// to those of the list.
+func deltaBytes(tb testing.TB, hosts int) (unchanged, whole int) {
+	tb.Helper()
+	feed, view := hostlist.NewFeed("a"), hostlist.NewView()
+	var list []port.Host
+	for i := range hosts {
+		list = append(list, port.Host{ID: fmt.Sprintf("jos-a-engine-%d", i), Role: port.RoleEndpoint, Region: "plateau", Zone: "jos-a", Service: "assistant-llm", State: port.HostLive, EndpointAddress: "10.0.0.1:8000"})
+	}
+	feed.Update(start, list)
+	first, err := json.Marshal(feed.Since(view.Place()))
+	is.New(tb).NoErr(err)
+	view.Apply(feed.Since(view.Place()))
+	feed.Update(start, list)
+	next, err := json.Marshal(feed.Since(view.Place()))
+	is.New(tb).NoErr(err)
+	return len(next), len(first)
+}
+
+func TestUnchangedListCostsNothingByRows(t *testing.T) {
+	is := is.New(t)
+	small, _ := deltaBytes(t, 10)
+	large, whole := deltaBytes(t, 10_000)
+	is.True(large <= small+len("9990")) // the number alone grows
+	t.Logf("10,000 rows: %d bytes whole, %d bytes unchanged", whole, large)
+}
--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -24,11 +24,14 @@
 	mu     sync.Mutex
 	hosts  []port.Host
 	market fakeMarket
+	// lists counts the reads of the list.
+	lists int
 }
 
 func (c *fakeCloud) Hosts(context.Context) ([]port.Host, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.lists++
 	return append([]port.Host(nil), c.hosts...), nil
 }
 
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -111,9 +111,9 @@
 	return nil
 }
 
-// pollHosts reads the platform's list; on failure the last list stays.
+// pollHosts reads the list; on failure the last one stays.
 func (n *Node) pollHosts() {
-	hosts, err := n.ports.Cloud.Hosts(n.context())
+	hosts, err := n.readHosts(n.context())
 	if err != nil {
 		return
 	}
--- a/node/node.go
+++ b/node/node.go
@@ -67,6 +67,7 @@
 	orders    *orderTable
 	// checkpoints decides when this host writes a checkpoint.
 	checkpoints checkpointState
+	hostFeed    *hostFeed
 	capacityJob *capacityJob
 	// incarnation is unique to this process, not only to its host.
 	incarnation string
@@ -121,6 +122,7 @@
 	n.relays = newRelays(n)
 	n.incarnation = n.settings.Host + "/" + record.NewID()[:incarnationDigits]
 	n.reports = newReportTable(n.incarnation)
+	n.hostFeed = newHostFeed(n.incarnation)
 	n.holders = newLeaseHolders(n)
 	n.orders = newOrderTable()
 	n.capacityJob = newCapacityJob(n)
--- a/node/peers.go
+++ b/node/peers.go
@@ -35,6 +35,7 @@
 		MethodLeaving: n.handleLeaving,
 		MethodDeaths:  n.handleDeaths,
 		MethodUsage:   n.handleUsage,
+		MethodHosts:   n.handleHosts,
 
 		MethodCheck:        n.handleCheck,
 		MethodReport:       n.handleReport,
