Change the hosts that check a silent one with each missed heartbeat

Cause: the same two hosts were asked to check a silent one; with both gone too, it could stay suspect for good. Found by losing two of three zones of 60 hosts. Conclusion: the loss of zones is seen by the hosts that stay.

--- a/member/member.go
+++ b/member/member.go
@@ -14,6 +14,7 @@
 
 import (
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -253,8 +254,9 @@
 	return out
 }
 
-// Helpers returns up to n live hosts that can check a host for this one,
-// those of other availability zones than this host's first.
+// Helpers returns up to n live hosts that can check a host for this one, those
+// of the host's region first. They change with each missed heartbeat, since
+// they may be gone themselves.
 func (t *Table) Helpers(id string, n int) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -263,7 +265,7 @@
 		return nil
 	}
 	near, far := t.helperNames(target)
-	key := "check/" + t.self + "/" + id
+	key := "check/" + t.self + "/" + id + "/" + strconv.Itoa(target.misses)
 	ranked := append(rendezvous.Rank(key, near), rendezvous.Rank(key, far)...)
 	return ranked[:min(n, len(ranked))]
 }
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -47,7 +47,8 @@
 }
 
 func (g *group) setList(hosts []member.Host) {
-	for _, t := range g.tables {
+	for _, h := range g.hosts {
+		t := g.tables[h.ID]
 		t.SetList(g.now, hosts)
 	}
 }
@@ -71,7 +72,8 @@
 func (g *group) step() {
 	g.now = g.now.Add(time.Second)
 	g.sequence++
-	for a, t := range g.tables {
+	for _, h := range g.hosts {
+		a, t := h.ID, g.tables[h.ID]
 		if g.down[a] {
 			continue
 		}
@@ -87,15 +89,17 @@
 }
 
 func (g *group) spread() {
-	for a, t := range g.tables {
+	for _, h := range g.hosts {
+		a, t := h.ID, g.tables[h.ID]
 		report := member.Report{By: a, Sequence: g.sequence, Dead: t.Own()}
-		for b, other := range g.tables {
-			if g.reaches(a, b) {
-				other.Hear(g.now, report)
+		for _, to := range g.hosts {
+			if g.reaches(a, to.ID) {
+				g.tables[to.ID].Hear(g.now, report)
 			}
 		}
 	}
-	for _, t := range g.tables {
+	for _, h := range g.hosts {
+		t := g.tables[h.ID]
 		t.Judge(g.now)
 	}
 }
@@ -245,3 +249,19 @@
 	}
 	is.Equal(len(watchers), 50)
 }
+
+// TestTwoZonesOfThreeAreSeenDead loses two zones of three, so that some hosts lose all their
+// watchers with it: the hosts before those take their place.
+func TestTwoZonesOfThreeAreSeenDead(t *testing.T) {
+	is := is.New(t)
+	g := newGroup(list(60, nil))
+	for _, h := range g.hosts {
+		g.down[h.ID] = h.Zone != "z0"
+	}
+	g.run(120)
+	for _, h := range g.hosts {
+		if g.down[h.ID] {
+			is.Equal(g.row("h0", h.ID).Verdict, member.Dead)
+		}
+	}
+}
