Keep ranks, lists and members from poll to poll; state the relays' cost

Cause: a host spent its processor time in copies of the host list, in ranking all hosts for each lease four times a second, and in setting members anew; the table spread what relays read over all hosts. Excluded: folding, which grows with changes alone. Change: the list is shared unchanged, a rank is counted and not sorted, members are set when one changed; the table has a line for a relay's list.

--- a/hostlist/hostlist.go
+++ b/hostlist/hostlist.go
@@ -125,6 +125,7 @@
 type View struct {
 	place Place
 	rows  map[string]port.Host
+	list  []port.Host
 }
 
 // NewView returns a view without rows.
@@ -133,9 +134,13 @@
 // Place returns how far the view has followed its feed.
 func (v *View) Place() Place { return v.place }
 
-// Apply takes a delta in that was made for the view's place, and returns the
-// whole list.
-func (v *View) Apply(d Delta) []port.Host {
+// Apply takes a delta in that was made for the view's place. It returns the
+// whole list, which the caller must not change, and whether it changed.
+func (v *View) Apply(d Delta) (list []port.Host, changed bool) {
+	v.place = d.To
+	if !d.All && len(d.Rows) == 0 && len(d.Gone) == 0 {
+		return v.list, false
+	}
 	if d.All {
 		clear(v.rows)
 	}
@@ -145,8 +150,7 @@
 	for _, h := range d.Rows {
 		v.rows[h.ID] = h
 	}
-	v.place = d.To
-	out := slices.Collect(maps.Values(v.rows))
-	sortRows(out)
-	return out
+	v.list = slices.Collect(maps.Values(v.rows))
+	sortRows(v.list)
+	return v.list, true
 }
--- a/hostlist/hostlist_test.go
+++ b/hostlist/hostlist_test.go
@@ -56,7 +56,7 @@
 		if rng.IntN(3) > 0 {
 			continue
 		}
-		got := view.Apply(feed.Since(view.Place()))
+		got, _ := view.Apply(feed.Since(view.Place()))
 		is.Equal(len(got), len(list))
 		for i := range got {
 			is.Equal(got[i], list[i])
@@ -77,7 +77,11 @@
 	feed.Update(start, []port.Host{{ID: "stays"}})
 	d := feed.Since(view.Place())
 	is.True(d.All)
-	is.Equal(len(view.Apply(d)), 1)
+	list, changed := view.Apply(d)
+	is.Equal(len(list), 1)
+	is.True(changed)
+	_, changed = view.Apply(feed.Since(view.Place()))
+	is.True(!changed)
 }
 
 // deltaBytes returns the bytes of the delta for a list without changes, next
--- a/node/hostfeed.go
+++ b/node/hostfeed.go
@@ -46,7 +46,8 @@
 	return f.view.Place()
 }
 
-func (f *hostFeed) apply(d hostlist.Delta, source string) []port.Host {
+// apply returns the list and whether it changed.
+func (f *hostFeed) apply(d hostlist.Delta, source string) ([]port.Host, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.source = source
@@ -54,22 +55,24 @@
 }
 
 // readHosts returns the list, from a relay of the zone if another host is one
-// and its list is fresh, or else from the platform.
-func (n *Node) readHosts(ctx context.Context) ([]port.Host, error) {
+// and its list is fresh, or else from the platform; and whether it changed.
+func (n *Node) readHosts(ctx context.Context) (hosts []port.Host, changed bool, err error) {
 	for _, p := range n.relays.list() {
 		if p.Address == "" {
 			break // this host is a relay
 		}
 		if d, ok := n.hostsFrom(ctx, p.Address); ok {
-			return n.hostFeed.apply(d, p.ID), nil
+			hosts, changed = n.hostFeed.apply(d, p.ID)
+			return hosts, changed, nil
 		}
 	}
-	hosts, err := n.ports.Cloud.Hosts(ctx)
+	hosts, err = n.ports.Cloud.Hosts(ctx)
 	if err != nil {
-		return nil, err
+		return nil, false, err
 	}
 	n.hostFeed.feed.Update(time.Now(), hosts)
-	return n.hostFeed.apply(n.hostFeed.feed.Since(n.hostFeed.place()), sourcePlatform), nil
+	hosts, changed = n.hostFeed.apply(n.hostFeed.feed.Since(n.hostFeed.place()), sourcePlatform)
+	return hosts, changed, nil
 }
 
 // hostsFrom asks a relay for what changed.
--- a/node/hosts.go
+++ b/node/hosts.go
@@ -1,7 +1,6 @@
 package node
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -25,10 +24,12 @@
 	t.hosts = hosts
 }
 
+// all returns the rows of the list. Callers must not change them: a new list
+// replaces the slice and never writes to it.
 func (t *hostTable) all() []port.Host {
 	t.mu.RLock()
 	defer t.mu.RUnlock()
-	return slices.Clone(t.hosts)
+	return t.hosts
 }
 
 func (t *hostTable) add(n port.Notice) {
@@ -113,11 +114,13 @@
 
 // pollHosts reads the list; on failure the last one stays.
 func (n *Node) pollHosts() {
-	hosts, err := n.readHosts(n.context())
+	hosts, changed, err := n.readHosts(n.context())
 	if err != nil {
 		return
 	}
-	n.hosts.set(hosts)
+	if changed {
+		n.hosts.set(hosts)
+	}
 	n.setMembers(hosts)
 	n.updateEndpoints()
 }
--- a/node/lease.go
+++ b/node/lease.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/cicadanotch/cicadanotch/lease"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/record"
+	"github.com/cicadanotch/cicadanotch/rendezvous"
 )
 
 const (
@@ -161,25 +158,20 @@
 // rank returns this host's rendezvous rank for a key among the live entry
 // hosts, and false when the list does not show it as live.
 func (n *Node) rank(key string) (int, bool) {
-	type scored struct {
-		id    string
-		score uint64
-	}
-	var rows []scored
+	own := rendezvous.Score(key, n.settings.Host)
+	above, listed := 0, false
 	for _, h := range n.hosts.all() {
-		if h.Role == port.RoleEntry && !n.hosts.leaving(h) {
-			rows = append(rows, scored{h.ID, xxhash.Sum64String(key + "\x00" + h.ID)})
+		if h.Role != port.RoleEntry || n.hosts.leaving(h) {
+			continue
 		}
-	}
-	slices.SortFunc(rows, func(a, b scored) int {
-		if a.score != b.score {
-			if a.score > b.score {
-				return -1
-			}
-			return 1
+		if h.ID == n.settings.Host {
+			listed = true
+			continue
+		}
+		score := rendezvous.Score(key, h.ID)
+		if score > own || (score == own && h.ID < n.settings.Host) {
+			above++
 		}
-		return strings.Compare(a.id, b.id)
-	})
-	at := slices.IndexFunc(rows, func(r scored) bool { return r.id == n.settings.Host })
-	return at, at >= 0
+	}
+	return above, listed
 }
--- a/node/member.go
+++ b/node/member.go
@@ -51,6 +51,8 @@
 	Host string `json:"host"`
 }
 
+// setMembers hands the entry hosts of the list to the members' table when one
+// came, went, or began to leave.
 func (n *Node) setMembers(hosts []port.Host) {
 	var list []member.Host
 	for _, h := range hosts {
@@ -58,6 +60,10 @@
 			list = append(list, member.Host{ID: h.ID, Region: h.Region, Zone: h.Zone, Leaving: n.entryLeaving(h)})
 		}
 	}
+	if slices.Equal(list, n.listed) {
+		return
+	}
+	n.listed = list
 	n.members.SetList(time.Now(), list)
 	n.chooseRelays()
 }
--- a/node/node.go
+++ b/node/node.go
@@ -68,6 +68,8 @@
 	// checkpoints decides when this host writes a checkpoint.
 	checkpoints checkpointState
 	hostFeed    *hostFeed
+	// listed are the entry hosts that members has; pollHosts alone uses it.
+	listed      []member.Host
 	capacityJob *capacityJob
 	// incarnation is unique to this process, not only to its host.
 	incarnation string
--- a/scale/rows.go
+++ b/scale/rows.go
@@ -1,6 +1,7 @@
 package scale
 
 import (
+	"encoding/json"
 	"fmt"
 	"runtime"
 	"time"
@@ -45,6 +46,15 @@
 	return bytes
 }
 
+// wireBytes returns the bytes of one row of the list as JSON.
+func wireBytes(role port.HostRole) float64 {
+	raw, err := json.Marshal(listedHost(rowCount, role))
+	if err != nil {
+		return 0 // strings and numbers always encode
+	}
+	return float64(len(raw) + 1)
+}
+
 func listedHost(i int, role port.HostRole) port.Host {
 	at := zonePlaces[i%len(zonePlaces)]
 	return port.Host{
--- a/scale/scale.go
+++ b/scale/scale.go
@@ -16,6 +16,8 @@
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/port"
 )
 
 // Options set how long is measured.
@@ -92,11 +94,18 @@
 	// platform's list in an entry host's tables.
 	EntryRowBytes    float64 `json:"entry_row_bytes"`
 	EndpointRowBytes float64 `json:"endpoint_row_bytes"`
+	// EntryWireBytes and EndpointWireBytes are a row's bytes as the cloud API
+	// sends it.
+	EntryWireBytes    float64 `json:"entry_wire_bytes"`
+	EndpointWireBytes float64 `json:"endpoint_wire_bytes"`
 }
 
 // Measure runs a deployment of each size and measures it.
 func Measure(ctx context.Context, sizes []int, opts Options) (Report, error) {
-	report := Report{EntryRowBytes: entryRowBytes(), EndpointRowBytes: endpointRowBytes()}
+	report := Report{
+		EntryRowBytes: entryRowBytes(), EndpointRowBytes: endpointRowBytes(),
+		EntryWireBytes: wireBytes(port.RoleEntry), EndpointWireBytes: wireBytes(port.RoleEndpoint),
+	}
 	for _, n := range sizes {
 		size, err := measure(ctx, n, opts)
 		if err != nil {
--- a/scale/table.go
+++ b/scale/table.go
@@ -4,6 +4,9 @@
 	"fmt"
 	"io"
 	"text/tabwriter"
+	"time"
+
+	"github.com/cicadanotch/cicadanotch/node"
 )
 
 // The size that the system is designed for.
@@ -20,6 +23,8 @@
 	// limitDelay is the time within which a change is in force, in
 	// milliseconds.
 	limitDelay = 4000
+	// listReadsPerSecond is how often a relay reads the host list.
+	listReadsPerSecond = float64(time.Second) / float64(node.DefaultPollInterval)
 	// logReadLimit stands for the several hundred calls a second that the
 	// log takes.
 	logReadLimit = 500
@@ -71,8 +76,8 @@
 }
 
 // Extrapolate draws straight lines through the two largest sizes to the
-// target; in small deployments most hosts are relays, so they tell little. The
-// host list is taken by its rows, endpoints included.
+// target; in small deployments most hosts are relays, so they tell little. What
+// a relay reads of the host list is taken by the rows, endpoints included.
 func (r Report) Extrapolate() []Line {
 	if len(r.Sizes) < 2 {
 		return nil
@@ -80,19 +85,19 @@
 	a, b := r.Sizes[len(r.Sizes)-2], r.Sizes[len(r.Sizes)-1]
 	at := func(value func(Size) float64, hosts float64) float64 {
 		slope := (value(b) - value(a)) / float64(b.Hosts-a.Hosts)
-		return value(a) + slope*(hosts-float64(a.Hosts))
+		return max(value(a)+slope*(hosts-float64(a.Hosts)), 0)
 	}
-	cloud := at(func(s Size) float64 { return s.Idle.CloudBytes }, targetHosts+targetEndpoints)
+	relayList := (targetHosts*r.EntryWireBytes + targetEndpoints*r.EndpointWireBytes) * listReadsPerSecond
 	peers := at(func(s Size) float64 { return s.Idle.PeerBytes }, targetHosts)
 	logBytes := at(func(s Size) float64 { return s.Idle.LogBytes }, targetHosts)
 	rows := targetHosts*r.EntryRowBytes + targetEndpoints*r.EndpointRowBytes
 	reads := b.Idle.LogReads / float64(b.Zones*relaysPerZone) * targetZones * relaysPerZone
 	return []Line{
-		{"host list and notices, per host", cloud, "B/s", limitBytes},
+		{"host list, a relay", relayList, "B/s", limitBytes},
 		{"peers, per host, idle", peers, "B/s", limitBytes},
-		{"log, per host, idle", max(logBytes, 0), "B/s", limitBytes},
-		{"all but the host list, per host", peers + max(logBytes, 0), "B/s", limitBytes},
-		{"processor, per host, idle, host list of entry hosts only", at(func(s Size) float64 { return s.Idle.Processor }, targetHosts), "cores", limitCores},
+		{"log, per host, idle", logBytes, "B/s", limitBytes},
+		{"peers and log, per host, idle", peers + logBytes, "B/s", limitBytes},
+		{"processor, per host, idle", at(func(s Size) float64 { return s.Idle.Processor }, targetHosts), "cores", limitCores},
 		{"memory of the host list, per host", rows, "B", limitHeap},
 		{"heap of a host at the largest size measured", b.HeapBytes, "B", limitHeap},
 		{"log reads, all relays", reads, "/s", logReadLimit},
