Spread the suspects of a death over the idle endpoints in order

Cause: two entry hosts could try a killer and its neighbour at the same idle endpoint, so that the second death told them apart no better than the first. Change: idle endpoints go by the order of fingerprints in the company, the own region's first; a death is told to peers before the wait for the rest of its attempts.

--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -190,7 +190,14 @@
 		return
 	}
 	defer n.flights.endDeath(host.ID)
+	n.noteDeath(host) // peers learn of it while this host waits for the rest
 	pause(ctx, deathGrace)
+	n.noteDeath(host)
+	n.confirmBlame(ctx, n.flights.at(host.ID, time.Now()))
+}
+
+// noteDeath books and shares the death of an endpoint with what ran there.
+func (n *Node) noteDeath(host port.Host) {
 	now := time.Now()
 	n.shareDeath(quarantine.Death{
 		Endpoint:    host.ID,
@@ -200,7 +207,6 @@
 		Announced:   n.hosts.leaving(host),
 		Running:     n.flights.at(host.ID, now),
 	})
-	n.confirmBlame(ctx, n.flights.at(host.ID, now))
 }
 
 // confirmBlame asks the peers what else ran at the endpoints that died, before
@@ -341,11 +347,11 @@
 	case quarantine.VerdictQuarantine:
 		return placement{}, false
 	case quarantine.VerdictIsolate:
-		if endpoint := n.awaitIdle(ctx, a); endpoint != "" {
+		if endpoint := n.awaitIdle(ctx, a, j); endpoint != "" {
 			return placement{alone: endpoint}, true
 		}
 	case quarantine.VerdictSeparate:
-		if endpoint := n.takeIdle(a); endpoint != "" {
+		if endpoint := n.takeIdle(a, j); endpoint != "" {
 			return placement{alone: endpoint}, true
 		}
 	case quarantine.VerdictClear:
@@ -369,11 +375,29 @@
 	return out
 }
 
+// idleEndpoints returns the endpoints of a service that run nothing, the own
+// region's first, in an order that the entry hosts of a region share.
+func (n *Node) idleEndpoints(service string) []string {
+	var near, far []string
+	for _, v := range n.endpoints.routes.Loads(time.Now()) {
+		if v.Service != service || v.Leaving || v.Suspect || v.InFlight > 0 || v.Others > 0 {
+			continue
+		}
+		if h, ok := n.endpoints.routes.Host(v.Endpoint); ok && h.Region == n.settings.Region {
+			near = append(near, v.Endpoint)
+		} else {
+			far = append(far, v.Endpoint)
+		}
+	}
+	slices.Sort(near)
+	slices.Sort(far)
+	return append(near, far...)
+}
+
 // takeIdle returns an endpoint without requests and keeps it free of others;
-// it returns "" when there is none.
-func (n *Node) takeIdle(a *Accepted) string {
-	taken := union(nil, n.flights.isolatedEndpoints())
-	endpoint, ok := n.endpoints.routes.Idle(a.Request.Service, a.Request.Fingerprint, taken, time.Now())
+// it returns "" when there is none for the request.
+func (n *Node) takeIdle(a *Accepted, j quarantine.Judgement) string {
+	endpoint, ok := j.Place(a.Request.Fingerprint, n.idleEndpoints(a.Request.Service))
 	if !ok || !n.flights.isolate(endpoint) {
 		return ""
 	}
@@ -382,10 +406,10 @@
 
 // awaitIdle waits for an endpoint without requests and keeps it free of
 // others; it returns "" when none comes free in time.
-func (n *Node) awaitIdle(ctx context.Context, a *Accepted) string {
+func (n *Node) awaitIdle(ctx context.Context, a *Accepted, j quarantine.Judgement) string {
 	until := time.Now().Add(isolateWait)
 	for {
-		if endpoint := n.takeIdle(a); endpoint != "" {
+		if endpoint := n.takeIdle(a, j); endpoint != "" {
 			return endpoint
 		}
 		if ctx.Err() != nil || time.Now().After(until) {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -289,3 +289,20 @@
 	})
 	return out
 }
+
+// Place returns the idle endpoint at which a request is tried alone; ok is
+// false when there is none for it. The suspects of one company are spread over
+// the endpoints in the order of their fingerprints, so that entry hosts which
+// try them at the same time do not bring them together again. Requests to be
+// isolated share when there are more of them than endpoints, the others do
+// without.
+func (j Judgement) Place(fingerprint uint64, idle []string) (endpoint string, ok bool) {
+	if len(idle) == 0 {
+		return "", false
+	}
+	rank, _ := slices.BinarySearch(j.Company, fingerprint)
+	if rank >= len(idle) && j.Verdict != VerdictIsolate {
+		return "", false
+	}
+	return idle[rank%len(idle)], true
+}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -121,3 +121,25 @@
 	}
 	is.True(ledger.Fold(record.Position{}, record.Envelope{Body: []byte("{")}) != nil)
 }
+
+func TestPlace(t *testing.T) {
+	is := is.New(t)
+	table := quarantine.NewTable()
+	table.Add(start, death("a", "z1", 0, 1, 2, 3, 4))
+	idle := []string{"b", "c", "d"}
+	used := map[string]bool{}
+	for f := uint64(1); f <= 3; f++ {
+		endpoint, ok := table.Judge(start, f).Place(f, idle)
+		is.True(ok)
+		is.True(!used[endpoint]) // each at an endpoint of its own
+		used[endpoint] = true
+	}
+	_, ok := table.Judge(start, 4).Place(4, idle)
+	is.True(!ok) // no endpoint is left for it
+	_, ok = table.Judge(start, 1).Place(1, nil)
+	is.True(!ok)
+	table.Add(start, death("b", "z2", time.Second, 5, 6))
+	endpoint, ok := table.Judge(start, 6).Place(6, idle[:1])
+	is.True(ok) // a score of a half: isolated
+	is.Equal(endpoint, "b")
+}
