--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -206,3 +206,32 @@
 		}
 	}
 }
+
+// testPattern finds the tests that the pages name.
+var testPattern = regexp.MustCompile("`([a-z]+)\\.(Test\\w+)`")
+
+func TestNamedTestsExist(t *testing.T) {
+	text, err := os.ReadFile("DESIGN.md")
+	is.New(t).NoErr(err)
+	named := testPattern.FindAllStringSubmatch(string(text), -1)
+	is.New(t).True(len(named) > 0)
+	for _, m := range named {
+		if !hasTest(t, m[1], m[2]) {
+			t.Errorf("DESIGN.md names %s.%s, which is not there", m[1], m[2])
+		}
+	}
+}
+
+func hasTest(t *testing.T, pkg, name string) bool {
+	t.Helper()
+	files, err := filepath.Glob(filepath.Join("..", pkg, "*_test.go"))
+	is.New(t).NoErr(err)
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		is.New(t).NoErr(err)
+		if strings.Contains(string(text), "func "+name+"(") {
+			return true
+		}
+	}
+	return false
+}
