Try the suspects of a death apart, at endpoints that all hosts list

Cause: suspects of two entry hosts met at one idle endpoint, because each host knows other endpoints to be idle. Change: suspects take open endpoints of the region, in the order of their fingerprints, by rendezvous among those left; an endpoint need not be idle, since nobody there was at the first death.

--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -336,7 +336,7 @@
 	// have company to keep from: used only when no other is left.
 	tried map[string]bool
 	away  map[string]bool
-	// alone is the endpoint to run alone at; empty for none.
+	// alone is the only endpoint to run at; empty for none.
 	alone string
 }
 
@@ -351,7 +351,7 @@
 			return placement{alone: endpoint}, true
 		}
 	case quarantine.VerdictSeparate:
-		if endpoint := n.takeIdle(a, j); endpoint != "" {
+		if endpoint, ok := j.Apart(a.Request.Fingerprint, n.openEndpoints(a.Request.Service)); ok {
 			return placement{alone: endpoint}, true
 		}
 	case quarantine.VerdictClear:
@@ -375,6 +375,19 @@
 	return out
 }
 
+// openEndpoints returns the endpoints of a service in the own region that take
+// work, in an order that the entry hosts of the region share.
+func (n *Node) openEndpoints(service string) []string {
+	var out []string
+	for _, v := range n.endpoints.routes.Loads(time.Now()) {
+		h, ok := n.endpoints.routes.Host(v.Endpoint)
+		if ok && v.Service == service && !v.Leaving && !v.Suspect && h.Region == n.settings.Region {
+			out = append(out, v.Endpoint)
+		}
+	}
+	return out
+}
+
 // idleEndpoints returns the endpoints of a service that run nothing, the own
 // region's first, in an order that the entry hosts of a region share.
 func (n *Node) idleEndpoints(service string) []string {
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -18,8 +18,11 @@
 import (
 	"maps"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
+
+	"github.com/cicadanotch/cicadanotch/rendezvous"
 )
 
 const (
@@ -306,3 +309,34 @@
 	}
 	return idle[rank%len(idle)], true
 }
+
+// Apart returns the endpoint at which a suspect is tried apart from the others
+// of its company; ok is false when there are fewer endpoints than suspects.
+// Suspects choose in the order of their fingerprints, each by rendezvous among
+// the endpoints left, so that entry hosts with nearly the same list of
+// endpoints do not bring two of them together.
+func (j Judgement) Apart(fingerprint uint64, endpoints []string) (endpoint string, ok bool) {
+	rank, _ := slices.BinarySearch(j.Company, fingerprint)
+	if rank >= len(endpoints) {
+		return "", false
+	}
+	left := slices.Clone(endpoints)
+	for _, f := range j.Company[:rank] {
+		at := favourite(f, left)
+		left = slices.Delete(left, at, at+1)
+	}
+	return left[favourite(fingerprint, left)], true
+}
+
+// favourite returns the index of the endpoint of the highest weight for a
+// fingerprint.
+func favourite(fingerprint uint64, endpoints []string) int {
+	key := strconv.FormatUint(fingerprint, 16)
+	best := 0
+	for i := range endpoints {
+		if rendezvous.Score(key, endpoints[i]) > rendezvous.Score(key, endpoints[best]) {
+			best = i
+		}
+	}
+	return best
+}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -143,3 +143,22 @@
 	is.True(ok) // a score of a half: isolated
 	is.Equal(endpoint, "b")
 }
+
+// Two entry hosts that differ in one endpoint keep the suspects apart.
+func TestApart(t *testing.T) {
+	is := is.New(t)
+	table := quarantine.NewTable()
+	table.Add(start, death("a", "z1", 0, beside(8, 100)...))
+	lists := [][]string{{"b", "c", "d", "e", "f", "g", "h", "i", "j", "k"}, {"b", "c", "d", "e", "f", "g", "h", "i", "j"}}
+	for _, list := range lists {
+		used := map[string]bool{}
+		for _, f := range beside(8, 100) {
+			endpoint, ok := table.Judge(start, f).Apart(f, list)
+			is.True(ok)
+			is.True(!used[endpoint]) // each at an endpoint of its own
+			used[endpoint] = true
+		}
+	}
+	_, ok := table.Judge(start, 106).Apart(106, lists[0][:3])
+	is.True(!ok) // fewer endpoints than suspects
+}
