Add the weight store to the stand-ins

Cause: engines loaded models at once, whatever the others loaded. Change: a store whose rate all loading engines share.

--- a/standin/engine.go
+++ b/standin/engine.go
@@ -48,8 +48,12 @@
 	CrashMarker string
 	// OnCrash is called once when the engine crashes.
 	OnCrash func()
-	Ledger  *Ledger
-	Faults  *Faults
+	// Weights serves WeightBytes for each model that is loaded; nil loads at
+	// once.
+	Weights     *WeightStore
+	WeightBytes int64
+	Ledger      *Ledger
+	Faults      *Faults
 }
 
 func (o EngineOptions) withDefaults() EngineOptions {
--- a/standin/enginehandler.go
+++ b/standin/enginehandler.go
@@ -110,6 +110,11 @@
 	if e.applied(PointOrder, w, r) || !ReadJSON(w, r, &order) {
 		return
 	}
+	if e.opts.Weights != nil && order.Kind != port.OrderUnload {
+		if err := e.opts.Weights.Fetch(r.Context(), e.opts.WeightBytes); err != nil {
+			return
+		}
+	}
 	if err := e.order(order); err != nil {
 		http.Error(w, err.Error(), http.StatusConflict)
 		return
