Keep the records of hosts few, and give out limits without the store

Now the relay removes the records of hosts that tell it, the holder of the duties those of hosts that are gone, long records are compressed, a process reads before it reports, and the first reading has time. A relay that has lost the store goes on giving out the shares of the hosts that still take there.

Tests that failed before: TestRecordsOfHostsStayFew, TestZoneSharesALimitWithoutStore.

--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -264,7 +264,7 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(g.context(), storeSlack)
 	defer cancel()
-	offset, err := g.ports.Store.Append(ctx, port.TopicDuties, port.TopicRecord{Value: raw}, d.end)
+	offset, err := g.ports.Store.Append(ctx, port.TopicDuties, d.end, port.TopicRecord{Value: raw})
 	g.observeStore("append", began, time.Now(), err)
 	if err != nil {
 		g.log.Warn().Str("event", "duty_not_recorded").Int64("at", d.end).Err(err).Msg("")
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -22,6 +22,10 @@
 	// storeSlack is what a call may take beyond its wait: the store answers in
 	// some milliseconds, and 60 ms away.
 	storeSlack = 900 * time.Millisecond
+	// newestSlack is what reading the newest records of a topic may take beyond
+	// that: when all hosts start at once, those of a region read them through one
+	// link, and a reading that is given up has to be made again.
+	newestSlack = 1500 * time.Millisecond
 	// endpointsEvery is the least time between two reads of the registry: every
 	// read is billed, and an endpoint that drains takes work for 3 s.
 	endpointsEvery = 600 * time.Millisecond
@@ -89,7 +93,7 @@
 	began := time.Now()
 	wait := f.wait
 	if !f.known {
-		wait = 0
+		wait = newestSlack
 	}
 	ctx, cancel := context.WithTimeout(f.g.context(), wait+storeSlack)
 	defer cancel()
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -114,11 +114,11 @@
 	return s.memoryStore.Read(ctx, topic, from, wait)
 }
 
-func (s *hostStore) Append(ctx context.Context, topic port.Topic, r port.TopicRecord, at int64) (int64, error) {
+func (s *hostStore) Append(ctx context.Context, topic port.Topic, at int64, records ...port.TopicRecord) (int64, error) {
 	if s.cut.Load() {
 		return 0, port.ErrStoreRefused
 	}
-	return s.memoryStore.Append(ctx, topic, r, at)
+	return s.memoryStore.Append(ctx, topic, at, records...)
 }
 
 func (s *memoryStore) Newest(_ context.Context, topic port.Topic) (port.TopicPage, error) {
@@ -157,7 +157,7 @@
 	}
 }
 
-func (s *memoryStore) Append(_ context.Context, topic port.Topic, r port.TopicRecord, at int64) (int64, error) {
+func (s *memoryStore) Append(_ context.Context, topic port.Topic, at int64, records ...port.TopicRecord) (int64, error) {
 	if err := s.failure("append", topic); err != nil {
 		return 0, err
 	}
@@ -166,7 +166,10 @@
 	if at != port.Unconditional && at != int64(len(s.topic(topic).records)) {
 		return 0, port.ErrStoreConflict
 	}
-	offset := s.add(topic, r)
+	offset := int64(len(s.topic(topic).records))
+	for _, r := range records {
+		s.add(topic, r)
+	}
 	if s.loseReply != nil && s.loseReply(topic) {
 		return 0, port.ErrStoreUnavailable
 	}
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -40,7 +40,7 @@
 	r.Loads = g.placement.Mine()
 	r.Demands = g.demand.Demands(now)
 	r.Quota, r.Shares = g.quota.Demand(now), g.quota.Shares()
-	r.Relayed = g.relay(now) != ""
+	r.Relayed = g.shareRelay(now) != ""
 	r.Usage = g.usage.Recent()
 	r.Fence = g.duties.fence(now)
 	return r
@@ -62,7 +62,11 @@
 	defer tick.Stop()
 	left := g.left
 	for {
-		g.tell()
+		// The first report comes after the first reading, so that it goes to the
+		// relay where there is one.
+		if f.known {
+			g.tell()
+		}
 		if err := f.once(); errors.Is(err, port.ErrStoreExpired) {
 			f.known = false
 		} else if err == nil {
@@ -94,21 +98,46 @@
 	if r.Fence == 0 && g.callRelay(methodTell, relaySlack, json.RawMessage(raw), nil) {
 		return
 	}
-	if told := g.relays.toldReports(began); len(told) > 0 {
+	told, first := g.relays.toldReports(began)
+	if len(told) > 0 {
 		if raw, err = json.Marshal(append(told, raw)); err != nil {
 			g.log.Error().Str("event", "report_unwritable").Err(err).Msg("")
 			return
 		}
 	}
+	if raw, err = pack(raw); err != nil {
+		g.log.Error().Str("event", "report_unwritable").Err(err).Msg("")
+		return
+	}
+	records := append(g.keysToDrop(r, first), port.TopicRecord{Key: r.Key(), Value: raw})
 	ctx, cancel := context.WithTimeout(g.context(), storeSlack)
 	defer cancel()
-	_, err = g.ports.Store.Append(ctx, port.TopicHosts, port.TopicRecord{Key: r.Key(), Value: raw}, port.Unconditional)
+	_, err = g.ports.Store.Append(ctx, port.TopicHosts, port.Unconditional, records...)
 	g.observeStore("append", began, time.Now(), err)
 	if err == nil {
 		g.duties.renewed(began)
 	}
 }
 
+// keysToDrop returns the removals that go before a report: of the hosts that told
+// this one for the first time, whose reports are in this one's record from now on,
+// and by the holder of the duties of those that are not heard of any more. Every
+// process reads all records when it starts.
+func (g *Gateway) keysToDrop(r presence.Report, first []string) []port.TopicRecord {
+	if r.Fence != 0 {
+		first = append(first, g.presence.Stale(keyLifetime)...)
+	}
+	out := make([]port.TopicRecord, 0, len(first)+1)
+	for _, key := range first {
+		out = append(out, port.TopicRecord{Key: key})
+	}
+	return out
+}
+
+// keyLifetime is how long the record of a host that is not heard of is kept: its
+// counts of usage are due 10 s after a window of 5 s, and may be late once more.
+const keyLifetime = 25 * time.Second
+
 // hear takes a report, or a list of those that a relay was told.
 func (g *Gateway) hear(now time.Time, r port.TopicRecord) {
 	if r.Removed() {
@@ -117,10 +146,14 @@
 	}
 	reports := make([]presence.Report, 1)
 	into := any(&reports[0])
-	if r.Value[0] == '[' {
-		into = &reports
+	raw, err := unpack(r.Value)
+	if err == nil {
+		if raw[0] == '[' {
+			into = &reports
+		}
+		err = json.Unmarshal(raw, into)
 	}
-	if err := json.Unmarshal(r.Value, into); err != nil {
+	if err != nil {
 		g.log.Warn().Str("event", "report_unreadable").Str("key", r.Key).Int64("offset", r.Offset).Err(err).Msg("")
 		return
 	}
@@ -169,7 +202,7 @@
 // sharers counts the hosts that give out shares of limits: the relays, and hosts
 // without one.
 func (g *Gateway) sharers(live []presence.Report) int {
-	if g.relay(time.Now()) != "" {
+	if g.shareRelay(time.Now()) != "" {
 		return len(live) + 1 // what this host gives out should its relay fail
 	}
 	n := 1
--- /dev/null
+++ b/gateway/pack_test.go
@@ -0,0 +1,43 @@
+package gateway
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+func TestPack(t *testing.T) {
+	report := []byte(`{"h":"front-jos-a-1","i":"8d579e25","l":{"i-e4e4846303":{"n":1,"p":0,"c":12000}}},`)
+	for name, raw := range map[string][]byte{
+		"one report":     report,
+		"a zone's":       append([]byte("["), bytes.Repeat(report, 100)...),
+		"not compressed": []byte(`[{"h":"a"}]`),
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			packed, err := pack(raw)
+			is.NoErr(err)
+			is.True(len(packed) <= len(raw))
+			got, err := unpack(packed)
+			is.NoErr(err)
+			is.Equal(got, raw)
+		})
+	}
+}
+
+func TestUnpackRefuses(t *testing.T) {
+	is := is.New(t)
+	whole, err := pack(bytes.Repeat([]byte("x"), unpackedMost+1))
+	is.NoErr(err)
+	for name, record := range map[string][]byte{
+		"cut short": whole[:len(whole)/2],
+		"no gzip":   append(bytes.Clone(gzipMagic), "something else"...),
+		"too long":  whole,
+	} {
+		_, err := unpack(record)
+		if err == nil {
+			t.Errorf("%s: no error", name)
+		}
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -40,6 +40,9 @@
 	takeTimeout = 150 * time.Millisecond
 	// relayFailed is how long a host does without a relay that failed it.
 	relayFailed = 3 * time.Second
+	// takerSilence is how long a host that takes no share counts among those that
+	// take theirs here: callers come several times a second.
+	takerSilence = 2 * time.Second
 	// relayStale is the age of the store's last answer past which a relay does
 	// not answer for it: it reads at least once a second.
 	relayStale = 1700 * time.Millisecond
@@ -65,23 +68,29 @@
 	mu    sync.Mutex
 	rings map[port.Topic]*ring
 	told  map[string]toldReport
-	// failed tells until when a host is not used as a relay.
+	// failed tells until when a host is not used as a relay, gone those of them
+	// that did not answer at all: one that answers that it has lost the store
+	// still gives out shares of limits.
 	failed map[string]time.Time
+	gone   map[string]time.Time
 	self   bool
 	chosen presence.Report
 	// zone counts the hosts that this one would be the relay of, itself included;
 	// relayed tells that a relay gave out its shares a moment ago.
 	zone    int
 	relayed bool
+	// takers tells when each host last took a share here.
+	takers map[string]time.Time
 }
 
 type toldReport struct {
-	raw json.RawMessage
-	at  time.Time
+	raw      json.RawMessage
+	at       time.Time
+	passedOn bool
 }
 
 func newRelayState() *relayState {
-	return &relayState{rings: map[port.Topic]*ring{}, told: map[string]toldReport{}, failed: map[string]time.Time{}}
+	return &relayState{rings: map[port.Topic]*ring{}, told: map[string]toldReport{}, failed: map[string]time.Time{}, gone: map[string]time.Time{}, takers: map[string]time.Time{}}
 }
 
 // electRelay chooses the relay of this host's zone among the hosts alive: the one
@@ -126,13 +135,30 @@
 	return s.chosen.Peer
 }
 
-// relayFails notes that the relay did not answer in time.
+// shareRelay returns the address of the host that gives out this one's shares of
+// limits; empty when it does so itself. It is the relay, also while that has lost
+// the store: shares out of one hand serve prompts that are larger than any of them.
+func (g *Gateway) shareRelay(now time.Time) string {
+	s := g.relays
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.self || s.chosen.Host == "" || now.Before(s.gone[s.chosen.Host]) {
+		return ""
+	}
+	return s.chosen.Peer
+}
+
+// relayFails notes that the relay did not answer in time, or that it has lost the
+// store.
 func (g *Gateway) relayFails(now time.Time, method string, err error) {
 	s := g.relays
 	s.mu.Lock()
 	host := s.chosen.Host
 	known := now.Before(s.failed[host])
 	s.failed[host] = now.Add(relayFailed)
+	if !errors.Is(err, port.ErrPeerRefused) {
+		s.gone[host] = now.Add(relayFailed)
+	}
 	s.mu.Unlock()
 	if !known {
 		g.metrics.beliefs.WithLabelValues("relay_failed").Inc()
@@ -140,18 +166,19 @@
 	}
 }
 
-// keepShares adjusts what this host gives out to who reads the store: a host that
-// has lost its relay begins without what the relay gave out, and a relay that has
-// lost the store, and with it the other hosts of its zone, keeps its own part.
+// keepShares adjusts what this host gives out to who takes it: a host that has lost
+// its relay begins without what the relay gave out, and a relay that has lost the
+// store, so that other hosts of its zone may have chosen another, keeps the part of
+// those that still take theirs here.
 func (g *Gateway) keepShares(now time.Time) {
+	relayed := g.shareRelay(now) != ""
 	s := g.relays
 	s.mu.Lock()
-	relayed := s.chosen.Host != "" && !s.self && !now.Before(s.failed[s.chosen.Host])
 	lost := s.relayed && !relayed
 	s.relayed = relayed
 	part := 1.0
 	if s.self && s.chosen.Host != "" && now.Sub(time.Unix(0, g.storeAt.Load())) >= relayStale {
-		part = 1 / float64(max(s.zone, 1))
+		part = min(float64(1+s.takersWithin(now, takerSilence))/float64(max(s.zone, 1)), 1)
 	}
 	s.mu.Unlock()
 	if lost {
@@ -160,9 +187,25 @@
 	g.quota.Narrow(part)
 }
 
+// takersWithin counts the hosts that took a share within an age.
+func (s *relayState) takersWithin(now time.Time, age time.Duration) int {
+	n := 0
+	for host, at := range s.takers {
+		if now.Sub(at) < age {
+			n++
+		} else {
+			delete(s.takers, host)
+		}
+	}
+	return n
+}
+
 // callRelay calls the relay; ok is false when there is none or it failed.
 func (g *Gateway) callRelay(method string, timeout time.Duration, params, result any) (ok bool) {
-	address := g.relay(time.Now())
+	return g.callPeer(g.relay(time.Now()), method, timeout, params, result)
+}
+
+func (g *Gateway) callPeer(address, method string, timeout time.Duration, params, result any) (ok bool) {
 	if address == "" || g.ports.Peers == nil {
 		return false
 	}
@@ -314,26 +357,34 @@
 	}
 	g.relays.mu.Lock()
 	defer g.relays.mu.Unlock()
-	g.relays.told[r.Key()] = toldReport{slices.Clone(params), now}
+	known := g.relays.told[r.Key()]
+	g.relays.told[r.Key()] = toldReport{slices.Clone(params), now, known.passedOn}
 	return struct{}{}, nil
 }
 
-// toldReports returns the reports to pass on.
-func (s *relayState) toldReports(now time.Time) []json.RawMessage {
+// toldReports returns the reports to pass on, and the keys of those that are passed
+// on for the first time.
+func (s *relayState) toldReports(now time.Time) (out []json.RawMessage, first []string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var out []json.RawMessage
 	for key, t := range s.told {
 		if now.Sub(t.at) > toldLifetime {
 			delete(s.told, key)
 			continue
 		}
+		if !t.passedOn {
+			t.passedOn = true
+			s.told[key] = t
+			first = append(first, key)
+		}
 		out = append(out, t.raw)
 	}
-	return out
+	return out, first
 }
 
 type takeCall struct {
+	// Host is the one that takes.
+	Host      string  `json:"host"`
 	Workspace string  `json:"workspace"`
 	Cost      float64 `json:"cost"`
 }
@@ -345,6 +396,17 @@
 	After   time.Duration `json:"after_ns,omitempty"`
 }
 
+// noteTaker notes that a host takes its shares here; false when this process is no
+// relay.
+func (s *relayState) noteTaker(now time.Time, host string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.self {
+		s.takers[host] = now
+	}
+	return s.self
+}
+
 func (g *Gateway) serveTake(_ context.Context, params json.RawMessage) (any, error) {
 	var c takeCall
 	if err := json.Unmarshal(params, &c); err != nil {
@@ -352,7 +414,7 @@
 	}
 	now := time.Now()
 	snapshot := g.catalog.Current()
-	if snapshot == nil || !g.mayRelay(now) {
+	if snapshot == nil || !g.relays.noteTaker(now, c.Host) {
 		return nil, errNoRelay
 	}
 	w := snapshot.Workspace(c.Workspace)
@@ -374,7 +436,7 @@
 		return 0, true
 	}
 	var reply takeReply
-	if g.callRelay(methodTake, takeTimeout, takeCall{w.Name, cost}, &reply) && !reply.Unknown {
+	if g.callPeer(g.shareRelay(now), methodTake, takeTimeout, takeCall{g.opts.Host, w.Name, cost}, &reply) && !reply.Unknown {
 		return reply.After, reply.Taken
 	}
 	return g.quota.Take(now, w, cost)
@@ -386,7 +448,7 @@
 		return
 	}
 	var reply takeReply
-	if !g.callRelay(methodTake, takeTimeout, takeCall{w.Name, -cost}, &reply) || reply.Unknown {
+	if !g.callPeer(g.shareRelay(now), methodTake, takeTimeout, takeCall{g.opts.Host, w.Name, -cost}, &reply) || reply.Unknown {
 		g.quota.Return(now, w, cost)
 	}
 }
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -178,3 +178,103 @@
 		is.True(taken >= 1 && taken <= 4) // 40,000 a second, and the tolerance of a window
 	})
 }
+
+// keysOf returns the keys of a topic and how many bytes their newest records have.
+func (s *memoryStore) keysOf(topic port.Topic) (keys, size int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, r := range s.topic(topic).newest {
+		keys++
+		size += len(r.Value)
+	}
+	return keys, size
+}
+
+// TestRecordsOfHostsStayFew replays the closing of trouble-3 of coldroot-jos-grown:
+// all processes start anew for the third time in a minute, and each reads the newest
+// record of every host through one link between regions. What incarnations that are
+// gone left there, and hosts that have a relay now, must not be read again.
+func TestRecordsOfHostsStayFew(t *testing.T) {
+	const (
+		hosts  = 9
+		starts = 3
+		// keyMost is what may remain: the relay and the holder write records of
+		// their own, and those of the last seconds may be another's.
+		keyMost = 4
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		w.ready(endpoint("1", "api"))
+		w.peers = newMemoryPeers()
+		for start := range starts {
+			for _, g := range w.hosts {
+				g.tomb.Kill(nil)
+			}
+			w.hosts = nil
+			for i := range hosts {
+				o := named(fmt.Sprintf("h%d", i))
+				o.Peer, o.Incarnation = fmt.Sprintf("10.0.0.%d:7600", i), fmt.Sprint(start)
+				g := w.host(t, o)
+				w.peers.mu.Lock()
+				w.peers.hosts[o.Peer] = g.PeerHandlers()
+				w.peers.mu.Unlock()
+			}
+			time.Sleep(20 * time.Second)
+		}
+		time.Sleep(keyLifetime)
+		keys, _ := w.store.keysOf(port.TopicHosts)
+		is.True(keys <= keyMost)
+		for _, g := range w.hosts {
+			is.Equal(len(g.presence.Live()), hosts-1)
+		}
+	})
+}
+
+// TestZoneSharesALimitWithoutStore replays platform_down on the grown sites: the
+// store is away from all, and prompts that are larger than one host's share of a
+// limit are still taken, as the zone's relay goes on giving out its share.
+func TestZoneSharesALimitWithoutStore(t *testing.T) {
+	const (
+		perSecond = 60_000
+		prompt    = 50_000
+		outage    = 10 * time.Second
+		window    = 8 * time.Second // of testOptions
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		limited := configuration(1)
+		limited.Workspaces[0].Limit = catalog.Limit{InTokens: true, PerSecond: perSecond, Burst: perSecond}
+		w.store.put(port.TopicConfiguration, configurationKey, limited)
+		w.store.put(port.TopicEndpoints, "3", endpoint("3", "llm"))
+		w.endpoints.play = func(ctx context.Context, f *port.Forward, _ int) (*port.Reply, error) {
+			return whole(f, 200, "ok"), nil
+		}
+		w.zone(t, 15)
+		time.Sleep(10 * time.Second)
+		w.store.setFail(func(string, port.Topic) error { return port.ErrStoreRefused })
+		var taken []time.Duration
+		for n, began := 0, time.Now(); time.Since(began) < outage; time.Sleep(250 * time.Millisecond) {
+			for _, g := range w.hosts {
+				n++
+				r := &recorder{}
+				req := &port.Request{ID: fmt.Sprint(n), Method: "GET", Host: "x", Path: "/stream/1", Key: "key", Patience: 3 * time.Second, HasTokens: true, PromptTokens: prompt - 10, AnswerTokens: 10}
+				g.Serve(t.Context(), time.Now(), req, r)
+				if r.status == 200 {
+					taken = append(taken, time.Since(began))
+				}
+			}
+		}
+		is.True(float64(len(taken)*prompt) >= 0.8*perSecond*outage.Seconds()) // prompts do not fill a limit exactly
+		for i, from := range taken {
+			tokens := 0
+			for _, at := range taken[i:] {
+				if at < from+window {
+					tokens += prompt
+				}
+			}
+			is.True(float64(tokens) <= (perSecond*window.Seconds()+perSecond)*1.1+140_000)
+		}
+	})
+}
--- a/port/store.go
+++ b/port/store.go
@@ -67,9 +67,10 @@
 	// Read returns the records from an offset on, waiting up to wait for one;
 	// ErrStoreExpired, ErrStoreRefused, ErrStoreUnavailable.
 	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (TopicPage, error)
-	// Append adds a record and returns its offset. With at it does so only if
-	// the topic ends there: ErrStoreConflict otherwise.
-	Append(ctx context.Context, topic Topic, record TopicRecord, at int64) (int64, error)
+	// Append adds records, all or none, and returns the offset of the first.
+	// With at it does so only if the topic ends there: ErrStoreConflict
+	// otherwise.
+	Append(ctx context.Context, topic Topic, at int64, records ...TopicRecord) (int64, error)
 }
 
 // Errors of Duties.
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -186,6 +186,20 @@
 	return out
 }
 
+// Stale returns the keys of the reports that were not heard within an age.
+func (t *Table) Stale(age time.Duration) []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var out []string
+	for key, r := range t.rows {
+		if key != t.self && t.readAt.Sub(r.heardAt) >= age {
+			out = append(out, key)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // All returns the last report of every incarnation known, dead ones included.
 func (t *Table) All() []Report {
 	t.mu.Lock()
