Wait for what may not be repeated, and as long as a service usually takes

A service answered in 180 ms, the time after which an idempotent request is given up for another endpoint (0.6 of its objective of 300 ms). Every request was sent twice until the retry budget was empty; from then on attempts were still given up at 180 ms, and failed, as nothing paid for another.

Now an attempt is given up for silence only if the budget pays for the next one, and the time for it follows the service's own answers (mean and deviation, as TCP's timer).

Ruled out: a host that is slow (the others gave up too, a worker in front of them had been picked by chance at 180 ms); faults of links (all were healed).

Test that failed before: TestServiceAsSlowAsThePatience (150 requests were sent over 165 times).

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -49,6 +50,9 @@
 	last         string // what the final problem says
 	lastTry      *try
 
+	// paid is set when the retry that follows is taken from the budget.
+	paid atomic.Bool
+
 	// mu guards what other goroutines see.
 	mu       sync.Mutex
 	current  *try
@@ -94,7 +98,7 @@
 		o, err := c.attempt(ctx, t)
 		c.g.metrics.attempts.WithLabelValues(string(o)).Inc()
 		s := c.situation()
-		next := decide(o, s, func() bool { return c.g.budget(c.service.Name).Retry(time.Now()) })
+		next := decide(o, s, c.mayRetry)
 		if o != outcomeWhole {
 			c.logAttempt(t, o, next, err)
 		}
@@ -168,7 +172,7 @@
 	defer c.setCurrent(nil)
 	defer func() { c.g.placement.Release(&t.choice, !t.started) }()
 
-	dog := watch(cancel, c.headLimit(t))
+	dog := watch(cancel, c.headLimit(t), c.payRetry)
 	defer dog.stop()
 	sending := &sendingState{c: c, moved: t.copy != nil}
 	reply, err := c.g.ports.Endpoints.Forward(ctx, c.forward(t, sending))
@@ -190,6 +194,9 @@
 	if o == outcomeBroken || o == outcomeSilent {
 		return c.failedAttempt(ctx, t, err)
 	}
+	if o == outcomeWhole && !reply.Stream {
+		c.g.patience(c.service.Name).Observe(time.Since(t.began))
+	}
 	c.g.fleet.Answered(time.Now(), t.view.ID, o == outcomeFailed)
 	return o, err
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -107,6 +107,7 @@
 	metrics   *metrics
 
 	budgets sync.Map // service name to *attempt.WindowBudget
+	waits   sync.Map // service name to *attempt.Patience
 	hosts   atomic.Int64
 	calls   callTable
 	relays  *relayState
@@ -205,6 +206,15 @@
 	return b.(*attempt.WindowBudget)
 }
 
+// patience returns how long answers of a service usually take.
+func (g *Gateway) patience(service string) *attempt.Patience {
+	p, ok := g.waits.Load(service)
+	if !ok {
+		p, _ = g.waits.LoadOrStore(service, &attempt.Patience{})
+	}
+	return p.(*attempt.Patience)
+}
+
 // Leave takes the host out of the address answers and returns when it may end:
 // no caller is left that holds its address, and nothing is in progress.
 func (g *Gateway) Leave(ctx context.Context) {
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -359,3 +360,40 @@
 		})
 	}
 }
+
+// TestServiceAsSlowAsThePatience replays seed 9 of the soak: answers of a service
+// usually take a bit longer than the time after which another endpoint is asked.
+// They must not all be given up for others that take as long, and none may fail
+// because the budget for that is empty.
+func TestServiceAsSlowAsThePatience(t *testing.T) {
+	const (
+		requests = 150
+		takes    = 320 * time.Millisecond // callShare of the objective of 500 ms is 300
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		w.ready(endpoint("1", "api"), endpoint("2", "api"))
+		w.endpoints.play = func(ctx context.Context, f *port.Forward, _ int) (*port.Reply, error) {
+			reply := whole(f, 200, "ok")
+			select {
+			case <-time.After(takes):
+				return reply, nil
+			case <-ctx.Done():
+				return nil, errors.Wrap(port.ErrBroken, "closed")
+			}
+		}
+		g := w.host(t, testOptions("h1"))
+		time.Sleep(3 * time.Second)
+		served, sent := 0, 0
+		for n := range requests {
+			id := fmt.Sprint("q", n)
+			if ask(t.Context(), g, id, "get").status == 200 {
+				served++
+			}
+			sent += len(w.endpoints.attempts(id))
+		}
+		is.Equal(served, requests)
+		is.True(sent <= requests*11/10)
+	})
+}
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -22,14 +22,16 @@
 	callShare = 0.6
 )
 
-// watchdog cancels an attempt on which nothing comes. A zero limit never does.
+// watchdog cancels an attempt on which nothing comes, if another one is allowed. A
+// zero limit never does.
 type watchdog struct {
-	timer  *time.Timer
-	cancel context.CancelCauseFunc
+	timer   *time.Timer
+	cancel  context.CancelCauseFunc
+	allowed func() bool
 }
 
-func watch(cancel context.CancelCauseFunc, limit time.Duration) *watchdog {
-	d := &watchdog{cancel: cancel}
+func watch(cancel context.CancelCauseFunc, limit time.Duration, allowed func() bool) *watchdog {
+	d := &watchdog{cancel: cancel, allowed: allowed}
 	d.reset(limit)
 	return d
 }
@@ -40,7 +42,11 @@
 		d.timer.Stop()
 	case limit <= 0:
 	case d.timer == nil:
-		d.timer = time.AfterFunc(limit, func() { d.cancel(errSilent) })
+		d.timer = time.AfterFunc(limit, func() {
+			if d.allowed() {
+				d.cancel(errSilent)
+			}
+		})
 	default:
 		d.timer.Reset(limit)
 	}
@@ -61,7 +67,7 @@
 	}
 	switch {
 	case c.route.Kind == catalog.KindIdempotent:
-		return time.Duration(callShare * float64(c.route.Target))
+		return max(time.Duration(callShare*float64(c.route.Target)), c.g.patience(c.service.Name).Most())
 	case c.route.Resumable:
 		expected := time.Duration(t.choice.Terms.FirstToken() * float64(time.Millisecond))
 		return firstTimes*expected + firstSlack
@@ -76,3 +82,18 @@
 	}
 	return gapTimes * c.route.MaxGap
 }
+
+// payRetry takes the retry that follows when an attempt is given up for silence. An
+// attempt that may not be repeated is waited for.
+func (c *call) payRetry() bool {
+	if !c.g.budget(c.service.Name).Retry(time.Now()) {
+		return false
+	}
+	c.paid.Store(true)
+	return true
+}
+
+// mayRetry takes a retry from the budget, unless it is paid.
+func (c *call) mayRetry() bool {
+	return c.paid.Swap(false) || c.g.budget(c.service.Name).Retry(time.Now())
+}
