Decide usage when the hosts that are cut off have told theirs

A window now waits for every host that was heard of in the last 20 s, until 3 s before the report is due.

--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -43,6 +43,9 @@
 	// every host has reported twice by then, and half of the time until the
 	// report is due is left for an outage.
 	usageSettle = 3200 * time.Millisecond
+	// usageMargin is the time before a report is due by which it is decided without
+	// the hosts that are silent: two attempts to send it, and a change of holder.
+	usageMargin = 3 * time.Second
 	// dutyTimeout bounds a call to the platform.
 	dutyTimeout = 1500 * time.Millisecond
 	// orderAgain is how long an order is given to take effect before it is
--- a/gateway/duties_test.go
+++ b/gateway/duties_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"io"
 	"testing"
@@ -311,3 +312,46 @@
 		t.Fatal("nobody took over")
 	})
 }
+
+// TestUsageWaitsForHostsThatAreCutOff replays scale-2 of coldroot-jos-grown: a host
+// serves on while the store refuses it, across the end of a window. Its counts come
+// before the report is due, and are in it.
+func TestUsageWaitsForHostsThatAreCutOff(t *testing.T) {
+	const cutFor = 5 * time.Second
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		w.ready(endpoint("1", "api"))
+		w.endpoints.play = func(_ context.Context, f *port.Forward, _ int) (*port.Reply, error) { return whole(f, 200, "ok"), nil }
+		for i := range 3 {
+			w.host(t, named(fmt.Sprintf("h%d", i)))
+		}
+		time.Sleep(10 * time.Second)
+		var cut *Gateway
+		for _, g := range w.hosts {
+			if g.opts.Host != w.holders(time.Now())[0] {
+				cut = g
+			}
+		}
+		// The cut begins half a second before a window ends.
+		window := cut.opts.UsageWindow
+		time.Sleep(time.Until(time.Now().Truncate(window).Add(2*window - 500*time.Millisecond)))
+		cut.ports.Store.(*hostStore).cut.Store(true)
+		asked := 0
+		for began := time.Now(); time.Since(began) < cutFor; time.Sleep(100 * time.Millisecond) {
+			if ask(t.Context(), cut, fmt.Sprint("q", asked), "get").status == 200 {
+				asked++
+			}
+		}
+		cut.ports.Store.(*hostStore).cut.Store(false)
+		time.Sleep(15 * time.Second)
+		is.True(asked > 0)
+		counted := 0
+		for _, call := range w.duties.reported() {
+			var counts map[string]int
+			is.NoErr(json.Unmarshal([]byte(call.counts), &counts))
+			counted += counts["w"]
+		}
+		is.Equal(counted, asked)
+	})
+}
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/presence"
 	"github.com/cicadanotch/cicadanotch/usage"
 )
 
@@ -27,7 +28,7 @@
 	sums.Tell(g.opts.Host+"/"+g.opts.Incarnation, g.usage.Recent())
 	sent := 0
 	for k := oldest; k <= newest && sent < reportsPerTick; k++ {
-		if g.duties.reported[k] {
+		if g.duties.reported[k] || g.awaitsCounts(wall, k) {
 			continue
 		}
 		counts, ok := g.decideUsage(k, sums)
@@ -45,6 +46,21 @@
 	}
 }
 
+// awaitsCounts reports whether counts of a window may still come: a host that is cut
+// off from the store serves on, and tells them when it is back.
+func (g *Gateway) awaitsCounts(wall time.Time, k int64) bool {
+	end := time.Unix(0, (k+1)*g.opts.UsageWindow.Nanoseconds())
+	if _, decided := g.duties.decided[k]; decided || !wall.Before(end.Add(g.opts.UsageDue-usageMargin)) {
+		return false
+	}
+	for _, r := range g.presence.Within(shareLifetime) {
+		if r.State != presence.StateLeaving && r.Wall < end.UnixMilli() {
+			return true
+		}
+	}
+	return false
+}
+
 // decideUsage returns the counts of a window as they were first recorded.
 func (g *Gateway) decideUsage(k int64, sums *usage.Sums) (usage.Counts, bool) {
 	d := g.duties
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -67,6 +67,9 @@
 	// demand rises, shares worked out from this host's newest would add up to
 	// too much, so the one of the same age is used.
 	reported, before float64
+	// told counts the reports since the process began: until there are two the
+	// host has no demand to divide by, and gives out an equal part.
+	told int
 	// calmSince is when demand was last seen to be near the limit.
 	calmSince time.Time
 }
@@ -87,6 +90,10 @@
 // below the tolerance of a window.
 const startLevel = 0.5
 
+// reportsLeast is how many reports a host must have told for its demand to count:
+// the shares go by the one before the last.
+const reportsLeast = 2
+
 // startCalm is how long a process watches the demand before it lends, where a
 // process that has seen a peak waits a whole window.
 const startCalm = time.Second
@@ -214,6 +221,7 @@
 	for name, b := range t.buckets {
 		rate := b.demand * max(0, 1-now.Sub(b.at).Seconds()/demandTime.Seconds())
 		b.reported, b.before = rate, b.reported
+		b.told++
 		if rate > 0 {
 			out[name] = rate
 		}
@@ -243,7 +251,11 @@
 	defer t.mu.Unlock()
 	t.equal = 1 / float64(max(hosts, 1))
 	for name, b := range t.buckets {
-		b.share = share(b.before, others[name], t.equal) * max(1-silent[name], 0)
+		part := share(b.before, others[name], t.equal)
+		if b.told < reportsLeast {
+			part = max(part, t.equal)
+		}
+		b.share = part * max(1-silent[name], 0)
 		b.others = others[name]
 	}
 }
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -255,3 +255,24 @@
 	zone := 1.0 / 3
 	is.True(given <= zone*((perSecond*window.Seconds()+perSecond)*(1+ratio)+slack))
 }
+
+// TestRestartGivesOutTheLimit replays the herd kill of trouble-3 on
+// mandacaru-cfg-grown: all relays start anew while the workspaces, each with a small
+// limit, go on as usual. Nobody has told any demand yet, and the limit is given out
+// all the same.
+func TestRestartGivesOutTheLimit(t *testing.T) {
+	const (
+		relays  = 6
+		limit   = 165_000.0
+		usual   = 0.55
+		restart = 15 * time.Second
+		watched = 4 * time.Second
+	)
+	is := is.New(t)
+	p := &fleetPlay{hosts: hosts(relays), restartAt: restart}
+	p.run(rand.New(rand.NewPCG(3, 4)), tenant(limit), restart+watched,
+		func(time.Duration) float64 { return usual * limit }, []float64{.17, .17, .17, .17, .16, .16})
+	t.Logf("refused %.0f of %.0f", p.refused, usual*limit*watched.Seconds())
+	is.Equal(p.refused, 0.0) // the workspace is well below its limit
+	is.True(p.most() <= (limit*window.Seconds()+limit)*(1+ratio)+slack)
+}
