--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -123,7 +123,7 @@
 			Name:       "platform",
 			ShortUsage: "cicadanotchd platform",
 			ShortHelp:  "Run one host with the settings that the platform gives.",
-			Exec:       func(ctx context.Context, _ []string) error { return RunPlatform(ctx, os.Stdout, stderr) },
+			Exec:       func(ctx context.Context, _ []string) error { return RunPlatform(ctx, os.Stdout) },
 		}},
 	}
 	err := root.ParseAndRun(context.Background(), args)
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -44,8 +44,8 @@
 )
 
 // RunPlatform runs a host on the platform whose settings file the environment
-// names; it returns the exit code.
-func RunPlatform(ctx context.Context, stdout, stderr io.Writer) error {
+// names, until it is asked to end. Each of wrap may put itself before the ports.
+func RunPlatform(ctx context.Context, stdout io.Writer, wrap ...func(*gateway.Ports)) error {
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
 		return errors.Wrapf(platform.ErrSettings, "the environment variable %s is missing", platform.SettingsVariable)
@@ -66,7 +66,7 @@
 		Level: log.InfoLevel, TimeFormat: time.RFC3339Nano, Writer: &log.IOWriter{Writer: lines},
 		Context: log.NewContext(nil).Str("host", settings.Gateway.Host).Value(),
 	}
-	h, err := startHost(settings, logger, listen)
+	h, err := startHost(settings, logger, listen, wrap...)
 	if err != nil {
 		return err
 	}
@@ -91,14 +91,18 @@
 
 func listen(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 
-func startHost(s platform.Settings, logger *log.Logger, open listenFunc) (*host, error) {
+func startHost(s platform.Settings, logger *log.Logger, open listenFunc, wrap ...func(*gateway.Ports)) (*host, error) {
 	endpoints := platform.NewEndpoints(nil)
-	g := gateway.New(s.Gateway, gateway.Ports{
+	ports := gateway.Ports{
 		Store: platform.NewStore(s.StoreAddress, nil), Endpoints: endpoints, Mover: endpoints,
 		Duties: platform.NewCloud(s.CloudAddress, nil), Peers: peerrpc.NewClient(nil),
 		DecodeConfiguration: platform.DecodeConfiguration, DecodeEndpoint: platform.DecodeEndpoint,
 		Logger: logger,
-	})
+	}
+	for _, w := range wrap {
+		w(&ports)
+	}
+	g := gateway.New(s.Gateway, ports)
 	h := &host{gateway: g, failed: make(chan struct{}, 1), logger: logger}
 	for _, serve := range []struct {
 		address string
