--- a/cli/explain.go
+++ b/cli/explain.go
@@ -39,7 +39,10 @@
 			}
 			story := explain(args[0], lines)
 			if len(story) == 0 {
-				return errors.Wrapf(ErrFailed, "no line of %d names request %s", len(lines), args[0])
+				for _, l := range silences(lines) {
+					fmt.Fprintln(t.stdout, l)
+				}
+				return errors.Wrapf(ErrFailed, "no line of %d names request %s: it was refused a connection, or its host ended or froze", len(lines), args[0])
 			}
 			for _, l := range story {
 				fmt.Fprintln(t.stdout, l)
@@ -196,3 +199,30 @@
 	}
 	return false
 }
+
+// quietLeast is how long a host that serves writes nothing only when it is frozen,
+// gone, or without callers.
+const quietLeast = 2 * time.Second
+
+// silences returns a line for each process that ended without saying so and for each
+// host that wrote nothing for a while: what was in progress there has no line.
+func silences(lines []logLine) []string {
+	last := map[string]logLine{}
+	var out []string
+	for _, l := range lines {
+		before, known := last[l.host]
+		last[l.host] = l
+		if !known {
+			continue
+		}
+		from, to := before.at.UTC().Format("15:04:05.000"), l.at.UTC().Format("15:04:05.000")
+		switch {
+		case l.event == "start" && before.event != "stopped":
+			out = append(out, fmt.Sprintf("%s %s ended without a stop after %s and started again", to, l.host, from))
+		case l.event != "start" && l.at.Sub(before.at) >= quietLeast:
+			out = append(out, fmt.Sprintf("%s %s wrote nothing from %s on", to, l.host, from))
+		}
+	}
+	slices.Sort(out)
+	return out
+}
--- a/cli/explain_test.go
+++ b/cli/explain_test.go
@@ -26,10 +26,17 @@
 {"time":"2026-03-26T12:17:26.0Z","host":"b","event":"endpoint","change":"added","endpoint":"e7"}
 `
 
+const thirdLog = `
+{"time":"2026-03-26T12:17:30.0Z","host":"planned","event":"stopped"}
+{"time":"2026-03-26T12:17:30.5Z","host":"planned","event":"start"}
+{"time":"2026-03-26T12:17:31.0Z","host":"c","event":"request","request":"r9","ms":1}
+{"time":"2026-03-26T12:17:31.9Z","host":"c","event":"start"}
+`
+
 func explainWith(t *testing.T, args ...string) (int, string, string) {
 	t.Helper()
 	dir := t.TempDir()
-	for name, text := range map[string]string{"a.log": firstLog, "b.log": secondLog} {
+	for name, text := range map[string]string{"a.log": firstLog, "b.log": secondLog, "c.log": thirdLog} {
 		is.New(t).NoErr(os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600))
 	}
 	var stdout, stderr bytes.Buffer
@@ -78,3 +85,18 @@
 		})
 	}
 }
+
+// TestExplainSilence: a request that was in progress when its host died, or while it
+// was frozen, has no line; the hosts to which that happened are named.
+func TestExplainSilence(t *testing.T) {
+	is := is.New(t)
+	code, out, message := explainWith(t, "nowhere", "a.log", "b.log", "c.log")
+	is.True(code != ExitOK)
+	is.True(strings.Contains(message, "nowhere"))
+	for _, want := range []string{"a wrote nothing from 12:17:26.900 on", "c ended without a stop after 12:17:31.000 and started again"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("%q is not in %q", want, out)
+		}
+	}
+	is.True(!strings.Contains(out, "planned"))
+}
