Use relays that start together, and read the configuration first

All processes know each other from the reports of those before and choose relays that are starting too: these refused, were left out for 3 s, and the next choice refused as it had not chosen itself, while every host gave out a 59th of each limit. In the far region the reports of all hosts went through the link before the configuration: 2.1 s until it was there, 0.6 s in the near one.

Now whoever has just read the store answers for it, a relay that refuses at the start is asked again after 0.3 s, a host that others have told their reports appends them, and the configuration is read before the reports.

Test that failed before: TestRelayAfterAllRestart.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -191,8 +191,11 @@
 
 // Addresses returns the addresses for a caller and how long to keep them.
 func (g *Gateway) Addresses(zone, region string) ([]string, time.Duration) {
-	const least = 2 // one host alone would take a zone's callers with it
-	return presence.Addresses(g.presence.Live(), g.report(time.Now()), zone, region, least), g.opts.AddressLifetime
+	const (
+		least = 2  // one host alone would take a zone's callers with it
+		most  = 64 // callers take no longer answers
+	)
+	return presence.Addresses(g.presence.Live(), g.report(time.Now()), zone, region, least, most), g.opts.AddressLifetime
 }
 
 // budget returns the retry budget of a service.
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -56,6 +56,12 @@
 			g.hear(now, r)
 		}
 	}
+	select {
+	case <-g.configured:
+	case <-time.After(hostsAfter):
+	case <-g.tomb.Dying():
+		return nil
+	}
 	f := &follower{
 		g: g, topic: port.TopicHosts, all: hear, each: hear,
 		read: func(now time.Time, _ time.Duration) { g.presence.Read(now) },
@@ -88,7 +94,8 @@
 
 // tell gives this host's report to the relay, or appends it to the store with
 // those that others told. The holder of the duties appends its own: that it
-// reaches the store is what others go by.
+// reaches the store is what others go by. So does a host that others have just taken
+// for their relay.
 func (g *Gateway) tell() error {
 	began := time.Now()
 	r := g.fullReport(began)
@@ -97,7 +104,7 @@
 		g.log.Error().Str("event", "report_unwritable").Err(err).Msg("")
 		return err
 	}
-	if r.Fence == 0 && g.callRelay(methodTell, relaySlack, json.RawMessage(raw), nil) {
+	if r.Fence == 0 && !g.relays.hasTold(began) && g.callRelay(methodTell, relaySlack, json.RawMessage(raw), nil) {
 		return nil
 	}
 	told, first := g.relays.toldReports(began)
@@ -137,6 +144,11 @@
 	return out
 }
 
+// hostsAfter is how long the reports of hosts wait for the configuration at the start:
+// without it nothing is served, and all that a region's hosts read when they start
+// together comes through one link.
+const hostsAfter = 2 * time.Second
+
 // keyLifetime is how long the record of a host that is not heard of is kept: its
 // counts of usage are due 10 s after a window of 5 s, and may be late once more.
 const keyLifetime = 25 * time.Second
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -38,8 +38,12 @@
 	// of a millisecond away, but a core's share may be a quota that is used up
 	// for the rest of a tenth of a second.
 	takeTimeout = 150 * time.Millisecond
-	// relayFailed is how long a host does without a relay that failed it.
-	relayFailed = 3 * time.Second
+	// relayFailed is how long a host does without a relay that failed it. Within
+	// startTime of its own start the relay is likely starting too, and is asked
+	// again after relayStarting.
+	relayFailed   = 3 * time.Second
+	relayStarting = 300 * time.Millisecond
+	startTime     = 3 * time.Second
 	// takerSilence is how long a host that takes no share counts among those that
 	// take theirs here: callers come several times a second.
 	takerSilence = 2 * time.Second
@@ -155,9 +159,13 @@
 	s.mu.Lock()
 	host := s.chosen.Host
 	known := now.Before(s.failed[host])
-	s.failed[host] = now.Add(relayFailed)
+	without := relayFailed
+	if now.Sub(g.started) < startTime {
+		without = relayStarting
+	}
+	s.failed[host] = now.Add(without)
 	if !errors.Is(err, port.ErrPeerRefused) {
-		s.gone[host] = now.Add(relayFailed)
+		s.gone[host] = now.Add(without)
 	}
 	s.mu.Unlock()
 	if !known {
@@ -241,12 +249,11 @@
 	Expired bool               `json:"expired,omitempty"`
 }
 
-// mayRelay reports whether this process may answer for the store.
+// mayRelay reports whether this process may answer for the store: it has just read
+// it. Hosts choose their relay at different moments, so whether this one has chosen
+// itself does not matter.
 func (g *Gateway) mayRelay(now time.Time) bool {
-	g.relays.mu.Lock()
-	self := g.relays.self
-	g.relays.mu.Unlock()
-	return self && now.Sub(time.Unix(0, g.storeAt.Load())) < relayStale
+	return now.Sub(time.Unix(0, g.storeAt.Load())) < relayStale
 }
 
 func (g *Gateway) serveRead(ctx context.Context, params json.RawMessage) (any, error) {
@@ -362,6 +369,18 @@
 	return struct{}{}, nil
 }
 
+// hasTold reports whether others have told this host their reports a moment ago.
+func (s *relayState) hasTold(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, t := range s.told {
+		if now.Sub(t.at) <= toldLifetime {
+			return true
+		}
+	}
+	return false
+}
+
 // toldReports returns the reports to pass on, and the keys of those that are passed
 // on for the first time.
 func (s *relayState) toldReports(now time.Time) (out []json.RawMessage, first []string) {
@@ -396,15 +415,11 @@
 	After   time.Duration `json:"after_ns,omitempty"`
 }
 
-// noteTaker notes that a host takes its shares here; false when this process is no
-// relay.
-func (s *relayState) noteTaker(now time.Time, host string) bool {
+// noteTaker notes that a host takes its shares here.
+func (s *relayState) noteTaker(now time.Time, host string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.self {
-		s.takers[host] = now
-	}
-	return s.self
+	s.takers[host] = now
 }
 
 func (g *Gateway) serveTake(_ context.Context, params json.RawMessage) (any, error) {
@@ -414,9 +429,10 @@
 	}
 	now := time.Now()
 	snapshot := g.catalog.Current()
-	if snapshot == nil || !g.relays.noteTaker(now, c.Host) {
+	if snapshot == nil || g.shareRelay(now) != "" {
 		return nil, errNoRelay
 	}
+	g.relays.noteTaker(now, c.Host)
 	w := snapshot.Workspace(c.Workspace)
 	if w == nil {
 		return takeReply{Unknown: true}, nil
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -305,3 +305,45 @@
 		}
 	})
 }
+
+// TestRelayAfterAllRestart replays the closing of trouble-3 of mandacaru-cfg-grown:
+// all processes start anew and know each other from the reports of those before. The
+// one that they choose as a relay is starting too; within seconds they use it, and do
+// not give out small parts of limits on their own meanwhile.
+func TestRelayAfterAllRestart(t *testing.T) {
+	const (
+		hosts  = 8
+		inTime = 2500 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		w.ready(endpoint("1", "api"))
+		w.peers = newMemoryPeers()
+		for start := range 2 {
+			for _, g := range w.hosts {
+				g.tomb.Kill(nil)
+			}
+			w.hosts = nil
+			for i := range hosts {
+				o := named(fmt.Sprintf("h%d", i))
+				o.Peer, o.Incarnation = fmt.Sprintf("10.0.0.%d:7600", i), fmt.Sprint(start)
+				g := w.host(t, o)
+				w.peers.mu.Lock()
+				w.peers.hosts[o.Peer] = g.PeerHandlers()
+				w.peers.mu.Unlock()
+				time.Sleep(20 * time.Millisecond) // processes start one after the other
+			}
+			if start == 0 {
+				time.Sleep(12 * time.Second)
+			}
+		}
+		time.Sleep(inTime)
+		relay := w.relayOf(w.hosts[0])
+		for _, g := range w.hosts {
+			is.Equal(w.relayOf(g), relay)
+			is.True(g.opts.Host == relay || g.relay(time.Now()) != "")
+			is.True(g.opts.Host == relay || g.shareRelay(time.Now()) != "")
+		}
+	})
+}
