--- a/placement/placement.go
+++ b/placement/placement.go
@@ -166,6 +166,10 @@
 	// cacheShare is the part of an engine's KV cache that is taken to keep
 	// parts of ended prompts.
 	cacheShare = 0.5
+	// firstAnswer is the mean length of answers in tokens until some are placed, and
+	// answerWeight the weight of a new one: a few seconds of one host's requests.
+	firstAnswer  = 200.0
+	answerWeight = 1.0 / 64
 	// slowMost bounds the factor by which an endpoint may seem slow.
 	slowMost = 8.0
 	// slowWeight is the weight of a new sample of it.
@@ -190,10 +194,13 @@
 type Table struct {
 	mu   sync.Mutex
 	rows map[string]*row
+	// answer is the mean length of the answers that engines are asked for, in
+	// tokens: a place in a full batch is free when one of them ends.
+	answer float64
 }
 
 // NewTable returns an empty table.
-func NewTable() *Table { return &Table{rows: map[string]*row{}} }
+func NewTable() *Table { return &Table{rows: map[string]*row{}, answer: firstAnswer} }
 
 func (t *Table) row(id string) *row {
 	r, ok := t.rows[id]
@@ -211,6 +218,9 @@
 	shared := sharedTokens(q.Parts)
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	if q.Prompt > 0 {
+		t.answer += answerWeight * (float64(q.Answer) - t.answer)
+	}
 	var best Choice
 	found := false
 	for i := range candidates {
@@ -226,7 +236,7 @@
 		case second:
 			cached = max(cached, int(spillBonus*float64(shared)))
 		}
-		terms := r.score(q, c, cached)
+		terms := r.score(q, c, cached, t.answer)
 		terms.Reread = rereadMS * float64(max(shared-cached, 0)) / 1000
 		if !found || terms.Score() < best.Terms.Score() {
 			best = Choice{Candidate: *c, Terms: terms, Cached: cached, chain: chain, tokens: tokens}
@@ -304,14 +314,14 @@
 	return sum
 }
 
-func (r *row) score(q *Query, c *Candidate, cached int) Terms {
+func (r *row) score(q *Query, c *Candidate, cached int, answer float64) Terms {
 	var t Terms
 	all := r.mine.plus(r.peers)
 	if q.Prompt > 0 {
 		t.Queue = float64(all.Prefill) / prefillPerMS * r.slow
 		t.Prefill = float64(work(q.Prompt, cached)) / prefillPerMS * r.slow
 		if c.Slots > 0 && all.Requests >= c.Slots {
-			t.Slot = float64(all.Requests-c.Slots+1) / float64(c.Slots) * float64(max(q.Answer, 1)) * tokenMS
+			t.Slot = float64(all.Requests-c.Slots+1) / float64(c.Slots) * answer * tokenMS
 		}
 		if over := float64(all.Context+q.Prompt+q.Answer) - memoryShare*float64(c.CacheTokens); c.CacheTokens > 0 && over > 0 {
 			t.Memory = memoryMS * (1 + over/float64(c.CacheTokens))
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -158,3 +158,22 @@
 		second = choice.ID
 	}
 }
+
+// TestShortRequestsLeaveFullBatches replays part-code-check on mandacaru-cfg-grown: a
+// short request at a full batch waits for the end of one of the long answers in it,
+// not for as long as its own takes.
+func TestShortRequestsLeaveFullBatches(t *testing.T) {
+	is := is.New(t)
+	c := engines(2)
+	for i := range c {
+		c[i].Slots = 32
+	}
+	table := NewTable()
+	for range 200 {
+		long, _ := table.Choose(now, &Query{Prompt: 500, Answer: 385, Zone: "a", Region: "r"}, c)
+		table.Release(&long, false)
+	}
+	table.SetPeers(map[string]Load{"e0": {Requests: 34}, "e1": {Requests: 20, Prefill: 5000}})
+	choice, _ := table.Choose(now, &Query{Prompt: 500, Answer: 20, Zone: "a", Region: "r"}, c)
+	is.Equal(choice.ID, "e1")
+}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cicadanotch/cicadanotch/placement"
+	"github.com/cicadanotch/cicadanotch/rendezvous"
 	"github.com/cicadanotch/cicadanotch/usage"
 )
 
@@ -217,10 +218,10 @@
 	return out
 }
 
-// Addresses returns the addresses to give to a caller: those of the serving
-// hosts of its zone, or of its region when its zone has fewer than least, or
-// all. self is this host's own report as of now.
-func Addresses(live []Report, self Report, zone, region string, least int) []string {
+// Addresses returns the addresses to give to a caller, at most most of them: those
+// of the serving hosts of its zone, or of its region when its zone has fewer than
+// least, or all. self is this host's own report as of now.
+func Addresses(live []Report, self Report, zone, region string, least, most int) []string {
 	all := append(slices.Clone(live), self)
 	all = slices.DeleteFunc(all, func(r Report) bool { return r.State != StateServing })
 	for _, near := range []func(Report) bool{
@@ -234,12 +235,20 @@
 			}
 		}
 		if len(out) >= least {
-			return out
+			return some(out, zone, most)
 		}
 	}
 	out := make([]string, 0, len(all))
 	for _, r := range all {
 		out = append(out, r.Address)
 	}
-	return out
+	return some(out, zone, most)
+}
+
+// some returns at most a number of addresses, others for each zone of callers.
+func some(addresses []string, zone string, most int) []string {
+	if len(addresses) <= most {
+		return addresses
+	}
+	return rendezvous.Top(zone, addresses, most)
 }
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -1,6 +1,7 @@
 package presence
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"time"
@@ -96,9 +97,31 @@
 		"a zone that is not known":                    {"z", "y", self, []string{"a1", "a2", "b1", "c1", "me"}},
 	} {
 		t.Run(name, func(t *testing.T) {
-			got := Addresses(live, tc.self, tc.zone, tc.region, 2)
+			got := Addresses(live, tc.self, tc.zone, tc.region, 2, 64)
 			slices.Sort(got)
 			is.New(t).Equal(got, tc.want)
 		})
 	}
 }
+
+// TestAddressesAreBounded: a caller whose region has no hosts left is told of some of
+// the many others, callers of another zone of others.
+func TestAddressesAreBounded(t *testing.T) {
+	is := is.New(t)
+	const hosts, most = 86, 64
+	var live []Report
+	for i := range hosts {
+		live = append(live, Report{Host: fmt.Sprint("h", i), Zone: "a", Region: "r", State: StateServing, Address: fmt.Sprint("10.0.0.", i, ":1")})
+	}
+	self := live[0]
+	one, other := Addresses(live[1:], self, "x", "s", 2, most), Addresses(live[1:], self, "y", "s", 2, most)
+	is.Equal(len(one), most)
+	is.Equal(len(other), most)
+	same := 0
+	for _, a := range one {
+		if slices.Contains(other, a) {
+			same++
+		}
+	}
+	is.True(same < most)
+}
