--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -46,6 +46,9 @@
 	// usageMargin is the time before a report is due by which it is decided without
 	// the hosts that are silent: two attempts to send it, and a change of holder.
 	usageMargin = 3 * time.Second
+	// cutMost is how long hosts that are cut off from the store stay so: the
+	// platform's faults say up to 9 s. One that is silent for longer is gone.
+	cutMost = 9 * time.Second
 	// dutyTimeout bounds a call to the platform.
 	dutyTimeout = 1500 * time.Millisecond
 	// orderAgain is how long an order is given to take effect before it is
--- a/gateway/duties_test.go
+++ b/gateway/duties_test.go
@@ -355,3 +355,34 @@
 		is.Equal(counted, asked)
 	})
 }
+
+// TestUsageDoesNotWaitForTheDead replays trouble-3 of mandacaru-cfg-grown: a host is
+// gone for good, and the store is away soon after the next window has ended. The
+// window is decided before.
+func TestUsageDoesNotWaitForTheDead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		w := newWorld()
+		w.ready(endpoint("1", "api"))
+		w.endpoints.play = func(_ context.Context, f *port.Forward, _ int) (*port.Reply, error) { return whole(f, 200, "ok"), nil }
+		for i := range 3 {
+			w.host(t, named(fmt.Sprintf("h%d", i)))
+		}
+		time.Sleep(10 * time.Second)
+		holder := w.find(w.holders(time.Now())[0])
+		for _, g := range w.hosts {
+			if g != holder {
+				g.tomb.Kill(nil)
+				break
+			}
+		}
+		time.Sleep(9 * time.Second)
+		window := holder.opts.UsageWindow
+		end := time.Now().Truncate(window).Add(window)
+		is.Equal(ask(t.Context(), holder, "q", "get").status, 200)
+		time.Sleep(time.Until(end.Add(5 * time.Second)))
+		w.store.setFail(func(string, port.Topic) error { return port.ErrStoreRefused })
+		time.Sleep(5 * time.Second)
+		is.Equal(len(w.duties.reported()), 1)
+	})
+}
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -53,7 +53,7 @@
 	if _, decided := g.duties.decided[k]; decided || !wall.Before(end.Add(g.opts.UsageDue-usageMargin)) {
 		return false
 	}
-	for _, r := range g.presence.Within(shareLifetime) {
+	for _, r := range g.presence.Within(cutMost) {
 		if r.State != presence.StateLeaving && r.Wall < end.UnixMilli() {
 			return true
 		}
