--- a/arch/arch_test.go
+++ b/arch/arch_test.go
@@ -146,7 +146,7 @@
 var wireNames = []string{
 	"Attempt-Id", "Response-Seal", "Token-Usage", "Prompt-Prefix", "Not-Executed", "Expect-Instance", "Instance-Load", "Kv-From",
 	"Kv-Backup", "Duty-Holder", "Fencing-Token", "log-append", "log-read", "log-newest", "usage-reports", "kv-move", "api_keys",
-	"max_attempts", "path_prefix", "target_latency_ms", "cold_remaining_ms", "leaves_ms", "desired_count",
+	"keyed.op", "keyed.servers", "keyed.hosts", "max_attempts", "path_prefix", "target_latency_ms", "cold_remaining_ms", "leaves_ms", "desired_count",
 }
 
 // ownAttemptHeader lists the adapters whose own protocol had a header of that
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -233,7 +233,7 @@
 }
 
 func (w *world) remove(worker *worker) {
-	w.store.Put("keyed.servers", worker.ID, nil)
+	w.store.Deregister(worker.ID)
 	worker.link.close()
 	w.mu.Lock()
 	worker.gone = true
