Wait less for the usage of silent hosts

A window waits only for hosts that fell silent within it, and until 4 s before its report is due. TestUsageDoesNotWaitForTheDead has a row for it.

--- a/gateway/duties.go
+++ b/gateway/duties.go
@@ -45,7 +45,7 @@
 	usageSettle = 3200 * time.Millisecond
 	// usageMargin is the time before a report is due by which it is decided without
 	// the hosts that are silent: two attempts to send it, and a change of holder.
-	usageMargin = 3 * time.Second
+	usageMargin = 4 * time.Second
 	// cutMost is how long hosts that are cut off from the store stay so: the
 	// platform's faults say up to 9 s. One that is silent for longer is gone.
 	cutMost = 9 * time.Second
--- a/gateway/duties_test.go
+++ b/gateway/duties_test.go
@@ -356,33 +356,44 @@
 	})
 }
 
-// TestUsageDoesNotWaitForTheDead replays trouble-3 of mandacaru-cfg-grown: a host is
-// gone for good, and the store is away soon after the next window has ended. The
-// window is decided before.
+// TestUsageDoesNotWaitForTheDead replays trouble-3 of the grown sites: a host is gone
+// for good, and the store is away, or all hosts are killed, soon after the end of the
+// next windows. They are reported before.
 func TestUsageDoesNotWaitForTheDead(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		w := newWorld()
-		w.ready(endpoint("1", "api"))
-		w.endpoints.play = func(_ context.Context, f *port.Forward, _ int) (*port.Reply, error) { return whole(f, 200, "ok"), nil }
-		for i := range 3 {
-			w.host(t, named(fmt.Sprintf("h%d", i)))
-		}
-		time.Sleep(10 * time.Second)
-		holder := w.find(w.holders(time.Now())[0])
-		for _, g := range w.hosts {
-			if g != holder {
-				g.tomb.Kill(nil)
-				break
-			}
-		}
-		time.Sleep(9 * time.Second)
-		window := holder.opts.UsageWindow
-		end := time.Now().Truncate(window).Add(window)
-		is.Equal(ask(t.Context(), holder, "q", "get").status, 200)
-		time.Sleep(time.Until(end.Add(5 * time.Second)))
-		w.store.setFail(func(string, port.Topic) error { return port.ErrStoreRefused })
-		time.Sleep(5 * time.Second)
-		is.Equal(len(w.duties.reported()), 1)
-	})
+	for name, tc := range map[string]struct {
+		diedBefore time.Duration // the end of the window
+		awayAfter  time.Duration
+	}{
+		"gone before the window began": {9 * time.Second, 5 * time.Second},
+		"gone within the window":       {3 * time.Second, 6500 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				w := newWorld()
+				w.ready(endpoint("1", "api"))
+				w.endpoints.play = func(_ context.Context, f *port.Forward, _ int) (*port.Reply, error) { return whole(f, 200, "ok"), nil }
+				for i := range 3 {
+					w.host(t, named(fmt.Sprintf("h%d", i)))
+				}
+				time.Sleep(10 * time.Second)
+				holder := w.find(w.holders(time.Now())[0])
+				window := holder.opts.UsageWindow
+				end := time.Now().Truncate(window).Add(4 * window)
+				time.Sleep(time.Until(end.Add(-tc.diedBefore)))
+				for _, g := range w.hosts {
+					if g != holder {
+						g.tomb.Kill(nil)
+						break
+					}
+				}
+				time.Sleep(time.Until(end.Add(-window / 5)))
+				is.Equal(ask(t.Context(), holder, "q", "get").status, 200)
+				time.Sleep(time.Until(end.Add(tc.awayAfter)))
+				w.store.setFail(func(string, port.Topic) error { return port.ErrStoreRefused })
+				time.Sleep(5 * time.Second)
+				is.Equal(len(w.duties.reported()), 1)
+			})
+		})
+	}
 }
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -53,8 +53,11 @@
 	if _, decided := g.duties.decided[k]; decided || !wall.Before(end.Add(g.opts.UsageDue-usageMargin)) {
 		return false
 	}
+	// A host that fell silent before the window began has likely served little in it,
+	// if it is there at all.
+	begin := end.Add(-g.opts.UsageWindow)
 	for _, r := range g.presence.Within(cutMost) {
-		if r.State != presence.StateLeaving && r.Wall < end.UnixMilli() {
+		if r.State != presence.StateLeaving && r.Wall >= begin.UnixMilli() && r.Wall < end.UnixMilli() {
 			return true
 		}
 	}
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -119,7 +119,7 @@
 	at     time.Time
 }
 
-// Run plays one seed and returns what broke, each as a line.
+// Run plays one seed and returns what broke and what was done.
 func Run(ctx context.Context, opts Options) (*Report, error) {
 	w := &world{
 		opts: opts, rng: rand.New(rand.NewPCG(opts.Seed, 1)),
@@ -183,7 +183,8 @@
 
 func routeOf(version int) string { return fmt.Sprintf("v%d", version) }
 
-// behaviours of workers: most requests are served, some in vain.
+// addWorker starts a worker behind a proxy and lists it. It serves most requests and
+// spoils some.
 func (w *world) addWorker(service, zone string) error {
 	n := int(w.sequence.Add(1))
 	rng := rand.New(rand.NewPCG(w.opts.Seed, uint64(1000+n)))
