--- a/soak/soak.go
+++ b/soak/soak.go
@@ -317,17 +317,21 @@
 	w.mu.Lock()
 	newest := len(w.versions)
 	w.mu.Unlock()
+	const tries = 5 // a worker may decline or cut any one of them
+	var all sync.WaitGroup
 	for _, h := range w.hosts {
-		for kind, path := range map[kind]string{
-			kindOrder: "/order/1", kindGet: "/get/1", kindStream: "/stream/1", kindProbe: "/" + routeOf(newest) + "/1",
-		} {
-			// A worker may decline or cut any one of them.
-			for range 5 {
-				r := &request{id: fmt.Sprintf("p%d-%d", w.opts.Seed, w.sequence.Add(1)), kind: kind, path: path}
-				w.ask(ctx, http.DefaultClient, h.Front, r)
+		all.Go(func() {
+			for kind, path := range map[kind]string{
+				kindOrder: "/order/1", kindGet: "/get/1", kindStream: "/stream/1", kindProbe: "/" + routeOf(newest) + "/1",
+			} {
+				for range tries {
+					r := &request{id: fmt.Sprintf("p%d-%d", w.opts.Seed, w.sequence.Add(1)), kind: kind, path: path}
+					w.ask(ctx, http.DefaultClient, h.Front, r)
+				}
 			}
-		}
+		})
 	}
+	all.Wait()
 }
 
 func (w *world) stop() {
