--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -293,10 +294,10 @@
 		w.ready(endpoint("1", "api"))
 		w.zone(t, 5)
 		time.Sleep(8 * time.Second)
-		calls := 0
-		w.store.setFail(func(string, port.Topic) error { calls++; return port.ErrStoreRefused })
+		var calls atomic.Int64
+		w.store.setFail(func(string, port.Topic) error { calls.Add(1); return port.ErrStoreRefused })
 		time.Sleep(outage)
-		is.True(calls <= callsMost*int(outage.Seconds())*5)
+		is.True(int(calls.Load()) <= callsMost*int(outage.Seconds())*5)
 		w.store.put(port.TopicConfiguration, configurationKey, configuration(2))
 		w.store.setFail(nil)
 		time.Sleep(1500 * time.Millisecond)
