--- a/gateway/duties_test.go
+++ b/gateway/duties_test.go
@@ -91,6 +91,20 @@
 	})
 }
 
+// serving returns a world whose hosts have served for a while and whose endpoint
+// answers every request.
+func serving(t *testing.T, hosts int, since time.Duration) *world {
+	t.Helper()
+	w := newWorld()
+	w.ready(endpoint("1", "api"))
+	w.endpoints.play = func(_ context.Context, f *port.Forward, _ int) (*port.Reply, error) { return whole(f, 200, "ok"), nil }
+	for i := range hosts {
+		w.host(t, named(fmt.Sprintf("h%d", i)))
+	}
+	time.Sleep(since)
+	return w
+}
+
 // TestUsageReportedOnce: the counts of a window are the same in every report of
 // it, whoever sends it: the platform does not answer, replies of the store are
 // lost, and the holder dies in between.
@@ -121,13 +135,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				w := newWorld()
-				w.ready(endpoint("1", "api"))
-				w.endpoints.play = func(_ context.Context, f *port.Forward, _ int) (*port.Reply, error) { return whole(f, 200, "ok"), nil }
-				for i := range 3 {
-					w.host(t, named(fmt.Sprintf("h%d", i)))
-				}
-				time.Sleep(8 * time.Second)
+				w := serving(t, 3, 8*time.Second)
 				if tc.prepare != nil {
 					tc.prepare(w)
 				}
@@ -320,13 +328,7 @@
 	const cutFor = 5 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
-		w := newWorld()
-		w.ready(endpoint("1", "api"))
-		w.endpoints.play = func(_ context.Context, f *port.Forward, _ int) (*port.Reply, error) { return whole(f, 200, "ok"), nil }
-		for i := range 3 {
-			w.host(t, named(fmt.Sprintf("h%d", i)))
-		}
-		time.Sleep(10 * time.Second)
+		w := serving(t, 3, 10*time.Second)
 		var cut *Gateway
 		for _, g := range w.hosts {
 			if g.opts.Host != w.holders(time.Now())[0] {
@@ -370,13 +372,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				w := newWorld()
-				w.ready(endpoint("1", "api"))
-				w.endpoints.play = func(_ context.Context, f *port.Forward, _ int) (*port.Reply, error) { return whole(f, 200, "ok"), nil }
-				for i := range 3 {
-					w.host(t, named(fmt.Sprintf("h%d", i)))
-				}
-				time.Sleep(10 * time.Second)
+				w := serving(t, 3, 10*time.Second)
 				holder := w.find(w.holders(time.Now())[0])
 				window := holder.opts.UsageWindow
 				end := time.Now().Truncate(window).Add(4 * window)
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -163,7 +163,7 @@
 	into := any(&reports[0])
 	raw, err := unpack(r.Value)
 	if err == nil {
-		if raw[0] == '[' {
+		if len(raw) > 0 && raw[0] == '[' {
 			into = &reports
 		}
 		err = json.Unmarshal(raw, into)
--- a/gateway/pack_test.go
+++ b/gateway/pack_test.go
@@ -2,9 +2,15 @@
 
 import (
 	"bytes"
+	"compress/gzip"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
+	"github.com/phuslu/log"
+
+	"github.com/cicadanotch/cicadanotch/port"
 )
 
 func TestPack(t *testing.T) {
@@ -41,3 +47,17 @@
 		}
 	}
 }
+
+// TestUnreadableReports: a record that is no report, or nothing once it is
+// decompressed, is left out and does not end the process.
+func TestUnreadableReports(t *testing.T) {
+	is := is.New(t)
+	var empty bytes.Buffer
+	is.NoErr(gzip.NewWriter(&empty).Close())
+	w := newWorld()
+	g := New(testOptions("h1"), Ports{Logger: &log.Logger{Writer: &log.IOWriter{Writer: w}}})
+	for _, value := range [][]byte{empty.Bytes(), []byte("?"), gzipMagic} {
+		g.hear(time.Now(), port.TopicRecord{Key: "k", Value: value})
+	}
+	is.Equal(strings.Count(w.log(), "report_unreadable"), 3)
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -97,11 +98,9 @@
 	return kinds[:some]
 }
 
-// TestSeeds plays as many seeds as the flag says.
+// TestSeeds plays the seeds that failed once, and by hand as many more as the flag
+// says, bounds of time included.
 func TestSeeds(t *testing.T) {
-	if *seeds == 0 {
-		t.Skip("by hand: go test ./soak -run TestSeeds -seeds 50")
-	}
 	list := append([]uint64(nil), failed...)
 	for n := range *seeds {
 		list = append(list, *first+uint64(n))
@@ -118,7 +117,7 @@
 			defer os.RemoveAll(dir)
 			r, err := Run(t.Context(), Options{
 				Seed: seed, Base: os.Getpid() + n, Hosts: *hosts, Workers: 3, Clients: 2 * *hosts, Length: *length, Settle: 14 * time.Second,
-				Timed: true, Dir: dir, Command: command(""), Kinds: mix(seed),
+				Timed: *seeds > 0, Dir: dir, Command: command(""), Kinds: mix(seed),
 			})
 			if err != nil {
 				return err
@@ -143,21 +142,25 @@
 	is.Equal(broken.Load(), int64(0))
 }
 
+// eachRequest are the promises that a planted fault breaks with each request; the
+// others take faults from outside, and are played by hand with -plants.
+var eachRequest = []string{promiseAnswer, promiseOnce, promiseRefusal, promiseAsked}
+
 // TestPlants: a process with a fault of its own is caught, for each promise.
 func TestPlants(t *testing.T) {
-	if !*plants {
-		t.Skip("by hand: go test ./soak -run TestPlants -plants")
-	}
 	n := 0
 	for promise := range planted {
+		if !*plants && !slices.Contains(eachRequest, promise) {
+			continue
+		}
 		n++
 		base := os.Getpid() + 1000 + n
 		t.Run(promise, func(t *testing.T) {
 			t.Parallel()
 			is := is.New(t)
 			r, err := Run(t.Context(), Options{
-				Seed: 5, Base: base, Hosts: 3, Workers: 3, Clients: 8, Length: 25 * time.Second, Settle: 6 * time.Second,
-				Timed: true, Dir: t.TempDir(), Command: command(promise), Kinds: plantKinds[promise],
+				Seed: 5, Base: base, Hosts: 3, Workers: 3, Clients: 8, Length: plantLength(), Settle: 6 * time.Second,
+				Timed: *plants, Dir: t.TempDir(), Command: command(promise), Kinds: plantKinds[promise],
 			})
 			is.NoErr(err)
 			caught := 0
@@ -173,6 +176,14 @@
 	}
 }
 
+// plantLength is how long faults come: a second will do where each request shows it.
+func plantLength() time.Duration {
+	if *plants {
+		return 25 * time.Second
+	}
+	return time.Second
+}
+
 // plantKinds are the faults that show a planted one where others would excuse it.
 var plantKinds = map[string][]string{
 	promiseDrain: {"drain"},
