Compute the remaining time as a request is written

The time was computed before the connection was opened, which takes up to 1.3 s on a slow host or a lossy link.

Excluded: the deadline itself, which is fixed at arrival; the retry's pause, after which the time was computed anew.

Change: port.Forward carries the deadline; the codec computes what is left as it writes the head. Forward.NewConnection, which nothing set, is removed.

--- a/adapter/endpointhttp/endpointhttp.go
+++ b/adapter/endpointhttp/endpointhttp.go
@@ -139,7 +139,7 @@
 // get returns a reusable idle connection or opens a new one.
 func (p *Pool) get(ctx context.Context, f *port.Forward) (*conn, error) {
 	p.sweep()
-	for !f.NewConnection {
+	for {
 		c := p.takeIdle(f.Address)
 		if c == nil {
 			break
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -230,10 +230,9 @@
 func (c *call) newForward(a *endpointAttempt, tracker *sendTracker) *port.Forward {
 	f := &port.Forward{
 		Request: c.req, Address: a.view.Address, Endpoint: a.view.ID,
-		Remaining: time.Until(c.deadline), Priority: c.priority(), After: c.lastID, Copy: a.kvCopy,
+		Deadline: c.deadline, Priority: c.priority(), After: c.lastID, Copy: a.kvCopy,
 		MaxConnections: c.g.connectionLimit(c.service.MaxConnections),
 		Sending:        tracker.begin,
-		NewConnection:  false,
 	}
 	if c.workspace != nil {
 		f.Workspace = c.workspace.Name
--- a/port/forward.go
+++ b/port/forward.go
@@ -61,8 +61,9 @@
 	Endpoint string
 	// Workspace is empty for public routes.
 	Workspace string
-	// Remaining is the time that the endpoint may spend.
-	Remaining time.Duration
+	// Deadline is when the request ends. The time that is left until then is computed as
+	// the request is written, after the wait for a connection.
+	Deadline time.Time
 	// Priority is from 0, the highest, to 9.
 	Priority int
 	// After replaces ResumeAfter if the stream is resumed within one response to the
@@ -72,8 +73,6 @@
 	Copy *KVCopy
 	// MaxConnections is this host's share of the endpoint's connections.
 	MaxConnections int
-	// NewConnection requires a connection that was never used.
-	NewConnection bool
 	// Sending is called immediately before the first byte may be sent.
 	Sending func()
 }
