Respect endpoints that announce leaving or ask for time

An answer with Server-Leaving binds the host that forwards it, in touch with the store or not; a 503 with Retry-After asks for nothing until that time has passed. Both headers were ignored, and Retry-After of an endpoint was decoded and not used.

Change: fleet.Table.Leaving treats the announcement as a draining entry of the same incarnation: it outlasts later ready entries and a removal, until an entry of a later incarnation. fleet.Table.Pause excludes an endpoint from choice, from moves as their target and as their source, and from requests whose connection opens only after the answer (port.Forward.Sending can now refuse). When all endpoints of a service have asked for time, callers are refused at once with the time of the first that returns.

Not done: a paused endpoint still counts as ready for capacity orders, as it asked one host only; other hosts are not told.

--- a/adapter/endpointhttp/endpointhttp.go
+++ b/adapter/endpointhttp/endpointhttp.go
@@ -283,7 +283,12 @@
 	}
 	cancelClose := context.AfterFunc(ctx, c.close)
 	if f.Sending != nil {
-		f.Sending()
+		if err := f.Sending(); err != nil {
+			if cancelClose() {
+				p.put(c, maxIdleTime)
+			}
+			return nil, errors.Wrapf(port.ErrNotSent, "%s: %v", f.Address, err)
+		}
 	}
 	ex := &exchange{conn: c, cancelClose: cancelClose}
 	reply, err := ex.roundTrip(f)
--- a/adapter/endpointhttp/endpointhttp_test.go
+++ b/adapter/endpointhttp/endpointhttp_test.go
@@ -244,7 +244,7 @@
 	address := l.Addr().String()
 	is.NoErr(l.Close())
 	f := forward(address, "one")
-	f.Sending = func() { t.Error("nothing is sent without a connection") }
+	f.Sending = func() error { t.Error("nothing is sent without a connection"); return nil }
 	_, err = New(codec{}, nil).Forward(t.Context(), f)
 	is.True(errors.Is(err, port.ErrNotSent))
 }
@@ -283,7 +283,7 @@
 	})
 	ctx, cancel := context.WithCancel(t.Context())
 	f := forward(address, "one")
-	f.Sending = func() { time.AfterFunc(5*time.Millisecond, cancel) }
+	f.Sending = func() error { time.AfterFunc(5*time.Millisecond, cancel); return nil }
 	_, err := New(codec{}, nil).Forward(ctx, f)
 	is.True(errors.Is(err, port.ErrBroken))
 	<-disconnected
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -6,8 +6,10 @@
 // hold entries by other writers. What this host observes on its own connections is
 // therefore recorded separately and expires.
 //
-// Invariant: an endpoint that was listed as draining receives no requests, also after
-// its entry was removed, until an entry of a later incarnation lists it as ready.
+// Invariants: an endpoint that was listed as draining, or that announced in an answer
+// that it leaves, receives no requests, also after its entry was removed, until an entry
+// of a later incarnation lists it as ready. An endpoint that asked for time receives no
+// requests until that time has passed.
 package fleet
 
 import (
@@ -110,12 +112,15 @@
 	entries          map[string]*entry
 	leftIncarnations map[string]int64 // Born of the incarnation that left, by id
 	recoveringUntil  time.Time        // end of the registry's recovery
-	version          uint64
+	// pausedUntil is when an endpoint takes requests again that asked for time, by id. It
+	// outlives the entry: whether an entry that is listed again is a new process is not
+	// certain.
+	pausedUntil map[string]time.Time
 }
 
 // NewTable returns an empty table.
 func NewTable(recoverTime time.Duration) *Table {
-	return &Table{RecoverTime: recoverTime, entries: map[string]*entry{}, leftIncarnations: map[string]int64{}}
+	return &Table{RecoverTime: recoverTime, entries: map[string]*entry{}, leftIncarnations: map[string]int64{}, pausedUntil: map[string]time.Time{}}
 }
 
 // RegistryReturned records that the registry answers again after an outage.
@@ -129,7 +134,6 @@
 func (t *Table) Upsert(now time.Time, e Endpoint) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.version++
 	old, known := t.entries[e.ID]
 	if e.State == StateDraining {
 		t.leftIncarnations[e.ID] = e.Born
@@ -166,7 +170,6 @@
 func (t *Table) Remove(now time.Time, id string) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.version++
 	old, known := t.entries[id]
 	if !known {
 		return Change{}
@@ -302,14 +305,68 @@
 	return e.failures * weight / (e.failures*weight + e.successes*weight + prior)
 }
 
+// Leaving applies an endpoint's own announcement that it is about to leave, which may
+// precede its entry in the registry.
+func (t *Table) Leaving(now time.Time, id string) Change {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e, ok := t.entries[id]
+	if !ok || e.State == StateDraining {
+		return Change{}
+	}
+	e.State, e.ListedAt = StateDraining, now
+	t.leftIncarnations[id] = e.Born
+	return Change{Endpoint: e.Endpoint, Drained: true}
+}
+
+// Pause records that an endpoint asked this host to send it nothing for some time. An
+// earlier request for more time remains in force.
+func (t *Table) Pause(now time.Time, id string, d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for other, until := range t.pausedUntil {
+		if !now.Before(until) {
+			delete(t.pausedUntil, other)
+		}
+	}
+	if until := now.Add(d); until.After(t.pausedUntil[id]) {
+		t.pausedUntil[id] = until
+	}
+}
+
+// Paused reports whether an endpoint has asked for time that has not passed yet.
+func (t *Table) Paused(now time.Time, id string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return now.Before(t.pausedUntil[id])
+}
+
+// NextResume returns the time until the first of a service's ready endpoints that asked
+// for time takes requests again; zero if none of them is paused.
+func (t *Table) NextResume(now time.Time, service string) time.Duration {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	first := time.Duration(0)
+	for id, e := range t.entries {
+		if e.Service != service || e.State != StateReady {
+			continue
+		}
+		if left := t.pausedUntil[id].Sub(now); left > 0 && (first == 0 || left < first) {
+			first = left
+		}
+	}
+	return first
+}
+
 // Usable returns the endpoints of a service that may receive requests: those listed as
-// ready. Suspect endpoints are included; it is for the caller to prefer others.
-func (t *Table) Usable(service string) []View {
+// ready that have not asked for time. Suspect endpoints are included; it is for the caller
+// to prefer others.
+func (t *Table) Usable(now time.Time, service string) []View {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []View
-	for _, e := range t.entries {
-		if e.Service == service && e.State == StateReady {
+	for id, e := range t.entries {
+		if e.Service == service && e.State == StateReady && !now.Before(t.pausedUntil[id]) {
 			out = append(out, e.View)
 		}
 	}
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -34,6 +34,11 @@
 	return func(t *Table) { t.Replace(at(d), all) }
 }
 
+func leaving(d time.Duration, id string) step { return func(t *Table) { t.Leaving(at(d), id) } }
+func pause(d time.Duration, id string, length time.Duration) step {
+	return func(t *Table) { t.Pause(at(d), id, length) }
+}
+
 func TestUsable(t *testing.T) {
 	const recovery = 2 * time.Second
 	for name, tc := range map[string]struct {
@@ -53,6 +58,14 @@
 		"removed long after the recovery":       {[]step{upsert(0, ready("x", 1)), returned(time.Second), remove(4*time.Second, "x")}, false},
 		"missing from a complete listing":       {[]step{upsert(0, ready("x", 1)), replace(time.Second, ready("y", 1))}, false},
 		"missing during the recovery":           {[]step{upsert(0, ready("x", 1)), returned(time.Second), replace(time.Second, ready("y", 1))}, true},
+		"announced leaving":                     {[]step{upsert(0, ready("x", 1)), leaving(1, "x")}, false},
+		"announced leaving, listed as ready":    {[]step{upsert(0, ready("x", 1)), leaving(1, "x"), upsert(2, ready("x", 1))}, false},
+		"announced leaving, removed, listed":    {[]step{upsert(0, ready("x", 1)), leaving(1, "x"), remove(2, "x"), upsert(3, ready("x", 1))}, false},
+		"announced leaving, later incarnation":  {[]step{upsert(0, ready("x", 1)), leaving(1, "x"), upsert(2, ready("x", 2))}, true},
+		"paused":                                {[]step{upsert(0, ready("x", 1)), pause(-time.Second, "x", 2*time.Second)}, false},
+		"paused, listed again":                  {[]step{upsert(0, ready("x", 1)), pause(-time.Second, "x", 2*time.Second), upsert(0, ready("x", 2))}, false},
+		"paused, then for less":                 {[]step{upsert(0, ready("x", 1)), pause(-time.Second, "x", 2*time.Second), pause(-time.Second, "x", time.Millisecond)}, false},
+		"paused in the past":                    {[]step{upsert(0, ready("x", 1)), pause(-2*time.Second, "x", 2*time.Second)}, true},
 		"draining, missing during the recovery": {[]step{upsert(0, draining("x", 1)), returned(time.Second), replace(time.Second)}, false},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -61,7 +74,7 @@
 				s(table)
 			}
 			found := false
-			for _, v := range table.Usable("llm") {
+			for _, v := range table.Usable(at(0), "llm") {
 				found = found || v.ID == "x"
 			}
 			is.New(t).Equal(found, tc.usable)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -174,13 +174,16 @@
 
 	wd := startWatchdog(cancel, c.headTimeout(a), c.reserveRetry)
 	defer wd.stop()
-	tracker := &sendTracker{c: c, moved: a.kvCopy != nil}
+	tracker := &sendTracker{c: c, endpoint: a.view.ID, moved: a.kvCopy != nil}
 	reply, err := c.g.ports.Endpoints.Forward(ctx, c.newForward(a, tracker))
 	if err != nil {
 		return c.classifyFailure(ctx, a, err)
 	}
 	defer reply.Body.Close()
 	now := time.Now()
+	if !reply.Misdirected {
+		c.recordWishes(now, a, reply)
+	}
 	if reply.Declined || reply.Misdirected {
 		tracker.declined()
 		c.tried[a.view.ID] = true
@@ -203,12 +206,22 @@
 
 // sendTracker records, from the transport's calls, whether the request was sent or declined.
 type sendTracker struct {
-	moved   bool
-	c       *call
-	attempt *problem.SentAttempt
+	c        *call
+	endpoint string
+	moved    bool // the attempt continues a stream that was moved
+	attempt  *problem.SentAttempt
 }
 
-func (s *sendTracker) begin() {
+// begin fails if the request must not be sent after all: opening the connection takes time, in which
+// the endpoint may have asked for time or the deadline may have passed.
+func (s *sendTracker) begin() error {
+	now := time.Now()
+	switch {
+	case !now.Before(s.c.deadline):
+		return errors.New("the deadline has passed")
+	case !s.moved && s.c.g.fleet.Paused(now, s.endpoint):
+		return errors.New("the endpoint has asked for time")
+	}
 	s.attempt = s.c.guard.RecordSend()
 	if !s.moved {
 		s.c.sent++ // a moved stream is the same run
@@ -219,6 +232,7 @@
 		s.c.progress.sent = s.c.sent
 		s.c.mu.Unlock()
 	}
+	return nil
 }
 
 func (s *sendTracker) declined() {
@@ -282,7 +296,9 @@
 	case errors.Is(err, port.ErrNotSent):
 		c.unsent++
 		c.tried[a.view.ID] = true
-		c.markSuspect(now, a, "unreachable")
+		if !c.g.fleet.Paused(now, a.view.ID) {
+			c.markSuspect(now, a, "unreachable")
+		}
 		return outcomeUnsent, err
 	}
 	if c.awaitMove(a) {
@@ -301,6 +317,22 @@
 		Str("why", reason).Dur("pause", suspectTime).Dur("entry_age", now.Sub(a.view.ListedAt)).Msg("")
 }
 
+// recordWishes applies what an endpoint states about itself in an answer: that it leaves, and that it
+// wants no requests for some time.
+func (c *call) recordWishes(now time.Time, a *endpointAttempt, reply *port.Reply) {
+	if reply.HeaderFault != "" {
+		c.g.log.Warn().Str("event", "endpoint_header").Str("request", c.req.ID).Str("endpoint", a.view.ID).Str("fault", reply.HeaderFault).Msg("")
+	}
+	if reply.Leaving {
+		c.g.handleEndpointChanges(now, c.g.fleet.Leaving(now, a.view.ID))
+	}
+	if reply.RetryAfter > 0 {
+		c.g.fleet.Pause(now, a.view.ID, reply.RetryAfter)
+		c.g.metrics.stateChanges.WithLabelValues("endpoint_paused").Inc()
+		c.g.log.Info().Str("event", "endpoint_paused").Str("request", c.req.ID).Str("endpoint", a.view.ID).Dur("pause", reply.RetryAfter).Msg("")
+	}
+}
+
 // recordDecline marks the endpoint suspect if another one has its address.
 func (c *call) recordDecline(now time.Time, a *endpointAttempt, reply *port.Reply) {
 	if reply.Misdirected {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -222,7 +222,7 @@
 
 // completeReply answers with a body.
 func completeReply(f *port.Forward, status int, body string) *port.Reply {
-	f.Sending()
+	_ = f.Sending()
 	return &port.Reply{Status: status, Authentic: true, Header: http.Header{}, Length: int64(len(body)), Body: io.NopCloser(strings.NewReader(body))}
 }
 
@@ -267,7 +267,7 @@
 }
 
 func streamReply(ctx context.Context, f *port.Forward, end error, pause time.Duration, parts ...string) *port.Reply {
-	f.Sending()
+	_ = f.Sending()
 	return &port.Reply{
 		Status: http.StatusOK, Authentic: true, Stream: true, Length: -1, Header: http.Header{},
 		Body: &streamBody{ctx, parts, pause, end},
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -161,6 +161,9 @@
 	if c.progressEvents() == 0 {
 		return "not-started"
 	}
+	if c.g.fleet.Paused(time.Now(), from.ID) {
+		return "paused"
+	}
 	result := "no-target"
 	tried := map[string]bool{from.ID: true}
 	for range maxMoveTargets {
@@ -241,7 +244,7 @@
 // chooseMoveTarget chooses the endpoint where a stream continues.
 func (c *call) chooseMoveTarget(excluded map[string]bool) (fleet.View, bool) {
 	now := time.Now()
-	views := c.g.fleet.Usable(c.service.Name)
+	views := c.g.fleet.Usable(now, c.service.Name)
 	q := c.query()
 	q.Excluded = excluded
 	choice, ok := c.g.placement.Choose(now, q, c.g.candidates(now, views, true, c.service))
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -29,7 +29,10 @@
 	if m := c.takeReadyMove(); m != nil {
 		return c.placeMovedStream(now, m)
 	}
-	views := c.g.fleet.Usable(c.service.Name)
+	views := c.g.fleet.Usable(now, c.service.Name)
+	if resume := c.g.fleet.NextResume(now, c.service.Name); len(views) == 0 && resume > 0 {
+		return nil, c.notRun(http.StatusServiceUnavailable, problem.TypeOverloaded, "every endpoint has asked for time").WithRetryAfter(resume)
+	}
 	if len(views) == 0 {
 		return nil, c.notRun(http.StatusServiceUnavailable, problem.TypeUnavailable, "the service has no endpoint").WithRetryAfter(noEndpointRetryAfter)
 	}
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -103,7 +103,7 @@
 		time.Sleep(3 * time.Second)
 		for _, g := range tp.hosts {
 			is.Equal(g.catalog.Current().Version, int64(2))
-			is.Equal(len(g.fleet.Usable("api")), 2)
+			is.Equal(len(g.fleet.Usable(time.Now(), "api")), 2)
 			is.Equal(len(g.presence.Live()), 7)
 			is.Equal(tp.relayOf(g), tp.relayOf(tp.hosts[0]))
 		}
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -25,7 +25,7 @@
 func TestFaultsOfEndpoints(t *testing.T) {
 	broken := errors.Wrap(port.ErrBroken, "reset")
 	hang := func(ctx context.Context, f *port.Forward) (*port.Reply, error) {
-		f.Sending()
+		_ = f.Sending()
 		<-ctx.Done()
 		return nil, broken
 	}
@@ -42,7 +42,7 @@
 			return completeReply(f, 200, "ok"), nil
 		}, 200, "", "ok", false, 1},
 		"order, connection broken: outcome unknown": {"order", func(_ context.Context, f *port.Forward, _ int) (*port.Reply, error) {
-			f.Sending()
+			_ = f.Sending()
 			return nil, broken
 		}, 502, problem.RunUnknown, "", false, 1},
 		"order, not sent: another endpoint": {"order", func(_ context.Context, f *port.Forward, n int) (*port.Reply, error) {
@@ -62,7 +62,7 @@
 			if n == 1 {
 				return declinedReply(f), nil
 			}
-			f.Sending()
+			_ = f.Sending()
 			return nil, broken
 		}, 502, problem.RunUnknown, "", false, 2},
 		"order, the endpoint's failure is forwarded": {"order", func(_ context.Context, f *port.Forward, _ int) (*port.Reply, error) {
@@ -76,7 +76,7 @@
 		}, 502, problem.RunUnknown, "", false, 1},
 		"get, broken: another endpoint": {"get", func(_ context.Context, f *port.Forward, n int) (*port.Reply, error) {
 			if n == 1 {
-				f.Sending()
+				_ = f.Sending()
 				return nil, broken
 			}
 			return completeReply(f, 200, "ok"), nil
@@ -99,7 +99,7 @@
 			if n == 1 {
 				return completeReply(f, 500, "oh"), nil
 			}
-			f.Sending()
+			_ = f.Sending()
 			return nil, broken
 		}, 500, "", "oh", false, 2},
 		"get, unresponsive: another endpoint": {"get", func(ctx context.Context, f *port.Forward, n int) (*port.Reply, error) {
@@ -112,7 +112,7 @@
 			return streamReply(ctx, f, io.EOF, time.Millisecond, events(1, 3)...), nil
 		}, 200, "", strings.Join(events(1, 3), ""), false, 1},
 		"stream, broken before its start: outcome unknown": {"stream", func(_ context.Context, f *port.Forward, _ int) (*port.Reply, error) {
-			f.Sending()
+			_ = f.Sending()
 			return nil, broken
 		}, 502, problem.RunUnknown, "", false, 1},
 		"stream, broken midway: aborted": {"stream", func(ctx context.Context, f *port.Forward, _ int) (*port.Reply, error) {
@@ -212,7 +212,7 @@
 		tp.publish(endpoint("1", "api"), endpoint("2", "api"))
 		ended := time.Time{}
 		tp.endpoints.respond = func(ctx context.Context, f *port.Forward, _ int) (*port.Reply, error) {
-			f.Sending()
+			_ = f.Sending()
 			<-ctx.Done()
 			ended = time.Now()
 			return nil, port.ErrBroken
--- a/port/forward.go
+++ b/port/forward.go
@@ -73,8 +73,9 @@
 	Copy *KVCopy
 	// MaxConnections is this host's share of the endpoint's connections.
 	MaxConnections int
-	// Sending is called immediately before the first byte may be sent.
-	Sending func()
+	// Sending is called once a connection is open, immediately before the first byte may
+	// be sent. If it returns an error, nothing is sent and Forward returns ErrNotSent.
+	Sending func() error
 }
 
 // KVCopy names a copied KV cache.
@@ -106,9 +107,15 @@
 	// Stream reports whether the body is a stream of events.
 	Stream bool
 	Load   *EndpointLoad
-	// RetryAfter is the delay before a retry that the endpoint advises; zero for none.
+	// RetryAfter is how long the endpoint asks this host to send it nothing; zero for no
+	// such request.
 	RetryAfter time.Duration
-	Body       io.ReadCloser
+	// Leaving reports whether the endpoint states that it is about to leave.
+	Leaving bool
+	// HeaderFault describes a header that could not be used as sent; empty if there is
+	// none.
+	HeaderFault string
+	Body        io.ReadCloser
 }
 
 // StreamMove is a command to an engine to copy a running request to another engine.
