Survive a store that returns from an older copy

In a drill the store loses what it has acknowledged for some seconds and gives its offsets out again; the era in all its answers rises. Fencing tokens were bare offsets, a reading position of before could skip records of the new history, a relay answered from the old one, and a new leader could report a usage window again with other counts.

Change: a position is an era and an offset (port.Position). Followers read a topic anew in a new era, relays answer by era, hosts tell one another the latest one. The fencing token holds the era above the offset. The leader takes its leadership again at once and records its decisions again; its reports carry them for a successor, which leaves out windows that may have been decided without a trace. Endpoints and hosts that were removed are not taken from the older copy.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -98,7 +98,7 @@
 func startHost(s platform.Settings, logger *log.Logger, open listenFunc, wrap ...func(*gateway.Ports)) (*host, error) {
 	endpoints := platform.NewEndpoints(nil)
 	ports := gateway.Ports{
-		Store: platform.NewStore(s.StoreAddress, nil), Endpoints: endpoints, IdleConnections: endpoints,
+		Store: platform.NewStore(s.StoreAddress, nil, logger), Endpoints: endpoints, IdleConnections: endpoints,
 		LeaderAPI: platform.NewCloud(s.CloudAddress, nil), Peers: peerrpc.NewClient(nil),
 		DecodeConfiguration: platform.DecodeConfiguration, DecodeEndpoint: platform.DecodeEndpoint,
 		Logger: logger,
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -13,6 +13,7 @@
 package fleet
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -47,6 +48,8 @@
 	// Born is the Unix time in milliseconds of its start. It distinguishes the
 	// incarnations of one id.
 	Born int64
+	// Sequence counts the entries that this incarnation has written.
+	Sequence int64
 }
 
 // View is an entry together with what this host derived from it or observed itself.
@@ -90,6 +93,15 @@
 	countedAt           time.Time
 }
 
+// removal is an entry that was removed.
+type removal struct {
+	born, sequence int64
+	at             time.Time
+}
+
+// removalMemory is how long a removed entry may reappear in an older copy of the registry.
+const removalMemory = time.Minute
+
 // Change is the effect of an update on the view of one endpoint.
 type Change struct {
 	Endpoint Endpoint
@@ -112,6 +124,9 @@
 	entries          map[string]*entry
 	leftIncarnations map[string]int64 // Born of the incarnation that left, by id
 	recoveringUntil  time.Time        // end of the registry's recovery
+	// removed holds the entries that were removed while they listed a ready endpoint, by id,
+	// until removalMemory has passed.
+	removed map[string]removal
 	// pausedUntil is when an endpoint takes requests again that asked for time, by id. It
 	// outlives the entry: whether an entry that is listed again is a new process is not
 	// certain.
@@ -120,7 +135,7 @@
 
 // NewTable returns an empty table.
 func NewTable(recoverTime time.Duration) *Table {
-	return &Table{RecoverTime: recoverTime, entries: map[string]*entry{}, leftIncarnations: map[string]int64{}, pausedUntil: map[string]time.Time{}}
+	return &Table{RecoverTime: recoverTime, entries: map[string]*entry{}, leftIncarnations: map[string]int64{}, pausedUntil: map[string]time.Time{}, removed: map[string]removal{}}
 }
 
 // RegistryReturned records that the registry answers again after an outage.
@@ -178,16 +193,39 @@
 		old.removalDeferredUntil = t.recoveringUntil
 		return Change{Endpoint: old.Endpoint, Deferred: true}
 	}
-	t.drop(id, old)
+	t.drop(now, id, old)
 	return Change{Endpoint: old.Endpoint, Removed: true}
 }
 
 // drop deletes an entry. The caller holds the lock.
-func (t *Table) drop(id string, e *entry) {
+func (t *Table) drop(now time.Time, id string, e *entry) {
 	delete(t.entries, id)
 	if e.State == StateDraining {
 		t.leftIncarnations[id] = e.Born
+		return
+	}
+	for other, r := range t.removed {
+		if now.Sub(r.at) > removalMemory {
+			delete(t.removed, other)
+		}
 	}
+	t.removed[id] = removal{e.Born, e.Sequence, now}
+}
+
+// Restore applies a complete listing from an older copy of the registry. Endpoints that are
+// missing from it may be listed again within RecoverTime. An entry that was removed before
+// is not listed again by the copy of it, only by one that its endpoint has written since.
+func (t *Table) Restore(now time.Time, all []Endpoint) []Change {
+	t.RegistryReturned(now)
+	return t.Replace(now, slices.DeleteFunc(slices.Clone(all), func(e Endpoint) bool { return t.wasRemoved(now, e) }))
+}
+
+// wasRemoved reports whether an entry is not newer than the removal of its id.
+func (t *Table) wasRemoved(now time.Time, e Endpoint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r, ok := t.removed[e.ID]
+	return ok && now.Sub(r.at) <= removalMemory && (e.Born < r.born || e.Born == r.born && e.Sequence <= r.sequence)
 }
 
 // Replace applies a complete listing of the registry. Entries missing from it are
@@ -230,7 +268,7 @@
 	var changes []Change
 	for id, e := range t.entries {
 		if !e.removalDeferredUntil.IsZero() && !now.Before(e.removalDeferredUntil) {
-			t.drop(id, e)
+			t.drop(now, id, e)
 			changes = append(changes, Change{Endpoint: e.Endpoint, Removed: true})
 		}
 	}
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -23,7 +23,8 @@
 		}
 	}
 	f := &follower{
-		g: g, topic: port.TopicConfiguration, pollTimeout: configPollTimeout, minInterval: minConfigInterval, onSnapshot: newest, onRecords: newest,
+		g: g, topic: port.TopicConfiguration, pollTimeout: configPollTimeout, minInterval: minConfigInterval,
+		onSnapshot: func(now time.Time, records []port.TopicRecord, _ bool) { newest(now, records) }, onRecords: newest,
 		onAnswer: func(time.Time, time.Duration) {},
 	}
 	return f.run()
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -48,14 +48,18 @@
 	topic       port.Topic
 	pollTimeout time.Duration
 	minInterval time.Duration
-	// onSnapshot receives the snapshot, onRecords the records after it.
-	onSnapshot func(now time.Time, records []port.TopicRecord)
+	// onSnapshot receives the snapshot, onRecords the records after it. restored is set for the
+	// first snapshot of a new era, which may be older than what was read before.
+	onSnapshot func(now time.Time, records []port.TopicRecord, restored bool)
 	onRecords  func(now time.Time, records []port.TopicRecord)
 	// onAnswer is called after each answer with the length of the outage that it ended, if any.
 	onAnswer func(now time.Time, outage time.Duration)
 
+	// era and offset are where to continue; valid if hasSnapshot is set.
+	era         port.Era
 	offset      int64
 	hasSnapshot bool
+	everRead    bool // a snapshot was read in this or an earlier era
 	lostAt      time.Time
 	answeredAt  time.Time
 }
@@ -102,6 +106,7 @@
 
 func (f *follower) poll() error {
 	began := time.Now()
+	f.startEra()
 	wait := f.pollTimeout
 	if !f.hasSnapshot {
 		wait = newestMargin
@@ -120,21 +125,26 @@
 		f.g.observeStore("read", began, time.Now(), err)
 	}
 	now := time.Now()
-	if err == nil && !fromRelay {
-		f.g.relays.cachePage(f.topic, !f.hasSnapshot, page)
-	}
 	if err != nil {
 		f.recordStoreFailure(now, err)
 		return err
 	}
+	if f.hasSnapshot && page.Era != f.era {
+		// The store has changed its era since the position was read; the page is that of another
+		// history.
+		return port.ErrStoreExpired
+	}
+	if !fromRelay {
+		f.g.relays.cachePage(f.topic, !f.hasSnapshot, page)
+	}
 	outage := f.recordAnswer(began, now)
 	f.onAnswer(now, outage)
 	if f.hasSnapshot {
 		f.onRecords(now, page.Records)
 	} else {
-		f.onSnapshot(now, page.Records)
+		f.onSnapshot(now, page.Records, f.everRead && page.Era != f.era)
 	}
-	f.hasSnapshot, f.offset = true, page.End
+	f.hasSnapshot, f.everRead, f.era, f.offset = true, true, page.Era, page.End
 	return nil
 }
 
@@ -144,7 +154,7 @@
 	if !f.hasSnapshot {
 		from = -1
 	}
-	return f.g.readFromRelay(f.topic, from, f.pollTimeout)
+	return f.g.readFromRelay(f.topic, f.era, from, f.pollTimeout)
 }
 
 // recordStoreFailure records that a call to the store failed. Only the first failure since the last
@@ -220,14 +230,18 @@
 func (g *Gateway) followEndpoints() error {
 	f := &follower{
 		g: g, topic: port.TopicEndpoints, pollTimeout: endpointsPollTimeout, minInterval: minEndpointsInterval,
-		onSnapshot: func(now time.Time, records []port.TopicRecord) {
+		onSnapshot: func(now time.Time, records []port.TopicRecord, restored bool) {
 			var listed []fleet.Endpoint
 			for _, r := range records {
 				if e, ok := g.decodeEndpoint(r); ok {
 					listed = append(listed, e)
 				}
 			}
-			g.handleEndpointChanges(now, g.fleet.Replace(now, listed)...)
+			if restored {
+				g.handleEndpointChanges(now, g.fleet.Restore(now, listed)...)
+			} else {
+				g.handleEndpointChanges(now, g.fleet.Replace(now, listed)...)
+			}
 			g.hasEndpoints.Store(true)
 		},
 		onRecords: func(now time.Time, records []port.TopicRecord) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,6 +108,7 @@
 	hostCount    atomic.Int64
 	calls        callTable
 	relays       *relayState
+	era          eraState
 	leader       *leaderState
 	leaving      atomic.Bool
 	endsAt       atomic.Int64 // deadline for the end of a leaving process, Unix nanoseconds
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -28,6 +28,7 @@
 // memoryStore is a store in memory with faults injected by tests.
 type memoryStore struct {
 	mu     sync.Mutex
+	era    port.Era
 	topics map[port.Topic]*memoryTopic
 	wake   chan struct{}
 	// fail, if set, is called before each call of a host and returns its error.
@@ -38,9 +39,51 @@
 
 type memoryTopic struct {
 	records []port.TopicRecord
+	times   []time.Time // when each record was appended
 	newest  map[string]port.TopicRecord
 }
 
+// restore returns the store to the copy of it that is age old, and begins a new era. The operator and
+// the endpoints write their records again.
+func (s *memoryStore) restore(age time.Duration) { s.restoreCopy(age, true) }
+
+// restoreAll does the same, but nothing is written again.
+func (s *memoryStore) restoreAll(age time.Duration) { s.restoreCopy(age, false) }
+
+// remove appends the removal of a key.
+func (s *memoryStore) remove(topic port.Topic, key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.add(topic, port.TopicRecord{Key: key})
+}
+
+func (s *memoryStore) restoreCopy(age time.Duration, rewrite bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	for name, t := range s.topics {
+		lost := t.newest
+		n, _ := slices.BinarySearchFunc(t.times, time.Now().Add(-age), time.Time.Compare)
+		kept := t.records[:n]
+		s.topics[name] = &memoryTopic{newest: map[string]port.TopicRecord{}}
+		for i, r := range kept {
+			s.add(name, r)
+			s.topics[name].times[i] = t.times[i]
+		}
+		if rewrite && (name == port.TopicConfiguration || name == port.TopicEndpoints) {
+			for _, r := range lost {
+				s.add(name, r)
+			}
+		}
+	}
+}
+
+func (s *memoryStore) Era() port.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
 func newMemoryStore() *memoryStore {
 	return &memoryStore{topics: map[port.Topic]*memoryTopic{}, wake: make(chan struct{})}
 }
@@ -62,7 +105,7 @@
 func (s *memoryStore) add(topic port.Topic, r port.TopicRecord) int64 {
 	t := s.topic(topic)
 	r.Offset = int64(len(t.records))
-	t.records = append(t.records, r)
+	t.records, t.times = append(t.records, r), append(t.times, time.Now())
 	if r.Removed() {
 		delete(t.newest, r.Key)
 	} else if r.Key != "" {
@@ -114,9 +157,9 @@
 	return s.memoryStore.Read(ctx, topic, from, wait)
 }
 
-func (s *hostStore) Append(ctx context.Context, topic port.Topic, at int64, records ...port.TopicRecord) (int64, error) {
+func (s *hostStore) Append(ctx context.Context, topic port.Topic, at int64, records ...port.TopicRecord) (port.Position, error) {
 	if s.unreachable.Load() {
-		return 0, port.ErrStoreRefused
+		return port.Position{}, port.ErrStoreRefused
 	}
 	return s.memoryStore.Append(ctx, topic, at, records...)
 }
@@ -128,7 +171,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	t := s.topic(topic)
-	page := port.TopicPage{End: int64(len(t.records))}
+	page := port.TopicPage{Era: s.era, End: int64(len(t.records))}
 	for _, r := range t.newest {
 		page.Records = append(page.Records, r)
 	}
@@ -142,10 +185,13 @@
 			return port.TopicPage{}, err
 		}
 		s.mu.Lock()
-		records, wake := s.topic(topic).records, s.wake
+		records, wake, era := s.topic(topic).records, s.wake, s.era
 		s.mu.Unlock()
+		if from > int64(len(records)) {
+			return port.TopicPage{Era: era}, port.ErrStoreExpired
+		}
 		if int64(len(records)) > from || wait == 0 {
-			return port.TopicPage{Records: slices.Clone(records[min(from, int64(len(records))):]), End: int64(len(records))}, nil
+			return port.TopicPage{Era: era, Records: slices.Clone(records[from:]), End: int64(len(records))}, nil
 		}
 		select {
 		case <-wake:
@@ -157,23 +203,23 @@
 	}
 }
 
-func (s *memoryStore) Append(_ context.Context, topic port.Topic, at int64, records ...port.TopicRecord) (int64, error) {
+func (s *memoryStore) Append(_ context.Context, topic port.Topic, at int64, records ...port.TopicRecord) (port.Position, error) {
 	if err := s.failure("append", topic); err != nil {
-		return 0, err
+		return port.Position{}, err
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if at != port.Unconditional && at != int64(len(s.topic(topic).records)) {
-		return 0, port.ErrStoreConflict
+		return port.Position{}, port.ErrStoreConflict
 	}
 	offset := int64(len(s.topic(topic).records))
 	for _, r := range records {
 		s.add(topic, r)
 	}
 	if s.loseReply != nil && s.loseReply(topic) {
-		return 0, port.ErrStoreUnavailable
+		return port.Position{}, port.ErrStoreUnavailable
 	}
-	return offset, nil
+	return port.Position{Era: s.era, Offset: offset}, nil
 }
 
 // fakeEndpoints simulates the endpoints' answers to attempts.
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -10,6 +10,7 @@
 	"github.com/cicadanotch/cicadanotch/placement"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/presence"
+	"github.com/cicadanotch/cicadanotch/usage"
 )
 
 // report returns this host's current report to the other hosts.
@@ -22,7 +23,7 @@
 		state = presence.StateServing
 	}
 	r := presence.Report{
-		Host: g.opts.Host, Incarnation: g.opts.Incarnation, Sequence: g.sequence.Load(),
+		Era: g.latestEra(), Host: g.opts.Host, Incarnation: g.opts.Incarnation, Sequence: g.sequence.Load(),
 		Address: g.opts.Address, Peer: g.opts.Peer, Cores: g.opts.Cores,
 		Zone: g.opts.Zone, Region: g.opts.Region, State: state,
 		Wall: g.clock.Wall(now).UnixMilli(),
@@ -46,6 +47,9 @@
 	r.Usage = g.usage.Recent()
 	if r.FencingToken = g.leader.fencingToken(now); r.FencingToken != 0 {
 		r.Targets = g.leader.targetCounts()
+		if g.opts.UsageWindow > 0 {
+			r.Decided = g.leader.recentDecisions(usage.WindowIndex(g.clock.Wall(now).Add(-decisionMemory), g.opts.UsageWindow))
+		}
 	}
 	return r
 }
@@ -65,8 +69,9 @@
 		return nil
 	}
 	f := &follower{
-		g: g, topic: port.TopicHosts, onSnapshot: receive, onRecords: receive,
-		onAnswer: func(now time.Time, _ time.Duration) { g.presence.MarkRead(now) },
+		g: g, topic: port.TopicHosts, onRecords: receive,
+		onSnapshot: func(now time.Time, records []port.TopicRecord, _ bool) { receive(now, records) },
+		onAnswer:   func(now time.Time, _ time.Duration) { g.presence.MarkRead(now) },
 	}
 	tick := time.NewTicker(reportInterval)
 	defer tick.Stop()
@@ -152,6 +157,10 @@
 // a region start together they share the region's link for their reads.
 const maxHostsStartDelay = 2 * time.Second
 
+// decisionMemory is how long the leader reports a decision after its window: reports are due 10 s after
+// it, and an older copy of the store is some seconds old.
+const decisionMemory = 20 * time.Second
+
 // hostRecordTTL is how long the record of a host that no longer reports is retained: its usage
 // counts are due 10 s after a window of 5 s, and may be late once more.
 const hostRecordTTL = 25 * time.Second
@@ -159,7 +168,7 @@
 // receiveReports applies a record: one report, or the list that a relay forwards.
 func (g *Gateway) receiveReports(now time.Time, r port.TopicRecord) {
 	if r.Removed() {
-		g.presence.Remove(r.Key)
+		g.presence.Remove(now, r.Key)
 		return
 	}
 	reports := make([]presence.Report, 1)
@@ -176,6 +185,7 @@
 		return
 	}
 	for _, report := range reports {
+		g.learnEra(report.Era)
 		if g.presence.ReceiveReport(now, report) && report.Host != g.opts.Host {
 			g.log.Info().Str("event", "host").Str("change", "heard").Str("peer", report.Host).Str("state", string(report.State)).Msg("")
 		}
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -22,9 +23,11 @@
 // The topic is appended to only if it has not grown since it was read, so its order is the order of
 // the decisions: no record of an earlier leader follows a takeover.
 type leaderRecord struct {
-	// Leader is the host that takes the leadership; the fencing token is the record's offset plus
-	// one.
+	// Leader is the host that takes the leadership; the fencing token follows from the record's
+	// position (see fencingToken).
 	Leader string `json:"taker,omitempty"`
+	// Era is the era of the store in which the record was written.
+	Era port.Era `json:"era,omitempty"`
 	// Wall is when it was taken, in Unix milliseconds by the new leader's clock.
 	Wall int64 `json:"wall,omitempty"`
 	// Usage is the usage to report for a window, written before the report is sent: every repeated
@@ -32,6 +35,13 @@
 	Usage *decidedUsage `json:"usage,omitempty"`
 }
 
+// eraShift is the number of bits of a fencing token that hold the offset; the era is above them.
+const eraShift = 32
+
+// fencingToken returns the fencing token of a takeover that was recorded at a position. The era comes
+// first, because a later era gives out the offsets of an earlier one again.
+func fencingToken(p port.Position) int64 { return int64(p.Era)<<eraShift + p.Offset + 1 }
+
 type decidedUsage struct {
 	Window int64        `json:"window"`
 	Counts usage.Counts `json:"counts"`
@@ -70,6 +80,9 @@
 	maxReportsPerTick = 4
 )
 
+// noEra is before all eras.
+const noEra port.Era = -1
+
 // leaderState is this host's state as leader or candidate.
 type leaderState struct {
 	mu sync.Mutex
@@ -78,11 +91,20 @@
 	tenure *lease.Tenure
 
 	// Used only by the goroutine of followHosts.
-	topicEnd     int64 // offset up to which the topic was read
-	takenByOther bool  // the last takeover read was by another host
+	era          port.Era // era of topicEnd
+	topicEnd     int64    // offset up to which the topic was read
+	takenByOther bool     // the last takeover read was by another host
 	takenAtWall  time.Time
-	decided      map[int64]usage.Counts // by window
-	reported     map[int64]bool         // windows whose usage report was accepted or had no counts
+	writtenInEra port.Era // era in which the last record read was written; noEra before the first one
+	ledLastEra   bool     // this host was the leader when the store changed its era
+	// decided holds the counts of a window as they were first decided, also if the record of that
+	// was lost with an era of the store; recorded the windows that have one in this era.
+	decided  map[int64]usage.Counts
+	recorded map[int64]bool
+	// unknownUntil is the end of the time in which another leader may have decided windows whose
+	// records are lost. Those windows are not reported: a second report must not differ.
+	unknownUntil time.Time
+	reported     map[int64]bool // windows whose usage report was accepted or had no counts
 	// vacantSince is the time from which the leadership counts as vacant, zero if it does not.
 	// takeLeadership sets it to a future time when another host has just taken over.
 	vacantSince time.Time
@@ -96,8 +118,9 @@
 
 func newLeaderState(opts lease.Options) *leaderState {
 	return &leaderState{
-		tenure: lease.NewTenure(opts), decided: map[int64]usage.Counts{}, reported: map[int64]bool{},
-		planners: map[string]*scaling.Planner{}, ordered: map[port.CapacityOrder]time.Time{},
+		tenure: lease.NewTenure(opts), decided: map[int64]usage.Counts{}, recorded: map[int64]bool{}, reported: map[int64]bool{},
+		writtenInEra: noEra,
+		planners:     map[string]*scaling.Planner{}, ordered: map[port.CapacityOrder]time.Time{},
 	}
 }
 
@@ -134,6 +157,9 @@
 	if s.leaseExpired(now) {
 		g.resign(now, "lapsed")
 	}
+	if era := g.latestEra(); era != s.era {
+		g.enterEra(now, era)
+	}
 	if _, held := s.heldToken(now); !held && !g.tryLead(now) {
 		return
 	}
@@ -148,6 +174,22 @@
 	}
 }
 
+// enterEra forgets the positions of the previous era. A host that held the leadership takes it again at
+// once: it knows what was decided, also if the store no longer does, and its fencing token must grow
+// with the era.
+func (g *Gateway) enterEra(now time.Time, era port.Era) {
+	s := g.leader
+	_, held := s.heldToken(now)
+	g.log.Info().Str("event", "duty_era").Int64("era", int64(era)).Int64("before", int64(s.era)).Bool("held", held).Msg("")
+	s.era, s.topicEnd, s.recorded = era, 0, map[int64]bool{}
+	s.takenByOther, s.takenAtWall, s.writtenInEra, s.ledLastEra = false, time.Time{}, noEra, held
+	if held {
+		g.resign(now, "the store has a new era")
+		s.lostAt = time.Time{}
+		g.takeLeadership(now)
+	}
+}
+
 func (s *leaderState) leaseExpired(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -219,21 +261,63 @@
 		s.vacantSince = now.Add(leaderTimeout)
 		return false
 	}
-	offset, err := g.appendLeaderRecord(leaderRecord{Leader: g.opts.Host, Wall: g.clock.Wall(now).UnixMilli()})
+	firstInEra := s.writtenInEra != s.era
+	position, err := g.appendLeaderRecord(leaderRecord{Leader: g.opts.Host, Wall: g.clock.Wall(now).UnixMilli()})
 	if err != nil {
 		return false // logged by appendLeaderRecord
 	}
+	token := fencingToken(position)
 	s.mu.Lock()
-	s.tenure.Acquired(now, offset+1)
+	s.tenure.Acquired(now, token)
 	s.mu.Unlock()
 	s.vacantSince = time.Time{}
-	g.metrics.fencingToken.Set(float64(offset + 1))
+	s.adoptDecisions(g.presence.All())
+	if firstInEra && !s.ledLastEra {
+		s.unknownUntil = g.clock.Wall(now)
+	}
+	s.ledLastEra = false
+	g.metrics.fencingToken.Set(float64(token))
 	s.planners, s.inherited = map[string]*scaling.Planner{}, lastTargetCounts(g.presence.All())
 	s.ordered = map[port.CapacityOrder]time.Time{}
-	g.log.Info().Str("event", "duty_taken").Int64("fence", offset+1).Msg("")
+	g.log.Info().Str("event", "duty_taken").Int64("fence", token).Int64("era", int64(s.era)).Msg("")
 	return true
 }
 
+// adoptDecisions adds the decisions that earlier leaders have reported to the other hosts.
+func (s *leaderState) adoptDecisions(reports []presence.Report) {
+	for _, r := range reports {
+		for window, counts := range r.Decided {
+			s.decide(window, counts)
+		}
+	}
+}
+
+// decide records the counts of a window; the first decision remains.
+func (s *leaderState) decide(window int64, counts usage.Counts) {
+	if _, ok := s.decided[window]; !ok {
+		s.decided[window] = counts
+	}
+}
+
+// forget drops what is known of windows before oldest: they are no longer reported.
+func (s *leaderState) forget(oldest int64) {
+	before := func(window int64) bool { return window < oldest }
+	maps.DeleteFunc(s.decided, func(w int64, _ usage.Counts) bool { return before(w) })
+	maps.DeleteFunc(s.recorded, func(w int64, _ bool) bool { return before(w) })
+	maps.DeleteFunc(s.reported, func(w int64, _ bool) bool { return before(w) })
+}
+
+// recentDecisions returns the decided counts of the windows from oldest on.
+func (s *leaderState) recentDecisions(oldest int64) map[int64]usage.Counts {
+	out := map[int64]usage.Counts{}
+	for window, counts := range s.decided {
+		if window >= oldest {
+			out[window] = counts
+		}
+	}
+	return out
+}
+
 // readLeaderRecords reads the leader topic to its end. If the records to read next have expired it
 // returns ErrStoreExpired, and the next call continues at the first record that is left.
 func (g *Gateway) readLeaderRecords() error {
@@ -247,6 +331,9 @@
 		// Records that have expired are older than any usage report that is still due.
 		s.topicEnd = page.First
 	}
+	if err == nil && page.Era != s.era {
+		err = errEraChanged
+	}
 	if err != nil {
 		g.log.Warn().Str("event", "duties_unread").Int64("from", s.topicEnd).Err(err).Msg("")
 		return err
@@ -258,40 +345,53 @@
 	return nil
 }
 
+// errEraChanged means that an answer of the store is of another era than the position that it was
+// asked for. The next run of the leader tasks enters that era.
+var errEraChanged = errors.New("the store has changed its era")
+
 func (g *Gateway) applyLeaderRecord(r port.TopicRecord) {
 	var record leaderRecord
 	if err := json.Unmarshal(r.Value, &record); err != nil {
 		g.log.Warn().Str("event", "duty_unreadable").Int64("offset", r.Offset).Err(err).Msg("")
 		return
 	}
+	s := g.leader
+	s.writtenInEra = record.Era
 	if record.Leader != "" {
-		g.leader.takenByOther, g.leader.takenAtWall = record.Leader != g.opts.Host, time.UnixMilli(record.Wall)
+		s.takenByOther, s.takenAtWall = record.Leader != g.opts.Host, time.UnixMilli(record.Wall)
+		s.ledLastEra = s.ledLastEra && (!s.takenByOther || record.Era != s.era)
 	}
 	if record.Usage != nil {
-		g.leader.decided[record.Usage.Window] = record.Usage.Counts
+		s.decide(record.Usage.Window, record.Usage.Counts)
+		s.recorded[record.Usage.Window] = true
 	}
 }
 
 // appendLeaderRecord appends a record if the topic has not grown meanwhile. If the answer to an
 // append is lost, the next read shows whether the record was appended.
-func (g *Gateway) appendLeaderRecord(record leaderRecord) (int64, error) {
+func (g *Gateway) appendLeaderRecord(record leaderRecord) (port.Position, error) {
 	s := g.leader
+	record.Era = s.era
 	raw, err := json.Marshal(record)
 	if err != nil {
-		return 0, errors.Wrap(err, "encode leader record")
+		return port.Position{}, errors.Wrap(err, "encode leader record")
 	}
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(g.context(), storeTimeout)
 	defer cancel()
-	offset, err := g.ports.Store.Append(ctx, port.TopicLeader, s.topicEnd, port.TopicRecord{Value: raw})
+	position, err := g.ports.Store.Append(ctx, port.TopicLeader, s.topicEnd, port.TopicRecord{Value: raw})
 	g.observeStore("append", began, time.Now(), err)
+	if err == nil && position.Era != s.era {
+		// The record is in another history, at an offset that happens to be equal.
+		err = errEraChanged
+	}
 	if err != nil {
 		g.log.Warn().Str("event", "duty_not_recorded").Int64("at", s.topicEnd).Err(err).Msg("")
-		return 0, err
+		return port.Position{}, err
 	}
-	s.topicEnd = offset + 1
-	g.applyLeaderRecord(port.TopicRecord{Offset: offset, Value: raw})
-	return offset, nil
+	s.topicEnd = position.Offset + 1
+	g.applyLeaderRecord(port.TopicRecord{Offset: position.Offset, Value: raw})
+	return position, nil
 }
 
 // countPlatformCall counts a call to the platform by its result in the metrics.
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -64,6 +64,7 @@
 type topicCache struct {
 	// records are the latest records, from the offset first to the offset before end.
 	records []port.TopicRecord
+	era     port.Era
 	first   int64
 	end     int64
 	newest  map[string]port.TopicRecord // the newest record of each key
@@ -203,6 +204,8 @@
 
 type readRequest struct {
 	Topic port.Topic `json:"topic"`
+	// Era is the latest era that the host knows, and that of From unless that is negative.
+	Era port.Era `json:"era,omitempty"`
 	// From is the offset to read from; negative for the newest record of each key.
 	From int64 `json:"from"`
 	// Wait is how long to hold a call that has nothing to return.
@@ -211,6 +214,7 @@
 
 type readReply struct {
 	Records []port.TopicRecord `json:"records,omitempty"`
+	Era     port.Era           `json:"era,omitempty"`
 	End     int64              `json:"end"`
 	Expired bool               `json:"expired,omitempty"`
 }
@@ -242,7 +246,7 @@
 		select {
 		case <-wake:
 		case <-timeout:
-			return readReply{End: req.From}, nil
+			return readReply{Era: req.Era, End: req.From}, nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
@@ -256,18 +260,18 @@
 	defer s.mu.Unlock()
 	cache := s.topics[req.Topic]
 	switch {
-	case cache == nil:
+	case cache == nil || cache.era < req.Era:
 		return readReply{}, nil, false
 	case req.From < 0:
-		reply := readReply{End: cache.end}
+		reply := readReply{Era: cache.era, End: cache.end}
 		for _, record := range cache.newest {
 			reply.Records = append(reply.Records, record)
 		}
 		return reply, nil, true
-	case req.From < cache.first:
-		return readReply{Expired: true}, nil, true
+	case req.From < cache.first || req.Era != cache.era:
+		return readReply{Era: cache.era, Expired: true}, nil, true
 	case req.From < cache.end:
-		return readReply{Records: slices.Clone(cache.records[req.From-cache.first:]), End: cache.end}, nil, true
+		return readReply{Records: slices.Clone(cache.records[req.From-cache.first:]), Era: cache.era, End: cache.end}, nil, true
 	}
 	return readReply{}, cache.wake, false
 }
@@ -282,7 +286,7 @@
 		if cache != nil {
 			close(cache.wake)
 		}
-		cache = &topicCache{first: page.End, end: page.End, newest: map[string]port.TopicRecord{}, wake: make(chan struct{})}
+		cache = &topicCache{era: page.Era, first: page.End, end: page.End, newest: map[string]port.TopicRecord{}, wake: make(chan struct{})}
 		s.topics[topic] = cache
 	}
 	for _, record := range page.Records {
@@ -307,15 +311,19 @@
 }
 
 // readFromRelay reads a topic from the relay; ok is false when the store has to be read instead.
-func (g *Gateway) readFromRelay(topic port.Topic, from int64, wait time.Duration) (page port.TopicPage, err error, ok bool) {
+func (g *Gateway) readFromRelay(topic port.Topic, era port.Era, from int64, wait time.Duration) (page port.TopicPage, err error, ok bool) {
 	var reply readReply
-	if !g.callRelay(methodRead, relayPollTimeout+relayCallMargin, readRequest{topic, from, wait}, &reply) {
+	if from < 0 {
+		era = g.latestEra()
+	}
+	if !g.callRelay(methodRead, relayPollTimeout+relayCallMargin, readRequest{topic, era, from, wait}, &reply) {
 		return page, nil, false
 	}
+	g.learnEra(reply.Era)
 	if reply.Expired {
 		return page, port.ErrStoreExpired, true
 	}
-	return port.TopicPage{Records: reply.Records, End: reply.End}, nil, true
+	return port.TopicPage{Era: reply.Era, Records: reply.Records, End: reply.End}, nil, true
 }
 
 // serveReport receives the report of a host of the zone.
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -21,6 +21,7 @@
 	wall := g.clock.Wall(now)
 	newest := usage.WindowIndex(wall.Add(-usageSettleDelay), length) - 1
 	oldest := usage.WindowIndex(wall.Add(-g.opts.UsageDue), length)
+	g.leader.forget(min(oldest, usage.WindowIndex(wall.Add(-decisionMemory), length)))
 	sums := usage.NewSums()
 	for _, r := range g.presence.All() {
 		sums.Merge(r.Key(), r.Usage)
@@ -31,6 +32,11 @@
 		if g.leader.reported[window] || g.awaitsUsage(wall, window) {
 			continue
 		}
+		if g.leader.decisionLost(window, length) {
+			g.leader.reported[window] = true
+			g.log.Warn().Str("event", "usage_skipped").Int64("window", window).Msg("its counts may have been reported; the record of them is lost")
+			continue
+		}
 		counts, ok := g.decideUsage(window, sums)
 		if !ok {
 			return
@@ -64,13 +70,25 @@
 	return false
 }
 
-// decideUsage returns the counts of a window as they were first recorded.
+// decisionLost reports whether another leader may have decided and reported a window without a trace
+// of it that this host could know.
+func (s *leaderState) decisionLost(window int64, length time.Duration) bool {
+	_, decided := s.decided[window]
+	decidable := time.Unix(0, (window+1)*length.Nanoseconds()).Add(usageSettleDelay)
+	return !decided && decidable.Before(s.unknownUntil)
+}
+
+// decideUsage returns the counts of a window as they were first decided, once the store holds a record
+// of them.
 func (g *Gateway) decideUsage(window int64, sums *usage.Sums) (usage.Counts, bool) {
 	s := g.leader
-	if counts, ok := s.decided[window]; ok {
+	counts, decided := s.decided[window]
+	if decided && s.recorded[window] {
 		return counts, true
 	}
-	counts := sums.Total(window)
+	if !decided {
+		counts = sums.Total(window)
+	}
 	if len(counts) == 0 {
 		return nil, true
 	}
@@ -90,6 +108,9 @@
 	ctx, cancel := context.WithTimeout(g.context(), storeTimeout)
 	defer cancel()
 	page, err := g.ports.Store.Read(ctx, port.TopicLeader, endBefore, 0)
+	if err == nil && page.Era != g.leader.era {
+		err = errEraChanged
+	}
 	if err != nil {
 		g.log.Warn().Str("event", "duties_unread").Int64("from", endBefore).Err(err).Msg("")
 		return
--- a/port/store.go
+++ b/port/store.go
@@ -38,6 +38,19 @@
 )
 
 // TopicRecord is one record of a topic.
+// Era numbers the histories of the store. It rises when the store returns from an older
+// copy: records that it had acknowledged since that copy are gone, and their offsets are
+// given out again. Offsets are comparable only within one era. It is zero if the store
+// states none.
+type Era int64
+
+// Position is the place of a record in a topic. Positions are ordered by era, then by
+// offset.
+type Position struct {
+	Era    Era
+	Offset int64
+}
+
 type TopicRecord struct {
 	Offset int64
 	// Key is empty in topics without keys.
@@ -50,6 +63,8 @@
 
 // TopicPage is the result of a read.
 type TopicPage struct {
+	// Era is the era of the offsets.
+	Era     Era
 	Records []TopicRecord
 	// End is the offset at which to continue reading. First is the oldest retained
 	// offset; Read sets it with ErrStoreExpired too.
@@ -66,13 +81,15 @@
 	// Newest returns the newest record of each key of a topic with keys.
 	Newest(ctx context.Context, topic Topic) (TopicPage, error)
 	// Read returns records starting at offset from. If there are none, it waits up to
-	// wait for one. It returns ErrStoreExpired, ErrStoreRefused or
-	// ErrStoreUnavailable.
+	// wait for one. It returns ErrStoreExpired, also for an offset that the store does
+	// not have, ErrStoreRefused or ErrStoreUnavailable.
 	Read(ctx context.Context, topic Topic, from int64, wait time.Duration) (TopicPage, error)
-	// Append atomically adds all records and returns the offset of the first. Unless
+	// Append atomically adds all records and returns the position of the first. Unless
 	// at is Unconditional, it returns ErrStoreConflict if the topic does not end at
-	// offset at.
-	Append(ctx context.Context, topic Topic, at int64, records ...TopicRecord) (int64, error)
+	// offset at, in whichever era the store then is.
+	Append(ctx context.Context, topic Topic, at int64, records ...TopicRecord) (Position, error)
+	// Era returns the latest era stated in any answer so far, refusals included.
+	Era() Era
 }
 
 // Errors of the calls that only the leader makes.
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"github.com/cicadanotch/cicadanotch/placement"
+	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/rendezvous"
 	"github.com/cicadanotch/cicadanotch/usage"
 )
@@ -61,6 +62,8 @@
 	State  State   `json:"s"`
 	// Wall is the host's wall-clock time in Unix milliseconds.
 	Wall int64 `json:"t"`
+	// Era is the latest era of the store that the host knows.
+	Era port.Era `json:"b,omitempty"`
 	// Config is the version of the configuration in force.
 	Config int64 `json:"c"`
 	// FencingToken is the fencing token of the leader; zero if the host is not the leader.
@@ -78,6 +81,8 @@
 	Relayed bool               `json:"y,omitempty"`
 	// Usage counts the requests that started to run, by window.
 	Usage map[int64]usage.Counts `json:"n,omitempty"`
+	// Decided is the usage that the leader has decided to report, by window.
+	Decided map[int64]usage.Counts `json:"m,omitempty"`
 	// Crashes are the requests that were running when an endpoint crashed.
 	Crashes []Crash `json:"k,omitempty"`
 }
@@ -107,16 +112,19 @@
 	host    string
 	ttl     time.Duration
 
-	mu         sync.Mutex
-	rows       map[string]*row // by key
-	readAt     time.Time       // when the store was last read
-	graceUntil time.Time       // end of the grace period after a gap between reads
+	mu   sync.Mutex
+	rows map[string]*row // by key
+	// removed holds the sequence of the last report of incarnations whose key was removed, so
+	// that an older copy of the store does not make them count as alive again.
+	removed    map[string]removal
+	readAt     time.Time // when the store was last read
+	graceUntil time.Time // end of the grace period after a gap between reads
 }
 
 // NewTable returns an empty table for a host; incarnation identifies its process. A
 // host is alive for ttl after its last report.
 func NewTable(host, incarnation string, ttl time.Duration) *Table {
-	return &Table{selfKey: Report{Host: host, Incarnation: incarnation}.Key(), host: host, ttl: ttl, rows: map[string]*row{}}
+	return &Table{selfKey: Report{Host: host, Incarnation: incarnation}.Key(), host: host, ttl: ttl, rows: map[string]*row{}, removed: map[string]removal{}}
 }
 
 // ReceiveReport applies a received report if it is newer than the last one. It reports
@@ -128,14 +136,35 @@
 	if known && old.Sequence >= r.Sequence {
 		return false
 	}
+	if gone, ok := t.removed[r.Key()]; ok && gone.sequence >= r.Sequence {
+		return false
+	}
 	t.rows[r.Key()] = &row{r, now}
 	return !known
 }
 
-// Remove removes an incarnation whose key was removed from the store.
-func (t *Table) Remove(key string) {
+// removal is the removal of an incarnation.
+type removal struct {
+	sequence int64
+	at       time.Time
+}
+
+// removalMemory is how long a removed report may reappear in an older copy of the store.
+const removalMemory = time.Minute
+
+// Remove removes an incarnation whose key was removed from the store. Its host may continue to
+// report through a relay, with higher sequence numbers.
+func (t *Table) Remove(now time.Time, key string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	for other, r := range t.removed {
+		if now.Sub(r.at) > removalMemory {
+			delete(t.removed, other)
+		}
+	}
+	if r, ok := t.rows[key]; ok {
+		t.removed[key] = removal{r.Sequence, now}
+	}
 	delete(t.rows, key)
 }
 
