--- a/adapter/jsonhttp/jsonhttp.go
+++ b/adapter/jsonhttp/jsonhttp.go
@@ -14,9 +14,12 @@
 	"github.com/pkg/errors"
 )
 
-// MaxReplyBytes bounds the part of a reply that is read.
+// MaxReplyBytes is the maximum size of a reply.
 const MaxReplyBytes = 64 << 20
 
+// ErrReplyTooLong means that a reply exceeds MaxReplyBytes.
+var ErrReplyTooLong = errors.Errorf("reply exceeds %d bytes", MaxReplyBytes)
+
 // DialFunc opens a connection; net.Dialer.DialContext is one.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
@@ -65,14 +68,17 @@
 	return status, errors.Wrap(json.Unmarshal(raw, out), "decode reply")
 }
 
-// roundTrip sends req and reads the reply up to MaxReplyBytes.
+// roundTrip sends req and reads the reply. It returns ErrReplyTooLong for a longer one.
 func roundTrip(c *http.Client, req *http.Request) (int, []byte, error) {
 	resp, err := c.Do(req)
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "call")
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, MaxReplyBytes))
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, MaxReplyBytes+1))
+	if len(raw) > MaxReplyBytes {
+		return resp.StatusCode, nil, ErrReplyTooLong
+	}
 	return resp.StatusCode, raw, errors.Wrap(err, "read reply")
 }
 
--- a/admit/queue.go
+++ b/admit/queue.go
@@ -19,8 +19,8 @@
 )
 
 const (
-	// maxQueued is the number of waiting requests in one queue from which requests with
-	// a StartBy are refused. Requests without a StartBy are queued regardless.
+	// maxQueued is the number of waiting requests in one queue from which further ones are
+	// refused.
 	maxQueued = 20_000
 	// serviceTimeWeight is the weight of a new sample in the mean service time.
 	serviceTimeWeight = 0.1
@@ -196,7 +196,11 @@
 		return &Refusal{Reason: ReasonSpend, RetryAfter: clampRetryAfter(wait)}
 	}
 	if item.StartBy.IsZero() {
-		return nil
+		if q.queued < maxQueued {
+			return nil
+		}
+		wait := q.expectedWait(w, item.Priority)
+		return &Refusal{Reason: ReasonOverload, Wait: wait, RetryAfter: q.retryAfter(now, wait)}
 	}
 	maxWait := item.StartBy.Sub(now)
 	if wait := q.concurrencyWait(w); wait > maxWait {
--- a/admit/queue_test.go
+++ b/admit/queue_test.go
@@ -281,3 +281,20 @@
 		}
 	})
 }
+
+// TestQueueIsBounded: the bound holds for requests without a latest start, too.
+func TestQueueIsBounded(t *testing.T) {
+	is := is.New(t)
+	q := admit.NewQueue()
+	refused := 0
+	for range 21_000 {
+		_, r := q.Enqueue(start, item("w", 1, time.Hour))
+		if r != nil {
+			is.Equal(r.Reason, admit.ReasonOverload)
+			is.True(r.RetryAfter > 0)
+			refused++
+		}
+	}
+	is.Equal(refused, 1_000)
+	is.Equal(q.State(start).Queued, 20_000)
+}
--- a/client/call.go
+++ b/client/call.go
@@ -68,10 +68,13 @@
 func (r *responseReader) lastIndex() int { return -1 }
 
 func (r *responseReader) read(resp *http.Response) error {
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxResponseBytes+1))
 	if err != nil {
 		return errors.Wrap(err, "read answer")
 	}
+	if len(body) > maxResponseBytes {
+		return errors.Errorf("answer exceeds %d bytes", maxResponseBytes)
+	}
 	r.response.Status = resp.StatusCode
 	r.response.ContentType = resp.Header.Get("Content-Type")
 	r.response.Body = body
--- a/eventlog/eventlog.go
+++ b/eventlog/eventlog.go
@@ -29,8 +29,11 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	done    chan struct{}
-	once    sync.Once
 	pool    sync.Pool
+
+	// mu is held for reading while a line is queued, so that lines is not closed meanwhile.
+	mu     sync.RWMutex
+	closed bool
 }
 
 // New returns a writer to out and starts its background goroutine.
@@ -42,8 +45,14 @@
 }
 
 // Write implements io.Writer; each call must be one line. It never blocks and never
-// fails: a line for which the queue has no room is dropped.
+// fails: a line for which the queue has no room, or that comes after Close, is dropped.
 func (w *Writer) Write(p []byte) (int, error) {
+	w.mu.RLock()
+	defer w.mu.RUnlock()
+	if w.closed {
+		w.dropped.Add(1)
+		return len(p), nil
+	}
 	line := append((*w.pool.Get().(*[]byte))[:0], p...)
 	select {
 	case w.lines <- line:
@@ -99,9 +108,14 @@
 }
 
 // Close writes the queued lines and ends the writer. It waits at most closeTimeout if
-// the reader of the log has stalled. Write must not be called after Close.
+// the reader of the log has stalled.
 func (w *Writer) Close() error {
-	w.once.Do(func() { close(w.lines) })
+	w.mu.Lock()
+	if !w.closed {
+		w.closed = true
+		close(w.lines)
+	}
+	w.mu.Unlock()
 	select {
 	case <-w.done:
 	case <-time.After(closeTimeout):
--- a/eventlog/eventlog_test.go
+++ b/eventlog/eventlog_test.go
@@ -60,3 +60,27 @@
 	is.NoErr(w.Close())
 	is.Equal(out.String(), want)
 }
+
+// TestWriteAfterClose: a process that ends may still log; such lines are dropped and counted.
+func TestWriteAfterClose(t *testing.T) {
+	is := is.New(t)
+	var out bytes.Buffer
+	w := New(&out)
+	var writers sync.WaitGroup
+	for range 8 {
+		writers.Go(func() {
+			for range 200 {
+				n, err := w.Write([]byte("line\n"))
+				is.NoErr(err)
+				is.Equal(n, 5)
+			}
+		})
+	}
+	is.NoErr(w.Close())
+	is.NoErr(w.Close())
+	writers.Wait()
+	before := w.Dropped()
+	_, err := w.Write([]byte("late\n"))
+	is.NoErr(err)
+	is.Equal(w.Dropped(), before+1)
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -301,7 +301,7 @@
 		}
 		return outcomeUnsent, err
 	}
-	if c.awaitMove(a) {
+	if c.awaitMove() {
 		return outcomeMoved, err
 	}
 	c.tried[a.view.ID] = true
--- a/gateway/capacity.go
+++ b/gateway/capacity.go
@@ -29,7 +29,7 @@
 			planner = scaling.NewPlanner(g.leader.inherited[name])
 			g.leader.planners[name] = planner
 		}
-		in := g.capacityInput(now, service, demands[name])
+		in := g.capacityInput(service, demands[name])
 		for _, order := range planner.Plan(now, in) {
 			if !g.sendOrder(now, t, planner, order, in) {
 				return
@@ -79,7 +79,7 @@
 	return out
 }
 
-func (g *Gateway) capacityInput(_ time.Time, service catalog.Service, demand presence.Demand) scaling.Input {
+func (g *Gateway) capacityInput(service catalog.Service, demand presence.Demand) scaling.Input {
 	in := scaling.Input{Service: service, Demand: demand, Ready: map[scaling.Pool]int{}, Draining: map[scaling.Pool]int{}}
 	for _, v := range g.fleet.All() {
 		if v.Service != service.Name {
@@ -132,7 +132,7 @@
 	case err == nil:
 		g.leader.ordered[order] = now
 	case errors.Is(err, port.ErrFenced):
-		g.resign(time.Now(), "fenced")
+		g.resign("fenced")
 		return false
 	case errors.Is(err, port.ErrNoCapacity):
 		planner.Refused(now, pool)
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -14,23 +14,24 @@
 func (g *Gateway) followConfiguration() error {
 	// There may be many versions a second, and decoding a large one takes milliseconds of CPU time:
 	// only the newest one read is decoded.
-	newest := func(now time.Time, records []port.TopicRecord) {
+	newest := func(records []port.TopicRecord) {
 		for _, r := range slices.Backward(records) {
 			if r.Key == configurationKey && !r.Removed() {
-				g.installConfiguration(now, r)
+				g.installConfiguration(r)
 				return
 			}
 		}
 	}
 	f := &follower{
 		g: g, topic: port.TopicConfiguration, pollTimeout: configPollTimeout, minInterval: minConfigInterval,
-		onSnapshot: func(now time.Time, records []port.TopicRecord, _ bool) { newest(now, records) }, onRecords: newest,
-		onAnswer: func(time.Time, time.Duration) {},
+		onSnapshot: func(_ time.Time, records []port.TopicRecord, _ bool) { newest(records) },
+		onRecords:  func(_ time.Time, records []port.TopicRecord) { newest(records) },
+		onAnswer:   func(time.Time, time.Duration) {},
 	}
 	return f.run()
 }
 
-func (g *Gateway) installConfiguration(_ time.Time, r port.TopicRecord) {
+func (g *Gateway) installConfiguration(r port.TopicRecord) {
 	snapshot, err := g.ports.DecodeConfiguration(r.Value)
 	if err != nil {
 		g.log.Error().Str("event", "configuration_unreadable").Int64("offset", r.Offset).Err(err).Msg("the previous version stays in force")
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -43,7 +43,7 @@
 	r.Loads = g.placement.OwnLoads()
 	r.Demands = g.demand.Demands(now)
 	r.QuotaDemand, r.Shares = g.quota.Demand(now), g.quota.Shares()
-	r.Relayed = g.quotaRelayAddress(now) != ""
+	r.Relayed = g.quotaRelay(now).Peer != ""
 	r.Usage = g.usage.Recent()
 	if r.FencingToken = g.leader.fencingToken(now); r.FencingToken != 0 {
 		r.Targets = g.leader.targetCounts()
@@ -233,7 +233,7 @@
 // quotaGranters counts the hosts that grant shares of limits, this one included: the relays, and
 // hosts without a relay.
 func (g *Gateway) quotaGranters(live []presence.Report) int {
-	if g.quotaRelayAddress(time.Now()) != "" {
+	if g.quotaRelay(time.Now()).Peer != "" {
 		// This host grants shares only if its relay fails; its own are then computed as if every
 		// live host granted shares.
 		return len(live) + 1
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -65,11 +65,11 @@
 	// candidateDelay is how much longer each further candidate waits before it takes a vacant
 	// leadership, so that few of them race.
 	candidateDelay = 400 * time.Millisecond
-	// leaderTimeout is how long a leader may go without a report before another host takes over, if
+	// fencedLeaderTimeout is how long a leader may go without a report before another host takes over, if
 	// the platform enforces fencing: two report intervals and the delay of one report. The platform
 	// then refuses a late order of the old leader by its fencing token. If fencing is not enforced,
 	// the TTL of the lease is added.
-	leaderTimeout = 2300 * time.Millisecond
+	fencedLeaderTimeout = 2300 * time.Millisecond
 	// retakeLeaseTTLs is the number of lease TTLs for which a host that lost the leadership leaves it
 	// to others, so that it does not alternate between hosts.
 	retakeLeaseTTLs = 2
@@ -150,12 +150,12 @@
 		return
 	}
 	if g.leaving.Load() {
-		g.resign(now, "leaving")
+		g.resign("leaving")
 		return
 	}
 	s := g.leader
 	if s.leaseExpired(now) {
-		g.resign(now, "lapsed")
+		g.resign("lapsed")
 	}
 	if era := g.latestEra(); era != s.era {
 		g.enterEra(now, era)
@@ -184,7 +184,7 @@
 	s.era, s.topicEnd, s.recorded = era, 0, map[int64]bool{}
 	s.takenByOther, s.takenAtWall, s.writtenInEra, s.ledLastEra = false, time.Time{}, noEra, held
 	if held {
-		g.resign(now, "the store has a new era")
+		g.resign("the store has a new era")
 		s.lostAt = time.Time{}
 		g.takeLeadership(now)
 	}
@@ -198,7 +198,7 @@
 
 // resign ends the leadership of this host, if it holds it or its lease has expired, and logs the
 // reason. In any case the host begins anew to measure for how long the leadership has been vacant.
-func (g *Gateway) resign(_ time.Time, reason string) {
+func (g *Gateway) resign(reason string) {
 	s := g.leader
 	s.mu.Lock()
 	expired := s.tenure.Expired(time.Now())
@@ -215,6 +215,14 @@
 	}
 }
 
+// leaderTimeout returns how long a leader may go without a report before another host takes over.
+func (g *Gateway) leaderTimeout() time.Duration {
+	if g.opts.FencingEnforced {
+		return fencedLeaderTimeout
+	}
+	return g.opts.LeaseTTL + fencedLeaderTimeout
+}
+
 // tryLead takes the leadership if no leader has reported within the timeout and this host's turn
 // among the candidates has come. It reports whether this host has taken the leadership.
 func (g *Gateway) tryLead(now time.Time) bool {
@@ -222,10 +230,7 @@
 	if !g.Ready() || now.Sub(s.lostAt) < retakeLeaseTTLs*g.opts.LeaseTTL {
 		return false
 	}
-	timeout := leaderTimeout
-	if !g.opts.FencingEnforced {
-		timeout = g.opts.LeaseTTL + leaderTimeout
-	}
+	timeout := g.leaderTimeout()
 	candidates := []string{g.opts.Host}
 	for _, r := range g.presence.Within(timeout) {
 		if r.FencingToken != 0 {
@@ -255,10 +260,9 @@
 	if err := g.readLeaderRecords(); err != nil {
 		return false // logged by readLeaderRecords; retried with the next report
 	}
-	if age := g.clock.Wall(now).Sub(s.takenAtWall); s.takenByOther && s.topicEnd > endBefore && age < leaderTimeout {
-		// Another host has just taken over and its first report has not arrived yet. It gets
-		// leaderTimeout to report, whether or not fencing is enforced.
-		s.vacantSince = now.Add(leaderTimeout)
+	if age := g.clock.Wall(now).Sub(s.takenAtWall); s.takenByOther && s.topicEnd > endBefore && age < g.leaderTimeout() {
+		// Another host has just taken over and its first report has not arrived yet.
+		s.vacantSince = now.Add(g.leaderTimeout())
 		return false
 	}
 	firstInEra := s.writtenInEra != s.era
--- a/gateway/leader_test.go
+++ b/gateway/leader_test.go
@@ -394,3 +394,31 @@
 		})
 	}
 }
+
+// TestFreshTakeover: a host that reads that another one has just taken over leaves it the time to report.
+// Without fencing, that includes the TTL of the lease, in which the other may act.
+func TestFreshTakeover(t *testing.T) {
+	for name, enforced := range map[string]bool{"fencing enforced": true, "not enforced": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				tp := newTestPlatform()
+				tp.publish(endpoint("1", "api"))
+				opts := hostOptions("h1")
+				opts.FencingEnforced = enforced
+				took := time.Now()
+				tp.store.put(port.TopicLeader, "", leaderRecord{Leader: "other", Wall: took.UnixMilli()})
+				g := tp.startHost(t, opts)
+				for held := false; !held; _, held = g.leader.heldToken(time.Now()) {
+					time.Sleep(100 * time.Millisecond)
+				}
+				timeout := fencedLeaderTimeout
+				if !enforced {
+					timeout += opts.LeaseTTL
+				}
+				is.True(time.Since(took) >= timeout)
+				is.True(time.Since(took) < timeout+3*time.Second)
+			})
+		})
+	}
+}
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -53,7 +53,7 @@
 
 // awaitMove reports whether a broken attempt was moved. It waits for a move whose copy is still in
 // progress.
-func (c *call) awaitMove(*endpointAttempt) bool {
+func (c *call) awaitMove() bool {
 	deadline := time.Now().Add(moveTimeout)
 	for {
 		c.mu.Lock()
@@ -131,7 +131,7 @@
 		tokensPerEvent = max(c.service.Engine.TokensPerEvent, 1)
 	}
 	events := c.req.AnswerTokens / tokensPerEvent
-	return now.Add(time.Duration(max(events-c.progress.events, 1)) * c.progress.eventInterval(now))
+	return now.Add(time.Duration(max(events-c.progress.events, 1)) * c.progress.eventInterval())
 }
 
 // moveStream moves one stream off an endpoint and records the result.
@@ -265,7 +265,7 @@
 }
 
 // eventInterval returns the mean time between events.
-func (p *progress) eventInterval(time.Time) time.Duration {
+func (p *progress) eventInterval() time.Duration {
 	if p.events < 2 {
 		return defaultEventInterval
 	}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -138,24 +138,21 @@
 	}
 }
 
-// relayAddress returns the address of this host's relay, or an empty string when the host reads the
-// store itself.
-func (g *Gateway) relayAddress(now time.Time) string {
+// currentRelay returns the last report of this host's relay, zero when the host reads the store itself.
+func (g *Gateway) currentRelay(now time.Time) presence.Report {
 	s := g.relays
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.readsStore || s.chosen.Host == "" || now.Before(s.failedUntil[s.chosen.Host]) {
-		return ""
+		return presence.Report{}
 	}
-	return s.chosen.Peer
+	return s.chosen
 }
 
-// markRelayFailed records that the relay did not answer in time or cannot reach the store. It marks
-// the relay chosen now, which may be another one than at the time of the call.
-func (g *Gateway) markRelayFailed(now time.Time, method string, err error) {
+// markRelayFailed records that a relay did not answer in time or cannot reach the store.
+func (g *Gateway) markRelayFailed(now time.Time, host, method string, err error) {
 	s := g.relays
 	s.mu.Lock()
-	host := s.chosen.Host
 	alreadyFailed := now.Before(s.failedUntil[host])
 	backoff := relayBackoff
 	if now.Sub(g.startedAt) < startupWindow {
@@ -174,23 +171,22 @@
 
 // callRelay calls the relay; ok is false when there is none or the call failed.
 func (g *Gateway) callRelay(method string, timeout time.Duration, params, result any) (ok bool) {
-	return g.callPeer(g.relayAddress(time.Now()), method, timeout, params, result)
+	return g.callPeer(g.currentRelay(time.Now()), method, timeout, params, result)
 }
 
-// callPeer calls the relay at an address. If the call fails, it marks the relay as failed, except
-// after a call that takes quota or while this process stops. ok is false without an address and when
-// the call failed.
-func (g *Gateway) callPeer(address, method string, timeout time.Duration, params, result any) (ok bool) {
-	if address == "" || g.ports.Peers == nil {
+// callPeer calls a relay. If the call fails, it marks the relay as failed, except after a call that
+// takes quota or while this process stops. ok is false without a relay and when the call failed.
+func (g *Gateway) callPeer(relay presence.Report, method string, timeout time.Duration, params, result any) (ok bool) {
+	if relay.Peer == "" || g.ports.Peers == nil {
 		return false
 	}
 	ctx, cancel := context.WithTimeout(g.context(), timeout)
 	defer cancel()
-	if err := g.ports.Peers.Call(ctx, address, method, params, result); err != nil {
+	if err := g.ports.Peers.Call(ctx, relay.Peer, method, params, result); err != nil {
 		// One slow answer to a call that takes quota does not mean that the relay has failed; the
 		// reads from it detect that.
 		if g.context().Err() == nil && method != methodTakeQuota {
-			g.markRelayFailed(time.Now(), method, err)
+			g.markRelayFailed(time.Now(), relay.Host, method, err)
 		}
 		return false
 	}
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -11,10 +11,12 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/phuslu/log"
 	"github.com/pkg/errors"
 
 	"github.com/cicadanotch/cicadanotch/catalog"
 	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/presence"
 )
 
 // memoryPeers carries calls between the hosts of a test platform.
@@ -347,8 +349,21 @@
 		relay := tp.relayOf(tp.hosts[0])
 		for _, g := range tp.hosts {
 			is.Equal(tp.relayOf(g), relay)
-			is.True(g.opts.Host == relay || g.relayAddress(time.Now()) != "")
-			is.True(g.opts.Host == relay || g.quotaRelayAddress(time.Now()) != "")
+			is.True(g.opts.Host == relay || g.currentRelay(time.Now()).Peer != "")
+			is.True(g.opts.Host == relay || g.quotaRelay(time.Now()).Peer != "")
 		}
 	})
 }
+
+// TestFailedCallMarksTheRelayCalled: when the relay changes while a call to the former one is pending,
+// the failure does not count against the present one.
+func TestFailedCallMarksTheRelayCalled(t *testing.T) {
+	is := is.New(t)
+	tp := newTestPlatform()
+	g := New(hostOptions("h1"), Ports{Peers: newMemoryPeers(), Store: &hostStore{memoryStore: tp.store}, Logger: &log.Logger{Writer: &log.IOWriter{Writer: tp}}})
+	former := presence.Report{Host: "former", Peer: "10.0.0.8:7600"}
+	g.relays.chosen = presence.Report{Host: "present", Peer: "10.0.0.9:7600"}
+	is.True(!g.callPeer(former, methodRead, time.Second, readRequest{}, nil))
+	is.Equal(g.currentRelay(time.Now()).Host, "present")
+	is.True(!g.relays.failedUntil["former"].IsZero())
+}
--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -8,19 +8,20 @@
 	"github.com/pkg/errors"
 
 	"github.com/cicadanotch/cicadanotch/catalog"
+	"github.com/cicadanotch/cicadanotch/presence"
 )
 
-// quotaRelayAddress returns the address of the host that grants this one its shares of limits, or
-// an empty string when this host grants them itself. It is the relay, even while that cannot reach
-// the store: one host that grants the shares of all can admit prompts larger than any single share.
-func (g *Gateway) quotaRelayAddress(now time.Time) string {
+// quotaRelay returns the last report of the host that grants this one its shares of limits, zero when
+// this host grants them itself. It is the relay, even while that cannot reach the store: one host that
+// grants the shares of all can admit prompts larger than any single share.
+func (g *Gateway) quotaRelay(now time.Time) presence.Report {
 	s := g.relays
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.readsStore || s.chosen.Host == "" || now.Before(s.unreachableUntil[s.chosen.Host]) {
-		return ""
+		return presence.Report{}
 	}
-	return s.chosen.Peer
+	return s.chosen
 }
 
 // updateShares adjusts the share that this host grants to the hosts that take from it. A host that
@@ -28,7 +29,7 @@
 // cannot reach the store, other hosts of its zone may have chosen another relay: it grants only the
 // fraction of the share that is its own and that of the hosts which still take theirs here.
 func (g *Gateway) updateShares(now time.Time) {
-	relayed := g.quotaRelayAddress(now) != ""
+	relayed := g.quotaRelay(now).Peer != ""
 	s := g.relays
 	s.mu.Lock()
 	relayLost := s.hadQuotaRelay && !relayed
@@ -85,7 +86,7 @@
 	}
 	now := time.Now()
 	snapshot := g.catalog.Current()
-	if snapshot == nil || g.quotaRelayAddress(now) != "" {
+	if snapshot == nil || g.quotaRelay(now).Peer != "" {
 		return nil, errNotRelay
 	}
 	g.relays.recordTaker(now, req.Host)
@@ -108,7 +109,7 @@
 		return 0, true
 	}
 	var reply takeQuotaReply
-	if g.callPeer(g.quotaRelayAddress(now), methodTakeQuota, takeQuotaTimeout, takeQuotaRequest{g.opts.Host, w.Name, cost}, &reply) && !reply.Unknown {
+	if g.callPeer(g.quotaRelay(now), methodTakeQuota, takeQuotaTimeout, takeQuotaRequest{g.opts.Host, w.Name, cost}, &reply) && !reply.Unknown {
 		return reply.RetryAfter, reply.Taken
 	}
 	return g.quota.Take(now, w, cost)
@@ -120,7 +121,7 @@
 		return
 	}
 	var reply takeQuotaReply
-	if !g.callPeer(g.quotaRelayAddress(now), methodTakeQuota, takeQuotaTimeout, takeQuotaRequest{g.opts.Host, w.Name, -cost}, &reply) || reply.Unknown {
+	if !g.callPeer(g.quotaRelay(now), methodTakeQuota, takeQuotaTimeout, takeQuotaRequest{g.opts.Host, w.Name, -cost}, &reply) || reply.Unknown {
 		g.quota.Return(now, w, cost)
 	}
 }
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -119,7 +119,7 @@
 		g.applyLeaderRecord(r)
 		var record leaderRecord
 		if json.Unmarshal(r.Value, &record) == nil && record.Leader != "" {
-			g.resign(time.Now(), "taken by "+record.Leader)
+			g.resign("taken by " + record.Leader)
 		}
 	}
 	g.leader.topicEnd = page.End
@@ -136,7 +136,7 @@
 	}
 	e.Msg("")
 	if errors.Is(err, port.ErrFenced) {
-		g.resign(time.Now(), "fenced")
+		g.resign("fenced")
 		return false
 	}
 	if err == nil {
--- a/node/attempts.go
+++ b/node/attempts.go
@@ -253,6 +253,8 @@
 	case errors.Is(cause, errUnresponsive):
 		n.markUnresponsive(ctx, r.host)
 		return attempt.ResultLost
+	case errors.Is(err, errDispatchTimeout):
+		return attempt.ResultUnreachable // nothing was sent, and nothing is known of the endpoint
 	case errors.Is(err, port.ErrEndpointUnreachable):
 		n.endpoints.routes.Suspect(r.host.ID, time.Now().Add(unreachableSuspectTTL))
 		return attempt.ResultUnreachable
--- a/node/nonidempotent_test.go
+++ b/node/nonidempotent_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cicadanotch/cicadanotch/attempt"
 	"github.com/cicadanotch/cicadanotch/claim"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/problem"
@@ -356,3 +357,19 @@
 		is.True(!known) // the key is free again
 	})
 }
+
+// TestExpiredPermitBlamesNoEndpoint: an attempt whose permit expired before it was sent says nothing
+// about the endpoint, which is neither probed nor recorded as dead.
+func TestExpiredPermitBlamesNoEndpoint(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		c := newCluster(t, 1)
+		a := c.send(0, "key-0", "warm up")
+		c.awaitEnd(a)
+		unreachable := port.Host{ID: "gone", Service: testService, EndpointAddress: "127.0.0.1:2"}
+		before := time.Now()
+		result := c.nodes[0].resultOf(t.Context(), a, &runningAttempt{host: unreachable}, errDispatchTimeout, nil)
+		is.Equal(result, attempt.ResultUnreachable)
+		is.Equal(time.Since(before), time.Duration(0)) // no probe
+	})
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -233,6 +233,8 @@
 	// package predict. Started updates it from the ratio of actual to expected times to
 	// the first token, with smoothing, and keeps it between 0.5 and maxSlowdown.
 	slowdown float64
+	// removed is set when the endpoint is gone; the row is deleted once no load is booked.
+	removed bool
 }
 
 // Table holds the load and the cache estimate of each endpoint. Safe for concurrent
@@ -293,7 +295,7 @@
 	}
 	best.booked = Load{Requests: 1, Prefill: prefillWork(q.PromptTokens, best.CachedTokens), Context: q.PromptTokens + q.MaxAnswerTokens}
 	r := t.row(best.ID)
-	r.own = r.own.plus(best.booked)
+	r.own, r.removed = r.own.plus(best.booked), false
 	r.addCached(now, &best)
 	return best, true
 }
@@ -459,6 +461,10 @@
 	r.own.Prefill -= c.booked.Prefill
 	r.own.Context -= c.booked.Context
 	c.booked = Load{}
+	if r.removed && r.own == (Load{}) && r.peers == (Load{}) {
+		delete(t.rows, c.ID)
+		return
+	}
 	if notPrefilled && len(c.chain) > 0 {
 		last := c.chain[len(c.chain)-1]
 		if p, ok := r.cached[last]; ok {
@@ -474,8 +480,12 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for id, r := range t.rows {
-		if _, ok := loads[id]; !ok {
-			r.peers = Load{}
+		if _, ok := loads[id]; ok {
+			continue
+		}
+		r.peers = Load{}
+		if r.removed && r.own == (Load{}) {
+			delete(t.rows, id)
 		}
 	}
 	for id, l := range loads {
@@ -484,14 +494,13 @@
 }
 
 // Remove discards the cache estimate and the slowdown of an endpoint that is gone. Its row
-// is deleted if this host has no load booked there; otherwise the row stays, also after
-// the load is released, until Remove is called again.
+// is deleted once this host has no load booked there.
 func (t *Table) Remove(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if r, ok := t.rows[id]; ok {
-		r.cached, r.cachedTokens, r.slowdown = map[uint64]cachedPart{}, 0, 1
-		if r.own == (Load{}) {
+		r.cached, r.cachedTokens, r.slowdown, r.removed = map[uint64]cachedPart{}, 0, 1, true
+		if r.own == (Load{}) && r.peers == (Load{}) {
 			delete(t.rows, id)
 		}
 	}
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -282,3 +282,30 @@
 	is.True(worst <= objective)
 	is.True(served >= 50) // the new engine is used nevertheless
 }
+
+// TestRemovedEndpointLeavesNoRow: the row of an endpoint that is gone is deleted with the last load
+// booked there, by this host or by others, and not before.
+func TestRemovedEndpointLeavesNoRow(t *testing.T) {
+	is := is.New(t)
+	table := NewTable("h")
+	rows := func() int { return len(table.State()) }
+	c, ok := table.Choose(now, prompt("k", 1000, 100), engines(1))
+	is.True(ok)
+	table.SetPeers(map[string]Load{"e0": {Requests: 1}})
+	table.Remove("e0")
+	is.Equal(rows(), 1)
+	table.Release(&c, false)
+	is.Equal(rows(), 1) // other hosts still have load there
+	table.SetPeers(nil)
+	is.Equal(rows(), 0)
+	c, _ = table.Choose(now, prompt("k", 1000, 100), engines(1))
+	table.Remove("e0")
+	table.Release(&c, false)
+	is.Equal(rows(), 0)
+	c, _ = table.Choose(now, prompt("k", 1000, 100), engines(1))
+	table.Remove("e0")
+	again, _ := table.Choose(now, prompt("k", 1000, 100), engines(1)) // it is listed again
+	table.Release(&c, false)
+	table.Release(&again, false)
+	is.Equal(rows(), 1)
+}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -83,16 +83,6 @@
 	Usage map[int64]usage.Counts `json:"n,omitempty"`
 	// Decided is the usage that the leader has decided to report, by window.
 	Decided map[int64]usage.Counts `json:"m,omitempty"`
-	// Crashes are the requests that were running when an endpoint crashed.
-	Crashes []Crash `json:"k,omitempty"`
-}
-
-// Crash is a crash of an endpoint while a request was running there.
-type Crash struct {
-	Fingerprint uint64 `json:"f"`
-	Endpoint    string `json:"e"`
-	// Wall is when the host saw it, in Unix milliseconds.
-	Wall int64 `json:"t"`
 }
 
 // Key returns the key of a host's report. Each incarnation has its own, so that a
--- a/relay/server.go
+++ b/relay/server.go
@@ -184,8 +184,8 @@
 // staleness limit by as much.
 func (s *Server) replyEmpty(from int64) ReadReply {
 	v := s.window.viewFrom(from, 1)
-	s.mu.Lock()
 	limit := maxStaleness + s.logGrace.get() - replyGrace
+	s.mu.Lock()
 	stale := time.Since(s.logReplyAt) > limit || from > v.end
 	s.mu.Unlock()
 	if stale {
