Choose engines for a whole region on one host, by a measured pace

Hosts choose by reports of one another that are one to two seconds old, while a prompt is prefilled in a third of one; the prefill rate was a constant of the first two sites (66 tokens a millisecond here 40, and 47 ms before the first token); urgent arrivals were not counted for the requests that they pass.

Excluded: a shortage of engines alone.

Pace and urgent share are measured; the planner sizes by them. At the first start of the whole system on-demand endpoints are released once spot endpoints boot; spot endpoints outlast short calms; the loss of a second zone is planned by its expectation.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -13,6 +13,7 @@
 	"github.com/cicadanotch/cicadanotch/fleet"
 	"github.com/cicadanotch/cicadanotch/placement"
 	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/presence"
 	"github.com/cicadanotch/cicadanotch/problem"
 )
 
@@ -47,8 +48,11 @@
 	status       int
 	failure      *bufferedReply // an endpoint's error answer, buffered while others are tried
 	usageCounted bool
-	finalDetail  string // detail of the final problem, for the log
-	lastAttempt  *endpointAttempt
+	// placer has chosen the present attempt's endpoint under ticket; without one the ticket is zero.
+	placer      presence.Report
+	ticket      int64
+	finalDetail string // detail of the final problem, for the log
+	lastAttempt *endpointAttempt
 
 	// retryReserved is set when the next retry has already been taken from the budget.
 	retryReserved atomic.Bool
@@ -170,7 +174,7 @@
 	c.lastAttempt = a
 	c.setCurrent(a)
 	defer c.setCurrent(nil)
-	defer func() { c.g.placement.Release(&a.choice, !a.answered) }()
+	defer func() { c.release(&a.choice, !a.answered) }()
 
 	wd := startWatchdog(cancel, c.headTimeout(a), c.reserveRetry)
 	defer wd.stop()
@@ -254,16 +258,13 @@
 	return f
 }
 
-// lowestPriority is the least urgent priority that engines accept.
-const lowestPriority = 9
-
 // priority returns the priority sent to engines; the workspace's takes precedence over the route's.
 func (c *call) priority() int {
 	p := c.route.Priority
 	if c.workspace != nil {
 		p += 3 * c.workspace.Priority
 	}
-	return min(max(p, 0), lowestPriority)
+	return min(max(p, 0), placement.LowestPriority)
 }
 
 // connectionLimit returns how many connections to one endpoint this host may open.
--- a/gateway/capacity.go
+++ b/gateway/capacity.go
@@ -80,7 +80,7 @@
 }
 
 func (g *Gateway) capacityInput(service catalog.Service, demand presence.Demand) scaling.Input {
-	in := scaling.Input{Service: service, Demand: demand, Ready: map[scaling.Pool]int{}, Draining: map[scaling.Pool]int{}}
+	in := scaling.Input{Service: service, Demand: demand, TokenMS: g.placer.table.PaceOf(service.Name).TokenMS, Ready: map[scaling.Pool]int{}, Draining: map[scaling.Pool]int{}}
 	for _, v := range g.fleet.All() {
 		if v.Service != service.Name {
 			continue
@@ -95,7 +95,7 @@
 	if demand.Requests > 0 {
 		g.leader.seenTraffic = true
 	}
-	in.Traffic = g.leader.seenTraffic
+	in.Traffic, in.Bootstrap = g.leader.seenTraffic, g.opts.Bootstrap
 	reporting, known := len(g.presence.Within(shareTimeout)), len(g.presence.Within(shareTTL))
 	in.Partial = float64(reporting) < minReportingShare*float64(known)
 	return in
@@ -131,6 +131,7 @@
 	switch {
 	case err == nil:
 		g.leader.ordered[order] = now
+		planner.Accepted(now, order, in.Service.Scaling.BootTime)
 	case errors.Is(err, port.ErrFenced):
 		g.resign("fenced")
 		return false
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -296,6 +296,7 @@
 		e.Msg("")
 		if c.Removed {
 			g.placement.Remove(c.Endpoint.ID)
+			g.placer.table.Remove(c.Endpoint.ID)
 			g.ports.IdleConnections.CloseIdle(c.Endpoint.Address)
 		}
 		if c.Drained || c.Removed {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -61,6 +61,8 @@
 	LeaseTTL time.Duration
 	// FencingEnforced states that the platform refuses calls with an outdated fencing token.
 	FencingEnforced bool
+	// Bootstrap states that the whole system starts for the first time.
+	Bootstrap bool
 	// OrdersCapacity enables orders for endpoints.
 	OrdersCapacity bool
 	// QuotaTolerance is by how much usage may exceed a workspace's limit.
@@ -108,6 +110,7 @@
 	hostCount    atomic.Int64
 	calls        callTable
 	relays       *relayState
+	placer       *placerState
 	era          eraState
 	leader       *leaderState
 	leaving      atomic.Bool
@@ -160,6 +163,7 @@
 	g.hostCount.Store(assumedHosts)
 	g.calls.calls = map[*call]struct{}{}
 	g.relays = newRelayState()
+	g.placer = newPlacerState(opts.Host)
 	g.leader = newLeaderState(lease.Options{TTL: opts.LeaseTTL, Margin: opts.LeaseTTL / 4})
 	return g
 }
@@ -172,6 +176,7 @@
 		g.tomb.Go(g.followConfiguration)
 		g.tomb.Go(g.followEndpoints)
 		g.tomb.Go(g.followHosts)
+		g.tomb.Go(g.exchangeLoads)
 		return nil
 	})
 }
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"time"
 
 	"github.com/pkg/errors"
@@ -41,7 +42,10 @@
 	g.sequence.Add(1)
 	r := g.report(now)
 	r.Loads = g.placement.OwnLoads()
-	r.Demands = g.demand.Demands(now)
+	if placer, ok := g.currentPlacer(now); ok {
+		r.Placer = placer.Host
+	}
+	r.Demands, r.Paces = g.demand.Demands(now), g.ownPaces()
 	r.QuotaDemand, r.Shares = g.quota.Demand(now), g.quota.Shares()
 	r.Relayed = g.quotaRelay(now).Peer != ""
 	r.Usage = g.usage.Recent()
@@ -197,6 +201,7 @@
 func (g *Gateway) aggregateReports(now time.Time) {
 	live := g.presence.Live()
 	g.chooseRelay(now, live)
+	g.choosePlacers(now, live)
 	g.metrics.hosts.Set(float64(len(live) + 1))
 	// From here on live holds only the hosts that reported within shareTimeout; limits are divided
 	// among these. The shares of a host that has not reported since then, but within shareTTL, stay
@@ -213,10 +218,7 @@
 	loads := map[string]placement.Load{}
 	quotaDemand := map[string]float64{}
 	for _, r := range live {
-		for id, l := range r.Loads {
-			sum := loads[id]
-			loads[id] = placement.Load{Requests: sum.Requests + l.Requests, Prefill: sum.Prefill + l.Prefill, Context: sum.Context + l.Context}
-		}
+		addLoads(loads, r.Loads)
 	}
 	for _, r := range live {
 		for w, rate := range r.QuotaDemand {
@@ -226,10 +228,35 @@
 	granters := g.quotaGranters(live)
 	reserved := g.reservedShares(unresponsive, granters)
 	g.placement.SetPeers(loads)
+	paces := medianPaces(live)
+	g.placement.SetPeerPaces(paces)
+	g.placer.table.SetPeerPaces(paces)
 	g.placement.SetHosts(len(live) + 1)
 	g.quota.SetShares(granters, quotaDemand, reserved)
 }
 
+// ownPaces returns the paces that this host has measured: as a placer those of its region.
+func (g *Gateway) ownPaces() map[string]placement.Pace {
+	out := g.placement.Paces()
+	maps.Copy(out, g.placer.table.Paces())
+	return out
+}
+
+// medianPaces returns the median pace of each service over the reports of hosts.
+func medianPaces(reports []presence.Report) map[string]placement.Pace {
+	all := map[string][]placement.Pace{}
+	for _, r := range reports {
+		for service, pace := range r.Paces {
+			all[service] = append(all[service], pace)
+		}
+	}
+	out := map[string]placement.Pace{}
+	for service, paces := range all {
+		out[service] = placement.MedianPace(paces)
+	}
+	return out
+}
+
 // quotaGranters counts the hosts that grant shares of limits, this one included: the relays, and
 // hosts without a relay.
 func (g *Gateway) quotaGranters(live []presence.Report) int {
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -37,12 +37,13 @@
 		return nil, c.notRun(http.StatusServiceUnavailable, problem.TypeUnavailable, "the service has no endpoint").WithRetryAfter(noEndpointRetryAfter)
 	}
 	q := c.query()
-	choice, ok := c.g.placement.Choose(now, q, c.g.candidates(now, views, c.service.Engine != nil, c.service))
+	c.ticket = 0
+	choice, ok := c.choose(now, q, views)
 	if !ok {
 		return nil, c.notRun(http.StatusServiceUnavailable, problem.TypeUnavailable, "every endpoint was tried").WithRetryAfter(c.retryAfterDecline())
 	}
 	if delay, over := c.overloaded(now, choice); over {
-		c.g.placement.Release(&choice, true)
+		c.release(&choice, true)
 		c.g.demand.Refused(now, c.service.Name, q.PromptTokens, q.MaxAnswerTokens)
 		return nil, c.notRun(http.StatusServiceUnavailable, problem.TypeOverloaded, "no endpoint can start it in time").WithRetryAfter(delay)
 	}
@@ -50,6 +51,13 @@
 	return &endpointAttempt{choice: choice, view: findView(views, choice.ID)}, nil
 }
 
+// release ends the placement of an attempt. notPrefilled is as in placement.Table.Release.
+func (c *call) release(choice *placement.Choice, notPrefilled bool) {
+	c.g.placement.Release(choice, notPrefilled)
+	c.g.settle(c.placer, settlement{Ticket: c.ticket, Ended: true, NotPrefilled: notPrefilled})
+	c.ticket = 0
+}
+
 func findView(views []fleet.View, id string) fleet.View {
 	for _, v := range views {
 		if v.ID == id {
@@ -61,11 +69,11 @@
 
 // query describes the request to the placement.
 func (c *call) query() *placement.Query {
-	q := &placement.Query{Zone: c.g.opts.Zone, Region: c.g.opts.Region, Excluded: c.tried}
+	q := &placement.Query{Service: c.service.Name, Zone: c.g.opts.Zone, Region: c.g.opts.Region, Excluded: c.tried}
 	if !c.req.HasTokens {
 		return q
 	}
-	q.PromptTokens, q.Parts = c.req.PromptTokens, c.req.Parts
+	q.PromptTokens, q.Parts, q.Priority = c.req.PromptTokens, c.req.Parts, c.priority()
 	q.MaxAnswerTokens = c.req.AnswerTokens
 	if c.req.ExpectedAnswer > 0 {
 		q.MaxAnswerTokens = min(q.MaxAnswerTokens, c.req.ExpectedAnswer)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -195,7 +195,10 @@
 
 // PeerHandlers returns the methods that other hosts call.
 func (g *Gateway) PeerHandlers() map[string]port.PeerHandler {
-	return map[string]port.PeerHandler{methodRead: g.serveRead, methodReport: g.serveReport, methodTakeQuota: g.serveTakeQuota}
+	return map[string]port.PeerHandler{
+		methodRead: g.serveRead, methodReport: g.serveReport, methodTakeQuota: g.serveTakeQuota,
+		methodPlace: g.servePlace, methodSettle: g.serveSettle, methodLoads: g.serveLoads,
+	}
 }
 
 type readRequest struct {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -131,6 +131,7 @@
 	if !a.answered {
 		a.answered = true
 		c.g.placement.Started(&a.choice, now.Sub(a.startedAt))
+		c.g.settle(c.placer, settlement{Ticket: c.ticket, Started: now.Sub(a.startedAt)})
 	}
 	if c.events == 0 {
 		c.firstAt = now
--- a/placement/affinity.go
+++ b/placement/affinity.go
@@ -20,7 +20,7 @@
 		return "", ""
 	}
 	tokens := float64(sharedTokens(q.Parts))
-	allRegions := recomputeMS*tokens/1000+tokens/prefillTokensPerMS > regionRTTMS+regionTransferMS
+	allRegions := recomputeMS*tokens/1000+tokens*defaultPace.TokenMS > regionRTTMS+regionTransferMS
 	var highest, next uint64
 	for i := range candidates {
 		c := &candidates[i]
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -40,7 +40,8 @@
 	Context  int `json:"c"`
 }
 
-func (l Load) plus(o Load) Load {
+// Plus returns the sum of two loads.
+func (l Load) Plus(o Load) Load {
 	return Load{l.Requests + o.Requests, l.Prefill + o.Prefill, l.Context + o.Context}
 }
 
@@ -64,6 +65,8 @@
 
 // Query describes a request for which an endpoint is to be chosen.
 type Query struct {
+	// Service is the service that the candidates belong to.
+	Service string
 	// Key is the affinity key: requests with equal keys share cached parts.
 	Key string
 	// PromptTokens is the length of the prompt; it is zero for a service without engines
@@ -74,7 +77,10 @@
 	// Parts are the parts of the prompt, in order. The last is the request's own;
 	// the others may be shared with other requests.
 	Parts []Part
-	// Zone and Region are those of the host that chooses.
+	// Priority is the request's priority at the engine, from 0, the most urgent, to
+	// LowestPriority.
+	Priority int
+	// Zone and Region are those of the host that sends the request.
 	Zone   string
 	Region string
 	// Excluded holds the ids of endpoints that must not be chosen.
@@ -96,6 +102,9 @@
 	return int(uncached * (1 + float64(prompt+cached)/2/attentionParityTokens))
 }
 
+// LowestPriority is the least urgent priority.
+const LowestPriority = 9
+
 // Terms are the terms of an endpoint's score, in milliseconds.
 type Terms struct {
 	// Queue is the wait for the prompts queued ahead, Slot the wait for a slot in
@@ -136,16 +145,21 @@
 	CachedTokens int
 
 	booked Load
+	// service is the service of the endpoint, ahead the prefill work that was ahead of the request
+	// there.
+	service  string
+	ahead    int
+	adopted  bool // another host has made the choice
+	priority int
+	// share is the fraction of the engine's time that more urgent requests take (see
+	// row.urgentShare).
+	share float64
 	// chain holds the chained hashes of the prompt's parts, tokens their lengths.
 	chain  []uint64
 	tokens []int
 }
 
 const (
-	// prefillTokensPerMS is the prefill rate in tokens per millisecond of an engine that
-	// also generates: the engines of the deployments reach 82 to 85 when they only
-	// prefill, and spend a fifth of each step on generating.
-	prefillTokensPerMS = 66.0
 	// tokenMS is the time per generated token in a batch that also prefills: a step
 	// of 3 to 4 ms, plus a chunk of 1,024 prompt tokens at 85 tokens per millisecond
 	// in about half of the steps.
@@ -207,6 +221,12 @@
 	// a host considers the endpoints of all regions and not only the sample: half of the
 	// shortest latency objective of the deployments.
 	maxSampledWaitMS = 250.0
+	// arrivalWindow is the time over which the arrivals of an endpoint are averaged: some
+	// times the length of the longest prompts' prefill.
+	arrivalWindow = 3 * time.Second
+	// maxUrgentShare bounds the share of an engine's time that is attributed to more urgent
+	// requests: demand above the engine's capacity lasts for seconds only.
+	maxUrgentShare = 0.8
 	// maxSlowdown bounds the estimated slowdown of an endpoint and each sample of it.
 	maxSlowdown = 8.0
 	// slowdownWeight is the weight of a new sample of the slowdown.
@@ -222,9 +242,15 @@
 
 // row is what this host knows of the load, the cache and the speed of one endpoint.
 type row struct {
-	// own is the load booked by this host, peers the load reported by the other hosts.
-	own   Load
-	peers Load
+	// own is the load booked here, peers the load reported by others. prefill is
+	// own.Prefill by priority.
+	own     Load
+	peers   Load
+	prefill [LowestPriority + 1]int
+	// arrivals is the prefill work booked per millisecond, by priority, as of arrivedAt: a
+	// moving average over arrivalWindow.
+	arrivals  [LowestPriority + 1]float64
+	arrivedAt time.Time
 	// cached holds the parts assumed to be cached, by chained hash, cachedTokens the sum
 	// of their tokens.
 	cached       map[uint64]cachedPart
@@ -251,11 +277,14 @@
 	hosts   int
 	host    string
 	choices uint64
+	// paces holds this host's estimate of each service's pace, peerPaces those of the other hosts.
+	paces     map[string]*paceEstimate
+	peerPaces map[string]Pace
 }
 
 // NewTable returns an empty table for a host.
 func NewTable(host string) *Table {
-	return &Table{rows: map[string]*row{}, meanAnswerTokens: initialAnswerTokens, hosts: 1, host: host}
+	return &Table{rows: map[string]*row{}, paces: map[string]*paceEstimate{}, meanAnswerTokens: initialAnswerTokens, hosts: 1, host: host}
 }
 
 // SetHosts sets the number of hosts that choose among the same endpoints, this one
@@ -286,24 +315,81 @@
 	}
 	t.choices++
 	sampled := t.sample(q, candidates)
-	best, found := t.findBest(q, candidates, chain, tokens, sampled)
+	best, found := t.findBest(now, q, candidates, chain, tokens, sampled)
 	if sampled != nil && (!found || best.Suspect || best.Terms.Queue+best.Terms.Slot > maxSampledWaitMS) {
-		best, found = t.findBest(q, candidates, chain, tokens, nil)
+		best, found = t.findBest(now, q, candidates, chain, tokens, nil)
 	}
 	if !found {
 		return Choice{}, false
 	}
-	best.booked = Load{Requests: 1, Prefill: prefillWork(q.PromptTokens, best.CachedTokens), Context: q.PromptTokens + q.MaxAnswerTokens}
-	r := t.row(best.ID)
-	r.own, r.removed = r.own.plus(best.booked), false
-	r.addCached(now, &best)
+	t.book(now, q, &best)
 	return best, true
 }
 
+// book books the load of a choice.
+func (t *Table) book(now time.Time, q *Query, c *Choice) {
+	c.booked = Load{Requests: 1, Prefill: prefillWork(q.PromptTokens, c.CachedTokens), Context: q.PromptTokens + q.MaxAnswerTokens}
+	c.priority = min(max(q.Priority, 0), LowestPriority)
+	r := t.row(c.ID)
+	r.own, r.removed = r.own.Plus(c.booked), false
+	r.prefill[c.priority] += c.booked.Prefill
+	r.decayArrivals(now)
+	r.arrivals[c.priority] += float64(c.booked.Prefill) / float64(arrivalWindow.Milliseconds())
+	r.addCached(now, c)
+}
+
+// Adopt books the load of a choice that another host has made for a request of this one, and returns
+// the choice.
+func (t *Table) Adopt(now time.Time, q *Query, c Candidate, terms Terms, cachedTokens int) Choice {
+	chain, tokens := chainHashes(q.Parts)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	choice := Choice{
+		Candidate: c, Terms: terms, CachedTokens: cachedTokens,
+		service: q.Service, adopted: true, chain: chain, tokens: tokens,
+	}
+	t.book(now, q, &choice)
+	return choice
+}
+
+// decayArrivals brings the arrival rates up to now.
+func (r *row) decayArrivals(now time.Time) {
+	if !r.arrivedAt.IsZero() {
+		weight := math.Exp(-float64(now.Sub(r.arrivedAt)) / float64(arrivalWindow))
+		for i := range r.arrivals {
+			r.arrivals[i] *= weight
+		}
+	}
+	r.arrivedAt = now
+}
+
+// urgentShare returns the fraction of the engine's time that the arrivals of more urgent requests take.
+// The engine serves those first, also if they come later, so that a request gets only the rest of its
+// time (Cobham's formula for priorities).
+func (r *row) urgentShare(now time.Time, priority int, tokenMS float64) float64 {
+	if r.arrivedAt.IsZero() {
+		return 0
+	}
+	rate := 0.0
+	for i := range min(priority, len(r.arrivals)) {
+		rate += r.arrivals[i]
+	}
+	return min(rate*math.Exp(-float64(now.Sub(r.arrivedAt))/float64(arrivalWindow))*tokenMS, maxUrgentShare)
+}
+
+// prefillAhead returns the prefill work that the engine serves before a request of a priority.
+func (r *row) prefillAhead(priority int) int {
+	sum := r.peers.Prefill
+	for i := range min(priority, LowestPriority) + 1 {
+		sum += r.prefill[i]
+	}
+	return sum
+}
+
 // findBest returns the candidate with the lowest score among those in sampled and the
 // two preferred endpoints of the query's key. If sampled is nil it considers all
 // candidates, of all regions.
-func (t *Table) findBest(q *Query, candidates []Candidate, chain []uint64, tokens []int, sampled map[string]bool) (Choice, bool) {
+func (t *Table) findBest(now time.Time, q *Query, candidates []Candidate, chain []uint64, tokens []int, sampled map[string]bool) (Choice, bool) {
 	preferred, second := preferredEndpoints(q, candidates)
 	shared := sharedTokens(q.Parts)
 	var best Choice
@@ -321,10 +407,10 @@
 		case second:
 			cached = max(cached, int(secondCacheShare*float64(shared)))
 		}
-		terms := r.terms(q, c, cached, t)
+		terms, share := r.terms(now, q, c, cached, t)
 		terms.Recompute = recomputeMS * float64(max(shared-cached, 0)) / 1000
 		if !found || terms.Score() < best.Terms.Score() {
-			best = Choice{Candidate: *c, Terms: terms, CachedTokens: cached, chain: chain, tokens: tokens}
+			best = Choice{Candidate: *c, Terms: terms, CachedTokens: cached, service: q.Service, ahead: r.prefillAhead(q.Priority), share: share, chain: chain, tokens: tokens}
 			found = true
 		}
 	}
@@ -363,13 +449,15 @@
 }
 
 // terms returns the terms of an endpoint's score for a query, except Recompute. cached is
-// the number of prompt tokens expected to be cached.
-func (r *row) terms(q *Query, c *Candidate, cached int, table *Table) Terms {
-	var terms Terms
-	load := r.own.plus(r.peers)
+// the number of prompt tokens expected to be cached. It also returns the urgentShare.
+func (r *row) terms(now time.Time, q *Query, c *Candidate, cached int, table *Table) (terms Terms, share float64) {
+	load := r.own.Plus(r.peers)
 	if q.PromptTokens > 0 {
-		terms.Queue = float64(load.Prefill) / prefillTokensPerMS * r.slowdown
-		terms.Prefill = float64(prefillWork(q.PromptTokens, cached)) / prefillTokensPerMS * r.slowdown
+		pace := table.pace(q.Service)
+		share = r.urgentShare(now, q.Priority, pace.TokenMS*r.slowdown)
+		workMS := pace.TokenMS * r.slowdown / (1 - share)
+		terms.Queue = float64(r.prefillAhead(q.Priority)) * workMS
+		terms.Prefill = pace.FirstMS + float64(prefillWork(q.PromptTokens, cached))*workMS
 		if c.Slots > 0 && load.Requests >= c.Slots {
 			terms.Slot = float64(load.Requests-c.Slots+1) / float64(c.Slots) * table.meanAnswerTokens * tokenMS
 		}
@@ -394,7 +482,7 @@
 	if c.Suspect {
 		terms.Failure += suspectPenaltyMS
 	}
-	return terms
+	return terms, share
 }
 
 // addCached adds a prompt's parts to those assumed to be cached at the endpoint.
@@ -439,8 +527,10 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.row(c.ID)
-	r.own.Prefill -= c.booked.Prefill
-	c.booked.Prefill = 0
+	if c.showsPace() {
+		t.paceOf(c.service).observe(float64(c.ahead+c.booked.Prefill), (float64(waited.Microseconds())/1000-c.Terms.Network)*(1-c.share))
+	}
+	r.prefilled(c)
 	expected := c.Terms.FirstToken()
 	// offset is added to both times, in milliseconds, because the ratio of two short times is not
 	// significant.
@@ -450,6 +540,31 @@
 	r.slowdown = min(max(r.slowdown+slowdownWeight*(ratio-1)*min(r.slowdown, 1.5), 0.5), maxSlowdown)
 }
 
+// prefilled removes the booked prefill work of a choice.
+func (r *row) prefilled(c *Choice) {
+	r.own.Prefill -= c.booked.Prefill
+	r.prefill[c.priority] -= c.booked.Prefill
+	c.booked.Prefill = 0
+}
+
+// showsPace reports whether the time to the first token of a choice shows the pace of the endpoint: little
+// work was ahead of the request, and few requests have passed it. In an overload no choice does, so that
+// the pace does not seem slower than it is.
+func (c *Choice) showsPace() bool {
+	const maxAheadShare, maxPassedShare = 0.5, 0.3
+	return !c.adopted && c.booked.Prefill > 0 && float64(c.ahead) <= maxAheadShare*float64(c.booked.Prefill) &&
+		c.share <= maxPassedShare && c.Terms.Slot == 0 && !c.Cold && !c.Suspect
+}
+
+func (t *Table) paceOf(service string) *paceEstimate {
+	e, ok := t.paces[service]
+	if !ok {
+		e = &paceEstimate{}
+		t.paces[service] = e
+	}
+	return e
+}
+
 // Release removes the booked load of a choice. If notPrefilled is set, the endpoint did not
 // prefill the prompt, and the request's own part is no longer assumed to be cached.
 // Release is idempotent.
@@ -457,8 +572,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.row(c.ID)
+	r.prefilled(c)
 	r.own.Requests -= c.booked.Requests
-	r.own.Prefill -= c.booked.Prefill
 	r.own.Context -= c.booked.Context
 	c.booked = Load{}
 	if r.removed && r.own == (Load{}) && r.peers == (Load{}) {
--- a/placement/placement_test.go
+++ b/placement/placement_test.go
@@ -232,7 +232,7 @@
 	backlog, worst, served := 0.0, 0.0, 0
 	const step = 10 * time.Millisecond
 	for at := time.Duration(0); at < length; at += step {
-		backlog = max(backlog-prefillTokensPerMS*float64(step.Milliseconds()), 0)
+		backlog = max(backlog-float64(step.Milliseconds())/defaultPace.TokenMS, 0)
 		remaining := running[:0]
 		for _, s := range running {
 			if s.until > at {
@@ -255,7 +255,7 @@
 			for other, sent := range reports {
 				for _, r := range slices.Backward(sent) {
 					if r.at+lag <= at && other != h {
-						peers[newEngine] = peers[newEngine].plus(r.load)
+						peers[newEngine] = peers[newEngine].Plus(r.load)
 						break
 					}
 				}
@@ -272,8 +272,8 @@
 			if choice.ID == newEngine {
 				backlog += tokens
 				served++
-				worst = max(worst, backlog/prefillTokensPerMS)
-				until = at + time.Duration(backlog/prefillTokensPerMS)*time.Millisecond
+				worst = max(worst, backlog*defaultPace.TokenMS)
+				until = at + time.Duration(backlog*defaultPace.TokenMS)*time.Millisecond
 			}
 			running = append(running, sentRequest{choice, h, until})
 		}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -75,6 +75,10 @@
 	Loads       map[string]placement.Load `json:"l,omitempty"`
 	Demands     map[string]Demand         `json:"d,omitempty"`
 	QuotaDemand map[string]float64        `json:"u,omitempty"`
+	// Placer is the host that chooses endpoints for this one, empty if it chooses on its own.
+	Placer string `json:"o,omitempty"`
+	// Paces is how fast the endpoints of each service start answers, as far as the host knows.
+	Paces map[string]placement.Pace `json:"r,omitempty"`
 	// Shares is the fraction of each workspace's limit that the host grants, for
 	// those of which it has had requests. Relayed means that a relay grants it.
 	Shares  map[string]float64 `json:"v,omitempty"`
--- a/scaling/scaling.go
+++ b/scaling/scaling.go
@@ -22,12 +22,9 @@
 )
 
 const (
-	// prefillTokensPerSecond is the prefill rate of an engine that does nothing else:
-	// the sites' engines reach 82,000 to 85,000.
-	prefillTokensPerSecond = 80_000.0
-	// maxPrefillFraction is the fraction of that rate that may be used: beyond it, requests
-	// queue behind long prompts and their first tokens miss the latency objective.
-	maxPrefillFraction = 0.58
+	// maxPrefillFraction is the fraction of an engine's prefill rate that may be used: beyond it,
+	// requests queue behind long prompts and their first tokens miss the latency objective.
+	maxPrefillFraction = 0.8
 	// defaultStepSeconds is the time per generated token in a batch without prefill, in
 	// seconds, that is assumed until streams have ended: the sites' engines take 3 to
 	// 7 ms.
@@ -45,6 +42,9 @@
 	// scaleInDelay is how long demand must have been lower before endpoints are
 	// released: fluctuations of the load are shorter.
 	scaleInDelay = 10 * time.Second
+	// listingTime is how long it takes until the registry lists all endpoints that are present
+	// at the start of the whole system.
+	listingTime = 3 * time.Second
 	// observationTime is how long a new leader observes before it releases any on-demand
 	// endpoint: the registry of endpoints lists those that are present only within some
 	// seconds of a start. It is also the time from the first demand until the target count
@@ -59,6 +59,13 @@
 	// initialSpotFraction is the fraction of a zone's maximum that is planned as spot
 	// endpoints before any demand is known.
 	initialSpotFraction = 0.5
+	// bootMargin is how much longer than its boot time an endpoint may take until the registry
+	// lists it.
+	bootMargin = 2 * time.Second
+	// spotScaleInInterval is the time from one decrease of the target count for spot
+	// endpoints to the next. They cost a sixth of the on-demand price, and without them the
+	// next peak is covered by on-demand endpoints.
+	spotScaleInInterval = 15 * time.Second
 	// refusalBackoff is how long a pool that refused an order is not asked again.
 	refusalBackoff = 2 * time.Second
 	// spotSurplusFactor times the target count is the number of spot endpoints that are
@@ -89,12 +96,17 @@
 	Service catalog.Service
 	// Demand is the sum over all hosts.
 	Demand presence.Demand
+	// TokenMS is the prefill time per token of one engine that also generates, in milliseconds.
+	TokenMS float64
 	// Ready counts the endpoints that serve, Draining those that drain because they are
 	// released or reclaimed.
 	Ready, Draining map[Pool]int
 	// Traffic is set once requests have been seen. Before that the target count is
 	// derived from the endpoints that are present, and does not fall.
 	Traffic bool
+	// Bootstrap is set in a process that was started with the whole system: until there is
+	// traffic, none can be lost by releasing endpoints.
+	Bootstrap bool
 	// Partial is set if the demand of many hosts is unknown. While it is set, no endpoint
 	// is released because of a low demand.
 	Partial bool
@@ -121,6 +133,13 @@
 	guessed                   bool
 	// reclaimedAt is when a reclaim was last seen.
 	reclaimedAt time.Time
+	// spotTarget is the target count for spot endpoints. It follows target up at once, and
+	// down by one in spotScaleInInterval from spotLoweredAt on.
+	spotTarget    int
+	spotLoweredAt time.Time
+	// booting holds the counts of accepted orders for spot endpoints, by pool, until they
+	// should serve.
+	booting map[Pool]bootingOrder
 	// surplusSince is the time from which fewer on-demand endpoints than are ready have
 	// sufficed; zero if they do not suffice.
 	surplusSince time.Time
@@ -129,7 +148,20 @@
 // NewPlanner returns a planner that continues from the target count of another one,
 // zero if that is unknown.
 func NewPlanner(target int) *Planner {
-	return &Planner{target: target, refusedUntil: map[Pool]time.Time{}, lastPlannedSpot: map[Pool]int{}}
+	return &Planner{target: target, refusedUntil: map[Pool]time.Time{}, lastPlannedSpot: map[Pool]int{}, booting: map[Pool]bootingOrder{}}
+}
+
+// bootingOrder is an accepted order for spot endpoints.
+type bootingOrder struct {
+	count int
+	until time.Time
+}
+
+// Accepted records that the platform accepted an order; the endpoints serve after the boot time.
+func (p *Planner) Accepted(now time.Time, order port.CapacityOrder, bootTime time.Duration) {
+	if order.Spot {
+		p.booting[Pool{order.Zone, true}] = bootingOrder{order.Count, now.Add(bootTime + bootMargin)}
+	}
 }
 
 // Refused records that the platform had no endpoint of a pool available.
@@ -144,13 +176,14 @@
 // RequiredEngines returns how many engines a demand requires: enough to prefill the
 // prompts in a fraction of the time, and enough slots for the answers, whose tokens are
 // delayed by the prefill in the same batch. d.Prompt and d.Answer are in tokens per second.
-// ready is the present number of ready engines, zero if unknown.
-func RequiredEngines(d presence.Demand, e catalog.Engine, ready int) int {
-	n := max(math.Ceil(d.Prompt/(prefillTokensPerSecond*maxPrefillFraction)), 1)
+// ready is the present number of ready engines, zero if unknown; tokenMS is as Input.TokenMS.
+func RequiredEngines(d presence.Demand, e catalog.Engine, ready int, tokenMS float64) int {
+	rate := 1000 / tokenMS
+	n := max(math.Ceil(d.Prompt/(rate*maxPrefillFraction)), 1)
 	slots := float64(max(e.Slots, 1)) * maxSlotFraction
-	step := stepSeconds(d, ready)
+	step := stepSeconds(d, ready, rate)
 	for {
-		prefilling := d.Prompt / (prefillTokensPerSecond * n)
+		prefilling := d.Prompt / (rate * n)
 		if d.Answer*step/(1-prefilling) <= n*slots {
 			return int(math.Ceil(headroom * n))
 		}
@@ -161,11 +194,11 @@
 // stepSeconds returns the time per generated token in a batch without prefill, in
 // seconds, derived from the pace of the streams that ended: d.Generating (seconds of
 // generation per second) divided by d.Generated (tokens per second).
-func stepSeconds(d presence.Demand, ready int) float64 {
+func stepSeconds(d presence.Demand, ready int, rate float64) float64 {
 	if d.Generated <= 0 || d.Generating <= 0 || ready <= 0 {
 		return defaultStepSeconds
 	}
-	prefilling := min(d.Prompt/(prefillTokensPerSecond*float64(ready)), maxPrefillTimeFraction)
+	prefilling := min(d.Prompt/(rate*float64(ready)), maxPrefillTimeFraction)
 	return min(max(d.Generating/d.Generated*(1-prefilling), minStepSeconds), maxStepSeconds)
 }
 
@@ -184,6 +217,7 @@
 		return nil
 	}
 	p.updateTarget(now, in)
+	p.updateSpotTarget(now)
 	for pool, n := range in.Draining {
 		if pool.Spot && n > 0 && !p.drainingAsPlanned(pool, in) {
 			p.reclaimedAt = now
@@ -229,6 +263,9 @@
 	if p.surplusSince.IsZero() {
 		p.surplusSince = now
 	}
+	if in.Bootstrap && !in.Traffic && now.Sub(p.firstPlanAt) >= listingTime {
+		return
+	}
 	if !in.Partial && now.Sub(p.firstPlanAt) >= observationTime && now.Sub(p.surplusSince) >= onDemandRetention {
 		return
 	}
@@ -260,7 +297,7 @@
 	if p.trafficSince.IsZero() {
 		p.trafficSince = now
 	}
-	target := max(RequiredEngines(in.Demand, *in.Service.Engine, total), 1)
+	target := max(RequiredEngines(in.Demand, *in.Service.Engine, total, in.TokenMS), 1)
 	if p.target == 0 {
 		// A new leader knows only the demand of the hosts whose reports it has read.
 		target = max(target, total/2)
@@ -284,6 +321,15 @@
 	}
 }
 
+// updateSpotTarget updates the target count for spot endpoints.
+func (p *Planner) updateSpotTarget(now time.Time) {
+	if p.target >= p.spotTarget {
+		p.spotTarget, p.spotLoweredAt = p.target, now
+	} else if now.Sub(p.spotLoweredAt) >= spotScaleInInterval {
+		p.spotTarget, p.spotLoweredAt = p.spotTarget-1, now
+	}
+}
+
 // Target returns the target count of endpoints.
 func (p *Planner) Target() int { return p.target }
 
@@ -312,10 +358,10 @@
 	if s.SpotPrice <= 0 || s.SpotPrice >= 1 {
 		return out
 	}
-	perZone := p.target
+	perZone := p.spotTarget
 	if n := len(zones); n > 1 {
 		remaining := n - max(int(maxLostZoneFraction*float64(n)), 1)
-		perZone = int(math.Ceil(float64(p.target) * max(spotSurplusFactor/float64(n-1), 1/float64(remaining))))
+		perZone = int(math.Ceil(float64(p.spotTarget) * max(spotSurplusFactor/float64(n-1), 1/float64(remaining))))
 	}
 	if !in.Traffic {
 		perZone = max(perZone, int(math.Ceil(initialSpotFraction*float64(s.Max))))
@@ -334,6 +380,15 @@
 	return out
 }
 
+// usableSpot returns the spot endpoints of a pool that planOnDemand may count on: those that are ready,
+// and before there is traffic also those that boot.
+func (p *Planner) usableSpot(now time.Time, pool Pool, in Input) int {
+	if b := p.booting[pool]; in.Bootstrap && !in.Traffic && now.Before(b.until) {
+		return max(in.Ready[pool], b.count)
+	}
+	return in.Ready[pool]
+}
+
 // planOnDemand returns the planned count of on-demand endpoints for each zone, such that
 // they cover what would be missing if the zone with the most spot endpoints lost them.
 // Only ready spot endpoints are counted, up to the planned count of their zone.
@@ -342,14 +397,15 @@
 	// the two highest counts of a zone.
 	ready, largest, second := 0, 0, 0
 	for _, z := range zones {
-		n := min(in.Ready[Pool{z, true}], spot[z])
+		n := min(p.usableSpot(now, Pool{z, true}, in), spot[z])
 		ready += n
 		largest, second = max(largest, n), max(second, min(largest, n))
 	}
 	// missing is the number of on-demand endpoints that have yet to be assigned to zones.
-	missing := p.target - (ready - largest)
+	missing := max(p.target-(ready-largest), 0)
 	if p.furtherReclaimExpected(now) {
-		missing += int(furtherReclaimProbability * float64(second))
+		missingThen := max(p.target-(ready-largest-second), 0)
+		missing += int(math.Ceil(furtherReclaimProbability * float64(missingThen-missing)))
 	}
 	out := map[string]int{}
 	for _, z := range zones {
--- a/scaling/scaling_test.go
+++ b/scaling/scaling_test.go
@@ -16,6 +16,9 @@
 	Scaling: &catalog.Scaling{Min: 1, Max: 12, BootTime: 4 * time.Second, SpotPrice: 0.18, ZonePrices: map[string]float64{"a": 1, "b": 1.25, "c": 0.8}},
 }
 
+// sitePace is the prefill time per token of the engines of the users' first sites, in milliseconds.
+const sitePace = 1 / 66.0
+
 // lowDemand is the demand on a day of low load at the users' first site.
 var lowDemand = presence.Demand{Requests: 70, Prompt: 250_000, Answer: 18_000}
 
@@ -95,7 +98,7 @@
 			sim.spotUnavailableUntil = at + 13*time.Second
 		}
 		d := demand(at)
-		in := Input{Service: service, Demand: d, Ready: sim.ready, Draining: draining, Traffic: d.Requests > 0}
+		in := Input{Service: service, TokenMS: sitePace, Demand: d, Ready: sim.ready, Draining: draining, Traffic: d.Requests > 0}
 		for _, o := range p.Plan(start.Add(at), in) {
 			if sim.order(at, o) != nil {
 				p.Refused(start.Add(at), Pool{o.Zone, o.Spot})
@@ -119,7 +122,7 @@
 // could carry a constant load, and against too few spot endpoints for the loss of a zone.
 func TestLowDemand(t *testing.T) {
 	is := is.New(t)
-	required := RequiredEngines(lowDemand, *service.Engine, 0)
+	required := RequiredEngines(lowDemand, *service.Engine, 0, sitePace)
 	simulate(60*time.Second, nil, after(10*time.Second, lowDemand), func(at time.Duration, sim *platformSim, _ *Planner) {
 		is.True(sim.total(true)+sim.total(false) >= required) // never fewer than the load requires
 		if at < 40*time.Second {
@@ -140,7 +143,7 @@
 // within some seconds, and no spot endpoints are available for 13 s after that.
 func TestSeriesOfReclaims(t *testing.T) {
 	is := is.New(t)
-	required := RequiredEngines(lowDemand, *service.Engine, 0)
+	required := RequiredEngines(lowDemand, *service.Engine, 0, sitePace)
 	reclaims := map[time.Duration]string{24 * time.Second: "b", 29 * time.Second: "c", 30 * time.Second: "a"}
 	simulate(80*time.Second, reclaims, after(10*time.Second, lowDemand), func(at time.Duration, sim *platformSim, _ *Planner) {
 		serving := sim.total(true) + sim.total(false)
@@ -161,7 +164,7 @@
 	is := is.New(t)
 	p := NewPlanner(0)
 	ready := map[Pool]int{{"a", false}: 5, {"b", false}: 5, {"c", false}: 6}
-	orders := p.Plan(time.Unix(0, 0), Input{Service: service, Demand: presence.Demand{Requests: 20, Prompt: 78_000, Answer: 5_800}, Ready: ready, Traffic: true})
+	orders := p.Plan(time.Unix(0, 0), Input{Service: service, TokenMS: sitePace, Demand: presence.Demand{Requests: 20, Prompt: 78_000, Answer: 5_800}, Ready: ready, Traffic: true})
 	for _, o := range orders {
 		if !o.Spot {
 			is.True(o.Count >= ready[Pool{o.Zone, false}])
@@ -181,7 +184,7 @@
 		"few slots: answers limit": {presence.Demand{Prompt: 930_000, Answer: 62_000}, 16, 38, 50},
 	} {
 		t.Run(name, func(t *testing.T) {
-			n := RequiredEngines(tc.d, catalog.Engine{Slots: tc.slots}, 0)
+			n := RequiredEngines(tc.d, catalog.Engine{Slots: tc.slots}, 0, sitePace)
 			if n < tc.from || n > tc.to {
 				t.Errorf("%d engines, want %d to %d", n, tc.from, tc.to)
 			}
@@ -206,14 +209,14 @@
 	p := NewPlanner(0)
 	ready := map[Pool]int{{"a", false}: 3, {"b", false}: 3, {"c", false}: 3}
 	for at := time.Duration(0); at < 60*time.Second; at += time.Second {
-		in := Input{Service: service, Demand: demand(at), Ready: ready, Traffic: at >= 10*time.Second, Partial: at >= 30*time.Second}
+		in := Input{Service: service, TokenMS: sitePace, Demand: demand(at), Ready: ready, Traffic: at >= 10*time.Second, Partial: at >= 30*time.Second}
 		for _, o := range p.Plan(time.Unix(0, 0).Add(at), in) {
 			if at >= 30*time.Second && o.Count < ready[Pool{o.Zone, o.Spot}] {
 				t.Errorf("%v: %+v releases endpoints, want none released", at, o)
 			}
 		}
 	}
-	is.True(p.Target() >= RequiredEngines(lowDemand, *service.Engine, 0))
+	is.True(p.Target() >= RequiredEngines(lowDemand, *service.Engine, 0, sitePace))
 }
 
 // sixZones is the service of the users' grown site, highDemand its demand under high load.
@@ -232,7 +235,7 @@
 // oscillate.
 func TestReclaimsAmongSixZones(t *testing.T) {
 	is := is.New(t)
-	required := RequiredEngines(highDemand, *sixZones.Engine, 0)
+	required := RequiredEngines(highDemand, *sixZones.Engine, 0, sitePace)
 	reclaims := map[time.Duration]string{30 * time.Second: "b", 36 * time.Second: "e"}
 	before := 0
 	simulateService(sixZones, 15, 70*time.Second, reclaims, after(10*time.Second, highDemand), func(at time.Duration, sim *platformSim, _ *Planner) {
@@ -261,11 +264,11 @@
 func TestRequiredEnginesByObservedPace(t *testing.T) {
 	is := is.New(t)
 	e := catalog.Engine{Slots: 16}
-	byAssumed := RequiredEngines(highDemand, e, 60)
+	byAssumed := RequiredEngines(highDemand, e, 60, sitePace)
 	byPace := func(ms float64) int {
 		d := highDemand
 		d.Generated, d.Generating = 80_000, 80_000*ms/1000
-		return RequiredEngines(d, e, 60)
+		return RequiredEngines(d, e, 60, sitePace)
 	}
 	is.True(byPace(5) < byAssumed)
 	is.True(byPace(12) > byAssumed)
@@ -280,10 +283,68 @@
 	p := NewPlanner(13)
 	ready := map[Pool]int{{"a", false}: 4, {"b", false}: 4, {"c", false}: 5}
 	for at := range 8 {
-		in := Input{Service: service, Demand: presence.Demand{Requests: 20, Prompt: 76_000, Answer: 6_200}, Ready: ready, Traffic: true}
+		in := Input{Service: service, TokenMS: sitePace, Demand: presence.Demand{Requests: 20, Prompt: 76_000, Answer: 6_200}, Ready: ready, Traffic: true}
 		for _, o := range p.Plan(time.Unix(int64(at), 0), in) {
 			is.True(o.Spot || o.Count >= ready[Pool{o.Zone, false}])
 		}
 	}
 	is.Equal(p.Target(), 13)
 }
+
+// TestStartOfTheWholeSystem replays the start of alpin-handover: nine on-demand endpoints wait for traffic
+// that comes ten seconds later. They are released as soon as spot endpoints boot, except what the loss of
+// a zone would leave missing, and not before the registry lists all of them.
+func TestStartOfTheWholeSystem(t *testing.T) {
+	for name, bootstrap := range map[string]bool{"first start": true, "restart": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			sim := &platformSim{ready: map[Pool]int{}, booting: map[Pool][]time.Duration{}, maxPerZone: 12}
+			p := NewPlanner(0)
+			for at := time.Duration(0); at < 10*time.Second; at += time.Second {
+				sim.step(at)
+				if at == time.Second || at == 2*time.Second { // listed one after the other
+					for _, z := range []string{"a", "b", "c"} {
+						sim.ready[Pool{z, false}] = int(at/time.Second) + 1
+					}
+				}
+				before := sim.total(false)
+				for _, o := range p.Plan(time.Unix(0, 0).Add(at), Input{Service: service, TokenMS: sitePace, Ready: sim.ready, Bootstrap: bootstrap}) {
+					if sim.order(at, o) == nil {
+						p.Accepted(time.Unix(0, 0).Add(at), o, service.Scaling.BootTime)
+					}
+				}
+				if at < listingTime || !bootstrap && at < observationTime {
+					is.True(sim.total(false) >= before)
+				}
+				if bootstrap && at == 4*time.Second {
+					is.True(sim.total(false) <= 2)
+				}
+			}
+			is.True(sim.total(true) >= 2*p.Target())
+			is.Equal(p.Target(), 7) // two thirds of the nine, rounded up
+		})
+	}
+}
+
+// TestSpotEndpointsOutlastACalm replays quiet-1 of alpin-handover: the demand falls for ten seconds and
+// rises again. Spot endpoints are retained meanwhile, so that no on-demand endpoint is ordered.
+func TestSpotEndpointsOutlastACalm(t *testing.T) {
+	is := is.New(t)
+	demand := func(at time.Duration) presence.Demand {
+		switch {
+		case at < 10*time.Second:
+			return presence.Demand{}
+		case at >= 40*time.Second && at < 55*time.Second:
+			return presence.Demand{Requests: 20, Prompt: 70_000, Answer: 5_000}
+		}
+		return lowDemand
+	}
+	simulate(75*time.Second, nil, demand, func(at time.Duration, sim *platformSim, _ *Planner) {
+		if at > 30*time.Second {
+			is.Equal(sim.total(false), 0)
+			for pool, times := range sim.booting {
+				is.True(pool.Spot || len(times) == 0)
+			}
+		}
+	})
+}
