Call the store once for a region, and send large records compressed

Change: the relay of one zone calls the store for the relays of its region; reports that pass through it are forwarded after 150 ms. A relay's large replies are compressed, once for all that ask from the same offset. A relay that the store has refused says so at once; the time for which a failed relay is not used doubles with each failure.

Tests: TestOneHostOfEachRegionCallsTheStore, TestRegionRelayFails, TestLargeRepliesAreCompressedOnce.

--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -107,6 +107,9 @@
 func (f *follower) poll() error {
 	began := time.Now()
 	f.startEra()
+	if f.g.relays.needsSnapshot(f.topic) {
+		f.hasSnapshot = false
+	}
 	wait := f.pollTimeout
 	if !f.hasSnapshot {
 		wait = newestMargin
@@ -134,8 +137,10 @@
 		// history.
 		return port.ErrStoreExpired
 	}
-	if !fromRelay {
-		f.g.relays.cachePage(f.topic, !f.hasSnapshot, page)
+	if !fromRelay || f.g.relays.isRelaying() {
+		f.g.relays.cachePage(f.topic, !f.hasSnapshot, page, now.Add(f.pollTimeout+maxRelayStaleness))
+	} else {
+		f.g.relays.dropCache(f.topic)
 	}
 	outage := f.recordAnswer(began, now)
 	f.onAnswer(now, outage)
@@ -148,6 +153,16 @@
 	return nil
 }
 
+// pollAnew polls, and once more for a snapshot if the position has expired.
+func (f *follower) pollAnew() error {
+	err := f.poll()
+	if errors.Is(err, port.ErrStoreExpired) {
+		f.hasSnapshot = false
+		err = f.poll()
+	}
+	return err
+}
+
 // pollRelay reads from the relay; ok is false when there is none or it failed.
 func (f *follower) pollRelay() (page port.TopicPage, err error, ok bool) {
 	from := f.offset
@@ -214,9 +229,10 @@
 	result := "ok"
 	switch {
 	case err == nil:
-		g.lastStoreAnswer.Store(now.UnixNano())
+		g.noteStoreAnswer(now)
 	case errors.Is(err, port.ErrStoreRefused):
 		result = "refused"
+		g.lastStoreRefusal.Store(now.UnixNano())
 	case errors.Is(err, port.ErrStoreConflict):
 		result = "conflict"
 	case errors.Is(err, port.ErrStoreExpired):
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -123,7 +123,9 @@
 	hasEndpoints    atomic.Bool
 	sequence        atomic.Int64
 	lastStoreAnswer atomic.Int64 // time of the store's last answer, Unix nanoseconds
-	storeRecovered  recoverySignal
+	// lastStoreRefusal is the time at which the store last refused a call, Unix nanoseconds.
+	lastStoreRefusal atomic.Int64
+	storeRecovered   recoverySignal
 }
 
 const (
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -141,9 +141,11 @@
 type hostStore struct {
 	*memoryStore
 	unreachable atomic.Bool
+	calls       atomic.Int64
 }
 
 func (s *hostStore) Newest(ctx context.Context, topic port.Topic) (port.TopicPage, error) {
+	s.calls.Add(1)
 	if s.unreachable.Load() {
 		return port.TopicPage{}, port.ErrStoreRefused
 	}
@@ -151,6 +153,7 @@
 }
 
 func (s *hostStore) Read(ctx context.Context, topic port.Topic, from int64, wait time.Duration) (port.TopicPage, error) {
+	s.calls.Add(1)
 	if s.unreachable.Load() {
 		return port.TopicPage{}, port.ErrStoreRefused
 	}
@@ -158,6 +161,7 @@
 }
 
 func (s *hostStore) Append(ctx context.Context, topic port.Topic, at int64, records ...port.TopicRecord) (port.Position, error) {
+	s.calls.Add(1)
 	if s.unreachable.Load() {
 		return port.Position{}, port.ErrStoreRefused
 	}
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -59,13 +59,9 @@
 }
 
 // followHosts reports this host to the others, reads their reports, and runs the leader tasks while
-// this host is the leader.
+// this host is the leader. A relay that reads through another relay reads twice in each reportInterval,
+// so that its zone learns no later than if it read the store.
 func (g *Gateway) followHosts() error {
-	receive := func(now time.Time, records []port.TopicRecord) {
-		for _, r := range records {
-			g.receiveReports(now, r)
-		}
-	}
 	select {
 	case <-g.configured:
 	case <-time.After(maxHostsStartDelay):
@@ -73,41 +69,44 @@
 		return nil
 	}
 	f := &follower{
-		g: g, topic: port.TopicHosts, onRecords: receive,
-		onSnapshot: func(now time.Time, records []port.TopicRecord, _ bool) { receive(now, records) },
+		g: g, topic: port.TopicHosts,
+		onRecords:  func(now time.Time, records []port.TopicRecord) { g.receiveReports(now, records, false) },
+		onSnapshot: g.receiveReports,
 		onAnswer:   func(now time.Time, _ time.Duration) { g.presence.MarkRead(now) },
 	}
-	tick := time.NewTicker(reportInterval)
+	tick := time.NewTicker(reportInterval / 2)
 	defer tick.Stop()
 	leaveStarted := g.leaveStarted
-	for {
+	for between := false; ; {
 		// The first report is sent after the first read, so that it goes to the relay if there is
 		// one. After an error other than ErrStoreRefused the read is tried all the same; the next
 		// tick sends a new report.
-		refused := f.hasSnapshot && errors.Is(g.sendReport(), port.ErrStoreRefused)
-		if refused {
+		refused := !between && f.hasSnapshot && errors.Is(g.sendReport(), port.ErrStoreRefused)
+		switch {
+		case refused:
 			f.recordStoreFailure(time.Now(), port.ErrStoreRefused) // the store would refuse a read too
-		} else if err := f.poll(); errors.Is(err, port.ErrStoreExpired) {
-			f.hasSnapshot = false
-		} else if err == nil {
+		case between && !g.relays.readsForOthers():
+		case f.pollAnew() == nil:
 			g.aggregateReports(time.Now())
 		}
-		g.updateShares(time.Now())
-		g.runLeaderTasks(time.Now())
+		if !between {
+			g.updateShares(time.Now())
+			g.runLeaderTasks(time.Now())
+		}
 		select {
 		case <-g.tomb.Dying():
 			return nil
 		case <-leaveStarted:
-			leaveStarted = nil // report the state change once, without waiting for the tick
+			leaveStarted, between = nil, false // report the state change once, without waiting for the tick
 		case <-tick.C:
+			between = !between
 		}
 	}
 }
 
 // sendReport sends this host's report to the relay, or appends it to the store with those received
 // from other hosts. The leader always appends its own report: the others consider it the leader
-// while its reports reach the store. A host that has received reports within receivedReportTTL also
-// appends its own, even if it has a relay itself: others have just chosen it as their relay.
+// while its reports reach the store.
 func (g *Gateway) sendReport() error {
 	began := time.Now()
 	r := g.fullReport(began)
@@ -116,7 +115,7 @@
 		g.log.Error().Str("event", "report_unwritable").Err(err).Msg("")
 		return err
 	}
-	if r.FencingToken == 0 && !g.relays.hasReports(began) && g.callRelay(methodReport, relayCallMargin, json.RawMessage(raw), nil) {
+	if r.FencingToken == 0 && g.callRelay(methodReport, relayCallMargin, append(g.relays.reportsToSendUp(), raw), nil) {
 		return nil
 	}
 	received, newlyForwarded := g.relays.reportsToForward(began)
@@ -169,11 +168,36 @@
 // counts are due 10 s after a window of 5 s, and may be late once more.
 const hostRecordTTL = 25 * time.Second
 
-// receiveReports applies a record: one report, or the list that a relay forwards.
-func (g *Gateway) receiveReports(now time.Time, r port.TopicRecord) {
+// receiveReports applies the records of a page: single reports, lists that a relay forwards, and removals.
+// A removal is applied only if no report of its key follows in the page: a relay that begins to forward a
+// host's report removes the host's own record beside, and the host must not seem gone in between. restored
+// is as in presence.Table.ReceiveReport.
+func (g *Gateway) receiveReports(now time.Time, records []port.TopicRecord, restored bool) {
+	decoded := make([][]presence.Report, len(records))
+	last := map[string]int{} // index of the last record with a report, by key
+	for i, r := range records {
+		decoded[i] = g.decodeReports(r)
+		for _, report := range decoded[i] {
+			last[report.Key()] = i
+		}
+	}
+	for i, r := range records {
+		if later, ok := last[r.Key]; r.Removed() && (!ok || later < i) {
+			g.presence.Remove(now, r.Key)
+		}
+		for _, report := range decoded[i] {
+			g.learnEra(report.Era)
+			if g.presence.ReceiveReport(now, report, restored) && report.Host != g.opts.Host {
+				g.log.Info().Str("event", "host").Str("change", "heard").Str("peer", report.Host).Str("state", string(report.State)).Msg("")
+			}
+		}
+	}
+}
+
+// decodeReports returns the reports in a record, none if it is a removal or cannot be read.
+func (g *Gateway) decodeReports(r port.TopicRecord) []presence.Report {
 	if r.Removed() {
-		g.presence.Remove(now, r.Key)
-		return
+		return nil
 	}
 	reports := make([]presence.Report, 1)
 	target := any(&reports[0])
@@ -186,14 +210,9 @@
 	}
 	if err != nil {
 		g.log.Warn().Str("event", "report_unreadable").Str("key", r.Key).Int64("offset", r.Offset).Err(err).Msg("")
-		return
-	}
-	for _, report := range reports {
-		g.learnEra(report.Era)
-		if g.presence.ReceiveReport(now, report) && report.Host != g.opts.Host {
-			g.log.Info().Str("event", "host").Str("change", "heard").Str("peer", report.Host).Str("state", string(report.State)).Msg("")
-		}
+		return nil
 	}
+	return reports
 }
 
 // aggregateReports elects the relay among the live hosts, and passes the sums over the reports of the
--- a/gateway/pack_test.go
+++ b/gateway/pack_test.go
@@ -57,7 +57,7 @@
 	tp := newTestPlatform()
 	g := New(testOptions("h1"), Ports{Logger: &log.Logger{Writer: &log.IOWriter{Writer: tp}}})
 	for _, value := range [][]byte{empty.Bytes(), []byte("?"), gzipMagic} {
-		g.receiveReports(time.Now(), port.TopicRecord{Key: "k", Value: value})
+		g.receiveReports(time.Now(), []port.TopicRecord{{Key: "k", Value: value}}, false)
 	}
 	is.Equal(strings.Count(tp.log(), "report_unreadable"), 3)
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -20,6 +20,11 @@
 // to it. It also grants them quota: a host asks it to take the cost of a request from the zone's
 // share of a workspace's limit. A host that gets no timely answer from its relay does all this
 // itself.
+//
+// One relay of each region calls the store for the relays of the other zones in the same way, so that
+// the calls grow with the regions. It is the relay of its own zone, so there is no cycle among hosts
+// with the same view; in one among hosts whose views differ for a moment, no answer of the store
+// arrives, and each stops answering after maxRelayStaleness.
 
 // Methods that a relay serves to the hosts of its availability zone.
 const (
@@ -40,10 +45,11 @@
 	// away, but a host limited to a fraction of a core may have used up its CPU time until the
 	// scheduler's period of a tenth of a second ends.
 	takeQuotaTimeout = 150 * time.Millisecond
-	// relayBackoff is how long a host does not use a relay that failed to answer it. Within
-	// startupWindow of the host's own start the relay is likely starting too, and is retried after
-	// relayStartupBackoff.
+	// relayBackoff is how long a host does not use a relay that failed to answer it. It doubles with
+	// each failure since the last answer, up to maxRelayBackoff. Within startupWindow of the host's
+	// own start the relay is likely starting too, and is retried after relayStartupBackoff.
 	relayBackoff        = 3 * time.Second
+	maxRelayBackoff     = 24 * time.Second
 	relayStartupBackoff = 300 * time.Millisecond
 	startupWindow       = 3 * time.Second
 	// takerTTL is how long a host counts as one that takes its quota here after it last did so.
@@ -52,8 +58,13 @@
 	// maxRelayStaleness is the age of the store's last answer to a relay beyond which the relay
 	// does not answer in place of the store. The relay reads the store at least once a second.
 	maxRelayStaleness = 1700 * time.Millisecond
+	// forwardDelay is how long a relay gathers reports before it forwards them to the relay of the
+	// region.
+	forwardDelay = 150 * time.Millisecond
 	// receivedReportTTL is how long a report received from another host is forwarded.
 	receivedReportTTL = 2200 * time.Millisecond
+	// minPackedReplyBytes is the size of records from which a reply is compressed.
+	minPackedReplyBytes = 16 << 10
 	// maxCachedRecords bounds the records of a topic that a relay retains.
 	maxCachedRecords = 4096
 )
@@ -67,8 +78,17 @@
 	era     port.Era
 	first   int64
 	end     int64
-	newest  map[string]port.TopicRecord // the newest record of each key
-	wake    chan struct{}               // closed when records are added or a snapshot replaces the cache
+	// newest holds the newest record of each key; of all keys if complete is set.
+	newest   map[string]port.TopicRecord
+	complete bool
+	// freshUntil is the time until which the cache may be used without another page: the next read of
+	// the store, also one without records, is due before.
+	freshUntil time.Time
+	// packed holds the compressed records of the replies up to end, by the offset that they were asked
+	// from; packing is held while one of them is made.
+	packing sync.Mutex
+	packed  map[int64][]byte
+	wake    chan struct{} // closed when records are added or a snapshot replaces the cache
 }
 
 // relayState is the state of this process as a relay and as a client of one.
@@ -82,10 +102,16 @@
 	// store still grants quota.
 	failedUntil      map[string]time.Time
 	unreachableUntil map[string]time.Time
-	// readsStore is set when no other host is the relay: this host is, or the zone has none. chosen is
-	// the zone's relay, zero when there is none.
-	readsStore bool
-	chosen     presence.Report
+	// failures counts the failures of a relay since its last answer, by host.
+	failures map[string]int
+	// chosen is the zone's relay, zero when there is none. upstream is the host that calls the store
+	// for this one: the zone's relay, or for that the region's; zero when this host calls the store
+	// itself. relaying is set while this host is the relay of its zone or region.
+	chosen   presence.Report
+	upstream presence.Report
+	relaying bool
+	// forwarding is set while forwardReports is due.
+	forwarding bool
 	// candidates is the number of candidates when the relay was last chosen (see chooseRelay).
 	// hadQuotaRelay reports whether this host had a relay to take quota from when updateShares last
 	// ran.
@@ -98,55 +124,77 @@
 type receivedReport struct {
 	raw        json.RawMessage
 	receivedAt time.Time
-	forwarded  bool
+	forwarded  bool // in a record of this host
+	sentUp     bool // to the relay of the region
 }
 
 func newRelayState() *relayState {
-	return &relayState{topics: map[port.Topic]*topicCache{}, reports: map[string]receivedReport{}, failedUntil: map[string]time.Time{}, unreachableUntil: map[string]time.Time{}, takers: map[string]time.Time{}}
+	return &relayState{topics: map[port.Topic]*topicCache{}, reports: map[string]receivedReport{}, failedUntil: map[string]time.Time{}, unreachableUntil: map[string]time.Time{}, takers: map[string]time.Time{}, failures: map[string]int{}}
 }
 
-// chooseRelay chooses the relay of this host's zone. Candidates are this host and the live hosts, as
-// far as they are in the zone, serve, have a peer address and have not failed this host as a relay a
-// moment ago (see failedUntil). The candidate with the most cores is chosen; among equals, the one
-// with the highest rendezvous score. Hosts with the same candidates choose the same relay. With
-// fewer than minHostsForRelay candidates there is none.
+// chooseRelay chooses the relays of this host's region and zone. Candidates are this host and the live
+// hosts, as far as they serve, have a peer address and have not failed this host as a relay a moment ago
+// (see failedUntil). The candidate with the most cores is chosen; among equals, the one with the highest
+// rendezvous score. Hosts with the same candidates choose the same relays. With fewer than
+// minHostsForRelay candidates in the region or zone, it has none.
 func (g *Gateway) chooseRelay(now time.Time, live []presence.Report) {
 	s := g.relays
 	self := g.report(now)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	var candidates []presence.Report
+	var inRegion, inZone []presence.Report
 	for _, r := range append(slices.Clone(live), self) {
-		if r.Zone == g.opts.Zone && r.Peer != "" && r.State == presence.StateServing && !now.Before(s.failedUntil[r.Host]) {
-			candidates = append(candidates, r)
+		if r.Region != g.opts.Region || r.Peer == "" || r.State != presence.StateServing || now.Before(s.failedUntil[r.Host]) {
+			continue
+		}
+		inRegion = append(inRegion, r)
+		if r.Zone == g.opts.Zone {
+			inZone = append(inZone, r)
 		}
 	}
-	previous := s.chosen.Host
-	s.readsStore, s.chosen = true, presence.Report{}
-	if len(candidates) >= minHostsForRelay {
-		slices.SortFunc(candidates, func(a, b presence.Report) int {
-			key := "relay/" + g.opts.Zone
-			return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(rendezvous.Score(key, b.Host), rendezvous.Score(key, a.Host)))
-		})
-		s.chosen = candidates[0]
-		s.readsStore = candidates[0].Host == g.opts.Host
-	}
-	s.candidates = len(candidates)
-	if s.chosen.Host != previous {
+	previous, previousUpstream := s.chosen.Host, s.upstream.Host
+	regional := bestRelay("relay/region/"+g.opts.Region, inRegion)
+	s.chosen = bestRelay("relay/"+g.opts.Zone, inZone)
+	if s.chosen.Host != "" && regional.Zone == g.opts.Zone {
+		s.chosen = regional
+	}
+	s.upstream = s.chosen
+	if s.chosen.Host == "" || s.chosen.Host == g.opts.Host {
+		s.upstream = regional
+	}
+	if s.upstream.Host == g.opts.Host {
+		s.upstream = presence.Report{}
+	}
+	s.relaying = s.chosen.Host == g.opts.Host || regional.Host == g.opts.Host
+	s.candidates = len(inZone)
+	if s.chosen.Host != previous || s.upstream.Host != previousUpstream {
 		g.metrics.stateChanges.WithLabelValues("relay").Inc()
-		g.log.Info().Str("event", "relay").Str("relay", s.chosen.Host).Str("before", previous).Int("candidates", len(candidates)).Msg("")
+		g.log.Info().Str("event", "relay").Str("relay", s.chosen.Host).Str("before", previous).
+			Str("upstream", s.upstream.Host).Int("candidates", len(inZone)).Msg("")
 	}
 }
 
-// currentRelay returns the last report of this host's relay, zero when the host reads the store itself.
+// bestRelay returns the candidate that all hosts with the same candidates choose, zero if there are too
+// few.
+func bestRelay(key string, candidates []presence.Report) presence.Report {
+	if len(candidates) < minHostsForRelay {
+		return presence.Report{}
+	}
+	return slices.MinFunc(candidates, func(a, b presence.Report) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(rendezvous.Score(key, b.Host), rendezvous.Score(key, a.Host)))
+	})
+}
+
+// currentRelay returns the last report of the host that calls the store for this one, zero when this
+// host calls the store itself.
 func (g *Gateway) currentRelay(now time.Time) presence.Report {
 	s := g.relays
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.readsStore || s.chosen.Host == "" || now.Before(s.failedUntil[s.chosen.Host]) {
+	if now.Before(s.failedUntil[s.upstream.Host]) {
 		return presence.Report{}
 	}
-	return s.chosen
+	return s.upstream
 }
 
 // markRelayFailed records that a relay did not answer in time or cannot reach the store.
@@ -154,7 +202,10 @@
 	s := g.relays
 	s.mu.Lock()
 	alreadyFailed := now.Before(s.failedUntil[host])
-	backoff := relayBackoff
+	backoff := min(relayBackoff<<min(s.failures[host], 8), maxRelayBackoff)
+	if !alreadyFailed {
+		s.failures[host]++
+	}
 	if now.Sub(g.startedAt) < startupWindow {
 		backoff = relayStartupBackoff
 	}
@@ -190,6 +241,11 @@
 		}
 		return false
 	}
+	if method == methodRead {
+		g.relays.mu.Lock()
+		delete(g.relays.failures, relay.Host)
+		g.relays.mu.Unlock()
+	}
 	return true
 }
 
@@ -213,16 +269,27 @@
 
 type readReply struct {
 	Records []port.TopicRecord `json:"records,omitempty"`
-	Era     port.Era           `json:"era,omitempty"`
-	End     int64              `json:"end"`
-	Expired bool               `json:"expired,omitempty"`
+	// Packed holds the records instead, as compressed JSON, if they are large: a configuration of
+	// thousands of routes goes to all hosts of a zone at the same moment.
+	Packed  []byte   `json:"packed,omitempty"`
+	Era     port.Era `json:"era,omitempty"`
+	End     int64    `json:"end"`
+	Expired bool     `json:"expired,omitempty"`
+	// Age is the time since the store's last answer.
+	Age time.Duration `json:"age_ns,omitempty"`
 }
 
 // canRelay reports whether this process may serve reads and accept reports in place of the store:
-// the store has answered it within maxRelayStaleness. Hosts choose their relay at different times, so
+// the store has answered it within maxRelayStaleness, and has not refused a call since. Hosts choose their relay at different times, so
 // it does not matter whether this one has chosen itself.
 func (g *Gateway) canRelay(now time.Time) bool {
-	return now.Sub(time.Unix(0, g.lastStoreAnswer.Load())) < maxRelayStaleness
+	return g.storeAge(now) < maxRelayStaleness && g.lastStoreAnswer.Load() >= g.lastStoreRefusal.Load()
+}
+
+// storeAge returns the time since the store's last answer to this host or, as far as it knows, to its
+// relays.
+func (g *Gateway) storeAge(now time.Time) time.Duration {
+	return now.Sub(time.Unix(0, g.lastStoreAnswer.Load()))
 }
 
 func (g *Gateway) serveRead(ctx context.Context, params json.RawMessage) (any, error) {
@@ -237,7 +304,8 @@
 		}
 		reply, wake, ok := g.relays.read(req)
 		if ok {
-			return reply, nil
+			reply.Age = g.storeAge(time.Now())
+			return g.relays.packReply(req, reply)
 		}
 		if wake == nil {
 			return nil, errNotRelay
@@ -245,7 +313,7 @@
 		select {
 		case <-wake:
 		case <-timeout:
-			return readReply{Era: req.Era, End: req.From}, nil
+			return readReply{Era: req.Era, End: req.From, Age: g.storeAge(time.Now())}, nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
@@ -259,7 +327,9 @@
 	defer s.mu.Unlock()
 	cache := s.topics[req.Topic]
 	switch {
-	case cache == nil || cache.era < req.Era:
+	case cache == nil || cache.era < req.Era || time.Now().After(cache.freshUntil):
+		return readReply{}, nil, false
+	case req.From < 0 && !cache.complete:
 		return readReply{}, nil, false
 	case req.From < 0:
 		reply := readReply{Era: cache.era, End: cache.end}
@@ -275,9 +345,60 @@
 	return readReply{}, cache.wake, false
 }
 
+// packReply compresses the records of a reply if they are large. Hosts that ask from the same offset get
+// the same bytes, compressed once.
+func (s *relayState) packReply(req readRequest, reply readReply) (readReply, error) {
+	size := 0
+	for _, r := range reply.Records {
+		size += len(r.Value)
+	}
+	if size < minPackedReplyBytes {
+		return reply, nil
+	}
+	s.mu.Lock()
+	cache := s.topics[req.Topic]
+	s.mu.Unlock()
+	cache.packing.Lock()
+	defer cache.packing.Unlock()
+	s.mu.Lock()
+	packed, ok := cache.packed[req.From]
+	ok = ok && cache.era == reply.Era && cache.end == reply.End
+	s.mu.Unlock()
+	if !ok {
+		raw, err := json.Marshal(reply.Records)
+		if err != nil {
+			return readReply{}, errors.Wrap(err, "encode records")
+		}
+		if packed, err = pack(raw); err != nil {
+			return readReply{}, err
+		}
+		s.mu.Lock()
+		if cache.end == reply.End {
+			cache.packed[req.From] = packed
+		}
+		s.mu.Unlock()
+	}
+	reply.Records, reply.Packed = nil, packed
+	return reply, nil
+}
+
+// records returns the records of a reply.
+func (r readReply) records() ([]port.TopicRecord, error) {
+	if len(r.Packed) == 0 {
+		return r.Records, nil
+	}
+	raw, err := unpack(r.Packed)
+	if err != nil {
+		return nil, err
+	}
+	var records []port.TopicRecord
+	return records, errors.Wrap(json.Unmarshal(raw, &records), "decode records")
+}
+
 // cachePage adds a page that this process has read of a topic, to answer other hosts from. A
-// snapshot, which holds the newest record of each key, replaces what is cached of the topic.
-func (s *relayState) cachePage(topic port.Topic, snapshot bool, page port.TopicPage) {
+// snapshot, which holds the newest record of each key, replaces what is cached of the topic. freshUntil
+// is as in topicCache.
+func (s *relayState) cachePage(topic port.Topic, snapshot bool, page port.TopicPage, freshUntil time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cache := s.topics[topic]
@@ -285,7 +406,7 @@
 		if cache != nil {
 			close(cache.wake)
 		}
-		cache = &topicCache{era: page.Era, first: page.End, end: page.End, newest: map[string]port.TopicRecord{}, wake: make(chan struct{})}
+		cache = &topicCache{era: page.Era, first: page.End, end: page.End, newest: map[string]port.TopicRecord{}, complete: snapshot, packed: map[int64][]byte{}, wake: make(chan struct{})}
 		s.topics[topic] = cache
 	}
 	for _, record := range page.Records {
@@ -298,17 +419,60 @@
 			cache.records = append(cache.records, record)
 		}
 	}
-	cache.end = page.End
+	cache.end, cache.freshUntil = page.End, freshUntil
 	if drop := len(cache.records) - maxCachedRecords; drop > 0 {
 		cache.records = slices.Clone(cache.records[drop:])
 	}
 	cache.first = cache.end - int64(len(cache.records))
 	if len(page.Records) > 0 {
+		cache.packed = map[int64][]byte{}
 		close(cache.wake)
 		cache.wake = make(chan struct{})
 	}
 }
 
+// dropCache drops what is cached of a topic that this process no longer reads for others: it would grow
+// stale unnoticed.
+func (s *relayState) dropCache(topic port.Topic) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cache := s.topics[topic]; cache != nil {
+		delete(s.topics, topic)
+		close(cache.wake)
+	}
+}
+
+// needsSnapshot reports whether this process is to relay a topic of which it has no complete cache.
+func (s *relayState) needsSnapshot(topic port.Topic) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cache := s.topics[topic]
+	return s.relaying && (cache == nil || !cache.complete)
+}
+
+// readsForOthers reports whether this process is a relay that itself reads through the relay of the region.
+func (s *relayState) readsForOthers() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.relaying && s.upstream.Host != ""
+}
+
+// isRelaying reports whether this process is the relay of its zone or region.
+func (s *relayState) isRelaying() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.relaying
+}
+
+// noteStoreAnswer records that the store has answered at a time, this host or a relay.
+func (g *Gateway) noteStoreAnswer(at time.Time) {
+	for last := g.lastStoreAnswer.Load(); last < at.UnixNano(); last = g.lastStoreAnswer.Load() {
+		if g.lastStoreAnswer.CompareAndSwap(last, at.UnixNano()) {
+			return
+		}
+	}
+}
+
 // readFromRelay reads a topic from the relay; ok is false when the store has to be read instead.
 func (g *Gateway) readFromRelay(topic port.Topic, era port.Era, from int64, wait time.Duration) (page port.TopicPage, err error, ok bool) {
 	var reply readReply
@@ -319,40 +483,82 @@
 		return page, nil, false
 	}
 	g.learnEra(reply.Era)
+	g.noteStoreAnswer(time.Now().Add(-reply.Age))
 	if reply.Expired {
 		return page, port.ErrStoreExpired, true
 	}
-	return port.TopicPage{Era: reply.Era, Records: reply.Records, End: reply.End}, nil, true
+	records, err := reply.records()
+	if err != nil {
+		g.log.Warn().Str("event", "relay_reply_unreadable").Str("topic", string(topic)).Int64("from", from).Err(err).Msg("")
+		return page, nil, false
+	}
+	return port.TopicPage{Era: reply.Era, Records: records, End: reply.End}, nil, true
 }
 
-// serveReport receives the report of a host of the zone.
+// serveReport receives the reports of hosts. A relay whose reports go to the relay of the region forwards
+// them soon, so that they are not delayed by another report interval.
 func (g *Gateway) serveReport(_ context.Context, params json.RawMessage) (any, error) {
 	now := time.Now()
 	if !g.canRelay(now) {
 		return nil, errNotRelay
 	}
-	var r presence.Report
-	if err := json.Unmarshal(params, &r); err != nil {
-		return nil, errors.Wrap(err, "decode report")
+	var raws []json.RawMessage
+	if err := json.Unmarshal(params, &raws); err != nil {
+		return nil, errors.Wrap(err, "decode reports")
+	}
+	for _, raw := range raws {
+		var r presence.Report
+		if err := json.Unmarshal(raw, &r); err != nil {
+			return nil, errors.Wrap(err, "decode report")
+		}
+		g.relays.receive(now, r.Key(), raw)
+	}
+	if g.currentRelay(now).Host != "" && g.leader.fencingToken(now) == 0 && g.relays.startForwarding() {
+		time.AfterFunc(forwardDelay, g.forwardReports)
 	}
-	g.relays.mu.Lock()
-	defer g.relays.mu.Unlock()
-	previous := g.relays.reports[r.Key()]
-	g.relays.reports[r.Key()] = receivedReport{slices.Clone(params), now, previous.forwarded}
 	return struct{}{}, nil
 }
 
-// hasReports reports whether other hosts have sent their reports to this one within
-// receivedReportTTL.
-func (s *relayState) hasReports(now time.Time) bool {
+func (s *relayState) receive(now time.Time, key string, raw json.RawMessage) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reports[key] = receivedReport{raw: raw, receivedAt: now, forwarded: s.reports[key].forwarded}
+}
+
+// startForwarding reports whether no forwarding is pending, and marks one as pending.
+func (s *relayState) startForwarding() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for _, r := range s.reports {
-		if now.Sub(r.receivedAt) <= receivedReportTTL {
-			return true
+	if s.forwarding {
+		return false
+	}
+	s.forwarding = true
+	return true
+}
+
+// forwardReports sends the reports that have come since the last time to the relay of the region. If that
+// fails, this host's next report takes them to the store.
+func (g *Gateway) forwardReports() {
+	raws := g.relays.reportsToSendUp()
+	if len(raws) > 0 && g.tomb.Alive() {
+		g.callRelay(methodReport, relayCallMargin, raws, nil)
+	}
+}
+
+// reportsToSendUp returns the reports that were not sent to the relay of the region yet.
+func (s *relayState) reportsToSendUp() []json.RawMessage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forwarding = false
+	var out []json.RawMessage
+	for key, r := range s.reports {
+		if !r.sentUp {
+			r.sentUp = true
+			s.reports[key] = r
+			out = append(out, r.raw)
 		}
 	}
-	return false
+	return out
 }
 
 // reportsToForward returns the reports to forward, and the keys of those forwarded for the first
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -362,8 +363,227 @@
 	tp := newTestPlatform()
 	g := New(hostOptions("h1"), Ports{Peers: newMemoryPeers(), Store: &hostStore{memoryStore: tp.store}, Logger: &log.Logger{Writer: &log.IOWriter{Writer: tp}}})
 	former := presence.Report{Host: "former", Peer: "10.0.0.8:7600"}
-	g.relays.chosen = presence.Report{Host: "present", Peer: "10.0.0.9:7600"}
+	g.relays.upstream = presence.Report{Host: "present", Peer: "10.0.0.9:7600"}
 	is.True(!g.callPeer(former, methodRead, time.Second, readRequest{}, nil))
 	is.Equal(g.currentRelay(time.Now()).Host, "present")
 	is.True(!g.relays.failedUntil["former"].IsZero())
 }
+
+// startRegions starts hosts of two regions with three availability zones each.
+func startRegions(t *testing.T, hostsPerZone int) (*testPlatform, *memoryPeers) {
+	t.Helper()
+	tp := newTestPlatform()
+	tp.publish(endpoint("1", "api"))
+	tp.peers = newMemoryPeers()
+	for region := range 2 {
+		for zone := range 3 {
+			for i := range hostsPerZone {
+				n := 100*region + 20*zone + i
+				o := hostOptions(fmt.Sprintf("h%d", n))
+				o.Region, o.Zone, o.Peer = fmt.Sprint("r", region), fmt.Sprint("z", region, zone), fmt.Sprintf("10.0.0.%d:7600", n)
+				g := tp.startHost(t, o)
+				tp.peers.mu.Lock()
+				tp.peers.hosts[o.Peer] = g.PeerHandlers()
+				tp.peers.mu.Unlock()
+				time.Sleep(37 * time.Millisecond) // their ticks come at different times
+			}
+		}
+	}
+	time.Sleep(10 * time.Second)
+	return tp, tp.peers
+}
+
+// storeCalls returns the number of calls of all hosts to the store.
+func (tp *testPlatform) storeCalls() int64 {
+	sum := int64(0)
+	for _, g := range tp.hosts {
+		sum += g.ports.Store.(*hostStore).calls.Load()
+	}
+	return sum
+}
+
+// regionRelay returns the host that calls the store for the region of a host.
+func (tp *testPlatform) regionRelay(g *Gateway) *Gateway {
+	for range 3 {
+		g.relays.mu.Lock()
+		upstream := g.relays.upstream.Host
+		g.relays.mu.Unlock()
+		if upstream == "" {
+			return g
+		}
+		g = tp.hostNamed(upstream)
+	}
+	return nil
+}
+
+// TestOneHostOfEachRegionCallsTheStore: the number of store calls grows with the regions and not with the
+// zones, and all hosts know what the store holds.
+func TestOneHostOfEachRegionCallsTheStore(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tp, _ := startRegions(t, 4)
+		const length = 20
+		before := tp.storeCalls()
+		time.Sleep(length * time.Second)
+		is.True(tp.storeCalls()-before < 2*length*5+length) // of two relays, about four a second, and the leader
+		tp.store.put(port.TopicConfiguration, configurationKey, configuration(2))
+		tp.store.put(port.TopicEndpoints, "2", endpoint("2", "api"))
+		time.Sleep(3 * time.Second)
+		for _, g := range tp.hosts {
+			is.Equal(g.catalog.Current().Version, int64(2))
+			is.Equal(len(g.fleet.Usable(time.Now(), "api")), 2)
+			is.Equal(len(g.presence.Within(shareTimeout)), len(tp.hosts)-1)
+		}
+	})
+}
+
+// TestRegionRelayFails: the relay of a region freezes, is killed or cannot reach the store, alone or with
+// the relay of another zone; a configuration is in force everywhere else within its time, no host counts
+// as gone, and the hosts agree on another relay.
+func TestRegionRelayFails(t *testing.T) {
+	const inForce = 3 * time.Second
+	for name, tc := range map[string]struct {
+		fail func(tp *testPlatform, peers *memoryPeers, relay *Gateway)
+		both bool // another zone's relay fails, too
+	}{
+		"freezes": {func(_ *testPlatform, peers *memoryPeers, relay *Gateway) {
+			peers.setUnresponsive(relay.opts.Peer, true)
+		}, false},
+		"freezes with a zone's relay": {func(_ *testPlatform, peers *memoryPeers, relay *Gateway) {
+			peers.setUnresponsive(relay.opts.Peer, true)
+		}, true},
+		"cannot reach the store": {func(_ *testPlatform, _ *memoryPeers, relay *Gateway) {
+			relay.ports.Store.(*hostStore).unreachable.Store(true)
+		}, false},
+		"is killed": {func(_ *testPlatform, peers *memoryPeers, relay *Gateway) {
+			peers.mu.Lock()
+			delete(peers.hosts, relay.opts.Peer)
+			peers.mu.Unlock()
+			relay.tomb.Kill(nil)
+		}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				tp, peers := startRegions(t, 4)
+				relay := tp.regionRelay(tp.hosts[0])
+				failed := map[*Gateway]bool{relay: true}
+				if tc.both {
+					for _, g := range tp.hosts {
+						if g.opts.Region == relay.opts.Region && g.opts.Zone != relay.opts.Zone {
+							failed[tp.hostNamed(tp.relayOf(g))] = true
+							break
+						}
+					}
+				}
+				for g := range failed {
+					tc.fail(tp, peers, g)
+				}
+				tp.store.put(port.TopicConfiguration, configurationKey, configuration(2))
+				time.Sleep(inForce)
+				for _, g := range tp.hosts {
+					if failed[g] {
+						continue
+					}
+					is.Equal(g.catalog.Current().Version, int64(2))
+					for _, other := range tp.hosts {
+						if !failed[other] && other != g {
+							is.True(slices.ContainsFunc(g.presence.Live(), func(r presence.Report) bool { return r.Host == other.opts.Host }))
+						}
+					}
+				}
+				time.Sleep(12 * time.Second)
+				before := tp.storeCalls()
+				time.Sleep(10 * time.Second)
+				is.True(tp.storeCalls()-before < 10*2*12) // few hosts call it themselves
+			})
+		})
+	}
+}
+
+// TestIncompleteCacheIsNoSnapshot guards against a host that starts without what was written before its
+// relay began to read the store: that relay has read a part of the topic only.
+func TestIncompleteCacheIsNoSnapshot(t *testing.T) {
+	is := is.New(t)
+	s := newRelayState()
+	s.cachePage(port.TopicConfiguration, false, port.TopicPage{End: 12, Records: []port.TopicRecord{{Offset: 11, Key: "other", Value: []byte("1")}}}, time.Now().Add(time.Minute))
+	_, _, ok := s.read(readRequest{Topic: port.TopicConfiguration, From: -1})
+	is.True(!ok)
+	s.cachePage(port.TopicConfiguration, true, port.TopicPage{End: 12, Records: []port.TopicRecord{{Offset: 3, Key: "config", Value: []byte("1")}}}, time.Now().Add(time.Minute))
+	reply, _, ok := s.read(readRequest{Topic: port.TopicConfiguration, From: -1})
+	is.True(ok)
+	is.Equal(len(reply.Records), 1)
+}
+
+// TestLargeRepliesAreCompressedOnce replays big_config on the large deployment: a configuration of 1,660
+// further routes is due at all hosts of a zone within seconds. What the relay sends to each is a
+// fraction of its size, and the same bytes for all that ask from the same offset.
+func TestLargeRepliesAreCompressedOnce(t *testing.T) {
+	is := is.New(t)
+	large := configuration(2)
+	for i := range 1660 {
+		route := large.Routes[0]
+		route.PathPrefix = fmt.Sprintf("/more%d/", i)
+		large.Routes = append(large.Routes, route)
+	}
+	value, err := json.Marshal(large)
+	is.NoErr(err)
+	s := newRelayState()
+	s.cachePage(port.TopicConfiguration, true, port.TopicPage{End: 4}, time.Now().Add(time.Minute))
+	s.cachePage(port.TopicConfiguration, false, port.TopicPage{End: 5, Records: []port.TopicRecord{{Offset: 4, Key: "config", Value: value}}}, time.Now().Add(time.Minute))
+	var first readReply
+	for i := range 33 {
+		req := readRequest{Topic: port.TopicConfiguration, From: 4}
+		reply, _, ok := s.read(req)
+		is.True(ok)
+		reply, err := s.packReply(req, reply)
+		is.NoErr(err)
+		is.True(len(reply.Packed) > 0 && len(reply.Packed) < len(value)/8)
+		if i == 0 {
+			first = reply
+		}
+		is.Equal(&reply.Packed[0], &first.Packed[0])
+	}
+	records, err := first.records()
+	is.NoErr(err)
+	is.Equal(records[0].Value, value)
+	s.cachePage(port.TopicConfiguration, false, port.TopicPage{End: 6, Records: []port.TopicRecord{{Offset: 5, Key: "config", Value: []byte("{}")}}}, time.Now().Add(time.Minute))
+	req := readRequest{Topic: port.TopicConfiguration, From: 4}
+	reply, _, _ := s.read(req)
+	reply, err = s.packReply(req, reply)
+	is.NoErr(err)
+	records, err = reply.records()
+	is.NoErr(err)
+	is.Equal(len(records), 2) // not the earlier bytes
+}
+
+// TestFormerRelayServesNothingStale replays trouble-1 of mandacaru-cfg, where an endpoint got a request 3.3 s
+// after it had left: a host that had read the store, and then read through a relay again, went on answering
+// another host from what it had read itself.
+func TestFormerRelayServesNothingStale(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tp := newTestPlatform()
+		tp.publish(endpoint("1", "api"))
+		tp.startZone(t, 5)
+		time.Sleep(8 * time.Second)
+		relay := tp.hostNamed(tp.relayOf(tp.hosts[0]))
+		former := tp.hosts[0]
+		if former == relay {
+			former = tp.hosts[1]
+		}
+		// It reads the store for a while, as if its relay had failed.
+		former.markRelayFailed(time.Now(), relay.opts.Host, methodRead, port.ErrPeerBroken)
+		time.Sleep(2 * time.Second)
+		former.relays.mu.Lock()
+		end := former.relays.topics[port.TopicEndpoints].end // it has what it read itself
+		former.relays.mu.Unlock()
+		time.Sleep(5 * time.Second)
+		tp.store.put(port.TopicEndpoints, "2", endpoint("2", "api"))
+		time.Sleep(2 * time.Second)
+		_, known := former.fleet.Get("2")
+		is.True(known)
+		reply, err := former.serveRead(t.Context(), fmt.Appendf(nil, `{"topic":"endpoints","from":%d}`, end))
+		is.True(err != nil || len(reply.(readReply).Records) == 1)
+	})
+}
--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -18,7 +18,7 @@
 	s := g.relays
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.readsStore || s.chosen.Host == "" || now.Before(s.unreachableUntil[s.chosen.Host]) {
+	if s.chosen.Host == "" || s.chosen.Host == g.opts.Host || now.Before(s.unreachableUntil[s.chosen.Host]) {
 		return presence.Report{}
 	}
 	return s.chosen
@@ -35,7 +35,7 @@
 	relayLost := s.hadQuotaRelay && !relayed
 	s.hadQuotaRelay = relayed
 	fraction := 1.0
-	if s.readsStore && s.chosen.Host != "" && now.Sub(time.Unix(0, g.lastStoreAnswer.Load())) >= maxRelayStaleness {
+	if s.chosen.Host == g.opts.Host && g.storeAge(now) >= maxRelayStaleness {
 		fraction = min(float64(1+s.countTakers(now, takerTTL))/float64(max(s.candidates, 1)), 1)
 	}
 	s.mu.Unlock()
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -30,7 +30,7 @@
 func (g *Gateway) State(now time.Time) State {
 	s := State{
 		Host: g.opts.Host, Ready: g.Ready(), Leaving: g.Leaving(), InProgress: g.calls.len(),
-		StoreAge:  now.Sub(time.Unix(0, g.lastStoreAnswer.Load())),
+		StoreAge:  g.storeAge(now),
 		Endpoints: g.fleet.All(), Placement: g.placement.State(), Quota: g.quota.State(),
 		Hosts: g.presence.Live(), FencingToken: g.leader.fencingToken(now),
 	}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -122,15 +122,16 @@
 }
 
 // ReceiveReport applies a received report if it is newer than the last one. It reports
-// whether the incarnation was unknown before.
-func (t *Table) ReceiveReport(now time.Time, r Report) bool {
+// whether the incarnation was unknown before. restored is set if the report is from an older
+// copy of the store: it then does not make an incarnation alive again that was removed.
+func (t *Table) ReceiveReport(now time.Time, r Report, restored bool) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	old, known := t.rows[r.Key()]
 	if known && old.Sequence >= r.Sequence {
 		return false
 	}
-	if gone, ok := t.removed[r.Key()]; ok && gone.sequence >= r.Sequence {
+	if gone, ok := t.removed[r.Key()]; restored && ok && gone.sequence >= r.Sequence {
 		return false
 	}
 	t.rows[r.Key()] = &row{r, now}
--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -31,32 +31,32 @@
 		receive func(*Table)
 		want    []string
 	}{
-		"reported": {func(x *Table) { x.ReceiveReport(at(0), report("a", "1", 1)); x.MarkRead(at(1)) }, []string{"a/1"}},
+		"reported": {func(x *Table) { x.ReceiveReport(at(0), report("a", "1", 1), false); x.MarkRead(at(1)) }, []string{"a/1"}},
 		"no further report": {func(x *Table) {
 			x.MarkRead(at(0))
-			x.ReceiveReport(at(0), report("a", "1", 1))
+			x.ReceiveReport(at(0), report("a", "1", 1), false)
 			x.MarkRead(at(1))
 			x.MarkRead(at(2))
 			x.MarkRead(at(3))
 			x.MarkRead(at(4))
 			x.MarkRead(at(5))
 		}, nil},
-		"this host itself":     {func(x *Table) { x.ReceiveReport(at(0), report("me", "1", 1)); x.MarkRead(at(1)) }, nil},
-		"own last incarnation": {func(x *Table) { x.ReceiveReport(at(0), report("me", "0", 1)); x.MarkRead(at(1)) }, nil},
+		"this host itself":     {func(x *Table) { x.ReceiveReport(at(0), report("me", "1", 1), false); x.MarkRead(at(1)) }, nil},
+		"own last incarnation": {func(x *Table) { x.ReceiveReport(at(0), report("me", "0", 1), false); x.MarkRead(at(1)) }, nil},
 		"the newest incarnation": {func(x *Table) {
-			x.ReceiveReport(at(0), report("a", "1", 9))
-			x.ReceiveReport(at(1), report("a", "2", 1))
+			x.ReceiveReport(at(0), report("a", "1", 9), false)
+			x.ReceiveReport(at(1), report("a", "2", 1), false)
 			x.MarkRead(at(1))
 		}, []string{"a/2"}},
 		"an older report again": {func(x *Table) {
-			x.ReceiveReport(at(0), report("a", "1", 5))
-			x.ReceiveReport(at(9), report("a", "1", 4))
+			x.ReceiveReport(at(0), report("a", "1", 5), false)
+			x.ReceiveReport(at(9), report("a", "1", 4), false)
 			x.MarkRead(at(9))
 		}, nil},
-		"the store was unavailable": {func(x *Table) { x.MarkRead(at(0)); x.ReceiveReport(at(0), report("a", "1", 1)); x.MarkRead(at(9)) }, []string{"a/1"}},
+		"the store was unavailable": {func(x *Table) { x.MarkRead(at(0)); x.ReceiveReport(at(0), report("a", "1", 1), false); x.MarkRead(at(9)) }, []string{"a/1"}},
 		"unavailable, then no report": {func(x *Table) {
 			x.MarkRead(at(0))
-			x.ReceiveReport(at(0), report("a", "1", 1))
+			x.ReceiveReport(at(0), report("a", "1", 1), false)
 			x.MarkRead(at(9))
 			for s := 10.0; s < 16; s++ {
 				x.MarkRead(at(s))
@@ -74,12 +74,12 @@
 func TestUnresponsive(t *testing.T) {
 	is := is.New(t)
 	x := NewTable("me", "1", hostTTL)
-	x.ReceiveReport(at(0), Report{Host: "a", Incarnation: "1", Sequence: 1})
-	x.ReceiveReport(at(5), Report{Host: "b", Incarnation: "1", Sequence: 1})
+	x.ReceiveReport(at(0), Report{Host: "a", Incarnation: "1", Sequence: 1}, false)
+	x.ReceiveReport(at(5), Report{Host: "b", Incarnation: "1", Sequence: 1}, false)
 	x.MarkRead(at(6))
 	is.Equal(names(x.Unresponsive(2*time.Second, 20*time.Second)), []string{"a/1"})
 	is.Equal(names(x.Within(2*time.Second)), []string{"b/1"})
-	x.ReceiveReport(at(6), Report{Host: "a", Incarnation: "2", Sequence: 1}) // restarted
+	x.ReceiveReport(at(6), Report{Host: "a", Incarnation: "2", Sequence: 1}, false) // restarted
 	x.MarkRead(at(7))
 	is.Equal(names(x.Unresponsive(2*time.Second, 20*time.Second)), []string{"b/1"})
 }
