Soak: return the store from an older copy

The stand-in for the store makes copies and returns to them; the soak does so beside kills, drains and changes of the configuration (TestDrills). Seeds of other runs keep their faults: drills are injected only where a run names them.

--- a/soak/fault.go
+++ b/soak/fault.go
@@ -69,7 +69,10 @@
 	{"configuration", func(tr *testRun) (string, func()) { tr.publishConfig(); return "", nil }},
 }
 
-// FaultKinds returns the names of all kinds of faults.
+// drills are further kinds, injected only in runs that name them: seeds of other runs keep their faults.
+var drills = []fault{{"store restored", restoreStore}}
+
+// FaultKinds returns the names of all kinds of faults except drills.
 func FaultKinds() []string {
 	var out []string
 	for _, f := range faults {
@@ -85,7 +88,7 @@
 	until := time.Now().Add(tr.opts.FaultPhase)
 	kinds := faults
 	if len(tr.opts.FaultKinds) > 0 {
-		kinds = slices.DeleteFunc(slices.Clone(faults), func(f fault) bool { return !slices.Contains(tr.opts.FaultKinds, f.name) })
+		kinds = slices.DeleteFunc(slices.Concat(faults, drills), func(f fault) bool { return !slices.Contains(tr.opts.FaultKinds, f.name) })
 	}
 	for time.Now().Before(until) && ctx.Err() == nil {
 		f := kinds[tr.rng.IntN(len(kinds))]
@@ -180,6 +183,18 @@
 	}
 }
 
+// restoreStore copies the store. In the end the store is away for a moment and returns from that copy.
+func restoreStore(tr *testRun) (string, func()) {
+	const away = 300 * time.Millisecond
+	tr.store.Copy()
+	return "", func() {
+		_, undo := isolateStore(tr)
+		time.Sleep(away)
+		tr.store.Restore()
+		undo()
+	}
+}
+
 // pickEndpoint returns a serving endpoint whose service has at least one other, or nil.
 func (tr *testRun) pickEndpoint() *endpoint {
 	tr.mu.Lock()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -316,3 +316,18 @@
 func (plantedStore) Newest(context.Context, port.Topic) (port.TopicPage, error) {
 	return port.TopicPage{}, port.ErrStoreUnavailable
 }
+
+// TestDrills injects returns of the store from an older copy beside kills, changes of the configuration and
+// of the endpoints, without a time bound.
+func TestDrills(t *testing.T) {
+	is := is.New(t)
+	r, err := Run(t.Context(), Options{
+		Seed: 3, AddressBase: os.Getpid() + 1, Hosts: 3, Endpoints: 2, Callers: 4, FaultPhase: 12 * time.Second, SettleDelay: 8 * time.Second,
+		FaultKinds: []string{"store restored", "kill", "configuration", "drain"}, Dir: t.TempDir(), Command: command(""),
+	})
+	is.NoErr(err)
+	t.Logf("%d of %d served; faults:\n%s", r.Served, r.Sent, strings.Join(r.Faults, "\n"))
+	is.True(strings.Contains(strings.Join(r.Faults, "\n"), "store restored"))
+	is.Equal(r.Violations, nil)
+	is.True(r.Served > 0)
+}
