--- a/adapter/endpointhttp/endpointhttp.go
+++ b/adapter/endpointhttp/endpointhttp.go
@@ -39,9 +39,13 @@
 	// dialTimeout bounds the opening of a connection. A round trip between
 	// regions takes 60 ms, and a lost SYN is retransmitted after 1 s.
 	dialTimeout = 1300 * time.Millisecond
-	// maxIdleTime bounds how long an idle connection is pooled. Endpoints close
-	// idle connections after a while, and a request sent at that moment is lost.
-	maxIdleTime = 4 * time.Second
+	// unstatedIdleTime is how long an idle connection is pooled if the endpoint does not
+	// state its idle timeout. Endpoints close idle connections after a while, and a
+	// request sent at that moment is lost.
+	unstatedIdleTime = 4 * time.Second
+	// maxIdleTime bounds how long an idle connection is pooled whatever the endpoint
+	// states: the longer it is idle, the likelier has it ended without notice.
+	maxIdleTime = 12 * time.Second
 	// keepAliveMargin is subtracted from the idle timeout that an endpoint
 	// states, so that the pool closes the connection first.
 	keepAliveMargin = 500 * time.Millisecond
@@ -285,7 +289,7 @@
 	if f.Sending != nil {
 		if err := f.Sending(); err != nil {
 			if cancelClose() {
-				p.put(c, maxIdleTime)
+				p.put(c, unstatedIdleTime)
 			}
 			return nil, errors.Wrapf(port.ErrNotSent, "%s: %v", f.Address, err)
 		}
--- a/adapter/endpointhttp/idle.go
+++ b/adapter/endpointhttp/idle.go
@@ -25,7 +25,7 @@
 		}
 		return time.Duration(seconds)*time.Second - keepAliveMargin
 	}
-	return maxIdleTime
+	return unstatedIdleTime
 }
 
 // reusable reports whether an idle connection has neither ended nor received bytes.
