--- a/gateway/call.go
+++ b/gateway/call.go
@@ -186,7 +186,7 @@
 	defer reply.Body.Close()
 	now := time.Now()
 	if !reply.Misdirected {
-		c.recordWishes(now, a, reply)
+		c.recordAnnouncements(now, a, reply)
 	}
 	if reply.Declined || reply.Misdirected {
 		tracker.declined()
@@ -318,9 +318,9 @@
 		Str("why", reason).Dur("pause", suspectTime).Dur("entry_age", now.Sub(a.view.ListedAt)).Msg("")
 }
 
-// recordWishes applies what an endpoint states about itself in an answer: that it leaves, and that it
+// recordAnnouncements applies what an endpoint states about itself in an answer: that it leaves, and that it
 // wants no requests for some time.
-func (c *call) recordWishes(now time.Time, a *endpointAttempt, reply *port.Reply) {
+func (c *call) recordAnnouncements(now time.Time, a *endpointAttempt, reply *port.Reply) {
 	if reply.HeaderFault != "" {
 		c.g.log.Warn().Str("event", "endpoint_header").Str("request", c.req.ID).Str("endpoint", a.view.ID).Str("fault", reply.HeaderFault).Msg("")
 	}
