--- a/cli/cli.go
+++ b/cli/cli.go
@@ -92,7 +92,7 @@
 		Subcommands: []*ffcli.Command{
 			t.validateCommand(), t.publishCommand(), t.getCommand(), t.diffCommand(),
 			t.addressesCommand(), t.dumpCommand(), t.explainCommand(),
-			t.demoCommand(), t.replayCommand(), t.capacityCommand(),
+			t.demoCommand(), t.replayCommand(), t.capacityCommand(), t.reportCommand(),
 		},
 		Exec: func(_ context.Context, args []string) error {
 			if len(args) > 0 {
