Bound what a relay retains of a topic by bytes, too

Cause: records of hosts are up to 15 KB, so that the raised number of records alone would allow 245 MB, more than a host has.

Test: TestLatestRecords.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -65,8 +65,9 @@
 	receivedReportTTL = 2200 * time.Millisecond
 	// minPackedReplyBytes is the size of records from which a reply is compressed.
 	minPackedReplyBytes = 16 << 10
-	// maxCachedRecords bounds the records of a topic that a relay retains.
+	// maxCachedRecords and maxCachedBytes bound the records of a topic that a relay retains.
 	maxCachedRecords = 16_384
+	maxCachedBytes   = 8 << 20
 )
 
 var errNotRelay = errors.New("not a relay, or out of touch with the store")
@@ -420,9 +421,7 @@
 		}
 	}
 	cache.end, cache.freshUntil = page.End, freshUntil
-	if drop := len(cache.records) - maxCachedRecords; drop > 0 {
-		cache.records = slices.Clone(cache.records[drop:])
-	}
+	cache.records = latestRecords(cache.records, maxCachedRecords, maxCachedBytes)
 	cache.first = cache.end - int64(len(cache.records))
 	if len(page.Records) > 0 {
 		cache.packed = map[int64][]byte{}
@@ -431,6 +430,19 @@
 	}
 }
 
+// latestRecords returns the last records, at most maxCount with at most maxBytes of values.
+func latestRecords(records []port.TopicRecord, maxCount, maxBytes int) []port.TopicRecord {
+	first, size := len(records), 0
+	for first > 0 && len(records)-first < maxCount && size+len(records[first-1].Value) <= maxBytes {
+		first--
+		size += len(records[first].Value)
+	}
+	if first == 0 {
+		return records
+	}
+	return slices.Clone(records[first:])
+}
+
 // dropCache drops what is cached of a topic that this process no longer reads for others: it would grow
 // stale unnoticed.
 func (s *relayState) dropCache(topic port.Topic) {
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -634,3 +634,15 @@
 		is.Equal(len(g.fleet.Usable(time.Now(), "api")), 25)
 	})
 }
+
+func TestLatestRecords(t *testing.T) {
+	is := is.New(t)
+	records := make([]port.TopicRecord, 10)
+	for i := range records {
+		records[i] = port.TopicRecord{Offset: int64(i), Value: make([]byte, 100)}
+	}
+	is.Equal(len(latestRecords(records, 20, 5000)), 10)
+	is.Equal(latestRecords(records, 4, 5000)[0].Offset, int64(6))
+	is.Equal(latestRecords(records, 20, 350)[0].Offset, int64(7))
+	is.Equal(len(latestRecords(records, 20, 99)), 0)
+}
