--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,7 +82,10 @@
 	// DecodeConfiguration and DecodeEndpoint decode records of the store.
 	DecodeConfiguration func([]byte) (*catalog.Snapshot, error)
 	DecodeEndpoint      func(id string, raw []byte) (fleet.Endpoint, error)
-	Logger              *log.Logger
+	// Repeats reports whether an entry of an endpoint says the same as the one before it; nil if that
+	// cannot be told.
+	Repeats func(before, entry []byte) bool
+	Logger  *log.Logger
 }
 
 // IdleConnectionCloser closes the idle connections to an address.
@@ -164,7 +167,7 @@
 	}
 	g.hostCount.Store(assumedHosts)
 	g.calls.calls = map[*call]struct{}{}
-	g.relays = newRelayState()
+	g.relays = newRelayState(ports.Repeats)
 	g.placer = newPlacerState(opts.Host)
 	g.leader = newLeaderState(lease.Options{TTL: opts.LeaseTTL, Margin: opts.LeaseTTL / 4})
 	return g
