--- a/presence/presence_test.go
+++ b/presence/presence_test.go
@@ -53,7 +53,11 @@
 			x.ReceiveReport(at(9), report("a", "1", 4), false)
 			x.MarkRead(at(9))
 		}, nil},
-		"the store was unavailable": {func(x *Table) { x.MarkRead(at(0)); x.ReceiveReport(at(0), report("a", "1", 1), false); x.MarkRead(at(9)) }, []string{"a/1"}},
+		"the store was unavailable": {func(x *Table) {
+			x.MarkRead(at(0))
+			x.ReceiveReport(at(0), report("a", "1", 1), false)
+			x.MarkRead(at(9))
+		}, []string{"a/1"}},
 		"unavailable, then no report": {func(x *Table) {
 			x.MarkRead(at(0))
 			x.ReceiveReport(at(0), report("a", "1", 1), false)
