--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -100,7 +100,7 @@
 	ports := gateway.Ports{
 		Store: platform.NewStore(s.StoreAddress, nil, logger), Endpoints: endpoints, IdleConnections: endpoints,
 		LeaderAPI: platform.NewCloud(s.CloudAddress, nil), Peers: peerrpc.NewClient(nil),
-		DecodeConfiguration: platform.DecodeConfiguration, DecodeEndpoint: platform.DecodeEndpoint, Repeats: platform.Repeats,
+		DecodeConfiguration: platform.DecodeConfiguration, DecodeEndpoint: platform.DecodeEndpoint,
 		Logger: logger,
 	}
 	for _, w := range wrap {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -48,6 +48,8 @@
 	// Born is the Unix time in milliseconds of its start. It distinguishes the
 	// incarnations of one id.
 	Born int64
+	// Sequence counts the entries that this incarnation has written.
+	Sequence int64
 }
 
 // View is an entry together with what this host derived from it or observed itself.
@@ -93,8 +95,8 @@
 
 // removal is an entry that was removed.
 type removal struct {
-	born int64
-	at   time.Time
+	born, sequence int64
+	at             time.Time
 }
 
 // removalMemory is how long a removed entry may reappear in an older copy of the registry.
@@ -207,23 +209,23 @@
 			delete(t.removed, other)
 		}
 	}
-	t.removed[id] = removal{e.Born, now}
+	t.removed[id] = removal{e.Born, e.Sequence, now}
 }
 
 // Restore applies a complete listing from an older copy of the registry. Endpoints that are
-// missing from it may be listed again within RecoverTime. An incarnation that was removed
-// before is not listed again by the copy, only by an entry that comes after it.
+// missing from it may be listed again within RecoverTime. An entry that was removed before
+// is not listed again by the copy of it, only by one that its endpoint has written since.
 func (t *Table) Restore(now time.Time, all []Endpoint) []Change {
 	t.RegistryReturned(now)
 	return t.Replace(now, slices.DeleteFunc(slices.Clone(all), func(e Endpoint) bool { return t.wasRemoved(now, e) }))
 }
 
-// wasRemoved reports whether the incarnation of an entry was removed.
+// wasRemoved reports whether an entry is not newer than the removal of its id.
 func (t *Table) wasRemoved(now time.Time, e Endpoint) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r, ok := t.removed[e.ID]
-	return ok && now.Sub(r.at) <= removalMemory && e.Born <= r.born
+	return ok && now.Sub(r.at) <= removalMemory && (e.Born < r.born || e.Born == r.born && e.Sequence <= r.sequence)
 }
 
 // Replace applies a complete listing of the registry. Entries missing from it are
@@ -420,13 +422,6 @@
 	return e.View, true
 }
 
-// Count returns the number of listed endpoints.
-func (t *Table) Count() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.entries)
-}
-
 // All returns the views of all listed endpoints, in no particular order.
 func (t *Table) All() []View {
 	t.mu.Lock()
--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -187,13 +187,15 @@
 		is := is.New(t)
 		tp := newTestPlatform()
 		for _, id := range []string{"stays", "drains", "goes"} {
-			tp.store.put(port.TopicEndpoints, id, endpoint(id, "api"))
+			e := endpoint(id, "api")
+			e.Sequence = 4
+			tp.store.put(port.TopicEndpoints, id, e)
 		}
 		tp.store.put(port.TopicConfiguration, configurationKey, configuration(1))
 		g := tp.startHost(t, testOptions("h1"))
 		time.Sleep(settleTime)
 		leaving := endpoint("drains", "api")
-		leaving.State = fleet.StateDraining
+		leaving.State, leaving.Sequence = fleet.StateDraining, 5
 		tp.store.put(port.TopicEndpoints, "drains", leaving)
 		tp.store.remove(port.TopicEndpoints, "goes")
 		time.Sleep(time.Second)
@@ -213,7 +215,9 @@
 			time.Sleep(100 * time.Millisecond)
 			is.Equal(usable(), []string{"comes", "stays"})
 		}
-		tp.store.put(port.TopicEndpoints, "goes", endpoint("goes", "api")) // it lives after all
+		alive := endpoint("goes", "api")
+		alive.Sequence = 9
+		tp.store.put(port.TopicEndpoints, "goes", alive) // it lives after all
 		time.Sleep(settleTime)
 		is.Equal(usable(), []string{"goes", "stays"}) // "comes" was not listed again in time
 	})
@@ -258,7 +262,7 @@
 // relay of an earlier era does not answer it.
 func TestEraFromPeer(t *testing.T) {
 	is := is.New(t)
-	s := newRelayState(nil)
+	s := newRelayState()
 	s.cachePage(port.TopicHosts, true, port.TopicPage{Era: 1, End: 10}, time.Now().Add(time.Minute))
 	s.cachePage(port.TopicHosts, false, port.TopicPage{Era: 1, End: 12, Records: make([]port.TopicRecord, 2)}, time.Now().Add(time.Minute))
 	for name, tc := range map[string]struct {
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -37,9 +37,6 @@
 	// time over which the hosts then read it themselves.
 	partTimeout = 5 * time.Second
 	partSpread  = 20 * time.Second
-	// maxRegistryReads bounds the number of hosts times endpoints up to which every host may read the
-	// registry: an entry of 250 bytes comes every 1.2 s, and the store reads 80 MB a second.
-	maxRegistryReads = 150_000
 	// minBackoff and maxBackoff bound the delay after failed calls. Refused calls are billed too.
 	// The feed of the hosts has no such delay and polls every reportInterval; the first feed to get
 	// an answer again ends the delays of the others.
@@ -133,10 +130,10 @@
 	fromRelay := false
 	if page, err, fromRelay = f.pollRelay(); !fromRelay {
 		switch {
-		case f.awaitsRelay(began):
-			return nil
 		case f.hasSnapshot:
 			page, err = f.g.ports.Store.Read(ctx, f.topic, f.offset, f.pollTimeout)
+		case f.awaitsRelay(began):
+			return nil
 		case f.onPart != nil && !f.everRead && f.partReadAt.IsZero():
 			page, err = f.g.ports.Store.Newest(ctx, f.topic, 1)
 		default:
@@ -176,26 +173,15 @@
 	return nil
 }
 
-// awaitsRelay reports whether this process leaves reading to its relay, also if that does not answer now:
-// the rest of a long first snapshot, and later all of a registry that would take up the store's read rate
-// if every host of the fleet read it. When hundreds of hosts read thousands of entries, the store answers
-// none of them in time. The relay of the region reads all; the others after partTimeout, one after the
-// other.
+// awaitsRelay reports whether this process leaves the rest of a long first snapshot to its relay. When
+// hundreds of hosts start together and each reads thousands of records, the store answers none of them in
+// time. The relay of the region reads all; the others after partTimeout, one after the other.
 func (f *follower) awaitsRelay(now time.Time) bool {
-	since := f.partReadAt
-	if f.everRead {
-		since = f.answeredAt
-	}
-	if f.onPart == nil || since.IsZero() || f.everRead && !f.g.registryIsHeavy() {
+	if f.partReadAt.IsZero() || f.everRead {
 		return false
 	}
 	spread := time.Duration(rendezvous.Score("part", f.g.opts.Host) % uint64(partSpread))
-	return !f.g.relays.readsForRegion() && now.Sub(since) < partTimeout+spread
-}
-
-// registryIsHeavy reports whether the store could not answer all hosts if each read the registry.
-func (g *Gateway) registryIsHeavy() bool {
-	return int(g.hostCount.Load())*g.fleet.Count() > maxRegistryReads
+	return !f.g.relays.readsForRegion() && now.Sub(f.partReadAt) < partTimeout+spread
 }
 
 // pollAnew polls, and once more for a snapshot if the position has expired.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -82,10 +82,7 @@
 	// DecodeConfiguration and DecodeEndpoint decode records of the store.
 	DecodeConfiguration func([]byte) (*catalog.Snapshot, error)
 	DecodeEndpoint      func(id string, raw []byte) (fleet.Endpoint, error)
-	// Repeats reports whether an entry of an endpoint says the same as the one before it; nil if that
-	// cannot be told.
-	Repeats func(before, entry []byte) bool
-	Logger  *log.Logger
+	Logger              *log.Logger
 }
 
 // IdleConnectionCloser closes the idle connections to an address.
@@ -167,7 +164,7 @@
 	}
 	g.hostCount.Store(assumedHosts)
 	g.calls.calls = map[*call]struct{}{}
-	g.relays = newRelayState(ports.Repeats)
+	g.relays = newRelayState()
 	g.placer = newPlacerState(opts.Host)
 	g.leader = newLeaderState(lease.Options{TTL: opts.LeaseTTL, Margin: opts.LeaseTTL / 4})
 	return g
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -74,8 +74,7 @@
 
 // topicCache holds the records of a topic that a process has read.
 type topicCache struct {
-	// records are the latest records, from the offset first to the offset before end, without those
-	// that only repeat the record before them of the same key.
+	// records are the latest records, from the offset first to the offset before end.
 	records []port.TopicRecord
 	era     port.Era
 	first   int64
@@ -83,10 +82,6 @@
 	// newest holds the newest record of each key; of all keys if complete is set.
 	newest   map[string]port.TopicRecord
 	complete bool
-	// passed holds the keys of which a record was added since the snapshot. The first one is added even
-	// if it repeats the snapshot: after the store's return from an older copy it shows that the
-	// endpoint lives.
-	passed map[string]bool
 	// freshUntil is the time until which the cache may be used without another page: the next read of
 	// the store, also one without records, is due before.
 	freshUntil time.Time
@@ -116,8 +111,6 @@
 	chosen   presence.Report
 	upstream presence.Report
 	relaying bool
-	// repeats reports whether a record says the same as the one before it of the same key.
-	repeats func(before, record []byte) bool
 	// forwarding is set while forwardReports is due.
 	forwarding bool
 	// candidates is the number of candidates when the relay was last chosen (see chooseRelay).
@@ -136,11 +129,8 @@
 	sentUp     bool // to the relay of the region
 }
 
-func newRelayState(repeats func(before, record []byte) bool) *relayState {
-	if repeats == nil {
-		repeats = func([]byte, []byte) bool { return false }
-	}
-	return &relayState{repeats: repeats, topics: map[port.Topic]*topicCache{}, reports: map[string]receivedReport{}, failedUntil: map[string]time.Time{}, unreachableUntil: map[string]time.Time{}, takers: map[string]time.Time{}, failures: map[string]int{}}
+func newRelayState() *relayState {
+	return &relayState{topics: map[port.Topic]*topicCache{}, reports: map[string]receivedReport{}, failedUntil: map[string]time.Time{}, unreachableUntil: map[string]time.Time{}, takers: map[string]time.Time{}, failures: map[string]int{}}
 }
 
 // chooseRelay chooses the relays of this host's region and zone. Candidates are this host and the live
@@ -351,8 +341,7 @@
 	case req.From < cache.first || req.Era != cache.era:
 		return readReply{Era: cache.era, Expired: true}, nil, true
 	case req.From < cache.end:
-		at, _ := slices.BinarySearchFunc(cache.records, req.From, func(r port.TopicRecord, from int64) int { return cmp.Compare(r.Offset, from) })
-		return readReply{Records: slices.Clone(cache.records[at:]), Era: cache.era, End: cache.end}, nil, true
+		return readReply{Records: slices.Clone(cache.records[req.From-cache.first:]), Era: cache.era, End: cache.end}, nil, true
 	}
 	return readReply{}, cache.wake, false
 }
@@ -418,47 +407,27 @@
 		if cache != nil {
 			close(cache.wake)
 		}
-		cache = &topicCache{era: page.Era, first: page.End, newest: map[string]port.TopicRecord{}, complete: snapshot, passed: map[string]bool{}, packed: map[int64][]byte{}, wake: make(chan struct{})}
-		if !snapshot && len(page.Records) > 0 {
-			cache.first = page.Records[0].Offset
-		}
+		cache = &topicCache{era: page.Era, first: page.End, end: page.End, newest: map[string]port.TopicRecord{}, complete: snapshot, packed: map[int64][]byte{}, wake: make(chan struct{})}
 		s.topics[topic] = cache
 	}
-	added := cache.add(page.Records, snapshot, s.repeats)
-	cache.end, cache.freshUntil = page.End, freshUntil
-	if len(page.Records) > 0 {
-		cache.packed = map[int64][]byte{}
-	}
-	if added {
-		close(cache.wake)
-		cache.wake = make(chan struct{})
-	}
-}
-
-// add adds the records of a page, except those that repeat the record before. It reports whether there is
-// something for those that wait for records.
-func (c *topicCache) add(records []port.TopicRecord, snapshot bool, repeats func(a, b []byte) bool) bool {
-	added := snapshot
-	for _, record := range records {
-		before, known := c.newest[record.Key]
+	for _, record := range page.Records {
 		if record.Removed() {
-			delete(c.newest, record.Key)
-			delete(c.passed, record.Key)
+			delete(cache.newest, record.Key)
 		} else {
-			c.newest[record.Key] = record
+			cache.newest[record.Key] = record
 		}
-		if snapshot || known && c.passed[record.Key] && repeats(before.Value, record.Value) {
-			continue
+		if !snapshot {
+			cache.records = append(cache.records, record)
 		}
-		c.passed[record.Key] = !record.Removed()
-		c.records = append(c.records, record)
-		added = true
 	}
-	if retained := latestRecords(c.records, maxCachedRecords, maxCachedBytes); len(retained) < len(c.records) {
-		c.first = c.records[len(c.records)-len(retained)-1].Offset + 1
-		c.records = retained
+	cache.end, cache.freshUntil = page.End, freshUntil
+	cache.records = latestRecords(cache.records, maxCachedRecords, maxCachedBytes)
+	cache.first = cache.end - int64(len(cache.records))
+	if len(page.Records) > 0 {
+		cache.packed = map[int64][]byte{}
+		close(cache.wake)
+		cache.wake = make(chan struct{})
 	}
-	return added
 }
 
 // latestRecords returns the last records, at most maxCount with at most maxBytes of values.
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -505,7 +505,7 @@
 // relay began to read the store: that relay has read a part of the topic only.
 func TestIncompleteCacheIsNoSnapshot(t *testing.T) {
 	is := is.New(t)
-	s := newRelayState(nil)
+	s := newRelayState()
 	s.cachePage(port.TopicConfiguration, false, port.TopicPage{End: 12, Records: []port.TopicRecord{{Offset: 11, Key: "other", Value: []byte("1")}}}, time.Now().Add(time.Minute))
 	_, _, ok := s.read(readRequest{Topic: port.TopicConfiguration, From: -1})
 	is.True(!ok)
@@ -528,7 +528,7 @@
 	}
 	value, err := json.Marshal(large)
 	is.NoErr(err)
-	s := newRelayState(nil)
+	s := newRelayState()
 	s.cachePage(port.TopicConfiguration, true, port.TopicPage{End: 4}, time.Now().Add(time.Minute))
 	s.cachePage(port.TopicConfiguration, false, port.TopicPage{End: 5, Records: []port.TopicRecord{{Offset: 4, Key: "config", Value: value}}}, time.Now().Add(time.Minute))
 	var first readReply
@@ -646,41 +646,3 @@
 	is.Equal(latestRecords(records, 20, 350)[0].Offset, int64(7))
 	is.Equal(len(latestRecords(records, 20, 99)), 0)
 }
-
-// TestRelayPassesOnChangesOnly replays a registry of 3,000 endpoints, each of which writes its entry again
-// every 1.2 s: what a relay passes on is the changes, and a host that follows from any offset misses none.
-func TestRelayPassesOnChangesOnly(t *testing.T) {
-	is := is.New(t)
-	s := newRelayState(func(before, record []byte) bool { return string(before) == string(record) })
-	later := time.Now().Add(time.Minute)
-	entry := func(offset int, key, value string) port.TopicRecord {
-		return port.TopicRecord{Offset: int64(offset), Key: key, Value: []byte(value)}
-	}
-	s.cachePage(port.TopicEndpoints, true, port.TopicPage{End: 10, Records: []port.TopicRecord{entry(8, "a", "ready"), entry(9, "b", "ready")}}, later)
-	var beats []port.TopicRecord
-	for i := 10; i < 1010; i += 2 {
-		beats = append(beats, entry(i, "a", "ready"), entry(i+1, "b", "ready"))
-	}
-	beats[501] = entry(511, "b", "draining")
-	for i := 503; i < len(beats); i += 2 {
-		beats[i] = entry(10+i, "b", "draining")
-	}
-	beats[900] = entry(910, "a", "") // removed
-	s.cachePage(port.TopicEndpoints, false, port.TopicPage{End: 1010, Records: beats[:902]}, later)
-	s.cachePage(port.TopicEndpoints, false, port.TopicPage{End: 1010, Records: []port.TopicRecord{entry(1008, "a", "ready")}}, later)
-	for from, want := range map[int64][]int64{10: {10, 11, 511, 910, 1008}, 511: {511, 910, 1008}, 512: {910, 1008}, 911: {1008}, 1009: nil} {
-		reply, _, ok := s.read(readRequest{Topic: port.TopicEndpoints, From: from})
-		is.True(ok)
-		is.Equal(reply.End, int64(1010))
-		var got []int64
-		for _, r := range reply.Records {
-			got = append(got, r.Offset)
-		}
-		is.Equal(got, want)
-	}
-	reply, _, ok := s.read(readRequest{Topic: port.TopicEndpoints, From: -1})
-	is.True(ok)
-	is.Equal(len(reply.Records), 2) // a, which came back, and b
-	reply, _, _ = s.read(readRequest{Topic: port.TopicEndpoints, From: 9})
-	is.True(reply.Expired)
-}
