--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -236,7 +236,7 @@
 		is.NoErr(gone.Stop())
 		for {
 			time.Sleep(100 * time.Millisecond)
-			page, err := tp.store.Newest(t.Context(), port.TopicHosts, 0)
+			page, err := tp.store.Newest(t.Context(), port.TopicHosts)
 			is.NoErr(err)
 			if !slices.ContainsFunc(page.Records, func(r port.TopicRecord) bool { return r.Key == gone.opts.Host+"/1" }) {
 				break
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -9,7 +9,6 @@
 
 	"github.com/cicadanotch/cicadanotch/fleet"
 	"github.com/cicadanotch/cicadanotch/port"
-	"github.com/cicadanotch/cicadanotch/rendezvous"
 )
 
 const (
@@ -33,10 +32,6 @@
 	// endpointsPollTimeout is how long a read of the registry waits for a change.
 	endpointsPollTimeout = 700 * time.Millisecond
 	reportInterval       = time.Second
-	// partTimeout is how long a host leaves the rest of a long snapshot to its relay, partSpread the
-	// time over which the hosts then read it themselves.
-	partTimeout = 5 * time.Second
-	partSpread  = 20 * time.Second
 	// minBackoff and maxBackoff bound the delay after failed calls. Refused calls are billed too.
 	// The feed of the hosts has no such delay and polls every reportInterval; the first feed to get
 	// an answer again ends the delays of the others.
@@ -57,9 +52,6 @@
 	// first snapshot of a new era, which may be older than what was read before.
 	onSnapshot func(now time.Time, records []port.TopicRecord, restored bool)
 	onRecords  func(now time.Time, records []port.TopicRecord)
-	// onPart, if set, receives the first page of the first snapshot when that is too long for one
-	// page. The rest is read through a relay, or after partTimeout.
-	onPart func(now time.Time, records []port.TopicRecord)
 	// onAnswer is called after each answer with the length of the outage that it ended, if any.
 	onAnswer func(now time.Time, outage time.Duration)
 
@@ -68,7 +60,6 @@
 	offset      int64
 	hasSnapshot bool
 	everRead    bool // a snapshot was read in this or an earlier era
-	partReadAt  time.Time
 	lostAt      time.Time
 	answeredAt  time.Time
 }
@@ -129,15 +120,10 @@
 	var err error
 	fromRelay := false
 	if page, err, fromRelay = f.pollRelay(); !fromRelay {
-		switch {
-		case f.hasSnapshot:
+		if f.hasSnapshot {
 			page, err = f.g.ports.Store.Read(ctx, f.topic, f.offset, f.pollTimeout)
-		case f.awaitsRelay(began):
-			return nil
-		case f.onPart != nil && !f.everRead && f.partReadAt.IsZero():
-			page, err = f.g.ports.Store.Newest(ctx, f.topic, 1)
-		default:
-			page, err = f.g.ports.Store.Newest(ctx, f.topic, 0)
+		} else {
+			page, err = f.g.ports.Store.Newest(ctx, f.topic)
 		}
 		f.g.observeStore("read", began, time.Now(), err)
 	}
@@ -151,12 +137,6 @@
 		// history.
 		return port.ErrStoreExpired
 	}
-	if page.Partial {
-		f.recordAnswer(began, now)
-		f.partReadAt = now
-		f.onPart(now, page.Records)
-		return nil
-	}
 	if !fromRelay || f.g.relays.isRelaying() {
 		f.g.relays.cachePage(f.topic, !f.hasSnapshot, page, now.Add(f.pollTimeout+maxRelayStaleness))
 	} else {
@@ -173,17 +153,6 @@
 	return nil
 }
 
-// awaitsRelay reports whether this process leaves the rest of a long first snapshot to its relay. When
-// hundreds of hosts start together and each reads thousands of records, the store answers none of them in
-// time. The relay of the region reads all; the others after partTimeout, one after the other.
-func (f *follower) awaitsRelay(now time.Time) bool {
-	if f.partReadAt.IsZero() || f.everRead {
-		return false
-	}
-	spread := time.Duration(rendezvous.Score("part", f.g.opts.Host) % uint64(partSpread))
-	return !f.g.relays.readsForRegion() && now.Sub(f.partReadAt) < partTimeout+spread
-}
-
 // pollAnew polls, and once more for a snapshot if the position has expired.
 func (f *follower) pollAnew() error {
 	err := f.poll()
@@ -277,15 +246,6 @@
 func (g *Gateway) followEndpoints() error {
 	f := &follower{
 		g: g, topic: port.TopicEndpoints, pollTimeout: endpointsPollTimeout, minInterval: minEndpointsInterval,
-		onPart: func(now time.Time, records []port.TopicRecord) {
-			for _, r := range records {
-				if e, ok := g.decodeEndpoint(r); ok {
-					g.handleEndpointChanges(now, g.fleet.Upsert(now, e))
-				}
-			}
-			g.log.Info().Str("event", "endpoints_partial").Int("endpoints", len(records)).Msg("serving with a part of the registry until a relay has all of it")
-			g.hasEndpoints.Store(true)
-		},
 		onSnapshot: func(now time.Time, records []port.TopicRecord, restored bool) {
 			var listed []fleet.Endpoint
 			for _, r := range records {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"io"
-	"maps"
 	"net/http"
 	"slices"
 	"strconv"
@@ -32,9 +31,6 @@
 	era    port.Era
 	topics map[port.Topic]*memoryTopic
 	wake   chan struct{}
-	// pageKeys is the number of keys in a page of newest records, newestKeys counts those read.
-	pageKeys   int
-	newestKeys int
 	// fail, if set, is called before each call of a host and returns its error.
 	fail func(call string, topic port.Topic) error
 	// loseReply, if set, drops the reply to a write after the write took effect.
@@ -89,7 +85,7 @@
 }
 
 func newMemoryStore() *memoryStore {
-	return &memoryStore{topics: map[port.Topic]*memoryTopic{}, pageKeys: 500, wake: make(chan struct{})}
+	return &memoryStore{topics: map[port.Topic]*memoryTopic{}, wake: make(chan struct{})}
 }
 
 func (s *memoryStore) topic(t port.Topic) *memoryTopic {
@@ -148,12 +144,12 @@
 	calls       atomic.Int64
 }
 
-func (s *hostStore) Newest(ctx context.Context, topic port.Topic, maxPages int) (port.TopicPage, error) {
+func (s *hostStore) Newest(ctx context.Context, topic port.Topic) (port.TopicPage, error) {
 	s.calls.Add(1)
 	if s.unreachable.Load() {
 		return port.TopicPage{}, port.ErrStoreRefused
 	}
-	return s.memoryStore.Newest(ctx, topic, maxPages)
+	return s.memoryStore.Newest(ctx, topic)
 }
 
 func (s *hostStore) Read(ctx context.Context, topic port.Topic, from int64, wait time.Duration) (port.TopicPage, error) {
@@ -172,7 +168,7 @@
 	return s.memoryStore.Append(ctx, topic, at, records...)
 }
 
-func (s *memoryStore) Newest(_ context.Context, topic port.Topic, maxPages int) (port.TopicPage, error) {
+func (s *memoryStore) Newest(_ context.Context, topic port.Topic) (port.TopicPage, error) {
 	if err := s.failure("newest", topic); err != nil {
 		return port.TopicPage{}, err
 	}
@@ -180,14 +176,9 @@
 	defer s.mu.Unlock()
 	t := s.topic(topic)
 	page := port.TopicPage{Era: s.era, End: int64(len(t.records))}
-	keys := slices.Sorted(maps.Keys(t.newest))
-	if limit := maxPages * s.pageKeys; limit > 0 && len(keys) > limit {
-		keys, page.Partial = keys[:limit], true
+	for _, r := range t.newest {
+		page.Records = append(page.Records, r)
 	}
-	for _, key := range keys {
-		page.Records = append(page.Records, t.newest[key])
-	}
-	s.newestKeys += len(keys)
 	return page, nil
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -66,7 +66,7 @@
 	// minPackedReplyBytes is the size of records from which a reply is compressed.
 	minPackedReplyBytes = 16 << 10
 	// maxCachedRecords and maxCachedBytes bound the records of a topic that a relay retains.
-	maxCachedRecords = 16_384
+	maxCachedRecords = 4096
 	maxCachedBytes   = 8 << 20
 )
 
@@ -469,13 +469,6 @@
 	return s.relaying && s.upstream.Host != ""
 }
 
-// readsForRegion reports whether this process calls the store for the other hosts of its region.
-func (s *relayState) readsForRegion() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.relaying && s.upstream.Host == ""
-}
-
 // isRelaying reports whether this process is the relay of its zone or region.
 func (s *relayState) isRelaying() bool {
 	s.mu.Lock()
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -588,53 +588,6 @@
 	})
 }
 
-// TestLongRegistryAtTheStart replays the start of 300 hosts with 3,000 endpoints: the registry has several
-// pages, and when every host read all of them, the store answered none in time. Each host serves with the
-// first page at once, the relay of the region reads the rest, and the others get it there.
-func TestLongRegistryAtTheStart(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		const hosts, endpoints, pageKeys = 12, 60, 10
-		tp := newTestPlatform()
-		tp.store.pageKeys = pageKeys
-		tp.publish()
-		for i := range endpoints {
-			id := fmt.Sprintf("e%02d", i)
-			tp.store.put(port.TopicEndpoints, id, endpoint(id, "api"))
-		}
-		tp.startZone(t, hosts)
-		time.Sleep(300 * time.Millisecond)
-		for _, g := range tp.hosts {
-			is.True(g.Ready())
-			is.Equal(len(g.fleet.Usable(time.Now(), "api")), pageKeys)
-		}
-		time.Sleep(4500 * time.Millisecond)
-		for _, g := range tp.hosts {
-			is.Equal(len(g.fleet.Usable(time.Now(), "api")), endpoints)
-		}
-		is.True(tp.store.newestKeys < hosts*(pageKeys+10)+3*endpoints) // the rest was read by few
-	})
-}
-
-// TestLongRegistryWithoutRelay: a host that has no relay reads the rest itself.
-func TestLongRegistryWithoutRelay(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		tp := newTestPlatform()
-		tp.store.pageKeys = 10
-		tp.publish()
-		for i := range 25 {
-			id := fmt.Sprintf("e%02d", i)
-			tp.store.put(port.TopicEndpoints, id, endpoint(id, "api"))
-		}
-		g := tp.startHost(t, testOptions("h1"))
-		time.Sleep(time.Second)
-		is.Equal(len(g.fleet.Usable(time.Now(), "api")), 10)
-		time.Sleep(partTimeout + partSpread)
-		is.Equal(len(g.fleet.Usable(time.Now(), "api")), 25)
-	})
-}
-
 func TestLatestRecords(t *testing.T) {
 	is := is.New(t)
 	records := make([]port.TopicRecord, 10)
--- a/port/store.go
+++ b/port/store.go
@@ -70,8 +70,6 @@
 	// offset; Read sets it with ErrStoreExpired too.
 	End   int64
 	First int64
-	// Partial is set by Newest if keys are missing.
-	Partial bool
 }
 
 // Unconditional is the value of the parameter at of Store.Append for an append
@@ -80,10 +78,8 @@
 
 // Store is the platform's store of records. All answers are linearizable.
 type Store interface {
-	// Newest returns the newest record of each key of a topic with keys. With a positive
-	// maxPages it reads no more than that many pages of the store, and sets Partial if
-	// there are further keys.
-	Newest(ctx context.Context, topic Topic, maxPages int) (TopicPage, error)
+	// Newest returns the newest record of each key of a topic with keys.
+	Newest(ctx context.Context, topic Topic) (TopicPage, error)
 	// Read returns records starting at offset from. If there are none, it waits up to
 	// wait for one. It returns ErrStoreExpired, also for an offset that the store does
 	// not have, ErrStoreRefused or ErrStoreUnavailable.
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -313,7 +313,7 @@
 
 type plantedStore struct{ port.Store }
 
-func (plantedStore) Newest(context.Context, port.Topic, int) (port.TopicPage, error) {
+func (plantedStore) Newest(context.Context, port.Topic) (port.TopicPage, error) {
 	return port.TopicPage{}, port.ErrStoreUnavailable
 }
 
