--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -61,9 +61,11 @@
 			is.Equal(len(used), 4)
 			time.Sleep(time.Second)
 		}
-		is.True(peers.calls[methodPlace] >= 30) // the placer's own requests need no call
+		is.True(peers.count(methodPlace) >= 30) // the placer's own requests need no call
 		is.Equal(len(placer.placer.table.OwnLoads()), 0)
+		placer.placer.mu.Lock()
 		is.Equal(len(placer.placer.placements), 0)
+		placer.placer.mu.Unlock()
 	})
 }
 
@@ -83,13 +85,13 @@
 		is.Equal(sendRequest(t.Context(), g, "first", "stream").status, 200)
 		is.Equal(time.Since(began), placeTimeout+300*time.Millisecond) // and three events
 		is.True(strings.Contains(tp.log(), `"dependency":"placer/`))
-		calls := peers.calls[methodPlace]
+		calls := peers.count(methodPlace)
 		is.Equal(sendRequest(t.Context(), g, "second", "stream").status, 200)
-		is.Equal(peers.calls[methodPlace], calls)
+		is.Equal(peers.count(methodPlace), calls)
 		peers.setUnresponsive(placer.opts.Peer, false)
 		time.Sleep(2 * time.Second)
 		is.Equal(sendRequest(t.Context(), g, "third", "stream").status, 200)
-		is.True(peers.calls[methodPlace] > calls)
+		is.True(peers.count(methodPlace) > calls)
 	})
 }
 
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -59,6 +59,13 @@
 	return json.Unmarshal(raw, result)
 }
 
+// count returns the number of calls of a method.
+func (p *memoryPeers) count(method string) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.calls[method]
+}
+
 func (p *memoryPeers) setUnresponsive(address string, unresponsive bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
