--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -376,8 +376,11 @@
 	is.True(!g.relays.failedUntil["former"].IsZero())
 }
 
-// startRegions starts hosts of two regions with three availability zones each.
-func startRegions(t *testing.T, hostsPerZone int) (*testPlatform, *memoryPeers) {
+// startInterval is between the starts of two hosts, so that they report and read at different times.
+const startInterval = 37 * time.Millisecond
+
+// startRegions starts hosts of two regions with three availability zones each, one after the other.
+func startRegions(t *testing.T, hostsPerZone int, apart time.Duration) (*testPlatform, *memoryPeers) {
 	t.Helper()
 	tp := newTestPlatform()
 	tp.publish(endpoint("1", "api"))
@@ -392,7 +395,7 @@
 				tp.peers.mu.Lock()
 				tp.peers.hosts[o.Peer] = g.PeerHandlers()
 				tp.peers.mu.Unlock()
-				time.Sleep(37 * time.Millisecond) // their ticks come at different times
+				time.Sleep(apart)
 			}
 		}
 	}
@@ -426,22 +429,26 @@
 // TestOneHostOfEachRegionCallsTheStore: the number of store calls grows with the regions and not with the
 // zones, and all hosts know what the store holds.
 func TestOneHostOfEachRegionCallsTheStore(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		is := is.New(t)
-		tp, _ := startRegions(t, 4)
-		const length = 20
-		before := tp.storeCalls()
-		time.Sleep(length * time.Second)
-		is.True(tp.storeCalls()-before < 2*length*5+length) // of two relays, about four a second, and the leader
-		tp.store.put(port.TopicConfiguration, configurationKey, configuration(2))
-		tp.store.put(port.TopicEndpoints, "2", endpoint("2", "api"))
-		time.Sleep(3 * time.Second)
-		for _, g := range tp.hosts {
-			is.Equal(g.catalog.Current().Version, int64(2))
-			is.Equal(len(g.fleet.Usable(time.Now(), "api")), 2)
-			is.Equal(len(g.presence.Within(shareTimeout)), len(tp.hosts)-1)
-		}
-	})
+	for name, apart := range map[string]time.Duration{"at different times": startInterval, "at the same instant": 0} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				tp, _ := startRegions(t, 4, apart)
+				const length = 20
+				before := tp.storeCalls()
+				time.Sleep(length * time.Second)
+				is.True(tp.storeCalls()-before < 2*length*5+length) // of two relays, about four a second, and the leader
+				tp.store.put(port.TopicConfiguration, configurationKey, configuration(2))
+				tp.store.put(port.TopicEndpoints, "2", endpoint("2", "api"))
+				time.Sleep(3 * time.Second)
+				for _, g := range tp.hosts {
+					is.Equal(g.catalog.Current().Version, int64(2))
+					is.Equal(len(g.fleet.Usable(time.Now(), "api")), 2)
+					is.Equal(len(g.presence.Within(shareTimeout)), len(tp.hosts)-1)
+				}
+			})
+		})
+	}
 }
 
 // TestRegionRelayFails: the relay of a region freezes, is killed or cannot reach the store, alone or with
@@ -472,7 +479,7 @@
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
-				tp, peers := startRegions(t, 4)
+				tp, peers := startRegions(t, 4, startInterval)
 				relay := tp.regionRelay(tp.hosts[0])
 				failed := map[*Gateway]bool{relay: true}
 				if tc.both {
