Tell from where and how late a host knows a topic

A relay's reply states how old the relay's own knowledge of the topic is and how long it held the call; from these a host derives a time at which the store held nothing that it does not know. The log has source, duration and size of the read that brought a configuration or a drain, and feed_late when the knowledge is over 1.5 s old; the metrics have its age by topic and the reads by source. Nothing is decided by it yet.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -325,7 +325,7 @@
 		c.g.log.Warn().Str("event", "endpoint_header").Str("request", c.req.ID).Str("endpoint", a.view.ID).Str("fault", reply.HeaderFault).Msg("")
 	}
 	if reply.Leaving {
-		c.g.handleEndpointChanges(now, c.g.fleet.Leaving(now, a.view.ID))
+		c.g.handleEndpointChanges(feedRead{at: now}, c.g.fleet.Leaving(now, a.view.ID))
 	}
 	if reply.RetryAfter > 0 {
 		c.g.fleet.Pause(now, a.view.ID, reply.RetryAfter)
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -14,24 +14,24 @@
 func (g *Gateway) followConfiguration() error {
 	// There may be many versions a second, and decoding a large one takes milliseconds of CPU time:
 	// only the newest one read is decoded.
-	newest := func(records []port.TopicRecord) {
+	newest := func(read feedRead, records []port.TopicRecord) {
 		for _, r := range slices.Backward(records) {
 			if r.Key == configurationKey && !r.Removed() {
-				g.installConfiguration(r)
+				g.installConfiguration(read, r)
 				return
 			}
 		}
 	}
 	f := &follower{
-		g: g, topic: port.TopicConfiguration, pollTimeout: configPollTimeout, minInterval: minConfigInterval,
-		onSnapshot: func(_ time.Time, records []port.TopicRecord, _ bool) { newest(records) },
-		onRecords:  func(_ time.Time, records []port.TopicRecord) { newest(records) },
+		g: g, topic: port.TopicConfiguration, pollTimeout: configPollTimeout, minInterval: minConfigInterval, lateAge: lateFeedAge,
+		onSnapshot: func(read feedRead, records []port.TopicRecord, _ bool) { newest(read, records) },
+		onRecords:  newest,
 		onAnswer:   func(time.Time, time.Duration) {},
 	}
 	return f.run()
 }
 
-func (g *Gateway) installConfiguration(r port.TopicRecord) {
+func (g *Gateway) installConfiguration(read feedRead, r port.TopicRecord) {
 	snapshot, err := g.ports.DecodeConfiguration(r.Value)
 	if err != nil {
 		g.log.Error().Str("event", "configuration_unreadable").Int64("offset", r.Offset).Err(err).Msg("the previous version stays in force")
@@ -48,6 +48,7 @@
 	g.metrics.version.Set(float64(snapshot.Version))
 	g.metrics.stateChanges.WithLabelValues("configuration").Inc()
 	g.log.Info().Str("event", "configuration").Int64("version", snapshot.Version).Int64("offset", r.Offset).
+		Str("source", read.source).Dur("read", read.at.Sub(read.began)).Int("bytes", len(r.Value)).
 		Int("routes", len(snapshot.Routes)).Int("services", len(snapshot.Services)).Int("workspaces", len(snapshot.Workspaces)).Msg("in force")
 }
 
--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -263,8 +263,8 @@
 func TestEraFromPeer(t *testing.T) {
 	is := is.New(t)
 	s := newRelayState()
-	s.cachePage(port.TopicHosts, true, port.TopicPage{Era: 1, End: 10}, time.Now().Add(time.Minute))
-	s.cachePage(port.TopicHosts, false, port.TopicPage{Era: 1, End: 12, Records: make([]port.TopicRecord, 2)}, time.Now().Add(time.Minute))
+	s.cachePage(port.TopicHosts, true, port.TopicPage{Era: 1, End: 10}, time.Now(), time.Now().Add(time.Minute))
+	s.cachePage(port.TopicHosts, false, port.TopicPage{Era: 1, End: 12, Records: make([]port.TopicRecord, 2)}, time.Now(), time.Now().Add(time.Minute))
 	for name, tc := range map[string]struct {
 		req     readRequest
 		ok      bool
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -50,11 +51,14 @@
 	minInterval time.Duration
 	// onSnapshot receives the snapshot, onRecords the records after it. restored is set for the
 	// first snapshot of a new era, which may be older than what was read before.
-	onSnapshot func(now time.Time, records []port.TopicRecord, restored bool)
-	onRecords  func(now time.Time, records []port.TopicRecord)
+	onSnapshot func(read feedRead, records []port.TopicRecord, restored bool)
+	onRecords  func(read feedRead, records []port.TopicRecord)
 	// onAnswer is called after each answer with the length of the outage that it ended, if any.
 	onAnswer func(now time.Time, outage time.Duration)
 
+	// lateAge is the age from which the topic is logged as late.
+	lateAge time.Duration
+
 	// era and offset are where to continue; valid if hasSnapshot is set.
 	era         port.Era
 	offset      int64
@@ -62,8 +66,32 @@
 	everRead    bool // a snapshot was read in this or an earlier era
 	lostAt      time.Time
 	answeredAt  time.Time
+	// asOf is a time at which the store held nothing after offset, the latest known to this host.
+	// late is set from the time that this is older than lateAge until it is not any more.
+	asOf time.Time
+	late bool
+}
+
+// feedRead describes a read of a topic that was answered.
+type feedRead struct {
+	// source is the relay that answered, storeSource for the store.
+	source string
+	// began and at are the start of the read and the time of its answer.
+	began, at time.Time
+	// asOf is a time at which the store held nothing after the records read.
+	asOf time.Time
 }
 
+// storeSource is the source of reads that the store itself answered.
+const storeSource = "store"
+
+const (
+	// lateFeedAge is half the time within which a configuration must be in force and drains be known.
+	lateFeedAge = 1500 * time.Millisecond
+	// lateHostsAge is one missed read more than the way of a report takes, see hostTTL.
+	lateHostsAge = 3 * time.Second
+)
+
 func (f *follower) run() error {
 	backoff := minBackoff
 	for f.g.tomb.Alive() {
@@ -116,20 +144,25 @@
 	}
 	ctx, cancel := context.WithTimeout(f.g.context(), wait+storeTimeout)
 	defer cancel()
-	var page port.TopicPage
-	var err error
-	fromRelay := false
-	if page, err, fromRelay = f.pollRelay(); !fromRelay {
+	page, read, err, fromRelay := f.pollRelay()
+	if !fromRelay {
+		storeBegan := time.Now()
 		if f.hasSnapshot {
 			page, err = f.g.ports.Store.Read(ctx, f.topic, f.offset, f.pollTimeout)
 		} else {
 			page, err = f.g.ports.Store.Newest(ctx, f.topic)
 		}
 		f.g.observeStore("read", began, time.Now(), err)
+		read = feedRead{source: storeSource, began: storeBegan, at: time.Now(), asOf: storeBegan}
+		if f.hasSnapshot && len(page.Records) == 0 && read.at.Sub(storeBegan) > f.pollTimeout {
+			read.asOf = storeBegan.Add(f.pollTimeout) // the store has waited that long before it answered
+		}
 	}
 	now := time.Now()
+	f.g.observeFeed(f.topic, read, now.Sub(began), err)
 	if err != nil {
 		f.recordStoreFailure(now, err)
+		f.logAge(now, read.source)
 		return err
 	}
 	if f.hasSnapshot && page.Era != f.era {
@@ -138,21 +171,41 @@
 		return port.ErrStoreExpired
 	}
 	if !fromRelay || f.g.relays.isRelaying() {
-		f.g.relays.cachePage(f.topic, !f.hasSnapshot, page, now.Add(f.pollTimeout+maxRelayStaleness))
+		f.g.relays.cachePage(f.topic, !f.hasSnapshot, page, read.asOf, now.Add(f.pollTimeout+maxRelayStaleness))
 	} else {
 		f.g.relays.dropCache(f.topic)
 	}
 	outage := f.recordAnswer(began, now)
 	f.onAnswer(now, outage)
 	if f.hasSnapshot {
-		f.onRecords(now, page.Records)
+		f.onRecords(read, page.Records)
 	} else {
-		f.onSnapshot(now, page.Records, f.everRead && page.Era != f.era)
+		f.onSnapshot(read, page.Records, f.everRead && page.Era != f.era)
+	}
+	if f.era != page.Era || read.asOf.After(f.asOf) {
+		f.asOf = read.asOf
 	}
 	f.hasSnapshot, f.everRead, f.era, f.offset = true, true, page.Era, page.End
+	f.g.feedAsOf(f.topic).Store(f.asOf.UnixNano())
+	f.logAge(now, read.source)
 	return nil
 }
 
+// logAge logs when this host begins and ceases to be late with the topic.
+func (f *follower) logAge(now time.Time, source string) {
+	age := now.Sub(f.asOf)
+	if f.asOf.IsZero() || f.late == (age > f.lateAge) {
+		return
+	}
+	f.late = !f.late
+	if f.late {
+		f.g.metrics.stateChanges.WithLabelValues("feed_late").Inc()
+		f.g.log.Warn().Str("event", "feed_late").Str("topic", string(f.topic)).Str("source", source).Dur("age", age).Msg("")
+		return
+	}
+	f.g.log.Info().Str("event", "feed_in_time").Str("topic", string(f.topic)).Str("source", source).Dur("age", age).Msg("")
+}
+
 // pollAnew polls, and once more for a snapshot if the position has expired.
 func (f *follower) pollAnew() error {
 	err := f.poll()
@@ -164,7 +217,7 @@
 }
 
 // pollRelay reads from the relay; ok is false when there is none or it failed.
-func (f *follower) pollRelay() (page port.TopicPage, err error, ok bool) {
+func (f *follower) pollRelay() (page port.TopicPage, read feedRead, err error, ok bool) {
 	from := f.offset
 	if !f.hasSnapshot {
 		from = -1
@@ -224,6 +277,25 @@
 	}
 }
 
+// observeFeed records the source, duration and result of a read of a topic.
+func (g *Gateway) observeFeed(topic port.Topic, read feedRead, took time.Duration, err error) {
+	source, result := storeSource, "ok"
+	if read.source != storeSource {
+		source = "relay"
+	}
+	if err != nil {
+		result = "failed"
+	}
+	g.metrics.feedReads.WithLabelValues(string(topic), source, result).Observe(took.Seconds())
+}
+
+// feedAsOf returns the time as of which this host knows a topic, in Unix nanoseconds; zero before the
+// first read.
+func (g *Gateway) feedAsOf(topic port.Topic) *atomic.Int64 {
+	at, _ := g.feeds.LoadOrStore(topic, &atomic.Int64{})
+	return at.(*atomic.Int64)
+}
+
 // observeStore records the result and duration of a call to the store.
 func (g *Gateway) observeStore(call string, began, now time.Time, err error) {
 	result := "ok"
@@ -245,8 +317,9 @@
 
 func (g *Gateway) followEndpoints() error {
 	f := &follower{
-		g: g, topic: port.TopicEndpoints, pollTimeout: endpointsPollTimeout, minInterval: minEndpointsInterval,
-		onSnapshot: func(now time.Time, records []port.TopicRecord, restored bool) {
+		g: g, topic: port.TopicEndpoints, pollTimeout: endpointsPollTimeout, minInterval: minEndpointsInterval, lateAge: lateFeedAge,
+		onSnapshot: func(read feedRead, records []port.TopicRecord, restored bool) {
+			now := read.at
 			var listed []fleet.Endpoint
 			for _, r := range records {
 				if e, ok := g.decodeEndpoint(r); ok {
@@ -254,18 +327,18 @@
 				}
 			}
 			if restored {
-				g.handleEndpointChanges(now, g.fleet.Restore(now, listed)...)
+				g.handleEndpointChanges(read, g.fleet.Restore(now, listed)...)
 			} else {
-				g.handleEndpointChanges(now, g.fleet.Replace(now, listed)...)
+				g.handleEndpointChanges(read, g.fleet.Replace(now, listed)...)
 			}
 			g.hasEndpoints.Store(true)
 		},
-		onRecords: func(now time.Time, records []port.TopicRecord) {
+		onRecords: func(read feedRead, records []port.TopicRecord) {
 			for _, r := range records {
 				if r.Removed() {
-					g.handleEndpointChanges(now, g.fleet.Remove(now, r.Key))
+					g.handleEndpointChanges(read, g.fleet.Remove(read.at, r.Key))
 				} else if e, ok := g.decodeEndpoint(r); ok {
-					g.handleEndpointChanges(now, g.fleet.Upsert(now, e))
+					g.handleEndpointChanges(read, g.fleet.Upsert(read.at, e))
 				}
 			}
 		},
@@ -273,7 +346,7 @@
 			if outage > 0 {
 				g.fleet.RegistryReturned(now)
 			}
-			g.handleEndpointChanges(now, g.fleet.Expire(now)...)
+			g.handleEndpointChanges(feedRead{at: now}, g.fleet.Expire(now)...)
 		},
 	}
 	return f.run()
@@ -288,8 +361,9 @@
 	return e, true
 }
 
-// handleEndpointChanges logs the changes and moves the streams of endpoints that leave.
-func (g *Gateway) handleEndpointChanges(now time.Time, changes ...fleet.Change) {
+// handleEndpointChanges logs the changes and moves the streams of endpoints that leave. read is the read
+// that told the changes; it has no source if none did.
+func (g *Gateway) handleEndpointChanges(read feedRead, changes ...fleet.Change) {
 	for _, c := range changes {
 		if !c.Changed() {
 			continue
@@ -309,6 +383,9 @@
 		if c.Endpoint.Leaving {
 			e.Dur("leaves_in", c.Endpoint.Leaves)
 		}
+		if read.source != "" {
+			e.Str("source", read.source).Dur("read", read.at.Sub(read.began))
+		}
 		e.Msg("")
 		if c.Removed {
 			g.placement.Remove(c.Endpoint.ID)
@@ -316,7 +393,7 @@
 			g.ports.IdleConnections.CloseIdle(c.Endpoint.Address)
 		}
 		if c.Drained || c.Removed {
-			v := fleet.View{Endpoint: c.Endpoint, ListedAt: now}
+			v := fleet.View{Endpoint: c.Endpoint, ListedAt: read.at}
 			if listed, ok := g.fleet.Get(c.Endpoint.ID); ok {
 				v = listed
 			}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -122,6 +122,7 @@
 	hasConfig       atomic.Bool
 	hasEndpoints    atomic.Bool
 	sequence        atomic.Int64
+	feeds           sync.Map     // port.Topic to *atomic.Int64, see feedAsOf
 	lastStoreAnswer atomic.Int64 // time of the store's last answer, Unix nanoseconds
 	// lastStoreRefusal is the time at which the store last refused a call, Unix nanoseconds.
 	lastStoreRefusal atomic.Int64
@@ -162,6 +163,7 @@
 		startedAt:    now,
 		leaveStarted: make(chan struct{}), configured: make(chan struct{}),
 	}
+	g.metrics.watchFeeds(g)
 	g.hostCount.Store(assumedHosts)
 	g.calls.calls = map[*call]struct{}{}
 	g.relays = newRelayState()
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -69,10 +69,12 @@
 		return nil
 	}
 	f := &follower{
-		g: g, topic: port.TopicHosts,
-		onRecords:  func(now time.Time, records []port.TopicRecord) { g.receiveReports(now, records, false) },
-		onSnapshot: g.receiveReports,
-		onAnswer:   func(now time.Time, _ time.Duration) { g.presence.MarkRead(now) },
+		g: g, topic: port.TopicHosts, lateAge: lateHostsAge,
+		onRecords: func(read feedRead, records []port.TopicRecord) { g.receiveReports(read.at, records, false) },
+		onSnapshot: func(read feedRead, records []port.TopicRecord, restored bool) {
+			g.receiveReports(read.at, records, restored)
+		},
+		onAnswer: func(now time.Time, _ time.Duration) { g.presence.MarkRead(now) },
 	}
 	tick := time.NewTicker(reportInterval / 2)
 	defer tick.Stop()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -2,10 +2,13 @@
 
 import (
 	"net/http"
+	"time"
 
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/cicadanotch/cicadanotch/port"
 )
 
 // latencyBuckets are in seconds; they cover the objectives of 0.2 to 1 s and the deadlines of up to
@@ -23,6 +26,7 @@
 	answers      *prometheus.HistogramVec
 	stateChanges *prometheus.CounterVec
 	storeCalls   *prometheus.HistogramVec
+	feedReads    *prometheus.HistogramVec
 	version      prometheus.Gauge
 	hosts        prometheus.Gauge
 	fencingToken prometheus.Gauge
@@ -61,6 +65,10 @@
 			Name: "cicadanotch_gateway_store_seconds",
 			Help: "Calls to the platform's store, by call and result.", Buckets: latencyBuckets,
 		}, []string{"call", "result"}),
+		feedReads: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "cicadanotch_gateway_feed_read_seconds",
+			Help: "Reads of topics, with the time waited for records, by topic, source (store or relay) and result.", Buckets: latencyBuckets,
+		}, []string{"topic", "source", "result"}),
 		version: prometheus.NewGauge(prometheus.GaugeOpts{
 			Name: "cicadanotch_gateway_configuration_version",
 			Help: "Version of the configuration in force.",
@@ -83,10 +91,27 @@
 		}, []string{"result"}),
 	}
 	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
-		m.version, m.hosts, m.fencingToken, m.leaderCalls, m.moves, collectors.NewGoCollector())
+		m.feedReads, m.version, m.hosts, m.fencingToken, m.leaderCalls, m.moves, collectors.NewGoCollector())
 	return m
 }
 
+// watchFeeds registers the age of what the host knows of each topic.
+func (m *metrics) watchFeeds(g *Gateway) {
+	for _, topic := range []port.Topic{port.TopicConfiguration, port.TopicEndpoints, port.TopicHosts} {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name:        "cicadanotch_gateway_feed_age_seconds",
+			Help:        "Time since the store held nothing of a topic that the host does not know; 0 before the first read.",
+			ConstLabels: prometheus.Labels{"topic": string(topic)},
+		}, func() float64 {
+			asOf := g.feedAsOf(topic).Load()
+			if asOf == 0 {
+				return 0
+			}
+			return time.Since(time.Unix(0, asOf)).Seconds()
+		}))
+	}
+}
+
 // MetricsHandler serves the metrics.
 func (g *Gateway) MetricsHandler() http.Handler {
 	return promhttp.HandlerFor(g.metrics.registry, promhttp.HandlerOpts{})
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -82,6 +82,8 @@
 	// newest holds the newest record of each key; of all keys if complete is set.
 	newest   map[string]port.TopicRecord
 	complete bool
+	// asOf is a time at which the store held nothing after end.
+	asOf time.Time
 	// freshUntil is the time until which the cache may be used without another page: the next read of
 	// the store, also one without records, is due before.
 	freshUntil time.Time
@@ -278,6 +280,10 @@
 	Expired bool     `json:"expired,omitempty"`
 	// Age is the time since the store's last answer.
 	Age time.Duration `json:"age_ns,omitempty"`
+	// TopicAge is the time since the store is known to have held nothing after End. Held is how long
+	// the relay has held the call, so that the rest of the call's time is that of the way.
+	TopicAge time.Duration `json:"topic_age_ns,omitempty"`
+	Held     time.Duration `json:"held_ns,omitempty"`
 }
 
 // canRelay reports whether this process may serve reads and accept reports in place of the store:
@@ -298,6 +304,7 @@
 	if err := json.Unmarshal(params, &req); err != nil {
 		return nil, errors.Wrap(err, "decode read")
 	}
+	began := time.Now()
 	timeout := time.After(min(req.Wait, relayPollTimeout))
 	for {
 		if !g.canRelay(time.Now()) {
@@ -305,7 +312,7 @@
 		}
 		reply, wake, ok := g.relays.read(req)
 		if ok {
-			reply.Age = g.storeAge(time.Now())
+			reply.Age, reply.Held = g.storeAge(time.Now()), time.Since(began)
 			return g.relays.packReply(req, reply)
 		}
 		if wake == nil {
@@ -314,7 +321,7 @@
 		select {
 		case <-wake:
 		case <-timeout:
-			return readReply{Era: req.Era, End: req.From, Age: g.storeAge(time.Now())}, nil
+			return readReply{Era: req.Era, End: req.From, Age: g.storeAge(time.Now()), TopicAge: g.relays.topicAge(req.Topic), Held: time.Since(began)}, nil
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
@@ -333,7 +340,7 @@
 	case req.From < 0 && !cache.complete:
 		return readReply{}, nil, false
 	case req.From < 0:
-		reply := readReply{Era: cache.era, End: cache.end}
+		reply := readReply{Era: cache.era, End: cache.end, TopicAge: time.Since(cache.asOf)}
 		for _, record := range cache.newest {
 			reply.Records = append(reply.Records, record)
 		}
@@ -341,11 +348,21 @@
 	case req.From < cache.first || req.Era != cache.era:
 		return readReply{Era: cache.era, Expired: true}, nil, true
 	case req.From < cache.end:
-		return readReply{Records: slices.Clone(cache.records[req.From-cache.first:]), Era: cache.era, End: cache.end}, nil, true
+		return readReply{Records: slices.Clone(cache.records[req.From-cache.first:]), Era: cache.era, End: cache.end, TopicAge: time.Since(cache.asOf)}, nil, true
 	}
 	return readReply{}, cache.wake, false
 }
 
+// topicAge returns the time since the store is known to have held nothing of a topic that is not cached.
+func (s *relayState) topicAge(topic port.Topic) time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if cache := s.topics[topic]; cache != nil {
+		return time.Since(cache.asOf)
+	}
+	return 0
+}
+
 // packReply compresses the records of a reply if they are large. Hosts that ask from the same offset get
 // the same bytes, compressed once.
 func (s *relayState) packReply(req readRequest, reply readReply) (readReply, error) {
@@ -397,9 +414,9 @@
 }
 
 // cachePage adds a page that this process has read of a topic, to answer other hosts from. A
-// snapshot, which holds the newest record of each key, replaces what is cached of the topic. freshUntil
-// is as in topicCache.
-func (s *relayState) cachePage(topic port.Topic, snapshot bool, page port.TopicPage, freshUntil time.Time) {
+// snapshot, which holds the newest record of each key, replaces what is cached of the topic. asOf and
+// freshUntil are as in topicCache.
+func (s *relayState) cachePage(topic port.Topic, snapshot bool, page port.TopicPage, asOf, freshUntil time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cache := s.topics[topic]
@@ -421,6 +438,9 @@
 		}
 	}
 	cache.end, cache.freshUntil = page.End, freshUntil
+	if asOf.After(cache.asOf) {
+		cache.asOf = asOf
+	}
 	cache.records = latestRecords(cache.records, maxCachedRecords, maxCachedBytes)
 	cache.first = cache.end - int64(len(cache.records))
 	if len(page.Records) > 0 {
@@ -486,25 +506,29 @@
 }
 
 // readFromRelay reads a topic from the relay; ok is false when the store has to be read instead.
-func (g *Gateway) readFromRelay(topic port.Topic, era port.Era, from int64, wait time.Duration) (page port.TopicPage, err error, ok bool) {
+func (g *Gateway) readFromRelay(topic port.Topic, era port.Era, from int64, wait time.Duration) (page port.TopicPage, read feedRead, err error, ok bool) {
 	var reply readReply
 	if from < 0 {
 		era = g.latestEra()
 	}
-	if !g.callRelay(methodRead, relayPollTimeout+relayCallMargin, readRequest{topic, era, from, wait}, &reply) {
-		return page, nil, false
+	began := time.Now()
+	relay := g.currentRelay(began)
+	if !g.callPeer(relay, methodRead, relayPollTimeout+relayCallMargin, readRequest{topic, era, from, wait}, &reply) {
+		return page, read, nil, false
 	}
+	read = feedRead{source: relay.Host, began: began, at: time.Now()}
+	read.asOf = read.at.Add(-reply.TopicAge - max(0, read.at.Sub(began)-reply.Held))
 	g.learnEra(reply.Era)
 	g.noteStoreAnswer(time.Now().Add(-reply.Age))
 	if reply.Expired {
-		return page, port.ErrStoreExpired, true
+		return page, read, port.ErrStoreExpired, true
 	}
 	records, err := reply.records()
 	if err != nil {
 		g.log.Warn().Str("event", "relay_reply_unreadable").Str("topic", string(topic)).Int64("from", from).Err(err).Msg("")
-		return page, nil, false
+		return page, read, nil, false
 	}
-	return port.TopicPage{Era: reply.Era, Records: records, End: reply.End}, nil, true
+	return port.TopicPage{Era: reply.Era, Records: records, End: reply.End}, read, nil, true
 }
 
 // serveReport receives the reports of hosts. A relay whose reports go to the relay of the region forwards
