--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -142,6 +142,64 @@
 	*memoryStore
 	unreachable atomic.Bool
 	calls       atomic.Int64
+	// stalled holds the topics whose reads get no answer (port.Topic to true).
+	stalled sync.Map
+	// way is what the answers to reads pass through; nil for no delay.
+	way atomic.Pointer[sharedLink]
+}
+
+// answer delivers a page of a topic to the host.
+func (s *hostStore) answer(ctx context.Context, topic port.Topic, page port.TopicPage, err error) (port.TopicPage, error) {
+	if stalled, _ := s.stalled.Load(topic); stalled == true {
+		<-ctx.Done()
+		return port.TopicPage{}, errors.Wrap(port.ErrStoreUnavailable, ctx.Err().Error())
+	}
+	if way := s.way.Load(); way != nil && err == nil {
+		size := 0
+		for _, r := range page.Records {
+			size += len(r.Value)
+		}
+		if way.transfer(ctx, size) != nil {
+			return port.TopicPage{}, errors.Wrap(port.ErrStoreUnavailable, ctx.Err().Error())
+		}
+	}
+	return page, err
+}
+
+// sharedLink is a link whose bandwidth is divided equally among the transfers in progress.
+type sharedLink struct {
+	bytesPerSecond float64
+	delay          time.Duration
+
+	mu        sync.Mutex
+	transfers int
+}
+
+// transfer returns when a message has arrived, or with an error when ctx has ended before.
+func (l *sharedLink) transfer(ctx context.Context, size int) error {
+	const step = 10 * time.Millisecond
+	l.mu.Lock()
+	l.transfers++
+	l.mu.Unlock()
+	defer func() {
+		l.mu.Lock()
+		l.transfers--
+		l.mu.Unlock()
+	}()
+	next := l.delay
+	for left := float64(size); ; next = step {
+		select {
+		case <-time.After(next):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		l.mu.Lock()
+		left -= l.bytesPerSecond * step.Seconds() / float64(l.transfers)
+		l.mu.Unlock()
+		if left <= 0 {
+			return nil
+		}
+	}
 }
 
 func (s *hostStore) Newest(ctx context.Context, topic port.Topic) (port.TopicPage, error) {
@@ -149,7 +207,8 @@
 	if s.unreachable.Load() {
 		return port.TopicPage{}, port.ErrStoreRefused
 	}
-	return s.memoryStore.Newest(ctx, topic)
+	page, err := s.memoryStore.Newest(ctx, topic)
+	return s.answer(ctx, topic, page, err)
 }
 
 func (s *hostStore) Read(ctx context.Context, topic port.Topic, from int64, wait time.Duration) (port.TopicPage, error) {
@@ -157,7 +216,8 @@
 	if s.unreachable.Load() {
 		return port.TopicPage{}, port.ErrStoreRefused
 	}
-	return s.memoryStore.Read(ctx, topic, from, wait)
+	page, err := s.memoryStore.Read(ctx, topic, from, wait)
+	return s.answer(ctx, topic, page, err)
 }
 
 func (s *hostStore) Append(ctx context.Context, topic port.Topic, at int64, records ...port.TopicRecord) (port.Position, error) {
