Bound the age of what relays serve by topic, over all hops

Cause: a relay answered for a topic while the store had answered it any call within 1.7 s, what it held counted as fresh for 2.4 s (registry) or 4.2 s (configuration), and each hop began both anew. Ruled out: the store, which answers all other hosts.

Change: replies carry the age of the topic since the start of the read that the store answered; hops add the way and never renew it; relays refuse beyond 1.3 s (to relays) and 1.9 s (to hosts). Polls of the configuration take 0.7 instead of 2.5 s, relays wake their readers at each read, and readers of a relay do not pause.

--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -263,8 +263,8 @@
 func TestEraFromPeer(t *testing.T) {
 	is := is.New(t)
 	s := newRelayState()
-	s.cachePage(port.TopicHosts, true, port.TopicPage{Era: 1, End: 10}, time.Now(), time.Now().Add(time.Minute))
-	s.cachePage(port.TopicHosts, false, port.TopicPage{Era: 1, End: 12, Records: make([]port.TopicRecord, 2)}, time.Now(), time.Now().Add(time.Minute))
+	s.cachePage(port.TopicHosts, true, port.TopicPage{Era: 1, End: 10}, time.Now())
+	s.cachePage(port.TopicHosts, false, port.TopicPage{Era: 1, End: 12, Records: make([]port.TopicRecord, 2)}, time.Now())
 	for name, tc := range map[string]struct {
 		req     readRequest
 		ok      bool
@@ -278,7 +278,7 @@
 		"snapshot by a host in a later":   {readRequest{Topic: port.TopicHosts, Era: 2, From: -1}, false, false},
 		"snapshot by a host in an earler": {readRequest{Topic: port.TopicHosts, Era: 0, From: -1}, true, false},
 	} {
-		reply, _, ok := s.read(tc.req)
+		reply, _, ok := s.read(time.Now(), tc.req)
 		if ok != tc.ok || reply.Expired != tc.expired {
 			t.Errorf("%s: got ok %v, expired %v", name, ok, reply.Expired)
 		}
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -13,10 +13,9 @@
 )
 
 const (
-	// configPollTimeout is how long a read waits for a new configuration. A version must be in
-	// force within 3 s. A connection that no longer answers is detected after configPollTimeout
-	// plus storeTimeout; the platform allows a host 4 s to recover from that before the 3 s apply.
-	configPollTimeout = 2500 * time.Millisecond
+	// configPollTimeout is how long a read waits for a new configuration. Until it is answered nothing
+	// is known of the configuration, see maxTopicAge.
+	configPollTimeout = 700 * time.Millisecond
 	// minConfigInterval is the least time between two reads of the configuration: there may be many
 	// versions a second, and each read is billed.
 	minConfigInterval = 300 * time.Millisecond
@@ -30,6 +29,9 @@
 	// minEndpointsInterval is the least time between two reads of the registry: every read is
 	// billed, and a draining endpoint accepts work for 3 s.
 	minEndpointsInterval = 600 * time.Millisecond
+	// minRelayInterval is the least time between two reads of a relay. The relay itself reads the store at
+	// the intervals above; a host that waited as long again would know everything later.
+	minRelayInterval = 50 * time.Millisecond
 	// endpointsPollTimeout is how long a read of the registry waits for a change.
 	endpointsPollTimeout = 700 * time.Millisecond
 	reportInterval       = time.Second
@@ -66,6 +68,9 @@
 	everRead    bool // a snapshot was read in this or an earlier era
 	lostAt      time.Time
 	answeredAt  time.Time
+	// source is that of the last answer; reads is the relay's count in it.
+	source string
+	reads  int64
 	// asOf is a time at which the store held nothing after offset, the latest known to this host.
 	// late is set from the time that this is older than lateAge until it is not any more.
 	asOf time.Time
@@ -80,6 +85,8 @@
 	began, at time.Time
 	// asOf is a time at which the store held nothing after the records read.
 	asOf time.Time
+	// reads is the relay's count of its own reads of the topic.
+	reads int64
 }
 
 // storeSource is the source of reads that the store itself answered.
@@ -99,7 +106,11 @@
 		err := f.poll()
 		if err == nil {
 			backoff = minBackoff
-			f.sleep(f.minInterval - time.Since(began))
+			interval := f.minInterval
+			if f.source != storeSource {
+				interval = minRelayInterval
+			}
+			f.sleep(interval - time.Since(began))
 			continue
 		}
 		if errors.Is(err, port.ErrStoreExpired) {
@@ -154,7 +165,7 @@
 		}
 		f.g.observeStore("read", began, time.Now(), err)
 		read = feedRead{source: storeSource, began: storeBegan, at: time.Now(), asOf: storeBegan}
-		if f.hasSnapshot && len(page.Records) == 0 && read.at.Sub(storeBegan) > f.pollTimeout {
+		if f.hasSnapshot && len(page.Records) == 0 && read.at.Sub(storeBegan) >= f.pollTimeout {
 			read.asOf = storeBegan.Add(f.pollTimeout) // the store has waited that long before it answered
 		}
 	}
@@ -171,7 +182,7 @@
 		return port.ErrStoreExpired
 	}
 	if !fromRelay || f.g.relays.isRelaying() {
-		f.g.relays.cachePage(f.topic, !f.hasSnapshot, page, read.asOf, now.Add(f.pollTimeout+maxRelayStaleness))
+		f.g.relays.cachePage(f.topic, !f.hasSnapshot, page, read.asOf)
 	} else {
 		f.g.relays.dropCache(f.topic)
 	}
@@ -186,6 +197,7 @@
 		f.asOf = read.asOf
 	}
 	f.hasSnapshot, f.everRead, f.era, f.offset = true, true, page.Era, page.End
+	f.source, f.reads = read.source, read.reads
 	f.g.feedAsOf(f.topic).Store(f.asOf.UnixNano())
 	f.logAge(now, read.source)
 	return nil
@@ -222,7 +234,7 @@
 	if !f.hasSnapshot {
 		from = -1
 	}
-	return f.g.readFromRelay(f.topic, f.era, from, f.pollTimeout)
+	return f.g.readFromRelay(readRequest{Topic: f.topic, Era: f.era, From: from, Wait: f.pollTimeout, Reads: f.reads})
 }
 
 // recordStoreFailure records that a call to the store failed. Only the first failure since the last
--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -65,6 +65,7 @@
 	)
 	for seed := range uint64(seeds) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				rng := rand.New(rand.NewPCG(seed, 1))
 				tp, peers := startRegions(t, 4, startInterval)
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -56,8 +56,16 @@
 	// Callers send several requests a second, so a host that uses this relay takes quota often.
 	takerTTL = 2 * time.Second
 	// maxRelayStaleness is the age of the store's last answer to a relay beyond which the relay
-	// does not answer in place of the store. The relay reads the store at least once a second.
+	// does not accept reports in place of the store. The relay reads the store at least once a second.
 	maxRelayStaleness = 1700 * time.Millisecond
+	// maxTopicAge is the age of a relay's knowledge of a topic beyond which the relay does not serve
+	// it to other relays. It serves hosts for leafGrace longer, in which the relay of their zone can
+	// read the store, so that they do not all do that. A host that is refused then has a second to read
+	// the store itself: news must be known within 3 s.
+	maxTopicAge = 1300 * time.Millisecond
+	leafGrace   = 600 * time.Millisecond
+	// maxHostsAge replaces maxTopicAge for the reports of hosts, which are read once a second.
+	maxHostsAge = 1700 * time.Millisecond
 	// forwardDelay is how long a relay gathers reports before it forwards them to the relay of the
 	// region.
 	forwardDelay = 150 * time.Millisecond
@@ -84,14 +92,13 @@
 	complete bool
 	// asOf is a time at which the store held nothing after end.
 	asOf time.Time
-	// freshUntil is the time until which the cache may be used without another page: the next read of
-	// the store, also one without records, is due before.
-	freshUntil time.Time
+	// reads counts the pages, also those without records.
+	reads int64
 	// packed holds the compressed records of the replies up to end, by the offset that they were asked
 	// from; packing is held while one of them is made.
 	packing sync.Mutex
 	packed  map[int64][]byte
-	wake    chan struct{} // closed when records are added or a snapshot replaces the cache
+	wake    chan struct{} // closed by each page
 }
 
 // relayState is the state of this process as a relay and as a client of one.
@@ -107,6 +114,10 @@
 	unreachableUntil map[string]time.Time
 	// failures counts the failures of a relay since its last answer, by host.
 	failures map[string]int
+	// live are the live hosts as of the last reports.
+	live []presence.Report
+	// added is closed when a topic is cached that was not.
+	added chan struct{}
 	// chosen is the zone's relay, zero when there is none. upstream is the host that calls the store
 	// for this one: the zone's relay, or for that the region's; zero when this host calls the store
 	// itself. relaying is set while this host is the relay of its zone or region.
@@ -115,7 +126,7 @@
 	relaying bool
 	// forwarding is set while forwardReports is due.
 	forwarding bool
-	// candidates is the number of candidates when the relay was last chosen (see chooseRelay).
+	// candidates is the number of candidates for chosen (see chooseRelay).
 	// hadQuotaRelay reports whether this host had a relay to take quota from when updateShares last
 	// ran.
 	candidates    int
@@ -132,7 +143,7 @@
 }
 
 func newRelayState() *relayState {
-	return &relayState{topics: map[port.Topic]*topicCache{}, reports: map[string]receivedReport{}, failedUntil: map[string]time.Time{}, unreachableUntil: map[string]time.Time{}, takers: map[string]time.Time{}, failures: map[string]int{}}
+	return &relayState{topics: map[port.Topic]*topicCache{}, reports: map[string]receivedReport{}, failedUntil: map[string]time.Time{}, unreachableUntil: map[string]time.Time{}, takers: map[string]time.Time{}, failures: map[string]int{}, added: make(chan struct{})}
 }
 
 // chooseRelay chooses the relays of this host's region and zone. Candidates are this host and the live
@@ -141,39 +152,69 @@
 // rendezvous score. Hosts with the same candidates choose the same relays. With fewer than
 // minHostsForRelay candidates in the region or zone, it has none.
 func (g *Gateway) chooseRelay(now time.Time, live []presence.Report) {
-	s := g.relays
 	self := g.report(now)
-	s.mu.Lock()
-	defer s.mu.Unlock()
+	g.relays.mu.Lock()
+	defer g.relays.mu.Unlock()
+	g.relays.live = live
+	g.setRelays(g.relays.choose(now, self))
+}
+
+// chooseUpstreamAgain chooses the host to read through among the same hosts as the last time, after the
+// one in use has failed. Quota is taken from the zone's relay as before: without reports of the others,
+// hosts would not agree on another.
+func (g *Gateway) chooseUpstreamAgain(now time.Time) {
+	self := g.report(now)
+	g.relays.mu.Lock()
+	defer g.relays.mu.Unlock()
+	c := g.relays.choose(now, self)
+	c.zone, c.candidates = g.relays.chosen, g.relays.candidates
+	g.setRelays(c)
+}
+
+// relayChoice holds relayState's chosen, upstream, relaying and candidates.
+type relayChoice struct {
+	zone, upstream presence.Report
+	relaying       bool
+	candidates     int
+}
+
+// choose returns the relays of a host. The caller holds the lock.
+func (s *relayState) choose(now time.Time, self presence.Report) relayChoice {
 	var inRegion, inZone []presence.Report
-	for _, r := range append(slices.Clone(live), self) {
-		if r.Region != g.opts.Region || r.Peer == "" || r.State != presence.StateServing || now.Before(s.failedUntil[r.Host]) {
+	for _, r := range append(slices.Clone(s.live), self) {
+		if r.Region != self.Region || r.Peer == "" || r.State != presence.StateServing || now.Before(s.failedUntil[r.Host]) {
 			continue
 		}
 		inRegion = append(inRegion, r)
-		if r.Zone == g.opts.Zone {
+		if r.Zone == self.Zone {
 			inZone = append(inZone, r)
 		}
 	}
-	previous, previousUpstream := s.chosen.Host, s.upstream.Host
-	regional := bestRelay("relay/region/"+g.opts.Region, inRegion)
-	s.chosen = bestRelay("relay/"+g.opts.Zone, inZone)
-	if s.chosen.Host != "" && regional.Zone == g.opts.Zone {
-		s.chosen = regional
+	regional := bestRelay("relay/region/"+self.Region, inRegion)
+	c := relayChoice{zone: bestRelay("relay/"+self.Zone, inZone), candidates: len(inZone)}
+	if c.zone.Host != "" && regional.Zone == self.Zone {
+		c.zone = regional
 	}
-	s.upstream = s.chosen
-	if s.chosen.Host == "" || s.chosen.Host == g.opts.Host {
-		s.upstream = regional
+	c.upstream = c.zone
+	if c.zone.Host == "" || c.zone.Host == self.Host {
+		c.upstream = regional
 	}
-	if s.upstream.Host == g.opts.Host {
-		s.upstream = presence.Report{}
+	if c.upstream.Host == self.Host {
+		c.upstream = presence.Report{}
 	}
-	s.relaying = s.chosen.Host == g.opts.Host || regional.Host == g.opts.Host
-	s.candidates = len(inZone)
-	if s.chosen.Host != previous || s.upstream.Host != previousUpstream {
+	c.relaying = c.zone.Host == self.Host || regional.Host == self.Host
+	return c
+}
+
+// setRelays sets the relays in use and logs a change. The caller holds the lock.
+func (g *Gateway) setRelays(c relayChoice) {
+	s := g.relays
+	previous, previousUpstream := s.chosen.Host, s.upstream.Host
+	s.chosen, s.upstream, s.relaying, s.candidates = c.zone, c.upstream, c.relaying, c.candidates
+	if c.zone.Host != previous || c.upstream.Host != previousUpstream {
 		g.metrics.stateChanges.WithLabelValues("relay").Inc()
-		g.log.Info().Str("event", "relay").Str("relay", s.chosen.Host).Str("before", previous).
-			Str("upstream", s.upstream.Host).Int("candidates", len(inZone)).Msg("")
+		g.log.Info().Str("event", "relay").Str("relay", c.zone.Host).Str("before", previous).
+			Str("upstream", c.upstream.Host).Int("candidates", c.candidates).Msg("")
 	}
 }
 
@@ -200,7 +241,8 @@
 	return s.upstream
 }
 
-// markRelayFailed records that a relay did not answer in time or cannot reach the store.
+// markRelayFailed records that a relay did not answer in time or cannot reach the store, and chooses
+// another.
 func (g *Gateway) markRelayFailed(now time.Time, host, method string, err error) {
 	s := g.relays
 	s.mu.Lock()
@@ -217,6 +259,9 @@
 		s.unreachableUntil[host] = now.Add(backoff)
 	}
 	s.mu.Unlock()
+	if !alreadyFailed && g.currentRelay(now).Host == "" {
+		g.chooseUpstreamAgain(now)
+	}
 	if !alreadyFailed {
 		g.metrics.stateChanges.WithLabelValues("relay_failed").Inc()
 		g.log.Warn().Str("event", "dependency_lost").Str("dependency", "relay/"+host).Str("method", method).Err(err).Msg("continuing without the relay")
@@ -268,6 +313,26 @@
 	From int64 `json:"from"`
 	// Wait is how long to hold a call that has nothing to return.
 	Wait time.Duration `json:"wait_ns,omitempty"`
+	// Reads is that of the last reply. A relay that has read the topic since then replies at once, also
+	// without records, so that the ages of replies do not add up over relays.
+	Reads int64 `json:"reads,omitempty"`
+	// ForRelay is set by a relay that reads through another.
+	ForRelay bool `json:"for_relay,omitempty"`
+	// Retry is set if another relay has just failed. This one may be about to notice that too and to
+	// take its place: it is given until the end of Wait to read the topic.
+	Retry bool `json:"retry,omitempty"`
+}
+
+// maxAge is the age of the relay's knowledge of the topic up to which the relay serves the read.
+func (r readRequest) maxAge() time.Duration {
+	limit := maxTopicAge
+	if r.Topic == port.TopicHosts {
+		limit = maxHostsAge
+	}
+	if !r.ForRelay {
+		limit += leafGrace
+	}
+	return limit
 }
 
 type readReply struct {
@@ -278,17 +343,17 @@
 	Era     port.Era `json:"era,omitempty"`
 	End     int64    `json:"end"`
 	Expired bool     `json:"expired,omitempty"`
-	// Age is the time since the store's last answer.
-	Age time.Duration `json:"age_ns,omitempty"`
-	// TopicAge is the time since the store is known to have held nothing after End. Held is how long
-	// the relay has held the call, so that the rest of the call's time is that of the way.
-	TopicAge time.Duration `json:"topic_age_ns,omitempty"`
-	Held     time.Duration `json:"held_ns,omitempty"`
+	Reads   int64    `json:"reads,omitempty"`
+	// Age is the time since the store is known to have held nothing after End, over all relays that the
+	// records came through. Held is how long the relay has held the call, so that the rest of the
+	// call's time is that of the way.
+	Age  time.Duration `json:"age_ns,omitempty"`
+	Held time.Duration `json:"held_ns,omitempty"`
 }
 
-// canRelay reports whether this process may serve reads and accept reports in place of the store:
-// the store has answered it within maxRelayStaleness, and has not refused a call since. Hosts choose their relay at different times, so
-// it does not matter whether this one has chosen itself.
+// canRelay reports whether the store has answered this process within maxRelayStaleness, and has not refused
+// a call since. Hosts choose their relay at different times, so it does not matter whether this one has
+// chosen itself.
 func (g *Gateway) canRelay(now time.Time) bool {
 	return g.storeAge(now) < maxRelayStaleness && g.lastStoreAnswer.Load() >= g.lastStoreRefusal.Load()
 }
@@ -305,62 +370,73 @@
 		return nil, errors.Wrap(err, "decode read")
 	}
 	began := time.Now()
-	timeout := time.After(min(req.Wait, relayPollTimeout))
+	held := min(req.Wait, relayPollTimeout)
 	for {
-		if !g.canRelay(time.Now()) {
+		now := time.Now()
+		if !g.canRelay(now) {
 			return nil, errNotRelay
 		}
-		reply, wake, ok := g.relays.read(req)
-		if ok {
-			reply.Age, reply.Held = g.storeAge(time.Now()), time.Since(began)
-			return g.relays.packReply(req, reply)
+		added := g.relays.awaitTopic()
+		reply, wake, ok := g.relays.read(now, req)
+		if !ok && req.Retry && now.Sub(began) < held {
+			select {
+			case <-added:
+			case <-time.After(held - now.Sub(began)):
+			case <-ctx.Done():
+				return nil, ctx.Err()
+			}
+			continue
 		}
-		if wake == nil {
+		if !ok {
 			return nil, errNotRelay
 		}
+		reply.Held = now.Sub(began)
+		if wake == nil || reply.Held >= held {
+			return g.relays.packReply(req, reply)
+		}
 		select {
 		case <-wake:
-		case <-timeout:
-			return readReply{Era: req.Era, End: req.From, Age: g.storeAge(time.Now()), TopicAge: g.relays.topicAge(req.Topic), Held: time.Since(began)}, nil
+		case <-time.After(min(held-reply.Held, req.maxAge()-reply.Age+time.Millisecond)):
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 	}
 }
 
-// read answers from the cached records. If there is nothing to return yet it reports false and
-// returns the cache's wake channel, which is nil if the topic is not cached.
-func (s *relayState) read(req readRequest) (readReply, chan struct{}, bool) {
+// awaitTopic returns a channel that is closed when a topic is cached that was not.
+func (s *relayState) awaitTopic() chan struct{} {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.added
+}
+
+// read answers from the cached records. If there is nothing to return yet it also returns the channel that
+// is closed by the next page. ok is false if the topic is not cached, or the cache is older than the read
+// allows.
+func (s *relayState) read(now time.Time, req readRequest) (reply readReply, wake chan struct{}, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cache := s.topics[req.Topic]
-	switch {
-	case cache == nil || cache.era < req.Era || time.Now().After(cache.freshUntil):
-		return readReply{}, nil, false
-	case req.From < 0 && !cache.complete:
+	if cache == nil || cache.era < req.Era || now.Sub(cache.asOf) > req.maxAge() || req.From < 0 && !cache.complete {
 		return readReply{}, nil, false
+	}
+	reply = readReply{Era: cache.era, End: cache.end, Reads: cache.reads, Age: now.Sub(cache.asOf)}
+	switch {
 	case req.From < 0:
-		reply := readReply{Era: cache.era, End: cache.end, TopicAge: time.Since(cache.asOf)}
 		for _, record := range cache.newest {
 			reply.Records = append(reply.Records, record)
 		}
-		return reply, nil, true
 	case req.From < cache.first || req.Era != cache.era:
-		return readReply{Era: cache.era, Expired: true}, nil, true
+		reply.Expired = true
 	case req.From < cache.end:
-		return readReply{Records: slices.Clone(cache.records[req.From-cache.first:]), Era: cache.era, End: cache.end, TopicAge: time.Since(cache.asOf)}, nil, true
-	}
-	return readReply{}, cache.wake, false
-}
-
-// topicAge returns the time since the store is known to have held nothing of a topic that is not cached.
-func (s *relayState) topicAge(topic port.Topic) time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if cache := s.topics[topic]; cache != nil {
-		return time.Since(cache.asOf)
+		reply.Records = slices.Clone(cache.records[req.From-cache.first:])
+	default:
+		reply.End = req.From
+		if req.Reads == cache.reads {
+			wake = cache.wake
+		}
 	}
-	return 0
+	return reply, wake, true
 }
 
 // packReply compresses the records of a reply if they are large. Hosts that ask from the same offset get
@@ -376,6 +452,9 @@
 	s.mu.Lock()
 	cache := s.topics[req.Topic]
 	s.mu.Unlock()
+	if cache == nil {
+		return reply, nil // dropped since
+	}
 	cache.packing.Lock()
 	defer cache.packing.Unlock()
 	s.mu.Lock()
@@ -414,17 +493,21 @@
 }
 
 // cachePage adds a page that this process has read of a topic, to answer other hosts from. A
-// snapshot, which holds the newest record of each key, replaces what is cached of the topic. asOf and
-// freshUntil are as in topicCache.
-func (s *relayState) cachePage(topic port.Topic, snapshot bool, page port.TopicPage, asOf, freshUntil time.Time) {
+// snapshot, which holds the newest record of each key, replaces what is cached of the topic. asOf is as in
+// topicCache.
+func (s *relayState) cachePage(topic port.Topic, snapshot bool, page port.TopicPage, asOf time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cache := s.topics[topic]
 	if snapshot || cache == nil {
+		reads := int64(0)
 		if cache != nil {
 			close(cache.wake)
+			reads = cache.reads
 		}
-		cache = &topicCache{era: page.Era, first: page.End, end: page.End, newest: map[string]port.TopicRecord{}, complete: snapshot, packed: map[int64][]byte{}, wake: make(chan struct{})}
+		close(s.added)
+		s.added = make(chan struct{})
+		cache = &topicCache{reads: reads, era: page.Era, first: page.End, end: page.End, newest: map[string]port.TopicRecord{}, complete: snapshot, packed: map[int64][]byte{}, wake: make(chan struct{})}
 		s.topics[topic] = cache
 	}
 	for _, record := range page.Records {
@@ -437,7 +520,8 @@
 			cache.records = append(cache.records, record)
 		}
 	}
-	cache.end, cache.freshUntil = page.End, freshUntil
+	cache.end = page.End
+	cache.reads++
 	if asOf.After(cache.asOf) {
 		cache.asOf = asOf
 	}
@@ -445,9 +529,9 @@
 	cache.first = cache.end - int64(len(cache.records))
 	if len(page.Records) > 0 {
 		cache.packed = map[int64][]byte{}
-		close(cache.wake)
-		cache.wake = make(chan struct{})
 	}
+	close(cache.wake)
+	cache.wake = make(chan struct{})
 }
 
 // latestRecords returns the last records, at most maxCount with at most maxBytes of values.
@@ -505,27 +589,39 @@
 	}
 }
 
-// readFromRelay reads a topic from the relay; ok is false when the store has to be read instead.
-func (g *Gateway) readFromRelay(topic port.Topic, era port.Era, from int64, wait time.Duration) (page port.TopicPage, read feedRead, err error, ok bool) {
+// readFromRelay reads a topic from the relay or, if that fails, from the one that is chosen in its place, so
+// that the hosts of a failed relay do not all read the store at once. ok is false when the store has to be
+// read instead.
+func (g *Gateway) readFromRelay(req readRequest) (page port.TopicPage, read feedRead, err error, ok bool) {
 	var reply readReply
-	if from < 0 {
-		era = g.latestEra()
+	if req.From < 0 {
+		req.Era = g.latestEra()
 	}
 	began := time.Now()
 	relay := g.currentRelay(began)
-	if !g.callPeer(relay, methodRead, relayPollTimeout+relayCallMargin, readRequest{topic, era, from, wait}, &reply) {
-		return page, read, nil, false
+	req.ForRelay = g.relays.isRelaying()
+	if !g.callPeer(relay, methodRead, relayPollTimeout+relayCallMargin, req, &reply) {
+		failed := relay.Host
+		began = time.Now()
+		relay = g.currentRelay(began)
+		if failed == "" || relay.Host == failed {
+			return page, read, nil, false
+		}
+		req.ForRelay, req.Retry = g.relays.isRelaying(), true
+		if !g.callPeer(relay, methodRead, relayPollTimeout+relayCallMargin, req, &reply) {
+			return page, read, nil, false
+		}
 	}
-	read = feedRead{source: relay.Host, began: began, at: time.Now()}
-	read.asOf = read.at.Add(-reply.TopicAge - max(0, read.at.Sub(began)-reply.Held))
+	read = feedRead{source: relay.Host, began: began, at: time.Now(), reads: reply.Reads}
+	read.asOf = read.at.Add(-reply.Age - max(0, read.at.Sub(began)-reply.Held))
 	g.learnEra(reply.Era)
-	g.noteStoreAnswer(time.Now().Add(-reply.Age))
+	g.noteStoreAnswer(read.asOf)
 	if reply.Expired {
 		return page, read, port.ErrStoreExpired, true
 	}
 	records, err := reply.records()
 	if err != nil {
-		g.log.Warn().Str("event", "relay_reply_unreadable").Str("topic", string(topic)).Int64("from", from).Err(err).Msg("")
+		g.log.Warn().Str("event", "relay_reply_unreadable").Str("topic", string(req.Topic)).Int64("from", req.From).Err(err).Msg("")
 		return page, read, nil, false
 	}
 	return port.TopicPage{Era: reply.Era, Records: records, End: reply.End}, read, nil, true
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -520,11 +520,11 @@
 func TestIncompleteCacheIsNoSnapshot(t *testing.T) {
 	is := is.New(t)
 	s := newRelayState()
-	s.cachePage(port.TopicConfiguration, false, port.TopicPage{End: 12, Records: []port.TopicRecord{{Offset: 11, Key: "other", Value: []byte("1")}}}, time.Now(), time.Now().Add(time.Minute))
-	_, _, ok := s.read(readRequest{Topic: port.TopicConfiguration, From: -1})
+	s.cachePage(port.TopicConfiguration, false, port.TopicPage{End: 12, Records: []port.TopicRecord{{Offset: 11, Key: "other", Value: []byte("1")}}}, time.Now())
+	_, _, ok := s.read(time.Now(), readRequest{Topic: port.TopicConfiguration, From: -1})
 	is.True(!ok)
-	s.cachePage(port.TopicConfiguration, true, port.TopicPage{End: 12, Records: []port.TopicRecord{{Offset: 3, Key: "config", Value: []byte("1")}}}, time.Now(), time.Now().Add(time.Minute))
-	reply, _, ok := s.read(readRequest{Topic: port.TopicConfiguration, From: -1})
+	s.cachePage(port.TopicConfiguration, true, port.TopicPage{End: 12, Records: []port.TopicRecord{{Offset: 3, Key: "config", Value: []byte("1")}}}, time.Now())
+	reply, _, ok := s.read(time.Now(), readRequest{Topic: port.TopicConfiguration, From: -1})
 	is.True(ok)
 	is.Equal(len(reply.Records), 1)
 }
@@ -543,12 +543,12 @@
 	value, err := json.Marshal(large)
 	is.NoErr(err)
 	s := newRelayState()
-	s.cachePage(port.TopicConfiguration, true, port.TopicPage{End: 4}, time.Now(), time.Now().Add(time.Minute))
-	s.cachePage(port.TopicConfiguration, false, port.TopicPage{End: 5, Records: []port.TopicRecord{{Offset: 4, Key: "config", Value: value}}}, time.Now(), time.Now().Add(time.Minute))
+	s.cachePage(port.TopicConfiguration, true, port.TopicPage{End: 4}, time.Now())
+	s.cachePage(port.TopicConfiguration, false, port.TopicPage{End: 5, Records: []port.TopicRecord{{Offset: 4, Key: "config", Value: value}}}, time.Now())
 	var first readReply
 	for i := range 33 {
 		req := readRequest{Topic: port.TopicConfiguration, From: 4}
-		reply, _, ok := s.read(req)
+		reply, _, ok := s.read(time.Now(), req)
 		is.True(ok)
 		reply, err := s.packReply(req, reply)
 		is.NoErr(err)
@@ -561,9 +561,9 @@
 	records, err := first.records()
 	is.NoErr(err)
 	is.Equal(records[0].Value, value)
-	s.cachePage(port.TopicConfiguration, false, port.TopicPage{End: 6, Records: []port.TopicRecord{{Offset: 5, Key: "config", Value: []byte("{}")}}}, time.Now(), time.Now().Add(time.Minute))
+	s.cachePage(port.TopicConfiguration, false, port.TopicPage{End: 6, Records: []port.TopicRecord{{Offset: 5, Key: "config", Value: []byte("{}")}}}, time.Now())
 	req := readRequest{Topic: port.TopicConfiguration, From: 4}
-	reply, _, _ := s.read(req)
+	reply, _, _ := s.read(time.Now(), req)
 	reply, err = s.packReply(req, reply)
 	is.NoErr(err)
 	records, err = reply.records()
