Do not abandon reads of the store whose reply is arriving

Reads that share a full link then never end.

Silent connections are found as soon as before. TestLargeReadIsNotBegunAnew failed before and passes.

--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -19,13 +19,10 @@
 	// minConfigInterval is the least time between two reads of the configuration: there may be many
 	// versions a second, and each read is billed.
 	minConfigInterval = 300 * time.Millisecond
-	// storeTimeout is what a call may take beyond the time that it waits for records: the store
-	// answers within some milliseconds, or 60 ms from another region.
-	storeTimeout = 900 * time.Millisecond
-	// newestMargin is added to storeTimeout when reading the newest records of a topic: when all
-	// hosts start at once, those of a region read them through one link, and a read that is
-	// abandoned has to be repeated.
-	newestMargin = 1500 * time.Millisecond
+	// maxTransferTime bounds the time in which the reply to a read arrives. It is long, because a read
+	// that is abandoned has to be repeated from its beginning: a configuration of a megabyte takes
+	// seconds when all hosts of a region read it through one link.
+	maxTransferTime = 6 * time.Second
 	// minEndpointsInterval is the least time between two reads of the registry: every read is
 	// billed, and a draining endpoint accepts work for 3 s.
 	minEndpointsInterval = 600 * time.Millisecond
@@ -149,15 +146,11 @@
 	if f.g.relays.needsSnapshot(f.topic) {
 		f.hasSnapshot = false
 	}
-	wait := f.pollTimeout
-	if !f.hasSnapshot {
-		wait = newestMargin
-	}
-	ctx, cancel := context.WithTimeout(f.g.context(), wait+storeTimeout)
-	defer cancel()
 	page, read, err, fromRelay := f.pollRelay()
 	if !fromRelay {
 		storeBegan := time.Now()
+		ctx, cancel := context.WithTimeout(f.g.context(), f.pollTimeout+maxTransferTime)
+		defer cancel()
 		if f.hasSnapshot {
 			page, err = f.g.ports.Store.Read(ctx, f.topic, f.offset, f.pollTimeout)
 		} else {
--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/cicadanotch/cicadanotch/catalog"
 	"github.com/cicadanotch/cicadanotch/fleet"
 	"github.com/cicadanotch/cicadanotch/port"
 )
@@ -158,6 +160,28 @@
 	})
 }
 
+// TestLargeReadIsNotBegunAnew guards against reads that are given up while their reply is arriving, and
+// begun anew with the same bytes: what takes longer than a time-out never arrived.
+func TestLargeReadIsNotBegunAnew(t *testing.T) {
+	const (
+		kilobytes = 1000
+		takes     = 4 * time.Second
+	)
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tp := newTestPlatform()
+		tp.publish(endpoint("1", "api"))
+		g := tp.startHost(t, hostOptions("h1"))
+		time.Sleep(2 * time.Second)
+		large := configuration(2)
+		large.Workspaces = append(large.Workspaces, catalog.Workspace{Name: strings.Repeat("w", 1000*kilobytes)})
+		g.ports.Store.(*hostStore).way.Store(&sharedLink{bytesPerSecond: 1000 * kilobytes / takes.Seconds()})
+		tp.store.put(port.TopicConfiguration, configurationKey, large)
+		time.Sleep(takes + time.Second)
+		is.Equal(g.catalog.Current().Version, int64(2))
+	})
+}
+
 // TestSharedLink: transfers share the bandwidth, and one that is given up frees its part.
 func TestSharedLink(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -151,8 +151,11 @@
 // answer delivers a page of a topic to the host.
 func (s *hostStore) answer(ctx context.Context, topic port.Topic, page port.TopicPage, err error) (port.TopicPage, error) {
 	if stalled, _ := s.stalled.Load(topic); stalled == true {
-		<-ctx.Done()
-		return port.TopicPage{}, errors.Wrap(port.ErrStoreUnavailable, ctx.Err().Error())
+		select {
+		case <-ctx.Done():
+		case <-time.After(port.StoreReplyTimeout):
+		}
+		return port.TopicPage{}, errors.Wrap(port.ErrStoreUnavailable, "stalled")
 	}
 	if way := s.way.Load(); way != nil && err == nil {
 		size := 0
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -132,7 +132,7 @@
 		return err
 	}
 	records := append(g.keysToRemove(r, newlyForwarded), port.TopicRecord{Key: r.Key(), Value: raw})
-	ctx, cancel := context.WithTimeout(g.context(), storeTimeout)
+	ctx, cancel := context.WithTimeout(g.context(), port.StoreReplyTimeout)
 	defer cancel()
 	_, err = g.ports.Store.Append(ctx, port.TopicHosts, port.Unconditional, records...)
 	g.observeStore("append", began, time.Now(), err)
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -327,7 +327,7 @@
 func (g *Gateway) readLeaderRecords() error {
 	s := g.leader
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(g.context(), storeTimeout)
+	ctx, cancel := context.WithTimeout(g.context(), port.StoreReplyTimeout)
 	defer cancel()
 	page, err := g.ports.Store.Read(ctx, port.TopicLeader, s.topicEnd, 0)
 	g.observeStore("read", began, time.Now(), err)
@@ -381,7 +381,7 @@
 		return port.Position{}, errors.Wrap(err, "encode leader record")
 	}
 	began := time.Now()
-	ctx, cancel := context.WithTimeout(g.context(), storeTimeout)
+	ctx, cancel := context.WithTimeout(g.context(), port.StoreReplyTimeout)
 	defer cancel()
 	position, err := g.ports.Store.Append(ctx, port.TopicLeader, s.topicEnd, port.TopicRecord{Value: raw})
 	g.observeStore("append", began, time.Now(), err)
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -105,7 +105,7 @@
 // resolveConflict reads the records appended since and resigns if another host took the leadership.
 func (g *Gateway) resolveConflict() {
 	endBefore := g.leader.topicEnd
-	ctx, cancel := context.WithTimeout(g.context(), storeTimeout)
+	ctx, cancel := context.WithTimeout(g.context(), port.StoreReplyTimeout)
 	defer cancel()
 	page, err := g.ports.Store.Read(ctx, port.TopicLeader, endBefore, 0)
 	if err == nil && page.Era != g.leader.era {
--- a/port/store.go
+++ b/port/store.go
@@ -76,6 +76,11 @@
 // without a condition.
 const Unconditional int64 = -1
 
+// StoreReplyTimeout is how long a store may be silent, beyond the time that a read waits for records,
+// before a call fails: the store answers within some milliseconds, or 60 ms from another region. A read
+// whose reply is arriving continues until its context ends.
+const StoreReplyTimeout = 900 * time.Millisecond
+
 // Store is the platform's store of records. All answers are linearizable.
 type Store interface {
 	// Newest returns the newest record of each key of a topic with keys.
