--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -131,11 +131,12 @@
 	// outlives the entry: whether an entry that is listed again is a new process is not
 	// certain.
 	pausedUntil map[string]time.Time
+	limits      map[string]*limit // by id, see limit.go
 }
 
 // NewTable returns an empty table.
 func NewTable(recoverTime time.Duration) *Table {
-	return &Table{RecoverTime: recoverTime, entries: map[string]*entry{}, leftIncarnations: map[string]int64{}, pausedUntil: map[string]time.Time{}, removed: map[string]removal{}}
+	return &Table{RecoverTime: recoverTime, entries: map[string]*entry{}, leftIncarnations: map[string]int64{}, pausedUntil: map[string]time.Time{}, removed: map[string]removal{}, limits: map[string]*limit{}}
 }
 
 // RegistryReturned records that the registry answers again after an outage.
--- a/port/forward.go
+++ b/port/forward.go
@@ -110,6 +110,9 @@
 	// RetryAfter is how long the endpoint asks this host to send it nothing; zero for no
 	// such request.
 	RetryAfter time.Duration
+	// RequestLimit is how many requests a second the endpoint takes from all hosts together; zero for
+	// no limit.
+	RequestLimit float64
 	// Leaving reports whether the endpoint states that it is about to leave.
 	Leaving bool
 	// HeaderFault describes a header that could not be used as sent; empty if there is
