Hold the limits of endpoints over all hosts

Cause: the limits that endpoints name were not read. Ruled out by that: a sum over hosts that each apply it; further attempts and moved streams are counted by the test like all others.

Change: three hosts hold the limit of an endpoint, by rendezvous among the live ones, and send at even intervals; the others send nothing and learn from reports when it is lifted.

Before: TestLimitHoldsOverAllHosts fails with six, 24 and 60 hosts, TestAllEndpointsLimited too.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -173,6 +173,7 @@
 		}
 		change.Drained = e.State == StateDraining && old.State != StateDraining
 	} else {
+		delete(t.limits, e.ID)
 		change.Added = true
 		change.Drained = e.State == StateDraining
 	}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -327,10 +327,7 @@
 	if reply.Leaving {
 		c.g.handleEndpointChanges(feedRead{at: now}, c.g.fleet.Leaving(now, a.view.ID))
 	}
-	if c.g.fleet.State(a.view.ID, fleet.LimitStatement{PerSecond: reply.RequestLimit, At: now}) {
-		c.g.metrics.stateChanges.WithLabelValues("endpoint_limit").Inc()
-		c.g.log.Info().Str("event", "endpoint_limit").Str("request", c.req.ID).Str("endpoint", a.view.ID).Float64("per_second", reply.RequestLimit).Msg("")
-	}
+	c.g.stateLimit(now, a.view.ID, fleet.LimitStatement{PerSecond: reply.RequestLimit, At: now}, "", c.req.ID)
 	if reply.RetryAfter > 0 {
 		c.g.fleet.Pause(now, a.view.ID, reply.RetryAfter)
 		c.g.metrics.stateChanges.WithLabelValues("endpoint_paused").Inc()
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -49,6 +49,7 @@
 	r.QuotaDemand, r.Shares = g.quota.Demand(now), g.quota.Shares()
 	r.Relayed = g.quotaRelay(now).Peer != ""
 	r.Usage = g.usage.Recent()
+	r.Limits = g.reportedLimits(now)
 	if r.FencingToken = g.leader.fencingToken(now); r.FencingToken != 0 {
 		r.Targets = g.leader.targetCounts()
 		if g.opts.UsageWindow > 0 {
@@ -223,6 +224,7 @@
 	live := g.presence.Live()
 	g.chooseRelay(now, live)
 	g.choosePlacers(now, live)
+	g.receiveLimits(now, live)
 	g.metrics.hosts.Set(float64(len(live) + 1))
 	// From here on live holds only the hosts that reported within shareTimeout; limits are divided
 	// among these. The shares of a host that has not reported since then, but within shareTTL, stay
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"time"
 
@@ -244,7 +245,7 @@
 // chooseMoveTarget chooses the endpoint where a stream continues.
 func (c *call) chooseMoveTarget(excluded map[string]bool) (fleet.View, bool) {
 	now := time.Now()
-	views := c.g.fleet.Usable(now, c.service.Name)
+	views := slices.DeleteFunc(c.g.fleet.Usable(now, c.service.Name), func(v fleet.View) bool { return !c.g.fleet.WithinLimit(now, v.ID) })
 	q := c.query()
 	q.Excluded = excluded
 	choice, ok := c.g.placement.Choose(now, q, c.g.candidates(now, views, true, c.service))
@@ -252,7 +253,7 @@
 		return fleet.View{}, false
 	}
 	c.g.placement.Release(&choice, true)
-	return findView(views, choice.ID), true
+	return findView(views, choice.ID), c.g.fleet.TakeFromLimit(now, choice.ID)
 }
 
 // progress is the progress of a stream, shared with other goroutines.
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -1,7 +1,9 @@
 package gateway
 
 import (
+	"maps"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cicadanotch/cicadanotch/catalog"
@@ -36,9 +38,11 @@
 	if len(views) == 0 {
 		return nil, c.notRun(http.StatusServiceUnavailable, problem.TypeUnavailable, "the service has no endpoint").WithRetryAfter(noEndpointRetryAfter)
 	}
+	choice, ok, limited := c.chooseWithinLimits(now, views)
+	if limited {
+		return nil, c.notRun(http.StatusServiceUnavailable, problem.TypeOverloaded, "every endpoint has named a limit that is used up").WithRetryAfter(c.g.fleet.NextWithinLimit(now, views))
+	}
 	q := c.query()
-	c.ticket = 0
-	choice, ok := c.choose(now, q, views)
 	if !ok {
 		return nil, c.notRun(http.StatusServiceUnavailable, problem.TypeUnavailable, "every endpoint was tried").WithRetryAfter(c.retryAfterDecline())
 	}
@@ -51,6 +55,33 @@
 	return &endpointAttempt{choice: choice, view: findView(views, choice.ID)}, nil
 }
 
+// chooseWithinLimits chooses an endpoint whose limit allows a request of this host, and counts the request
+// against it. limited is set if there is none because of limits.
+func (c *call) chooseWithinLimits(now time.Time, views []fleet.View) (choice placement.Choice, ok, limited bool) {
+	q := c.query()
+	q.Excluded = maps.Clone(c.tried)
+	var allowed []fleet.View
+	for _, v := range views {
+		if c.g.fleet.WithinLimit(now, v.ID) {
+			allowed = append(allowed, v)
+		} else {
+			q.Excluded[v.ID] = true
+		}
+	}
+	for len(allowed) > 0 {
+		c.ticket = 0
+		choice, ok = c.choose(now, q, allowed)
+		if !ok || c.g.fleet.TakeFromLimit(now, choice.ID) {
+			return choice, ok, false
+		}
+		// Another request has used the limit up since.
+		c.release(&choice, true)
+		q.Excluded[choice.ID] = true
+		allowed = slices.DeleteFunc(allowed, func(v fleet.View) bool { return v.ID == choice.ID })
+	}
+	return placement.Choice{}, false, true
+}
+
 // release ends the placement of an attempt. notPrefilled is as in placement.Table.Release.
 func (c *call) release(choice *placement.Choice, notPrefilled bool) {
 	c.g.placement.Release(choice, notPrefilled)
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -46,6 +46,14 @@
 	Generating float64 `json:"t,omitempty"`
 }
 
+// Limit is what an endpoint has said of the requests that it takes from all hosts.
+type Limit struct {
+	// PerSecond is zero if the limit was lifted.
+	PerSecond float64 `json:"l,omitempty"`
+	// AgeMS is the time since the answer that said so, as of the report.
+	AgeMS int64 `json:"a,omitempty"`
+}
+
 // Report is the report of one host. The JSON keys are short because every host reads
 // every report.
 type Report struct {
@@ -83,6 +91,8 @@
 	// those of which it has had requests. Relayed means that a relay grants it.
 	Shares  map[string]float64 `json:"v,omitempty"`
 	Relayed bool               `json:"y,omitempty"`
+	// Limits holds the limits that endpoints have named to this host, by id.
+	Limits map[string]Limit `json:"k,omitempty"`
 	// Usage counts the requests that started to run, by window.
 	Usage map[int64]usage.Counts `json:"n,omitempty"`
 	// Decided is the usage that the leader has decided to report, by window.
