Hosts that are asked to relay do; registry reads wait 0.3 s

Causes, from the logs with the topic and age in the refusal: - the registry is quiet for up to 0.7 s, as endpoints write in step. Reads that wait 0.7 s at intervals of 0.6 s let the relay's knowledge reach 1.36 s, over the 1.3 s that it serves. They wait 0.3 s now, 0.96 s in all. - hosts whose views differ, at their start above all, ask a host that has not chosen itself and holds nothing; that counted as its failure, backoffs doubled, and views stayed apart. A host that is asked relays for 3 s from then on, and one that holds nothing yet says so, which is no failure.

--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -29,8 +29,10 @@
 	// minRelayInterval is the least time between two reads of a relay. The relay itself reads the store at
 	// the intervals above; a host that waited as long again would know everything later.
 	minRelayInterval = 50 * time.Millisecond
-	// endpointsPollTimeout is how long a read of the registry waits for a change.
-	endpointsPollTimeout = 700 * time.Millisecond
+	// endpointsPollTimeout is how long a read of the registry waits for a change. With
+	// minEndpointsInterval, it bounds the age of what a relay knows: below maxTopicAge by the time of a
+	// call.
+	endpointsPollTimeout = 300 * time.Millisecond
 	reportInterval       = time.Second
 	// minBackoff and maxBackoff bound the delay after failed calls. Refused calls are billed too.
 	// The feed of the hosts has no such delay and polls every reportInterval; the first feed to get
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -52,6 +52,9 @@
 	maxRelayBackoff     = 24 * time.Second
 	relayStartupBackoff = 300 * time.Millisecond
 	startupWindow       = 3 * time.Second
+	// askedTTL is how long a host relays after it was last asked to, whether it has chosen itself or not:
+	// hosts whose views differ choose different relays. Hosts read each topic at least once a second.
+	askedTTL = 3 * time.Second
 	// takerTTL is how long a host counts as one that takes its quota here after it last did so.
 	// Callers send several requests a second, so a host that uses this relay takes quota often.
 	takerTTL = 2 * time.Second
@@ -124,6 +127,8 @@
 	chosen   presence.Report
 	upstream presence.Report
 	relaying bool
+	// askedAt is when another host last read here.
+	askedAt time.Time
 	// forwarding is set while forwardReports is due.
 	forwarding bool
 	// candidates is the number of candidates for chosen (see chooseRelay).
@@ -343,6 +348,9 @@
 	Era     port.Era `json:"era,omitempty"`
 	End     int64    `json:"end"`
 	Expired bool     `json:"expired,omitempty"`
+	// Unready is set if the relay does not hold the topic. It does from its next read on, because it was
+	// asked.
+	Unready bool `json:"unready,omitempty"`
 	Reads   int64    `json:"reads,omitempty"`
 	// Age is the time since the store is known to have held nothing after End, over all relays that the
 	// records came through. Held is how long the relay has held the call, so that the rest of the
@@ -374,11 +382,14 @@
 	for {
 		now := time.Now()
 		if !g.canRelay(now) {
-			return nil, errNotRelay
+			return nil, errors.Wrapf(errNotRelay, "last answer of the store %v ago", g.storeAge(now))
 		}
-		added := g.relays.awaitTopic()
-		reply, wake, ok := g.relays.read(now, req)
-		if !ok && req.Retry && now.Sub(began) < held {
+		added := g.relays.awaitTopic(now)
+		reply, wake, err := g.relays.read(now, req)
+		if err != nil {
+			return nil, err
+		}
+		if reply.Unready && req.Retry && now.Sub(began) < held {
 			select {
 			case <-added:
 			case <-time.After(held - now.Sub(began)):
@@ -387,9 +398,6 @@
 			}
 			continue
 		}
-		if !ok {
-			return nil, errNotRelay
-		}
 		reply.Held = now.Sub(began)
 		if wake == nil || reply.Held >= held {
 			return g.relays.packReply(req, reply)
@@ -403,22 +411,27 @@
 	}
 }
 
-// awaitTopic returns a channel that is closed when a topic is cached that was not.
-func (s *relayState) awaitTopic() chan struct{} {
+// awaitTopic returns a channel that is closed when a topic is cached that was not, and makes this host a relay
+// for a while.
+func (s *relayState) awaitTopic(now time.Time) chan struct{} {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.askedAt = now
 	return s.added
 }
 
 // read answers from the cached records. If there is nothing to return yet it also returns the channel that
-// is closed by the next page. ok is false if the topic is not cached, or the cache is older than the read
+// is closed by the next page. It returns an error that is errNotRelay if the cache is older than the read
 // allows.
-func (s *relayState) read(now time.Time, req readRequest) (reply readReply, wake chan struct{}, ok bool) {
+func (s *relayState) read(now time.Time, req readRequest) (reply readReply, wake chan struct{}, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cache := s.topics[req.Topic]
-	if cache == nil || cache.era < req.Era || now.Sub(cache.asOf) > req.maxAge() || req.From < 0 && !cache.complete {
-		return readReply{}, nil, false
+	if cache == nil || cache.era < req.Era || req.From < 0 && !cache.complete {
+		return readReply{Unready: true}, nil, nil
+	}
+	if age := now.Sub(cache.asOf); age > req.maxAge() {
+		return readReply{}, nil, errors.Wrapf(errNotRelay, "topic %s as of %v ago", req.Topic, age)
 	}
 	reply = readReply{Era: cache.era, End: cache.end, Reads: cache.reads, Age: now.Sub(cache.asOf)}
 	switch {
@@ -436,7 +449,7 @@
 			wake = cache.wake
 		}
 	}
-	return reply, wake, true
+	return reply, wake, nil
 }
 
 // packReply compresses the records of a reply if they are large. Hosts that ask from the same offset get
@@ -563,21 +576,26 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cache := s.topics[topic]
-	return s.relaying && (cache == nil || !cache.complete)
+	return s.relays(time.Now()) && (cache == nil || !cache.complete)
 }
 
 // readsForOthers reports whether this process is a relay that itself reads through the relay of the region.
 func (s *relayState) readsForOthers() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.relaying && s.upstream.Host != ""
+	return s.relays(time.Now()) && s.upstream.Host != ""
 }
 
-// isRelaying reports whether this process is the relay of its zone or region.
+// isRelaying reports whether this process is the relay of its zone or region, or was asked as one.
 func (s *relayState) isRelaying() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.relaying
+	return s.relays(time.Now())
+}
+
+// relays is isRelaying. The caller holds the lock.
+func (s *relayState) relays(now time.Time) bool {
+	return s.relaying || now.Sub(s.askedAt) < askedTTL
 }
 
 // noteStoreAnswer records that the store has answered at a time, this host or a relay.
@@ -612,6 +630,9 @@
 			return page, read, nil, false
 		}
 	}
+	if reply.Unready {
+		return page, read, nil, false
+	}
 	read = feedRead{source: relay.Host, began: began, at: time.Now(), reads: reply.Reads}
 	read.asOf = read.at.Add(-reply.Age - max(0, read.at.Sub(began)-reply.Held))
 	g.learnEra(reply.Era)
