--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -350,8 +350,8 @@
 	Expired bool     `json:"expired,omitempty"`
 	// Unready is set if the relay does not hold the topic. It does from its next read on, because it was
 	// asked.
-	Unready bool `json:"unready,omitempty"`
-	Reads   int64    `json:"reads,omitempty"`
+	Unready bool  `json:"unready,omitempty"`
+	Reads   int64 `json:"reads,omitempty"`
 	// Age is the time since the store is known to have held nothing after End, over all relays that the
 	// records came through. Held is how long the relay has held the call, so that the rest of the
 	// call's time is that of the way.
