--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -25,6 +25,23 @@
 	g.ports.Store.(*hostStore).stalled.Store(topic, stalled)
 }
 
+// checkNewsInTime publishes a configuration of version 2 and drains endpoint 1 of service api, and checks that
+// all hosts but the faulty one know both in time.
+func (tp *testPlatform) checkNewsInTime(is *is.I, next catalog.Snapshot, faulty *Gateway) {
+	is.Helper()
+	tp.store.put(port.TopicConfiguration, configurationKey, next)
+	drained := endpoint("1", "api")
+	drained.State = fleet.StateDraining
+	tp.store.put(port.TopicEndpoints, "1", drained)
+	time.Sleep(inForce)
+	for _, g := range tp.hosts {
+		if g != faulty {
+			is.Equal(g.catalog.Current().Version, int64(2))
+			is.Equal(len(g.fleet.Usable(time.Now(), "api")), 0)
+		}
+	}
+}
+
 // TestRelayServesStalledTopic guards against relays that answer "nothing new" of a topic that they have not
 // been able to read, because their other reads of the store are answered (CONFIG and DRAIN on the grown
 // sites). The other hosts of the region must learn the news in time.
@@ -38,17 +55,7 @@
 					relay := tp.regionRelay(tp.hosts[0])
 					stall(relay, topic, true)
 					time.Sleep(after)
-					tp.store.put(port.TopicConfiguration, configurationKey, configuration(2))
-					drained := endpoint("1", "api")
-					drained.State = fleet.StateDraining
-					tp.store.put(port.TopicEndpoints, "1", drained)
-					time.Sleep(inForce)
-					for _, g := range tp.hosts {
-						if g != relay {
-							is.Equal(g.catalog.Current().Version, int64(2))
-							is.Equal(len(g.fleet.Usable(time.Now(), "api")), 0)
-						}
-					}
+					tp.checkNewsInTime(is, configuration(2), relay)
 				})
 			})
 		}
@@ -146,17 +153,7 @@
 			large.Routes = append(large.Routes, route)
 		}
 		peers.setUnresponsive(relay.opts.Peer, true)
-		tp.store.put(port.TopicConfiguration, configurationKey, large)
-		drained := endpoint("1", "api")
-		drained.State = fleet.StateDraining
-		tp.store.put(port.TopicEndpoints, "1", drained)
-		time.Sleep(inForce)
-		for _, g := range tp.hosts {
-			if g != relay {
-				is.Equal(g.catalog.Current().Version, int64(2))
-				is.Equal(len(g.fleet.Usable(time.Now(), "api")), 0)
-			}
-		}
+		tp.checkNewsInTime(is, large, relay)
 	})
 }
 
