--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -49,6 +49,7 @@
 	for _, topic := range []port.Topic{port.TopicConfiguration, port.TopicEndpoints} {
 		for _, after := range []time.Duration{0, 500 * time.Millisecond, time.Second, 1500 * time.Millisecond, 2 * time.Second} {
 			t.Run(fmt.Sprint(topic, " written ", after, " after the stall"), func(t *testing.T) {
+				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					is := is.New(t)
 					tp, _ := startRegions(t, 4, startInterval)
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -92,6 +92,7 @@
 	)
 	for name, perZone := range map[string]int{"six hosts": 1, "24 hosts": 4, "60 hosts": 10} {
 		t.Run(name, func(t *testing.T) {
+			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				is := is.New(t)
 				tp, _ := startRegions(t, perZone, startInterval)
