--- a/gateway/limits.go
+++ b/gateway/limits.go
@@ -16,7 +16,7 @@
 
 // limitHolders is the number of hosts that may send to a limited endpoint. In a window of 4 s each of them may
 // send one request more than its rate allows; the platform tolerates half of the limit and five requests more,
-// which leaves room for another host or two that believe to be holders while views differ.
+// which leaves room for one more host, or two, that count as holders while views differ.
 const limitHolders = 3
 
 // stateLimit applies what an endpoint said of its limit. peer is the host that told it, empty if the endpoint
