--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -94,7 +94,7 @@
 const (
 	// lateFeedAge is half the time within which a configuration must be in force and drains be known.
 	lateFeedAge = 1500 * time.Millisecond
-	// lateHostsAge is one missed read more than the way of a report takes, see hostTTL.
+	// lateHostsAge allows one missed read more than a report takes on its way, see hostTTL.
 	lateHostsAge = 3 * time.Second
 )
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -1,10 +1,8 @@
 package gateway
 
 import (
-	"cmp"
 	"context"
 	"encoding/json"
-	"slices"
 	"sync"
 	"time"
 
@@ -12,7 +10,6 @@
 
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/presence"
-	"github.com/cicadanotch/cicadanotch/rendezvous"
 )
 
 // A relay is the host of an availability zone that calls the store for the other hosts of the zone,
@@ -83,27 +80,6 @@
 
 var errNotRelay = errors.New("not a relay, or out of touch with the store")
 
-// topicCache holds the records of a topic that a process has read.
-type topicCache struct {
-	// records are the latest records, from the offset first to the offset before end.
-	records []port.TopicRecord
-	era     port.Era
-	first   int64
-	end     int64
-	// newest holds the newest record of each key; of all keys if complete is set.
-	newest   map[string]port.TopicRecord
-	complete bool
-	// asOf is a time at which the store held nothing after end.
-	asOf time.Time
-	// reads counts the pages, also those without records.
-	reads int64
-	// packed holds the compressed records of the replies up to end, by the offset that they were asked
-	// from; packing is held while one of them is made.
-	packing sync.Mutex
-	packed  map[int64][]byte
-	wake    chan struct{} // closed by each page
-}
-
 // relayState is the state of this process as a relay and as a client of one.
 type relayState struct {
 	mu      sync.Mutex
@@ -127,7 +103,7 @@
 	chosen   presence.Report
 	upstream presence.Report
 	relaying bool
-	// askedAt is when another host last read here.
+	// askedAt is when another host last asked this one to relay.
 	askedAt time.Time
 	// forwarding is set while forwardReports is due.
 	forwarding bool
@@ -151,89 +127,6 @@
 	return &relayState{topics: map[port.Topic]*topicCache{}, reports: map[string]receivedReport{}, failedUntil: map[string]time.Time{}, unreachableUntil: map[string]time.Time{}, takers: map[string]time.Time{}, failures: map[string]int{}, added: make(chan struct{})}
 }
 
-// chooseRelay chooses the relays of this host's region and zone. Candidates are this host and the live
-// hosts, as far as they serve, have a peer address and have not failed this host as a relay a moment ago
-// (see failedUntil). The candidate with the most cores is chosen; among equals, the one with the highest
-// rendezvous score. Hosts with the same candidates choose the same relays. With fewer than
-// minHostsForRelay candidates in the region or zone, it has none.
-func (g *Gateway) chooseRelay(now time.Time, live []presence.Report) {
-	self := g.report(now)
-	g.relays.mu.Lock()
-	defer g.relays.mu.Unlock()
-	g.relays.live = live
-	g.setRelays(g.relays.choose(now, self))
-}
-
-// chooseUpstreamAgain chooses the host to read through among the same hosts as the last time, after the
-// one in use has failed. Quota is taken from the zone's relay as before: without reports of the others,
-// hosts would not agree on another.
-func (g *Gateway) chooseUpstreamAgain(now time.Time) {
-	self := g.report(now)
-	g.relays.mu.Lock()
-	defer g.relays.mu.Unlock()
-	c := g.relays.choose(now, self)
-	c.zone, c.candidates = g.relays.chosen, g.relays.candidates
-	g.setRelays(c)
-}
-
-// relayChoice holds relayState's chosen, upstream, relaying and candidates.
-type relayChoice struct {
-	zone, upstream presence.Report
-	relaying       bool
-	candidates     int
-}
-
-// choose returns the relays of a host. The caller holds the lock.
-func (s *relayState) choose(now time.Time, self presence.Report) relayChoice {
-	var inRegion, inZone []presence.Report
-	for _, r := range append(slices.Clone(s.live), self) {
-		if r.Region != self.Region || r.Peer == "" || r.State != presence.StateServing || now.Before(s.failedUntil[r.Host]) {
-			continue
-		}
-		inRegion = append(inRegion, r)
-		if r.Zone == self.Zone {
-			inZone = append(inZone, r)
-		}
-	}
-	regional := bestRelay("relay/region/"+self.Region, inRegion)
-	c := relayChoice{zone: bestRelay("relay/"+self.Zone, inZone), candidates: len(inZone)}
-	if c.zone.Host != "" && regional.Zone == self.Zone {
-		c.zone = regional
-	}
-	c.upstream = c.zone
-	if c.zone.Host == "" || c.zone.Host == self.Host {
-		c.upstream = regional
-	}
-	if c.upstream.Host == self.Host {
-		c.upstream = presence.Report{}
-	}
-	c.relaying = c.zone.Host == self.Host || regional.Host == self.Host
-	return c
-}
-
-// setRelays sets the relays in use and logs a change. The caller holds the lock.
-func (g *Gateway) setRelays(c relayChoice) {
-	s := g.relays
-	previous, previousUpstream := s.chosen.Host, s.upstream.Host
-	s.chosen, s.upstream, s.relaying, s.candidates = c.zone, c.upstream, c.relaying, c.candidates
-	if c.zone.Host != previous || c.upstream.Host != previousUpstream {
-		g.metrics.stateChanges.WithLabelValues("relay").Inc()
-		g.log.Info().Str("event", "relay").Str("relay", c.zone.Host).Str("before", previous).
-			Str("upstream", c.upstream.Host).Int("candidates", c.candidates).Msg("")
-	}
-}
-
-// bestRelay returns the candidate that all hosts with the same candidates choose, zero if there are too
-// few.
-func bestRelay(key string, candidates []presence.Report) presence.Report {
-	if len(candidates) < minHostsForRelay {
-		return presence.Report{}
-	}
-	return slices.MinFunc(candidates, func(a, b presence.Report) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(rendezvous.Score(key, b.Host), rendezvous.Score(key, a.Host)))
-	})
-}
-
 // currentRelay returns the last report of the host that calls the store for this one, zero when this
 // host calls the store itself.
 func (g *Gateway) currentRelay(now time.Time) presence.Report {
@@ -318,8 +211,8 @@
 	From int64 `json:"from"`
 	// Wait is how long to hold a call that has nothing to return.
 	Wait time.Duration `json:"wait_ns,omitempty"`
-	// Reads is that of the last reply. A relay that has read the topic since then replies at once, also
-	// without records, so that the ages of replies do not add up over relays.
+	// Reads is the count in the relay's last reply. A relay that has read the topic since then replies at
+	// once, also without records, so that the ages of replies do not add up over relays.
 	Reads int64 `json:"reads,omitempty"`
 	// ForRelay is set by a relay that reads through another.
 	ForRelay bool `json:"for_relay,omitempty"`
@@ -350,8 +243,9 @@
 	Expired bool     `json:"expired,omitempty"`
 	// Unready is set if the relay does not hold the topic. It does from its next read on, because it was
 	// asked.
-	Unready bool  `json:"unready,omitempty"`
-	Reads   int64 `json:"reads,omitempty"`
+	Unready bool `json:"unready,omitempty"`
+	// Reads counts the relay\'s own reads of the topic.
+	Reads int64 `json:"reads,omitempty"`
 	// Age is the time since the store is known to have held nothing after End, over all relays that the
 	// records came through. Held is how long the relay has held the call, so that the rest of the
 	// call's time is that of the way.
@@ -420,78 +314,6 @@
 	return s.added
 }
 
-// read answers from the cached records. If there is nothing to return yet it also returns the channel that
-// is closed by the next page. It returns an error that is errNotRelay if the cache is older than the read
-// allows.
-func (s *relayState) read(now time.Time, req readRequest) (reply readReply, wake chan struct{}, err error) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	cache := s.topics[req.Topic]
-	if cache == nil || cache.era < req.Era || req.From < 0 && !cache.complete {
-		return readReply{Unready: true}, nil, nil
-	}
-	if age := now.Sub(cache.asOf); age > req.maxAge() {
-		return readReply{}, nil, errors.Wrapf(errNotRelay, "topic %s as of %v ago", req.Topic, age)
-	}
-	reply = readReply{Era: cache.era, End: cache.end, Reads: cache.reads, Age: now.Sub(cache.asOf)}
-	switch {
-	case req.From < 0:
-		for _, record := range cache.newest {
-			reply.Records = append(reply.Records, record)
-		}
-	case req.From < cache.first || req.Era != cache.era:
-		reply.Expired = true
-	case req.From < cache.end:
-		reply.Records = slices.Clone(cache.records[req.From-cache.first:])
-	default:
-		reply.End = req.From
-		if req.Reads == cache.reads {
-			wake = cache.wake
-		}
-	}
-	return reply, wake, nil
-}
-
-// packReply compresses the records of a reply if they are large. Hosts that ask from the same offset get
-// the same bytes, compressed once.
-func (s *relayState) packReply(req readRequest, reply readReply) (readReply, error) {
-	size := 0
-	for _, r := range reply.Records {
-		size += len(r.Value)
-	}
-	if size < minPackedReplyBytes {
-		return reply, nil
-	}
-	s.mu.Lock()
-	cache := s.topics[req.Topic]
-	s.mu.Unlock()
-	if cache == nil {
-		return reply, nil // dropped since
-	}
-	cache.packing.Lock()
-	defer cache.packing.Unlock()
-	s.mu.Lock()
-	packed, ok := cache.packed[req.From]
-	ok = ok && cache.era == reply.Era && cache.end == reply.End
-	s.mu.Unlock()
-	if !ok {
-		raw, err := json.Marshal(reply.Records)
-		if err != nil {
-			return readReply{}, errors.Wrap(err, "encode records")
-		}
-		if packed, err = pack(raw); err != nil {
-			return readReply{}, err
-		}
-		s.mu.Lock()
-		if cache.end == reply.End {
-			cache.packed[req.From] = packed
-		}
-		s.mu.Unlock()
-	}
-	reply.Records, reply.Packed = nil, packed
-	return reply, nil
-}
-
 // records returns the records of a reply.
 func (r readReply) records() ([]port.TopicRecord, error) {
 	if len(r.Packed) == 0 {
@@ -505,80 +327,6 @@
 	return records, errors.Wrap(json.Unmarshal(raw, &records), "decode records")
 }
 
-// cachePage adds a page that this process has read of a topic, to answer other hosts from. A
-// snapshot, which holds the newest record of each key, replaces what is cached of the topic. asOf is as in
-// topicCache.
-func (s *relayState) cachePage(topic port.Topic, snapshot bool, page port.TopicPage, asOf time.Time) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	cache := s.topics[topic]
-	if snapshot || cache == nil {
-		reads := int64(0)
-		if cache != nil {
-			close(cache.wake)
-			reads = cache.reads
-		}
-		close(s.added)
-		s.added = make(chan struct{})
-		cache = &topicCache{reads: reads, era: page.Era, first: page.End, end: page.End, newest: map[string]port.TopicRecord{}, complete: snapshot, packed: map[int64][]byte{}, wake: make(chan struct{})}
-		s.topics[topic] = cache
-	}
-	for _, record := range page.Records {
-		if record.Removed() {
-			delete(cache.newest, record.Key)
-		} else {
-			cache.newest[record.Key] = record
-		}
-		if !snapshot {
-			cache.records = append(cache.records, record)
-		}
-	}
-	cache.end = page.End
-	cache.reads++
-	if asOf.After(cache.asOf) {
-		cache.asOf = asOf
-	}
-	cache.records = latestRecords(cache.records, maxCachedRecords, maxCachedBytes)
-	cache.first = cache.end - int64(len(cache.records))
-	if len(page.Records) > 0 {
-		cache.packed = map[int64][]byte{}
-	}
-	close(cache.wake)
-	cache.wake = make(chan struct{})
-}
-
-// latestRecords returns the last records, at most maxCount with at most maxBytes of values.
-func latestRecords(records []port.TopicRecord, maxCount, maxBytes int) []port.TopicRecord {
-	first, size := len(records), 0
-	for first > 0 && len(records)-first < maxCount && size+len(records[first-1].Value) <= maxBytes {
-		first--
-		size += len(records[first].Value)
-	}
-	if first == 0 {
-		return records
-	}
-	return slices.Clone(records[first:])
-}
-
-// dropCache drops what is cached of a topic that this process no longer reads for others: it would grow
-// stale unnoticed.
-func (s *relayState) dropCache(topic port.Topic) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if cache := s.topics[topic]; cache != nil {
-		delete(s.topics, topic)
-		close(cache.wake)
-	}
-}
-
-// needsSnapshot reports whether this process is to relay a topic of which it has no complete cache.
-func (s *relayState) needsSnapshot(topic port.Topic) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	cache := s.topics[topic]
-	return s.relays(time.Now()) && (cache == nil || !cache.complete)
-}
-
 // readsForOthers reports whether this process is a relay that itself reads through the relay of the region.
 func (s *relayState) readsForOthers() bool {
 	s.mu.Lock()
--- /dev/null
+++ b/gateway/relaychoice.go
@@ -0,0 +1,93 @@
+package gateway
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/cicadanotch/cicadanotch/presence"
+	"github.com/cicadanotch/cicadanotch/rendezvous"
+)
+
+// chooseRelay chooses the relays of this host's region and zone. Candidates are this host and the live
+// hosts, as far as they serve, have a peer address and have not failed this host as a relay a moment ago
+// (see failedUntil). The candidate with the most cores is chosen; among equals, the one with the highest
+// rendezvous score. Hosts with the same candidates choose the same relays. With fewer than
+// minHostsForRelay candidates in the region or zone, it has none.
+func (g *Gateway) chooseRelay(now time.Time, live []presence.Report) {
+	self := g.report(now)
+	g.relays.mu.Lock()
+	defer g.relays.mu.Unlock()
+	g.relays.live = live
+	g.setRelays(g.relays.choose(now, self))
+}
+
+// chooseUpstreamAgain chooses the host to read through among the same hosts as the last time, after the
+// one in use has failed. Quota is taken from the zone's relay as before: without reports of the others,
+// hosts would not agree on another.
+func (g *Gateway) chooseUpstreamAgain(now time.Time) {
+	self := g.report(now)
+	g.relays.mu.Lock()
+	defer g.relays.mu.Unlock()
+	c := g.relays.choose(now, self)
+	c.zone, c.candidates = g.relays.chosen, g.relays.candidates
+	g.setRelays(c)
+}
+
+// relayChoice holds relayState's chosen, upstream, relaying and candidates.
+type relayChoice struct {
+	zone, upstream presence.Report
+	relaying       bool
+	candidates     int
+}
+
+// choose returns the relays of a host. The caller holds the lock.
+func (s *relayState) choose(now time.Time, self presence.Report) relayChoice {
+	var inRegion, inZone []presence.Report
+	for _, r := range append(slices.Clone(s.live), self) {
+		if r.Region != self.Region || r.Peer == "" || r.State != presence.StateServing || now.Before(s.failedUntil[r.Host]) {
+			continue
+		}
+		inRegion = append(inRegion, r)
+		if r.Zone == self.Zone {
+			inZone = append(inZone, r)
+		}
+	}
+	regional := bestRelay("relay/region/"+self.Region, inRegion)
+	c := relayChoice{zone: bestRelay("relay/"+self.Zone, inZone), candidates: len(inZone)}
+	if c.zone.Host != "" && regional.Zone == self.Zone {
+		c.zone = regional
+	}
+	c.upstream = c.zone
+	if c.zone.Host == "" || c.zone.Host == self.Host {
+		c.upstream = regional
+	}
+	if c.upstream.Host == self.Host {
+		c.upstream = presence.Report{}
+	}
+	c.relaying = c.zone.Host == self.Host || regional.Host == self.Host
+	return c
+}
+
+// setRelays sets the relays in use and logs a change. The caller holds the lock.
+func (g *Gateway) setRelays(c relayChoice) {
+	s := g.relays
+	previous, previousUpstream := s.chosen.Host, s.upstream.Host
+	s.chosen, s.upstream, s.relaying, s.candidates = c.zone, c.upstream, c.relaying, c.candidates
+	if c.zone.Host != previous || c.upstream.Host != previousUpstream {
+		g.metrics.stateChanges.WithLabelValues("relay").Inc()
+		g.log.Info().Str("event", "relay").Str("relay", c.zone.Host).Str("before", previous).
+			Str("upstream", c.upstream.Host).Int("candidates", c.candidates).Msg("")
+	}
+}
+
+// bestRelay returns the candidate that all hosts with the same candidates choose, zero if there are too
+// few.
+func bestRelay(key string, candidates []presence.Report) presence.Report {
+	if len(candidates) < minHostsForRelay {
+		return presence.Report{}
+	}
+	return slices.MinFunc(candidates, func(a, b presence.Report) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(rendezvous.Score(key, b.Host), rendezvous.Score(key, a.Host)))
+	})
+}
