Log and count how endpoints' answers are framed and how they end

The lines request and attempt now hold the framing and the bytes of an unfinished event, and cicadanotch_gateway_answer_endings_total counts answers by both. No decision changes.

--- a/adapter/endpointhttp/endpointhttp.go
+++ b/adapter/endpointhttp/endpointhttp.go
@@ -381,11 +381,22 @@
 		}
 		reply, echoed := ex.conn.pool.codec.ReadHead(resp.StatusCode, resp.Header, resp.ContentLength)
 		ex.idleTime = allowedIdleTime(resp)
-		reply.Body = resp.Body
+		reply.Body, reply.Framing = resp.Body, framing(resp)
 		return reply, echoed, nil
 	}
 }
 
+// framing returns how the end of a response is marked.
+func framing(resp *http.Response) port.Framing {
+	switch {
+	case len(resp.TransferEncoding) > 0:
+		return port.FramingChunks
+	case resp.ContentLength >= 0:
+		return port.FramingLength
+	}
+	return port.FramingConnection
+}
+
 // responseBody returns the connection to the pool when the response is complete.
 type responseBody struct {
 	io.ReadCloser
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -52,6 +52,7 @@
 	placer      presence.Report
 	ticket      int64
 	finalDetail string // detail of the final problem, for the log
+	ending      answerEnding
 	lastAttempt *endpointAttempt
 
 	// retryReserved is set when the next retry has already been taken from the budget.
@@ -64,6 +65,25 @@
 	progress progress
 }
 
+// answerEnding is how the last answer of an endpoint was framed and how it ended.
+type answerEnding struct {
+	framing port.Framing
+	kind    endingKind
+	// unfinished is the length of the event that the answer ended in, in bytes.
+	unfinished int
+}
+
+type endingKind string
+
+const (
+	endingComplete endingKind = "whole"
+	// endingInEvent means that a stream ended without an error inside an event, endingNoEvent that it ended
+	// so before its first event.
+	endingInEvent endingKind = "in-event"
+	endingNoEvent endingKind = "no-event"
+	endingError   endingKind = "error"
+)
+
 // endpointAttempt is one attempt at an endpoint.
 type endpointAttempt struct {
 	choice    placement.Choice
@@ -171,7 +191,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	a.cancel, a.startedAt = cancel, time.Now()
-	c.lastAttempt = a
+	c.lastAttempt, c.ending = a, answerEnding{}
 	c.setCurrent(a)
 	defer c.setCurrent(nil)
 	defer func() { c.release(&a.choice, !a.answered) }()
@@ -197,7 +217,12 @@
 	if !reply.Authentic && reply.Status < http.StatusMultipleChoices {
 		return outcomeBroken, errors.Errorf("answer of status %d is not marked as authentic", reply.Status)
 	}
+	c.ending = answerEnding{framing: reply.Framing, kind: endingComplete}
 	o, err := c.forwardReply(ctx, a, reply, wd)
+	if err != nil {
+		c.ending.kind = endingError
+	}
+	c.g.metrics.answerEndings.WithLabelValues(string(c.ending.framing), string(c.ending.kind)).Inc()
 	if o == outcomeBroken || o == outcomeUnresponsive {
 		return c.classifyFailure(ctx, a, err)
 	}
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -31,6 +31,12 @@
 		e.Str("endpoint", c.lastAttempt.view.ID).Int("expected_ms", int(c.lastAttempt.choice.Terms.FirstToken())).
 			Int("cached", c.lastAttempt.choice.CachedTokens)
 	}
+	if c.ending.framing != "" {
+		e.Str("framing", string(c.ending.framing))
+	}
+	if c.ending.unfinished > 0 {
+		e.Int("unfinished", c.ending.unfinished)
+	}
 	if c.req.HasTokens {
 		e.Int("prompt", c.req.PromptTokens).Int("cost", int(c.cost))
 	}
@@ -44,6 +50,9 @@
 		Str("zone", a.view.Zone).Str("state", string(a.view.State)).Str("outcome", string(o)).Str("next", string(next)).
 		Int("sent", c.sent).Int("events", c.events).Int64("ms", now.Sub(a.startedAt).Milliseconds()).
 		Int("expected_ms", int(a.choice.Terms.FirstToken())).Dur("entry_age", now.Sub(a.view.ListedAt))
+	if c.ending.framing != "" {
+		e.Str("framing", string(c.ending.framing)).Int("unfinished", c.ending.unfinished)
+	}
 	if err != nil {
 		e.Str("error", err.Error())
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -18,20 +18,21 @@
 // metrics are labelled by kinds and reasons only, so that the number of series does not grow with
 // routes, workspaces or endpoints.
 type metrics struct {
-	registry     *prometheus.Registry
-	requests     *prometheus.CounterVec
-	refusals     *prometheus.CounterVec
-	attempts     *prometheus.CounterVec
-	firstEvent   *prometheus.HistogramVec
-	answers      *prometheus.HistogramVec
-	stateChanges *prometheus.CounterVec
-	storeCalls   *prometheus.HistogramVec
-	feedReads    *prometheus.HistogramVec
-	version      prometheus.Gauge
-	hosts        prometheus.Gauge
-	fencingToken prometheus.Gauge
-	leaderCalls  *prometheus.CounterVec
-	moves        *prometheus.CounterVec
+	registry      *prometheus.Registry
+	requests      *prometheus.CounterVec
+	refusals      *prometheus.CounterVec
+	attempts      *prometheus.CounterVec
+	firstEvent    *prometheus.HistogramVec
+	answers       *prometheus.HistogramVec
+	stateChanges  *prometheus.CounterVec
+	storeCalls    *prometheus.HistogramVec
+	feedReads     *prometheus.HistogramVec
+	version       prometheus.Gauge
+	hosts         prometheus.Gauge
+	fencingToken  prometheus.Gauge
+	leaderCalls   *prometheus.CounterVec
+	moves         *prometheus.CounterVec
+	answerEndings *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -90,7 +91,11 @@
 			Help: "Streams on leaving endpoints, by what became of them.",
 		}, []string{"result"}),
 	}
-	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
+	m.answerEndings = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_answer_endings_total",
+		Help: "Answers of endpoints by framing (length, chunks, connection) and by how they ended (whole, in-event, no-event, error).",
+	}, []string{"framing", "ending"})
+	m.registry.MustRegister(m.answerEndings, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
 		m.feedReads, m.version, m.hosts, m.fencingToken, m.leaderCalls, m.moves, collectors.NewGoCollector())
 	return m
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -169,6 +169,12 @@
 
 // endStream finishes a stream whose body ended without an error.
 func (c *call) endStream(reply *port.Reply, rest []byte) (outcome, error) {
+	switch {
+	case len(rest) > 0:
+		c.ending.kind, c.ending.unfinished = endingInEvent, len(rest)
+	case c.events == 0:
+		c.ending.kind = endingNoEvent
+	}
 	if err := c.beginStream(reply); err != nil {
 		return outcomeCanceled, err
 	}
--- a/port/forward.go
+++ b/port/forward.go
@@ -90,6 +90,18 @@
 	Running, Waiting, Slots int
 }
 
+// Framing is how a response marks the end of its body.
+type Framing string
+
+// Framings of a response.
+const (
+	FramingLength Framing = "length"
+	FramingChunks Framing = "chunks"
+	// FramingConnection means that the body ends with the connection, so that a response that was broken off
+	// by closing the connection looks like a complete one.
+	FramingConnection Framing = "connection"
+)
+
 // Reply is an endpoint's response. The body must be closed. Closing it before its
 // end closes the connection, which stops the request.
 type Reply struct {
@@ -103,7 +115,8 @@
 	// Misdirected reports whether the address belongs to another endpoint.
 	Misdirected bool
 	// Length is the length of the body; negative if unknown.
-	Length int64
+	Length  int64
+	Framing Framing
 	// Stream reports whether the body is a stream of events.
 	Stream bool
 	Load   *EndpointLoad
