A stream that ends inside an event has been broken off

Cause: forwardStream took the end of the body as the end of the stream. A body with neither a length nor chunks ends with its connection, so an endpoint that crashed and closed it in order looked as if it had finished; the host forwarded what was left of the event and ended the chunks to the caller. Routes that may be resumed were hit too: nothing was resumed.

Ruled out: an error lost on the way (TestAnswers, and all resets of TestBrokenStreamDoesNotLookComplete, passed before).

Now a stream that ends inside an event is broken with every framing, and so is one that ends with its connection before its first event. What follows is as after a reset: it is resumed where the route allows it, otherwise the answer is aborted, or refused with an unknown outcome if nothing was forwarded. A close between events still cannot be told from the end of the stream.

One expectation of the table was wrong and is replaced by the rule that the table states for first attempts: a stream that was reset after its last event and resumed by an endpoint that closes the connection without an event is not known to be complete.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -219,7 +219,7 @@
 	}
 	c.ending = answerEnding{framing: reply.Framing, kind: endingComplete}
 	o, err := c.forwardReply(ctx, a, reply, wd)
-	if err != nil {
+	if err != nil && c.ending.kind == endingComplete {
 		c.ending.kind = endingError
 	}
 	c.g.metrics.answerEndings.WithLabelValues(string(c.ending.framing), string(c.ending.kind)).Inc()
--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -74,6 +74,8 @@
 	if !brokenOff {
 		received = strings.Join(cut.parts(0), "")
 	}
+	// A resumed stream of which no event is left is itself one that ends before its first event.
+	emptyRest := brokenOff && cut.whole == 6 && framing == port.FramingConnection
 	for _, tc := range []struct {
 		route    string
 		at       int // the attempt that is cut
@@ -82,7 +84,7 @@
 		attempts int
 	}{
 		{"stream", 1, received, brokenOff && cut.whole > 0, 1},
-		{"resume", 1, map[bool]string{true: whole, false: received}[brokenOff], false, map[bool]int{true: 2, false: 1}[brokenOff]},
+		{"resume", 1, map[bool]string{true: whole, false: received}[brokenOff], emptyRest, map[bool]int{true: 2, false: 1}[brokenOff]},
 		{"resume", 2, received, brokenOff, 2},
 	} {
 		synctest.Test(t, func(t *testing.T) {
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -118,7 +118,7 @@
 		}
 		switch {
 		case err == io.EOF:
-			return c.endStream(reply, pending)
+			return c.endStream(a, reply, pending)
 		case err != nil:
 			return outcomeBroken, err
 		}
@@ -167,13 +167,17 @@
 	return c.out.Begin(reply.Status, reply.Header, -1)
 }
 
-// endStream finishes a stream whose body ended without an error.
-func (c *call) endStream(reply *port.Reply, rest []byte) (outcome, error) {
+// endStream finishes a stream whose body ended without an error. The framing states where the body ends, not
+// that the stream is complete: an endpoint may break off inside an event, and a body that ends with its
+// connection also ends when the endpoint fails.
+func (c *call) endStream(a *endpointAttempt, reply *port.Reply, rest []byte) (outcome, error) {
 	switch {
-	case len(rest) > 0:
+	case endsInsideEvent(rest):
 		c.ending.kind, c.ending.unfinished = endingInEvent, len(rest)
-	case c.events == 0:
+		return outcomeBroken, errors.Errorf("stream ended inside an event, after %d bytes of it", len(rest))
+	case !a.answered && reply.Framing == port.FramingConnection:
 		c.ending.kind = endingNoEvent
+		return outcomeBroken, errors.New("connection closed before the first event of the stream")
 	}
 	if err := c.beginStream(reply); err != nil {
 		return outcomeCanceled, err
@@ -186,6 +190,21 @@
 	return outcomeComplete, nil
 }
 
+// endsInsideEvent reports whether the bytes after the last complete event of a stream begin a further one.
+// Blank lines and comments do not.
+func endsInsideEvent(rest []byte) bool {
+	for len(rest) > 0 {
+		line, after, terminated := bytes.Cut(rest, []byte("\n"))
+		line = bytes.TrimSuffix(line, []byte("\r"))
+		comment := bytes.HasPrefix(line, []byte(":"))
+		if len(line) > 0 && !(comment && terminated) {
+			return true
+		}
+		rest = after
+	}
+	return false
+}
+
 // dropDuplicates records the ids of events and drops those that the caller already has: an endpoint
 // that resumes a stream may repeat the last event.
 func (c *call) dropDuplicates(events []byte) []byte {
