A moved stream whose engine closes the connection continues at the other engine

An engine that is told to stop a stream closes it without its end. Without length or chunks that is a close between two events, so the host answered the caller as complete instead of sending the rest of the stream to the engine that holds the copy.

Now the end of a connection waits for the outcome of a move that is under way. If the stream was stopped and the copy is lost, the answer is aborted; if the engine says that the run had ended before, it is complete.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -59,10 +59,12 @@
 	retryReserved atomic.Bool
 
 	// mu guards the fields that other goroutines access.
-	mu       sync.Mutex
-	current  *endpointAttempt
-	move     *streamMove
-	progress progress
+	mu      sync.Mutex
+	current *endpointAttempt
+	move    *streamMove
+	// moveStopped is set when the stream was stopped for a move that has failed.
+	moveStopped bool
+	progress    progress
 }
 
 // answerEnding is how the last answer of an endpoint was framed and how it ended.
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -73,6 +73,14 @@
 	}
 }
 
+// stoppedByMove reports whether an engine was told to stop the stream for a move, and has not answered that
+// the run had ended before.
+func (c *call) stoppedByMove() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.moveStopped
+}
+
 func (m *streamMove) isReady(c *call) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -204,11 +212,11 @@
 	case handle != "" && time.Now().Before(from.ListedAt.Add(c.g.opts.DrainPeriod-registryLag)):
 		// The run has stopped, and its KV cache is still at the source.
 		m.target = from.ID
-	default:
+	case errors.Is(err, port.ErrNoSuchRun):
 		c.move = nil
-		if errors.Is(err, port.ErrNoSuchRun) {
-			return "ended"
-		}
+		return "ended"
+	default:
+		c.move, c.moveStopped = nil, true
 		return "lost"
 	}
 	m.handle, m.ready = handle, true
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -178,6 +178,10 @@
 	case !a.answered && reply.Framing == port.FramingConnection:
 		c.ending.kind = endingNoEvent
 		return outcomeBroken, errors.New("connection closed before the first event of the stream")
+	case reply.Framing == port.FramingConnection && c.awaitMove():
+		return outcomeMoved, errMoved
+	case reply.Framing == port.FramingConnection && c.stoppedByMove():
+		return outcomeBroken, errors.New("connection closed by an engine that was told to stop the stream")
 	}
 	if err := c.beginStream(reply); err != nil {
 		return outcomeCanceled, err
