--- a/adapter/enginehttp/stream_test.go
+++ b/adapter/enginehttp/stream_test.go
@@ -264,3 +264,24 @@
 	r.offset = (r.offset + n) % len(r.text)
 	return n, nil
 }
+
+// TestCutAtEveryByte guards against a stream that was broken off and looks complete: wherever it is cut, it
+// ends without an error only if the finish reason has arrived, and no chunk is returned of half an event.
+func TestCutAtEveryByte(t *testing.T) {
+	is := is.New(t)
+	texts := []string{"abc", "12", ""}
+	complete := chunkEvent("a", 0, texts[0]) + chunkEvent("a", 1, texts[1]) + finishEvent
+	finishedAt := strings.Index(complete, "\n\ndata: [DONE]")
+	for cut := range len(complete) + 1 {
+		s := newTestStream(complete[:cut])
+		for n := 0; ; n++ {
+			c, err := s.Recv()
+			if err != nil {
+				is.Equal(errors.Is(err, io.EOF), cut >= finishedAt) // complete only with the finish reason
+				break
+			}
+			is.Equal(c.Index, n)
+			is.Equal(c.Text, texts[n])
+		}
+	}
+}
--- a/gateway/decide_test.go
+++ b/gateway/decide_test.go
@@ -81,6 +81,7 @@
 		"half an event":                 {two + "id: 3\nda", len(two), "", two, "2"},
 		"half the first":                {"id: 1\nda", 0, "", "", ""},
 		"carriage returns":              {"id: 1\r\ndata: a\r\n\r\n", 18, "", "id: 1\r\ndata: a\r\n\r\n", "1"},
+		"one line of an event with LF":  {"id: 1\r\ndata: a\n\r\n", 17, "", "id: 1\r\ndata: a\n\r\n", "1"},
 		"an event already forwarded":    {two, len(two), "1", "id: 2\ndata: b\n\n", "2"},
 		"only events already forwarded": {two, len(two), "7", "", "7"},
 		"ids are numbers, not text":     {"id: 10\ndata: a\n\n", 16, "9", "id: 10\ndata: a\n\n", "10"},
@@ -88,7 +89,8 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			is.Equal(completeEventsLen([]byte(tc.in)), tc.complete)
+			var splitter eventSplitter
+			is.Equal(len(splitter.add([]byte(tc.in))), tc.complete)
 			c := &call{lastID: tc.lastKnown}
 			is.Equal(string(c.dropDuplicates([]byte(tc.in)[:tc.complete])), tc.out)
 			is.Equal(c.lastID, tc.last)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -1,11 +1,9 @@
 package gateway
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
-	"strconv"
 	"time"
 
 	"github.com/pkg/errors"
@@ -98,27 +96,21 @@
 
 // forwardStream forwards complete events as they arrive.
 func (c *call) forwardStream(a *endpointAttempt, reply *port.Reply, wd *watchdog) (outcome, error) {
-	var pending []byte
+	var splitter eventSplitter
 	buf := make([]byte, readBufferBytes)
 	for {
 		n, err := reply.Body.Read(buf)
-		if n > 0 {
-			pending = append(pending, buf[:n]...)
-			end := completeEventsLen(pending)
-			if end > 0 {
-				if writeErr := c.forwardEvents(a, reply, pending[:end]); writeErr != nil {
-					return outcomeCanceled, writeErr
-				}
-				wd.reset(c.gapTimeout())
-				pending = append(pending[:0], pending[end:]...)
-			}
-			if len(pending) > maxEventBytes {
-				return outcomeBroken, errors.New("stream event exceeds the maximum size")
+		if events := splitter.add(buf[:n]); len(events) > 0 {
+			if writeErr := c.forwardEvents(a, reply, events); writeErr != nil {
+				return outcomeCanceled, writeErr
 			}
+			wd.reset(c.gapTimeout())
 		}
 		switch {
+		case len(splitter.rest()) > maxEventBytes:
+			return outcomeBroken, errors.New("stream event exceeds the maximum size")
 		case err == io.EOF:
-			return c.endStream(a, reply, pending)
+			return c.endStream(a, reply, splitter.rest())
 		case err != nil:
 			return outcomeBroken, err
 		}
@@ -194,21 +186,6 @@
 	return outcomeComplete, nil
 }
 
-// endsInsideEvent reports whether the bytes after the last complete event of a stream begin a further one.
-// Blank lines and comments do not.
-func endsInsideEvent(rest []byte) bool {
-	for len(rest) > 0 {
-		line, after, terminated := bytes.Cut(rest, []byte("\n"))
-		line = bytes.TrimSuffix(line, []byte("\r"))
-		comment := bytes.HasPrefix(line, []byte(":"))
-		if len(line) > 0 && !(comment && terminated) {
-			return true
-		}
-		rest = after
-	}
-	return false
-}
-
 // dropDuplicates records the ids of events and drops those that the caller already has: an endpoint
 // that resumes a stream may repeat the last event.
 func (c *call) dropDuplicates(events []byte) []byte {
@@ -240,59 +217,6 @@
 	return events
 }
 
-// isLaterID reports whether an event id comes after another one. Ids that are not numbers count as
-// later when they differ.
-func isLaterID(id, last string) bool {
-	if last == "" {
-		return true
-	}
-	a, errA := strconv.ParseInt(id, 10, 64)
-	b, errB := strconv.ParseInt(last, 10, 64)
-	if errA != nil || errB != nil {
-		return id != last
-	}
-	return a > b
-}
-
-var blankLine = []byte("\n\n")
-
-// completeEventsLen returns the length of the complete events at the start of b.
-func completeEventsLen(b []byte) int {
-	i := bytes.LastIndex(b, blankLine)
-	if j := bytes.LastIndex(b, []byte("\r\n\r\n")); j >= 0 && j+4 > i+2 {
-		return j + 4
-	}
-	if i < 0 {
-		return 0
-	}
-	return i + 2
-}
-
-// firstEventLen returns the length of the first event in b.
-func firstEventLen(b []byte) int {
-	i := bytes.Index(b, blankLine)
-	j := bytes.Index(b, []byte("\r\n\r\n"))
-	switch {
-	case i < 0 && j < 0:
-		return len(b)
-	case i < 0 || (j >= 0 && j < i):
-		return j + 4
-	}
-	return i + 2
-}
-
-// eventID returns the id of an event, or an empty string if it has none.
-func eventID(event []byte) string {
-	for len(event) > 0 {
-		line, rest, _ := bytes.Cut(event, []byte("\n"))
-		event = rest
-		if id, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r"), []byte("id:")); ok {
-			return string(bytes.TrimSpace(id))
-		}
-	}
-	return ""
-}
-
 // countUsage counts the request once in the workspace's usage, when its answer begins.
 func (c *call) countUsage() {
 	if c.usageCounted {
