--- a/soak/soak.go
+++ b/soak/soak.go
@@ -188,7 +188,8 @@
 func routeOf(version int) string { return fmt.Sprintf("v%d", version) }
 
 // addEndpoint starts an endpoint behind a proxy and registers it. The endpoint disconnects
-// on 2% of the requests, declines 2% and leaves 1% unsealed; it serves the rest.
+// on 2% of the requests, declines 2%, leaves 1% unsealed, answers 4% with neither a length nor
+// chunks, and 2% likewise but broken off inside an event; it serves the rest.
 func (tr *testRun) addEndpoint(service, zone string) error {
 	n := int(tr.sequence.Add(1))
 	rng := rand.New(rand.NewPCG(tr.opts.Seed, uint64(1000+n)))
@@ -203,6 +204,10 @@
 			return platformtest.Decline
 		case r < 5:
 			return platformtest.Unsealed
+		case r < 9:
+			return platformtest.Unframed
+		case r < 11:
+			return platformtest.CloseInEvent
 		}
 		return platformtest.Serve
 	}
