--- a/gateway/call.go
+++ b/gateway/call.go
@@ -44,6 +44,8 @@
 	headSent     bool // the head of an answer was sent to the caller
 	events       int
 	lastID       string
+	// software is the version of the endpoint that sent the first event of the stream; nil before that.
+	software     *string
 	firstAt      time.Time
 	status       int
 	failure      *bufferedReply // an endpoint's error answer, buffered while others are tried
@@ -93,6 +95,7 @@
 	startedAt time.Time
 	cancel    context.CancelCauseFunc
 	answered  bool
+	continued bool // its first events have been counted as a continuation
 	kvCopy    *port.KVCopy
 }
 
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -31,6 +31,12 @@
 		e.Str("endpoint", c.lastAttempt.view.ID).Int("expected_ms", int(c.lastAttempt.choice.Terms.FirstToken())).
 			Int("cached", c.lastAttempt.choice.CachedTokens)
 	}
+	if c.software != nil {
+		e.Str("software", *c.software)
+	}
+	if c.req.Origin != "" || c.req.ResumeAfter != "" {
+		e.Str("origin", c.req.Origin).Str("after", c.req.ResumeAfter)
+	}
 	if c.ending.framing != "" {
 		e.Str("framing", string(c.ending.framing))
 	}
@@ -47,7 +53,7 @@
 func (c *call) logAttempt(a *endpointAttempt, o outcome, next step, err error) {
 	now := time.Now()
 	e := c.g.log.Warn().Str("event", "attempt").Str("request", c.req.ID).Str("endpoint", a.view.ID).
-		Str("zone", a.view.Zone).Str("state", string(a.view.State)).Str("outcome", string(o)).Str("next", string(next)).
+		Str("zone", a.view.Zone).Str("software", a.view.Version).Str("state", string(a.view.State)).Str("outcome", string(o)).Str("next", string(next)).
 		Int("sent", c.sent).Int("events", c.events).Int64("ms", now.Sub(a.startedAt).Milliseconds()).
 		Int("expected_ms", int(a.choice.Terms.FirstToken())).Dur("entry_age", now.Sub(a.view.ListedAt))
 	if c.ending.framing != "" {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -33,6 +33,7 @@
 	leaderCalls   *prometheus.CounterVec
 	moves         *prometheus.CounterVec
 	answerEndings *prometheus.CounterVec
+	continuations *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -95,7 +96,11 @@
 		Name: "cicadanotch_gateway_answer_endings_total",
 		Help: "Answers of endpoints by framing (length, chunks, connection) and by how they ended (whole, in-event, no-event, error).",
 	}, []string{"framing", "ending"})
-	m.registry.MustRegister(m.answerEndings, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
+	m.continuations = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_continuations_total",
+		Help: "Streams continued by an endpoint, by way (attempt, move, request of the caller) and by its software version against that which began the stream (same, other, unknown).",
+	}, []string{"way", "software"})
+	m.registry.MustRegister(m.answerEndings, m.continuations, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
 		m.feedReads, m.version, m.hosts, m.fencingToken, m.leaderCalls, m.moves, collectors.NewGoCollector())
 	return m
 }
--- a/port/forward.go
+++ b/port/forward.go
@@ -47,6 +47,9 @@
 	// ResumeAfter is the id of the last event that the caller received; empty for a
 	// stream from its start.
 	ResumeAfter string
+	// Origin is the id of the request that brought the first event of the stream that this one continues;
+	// empty if the caller names none.
+	Origin string
 	// Header holds the end-to-end headers to forward.
 	Header http.Header
 	Body   []byte
