A host continues a stream only at the software version that began it

Further attempts, the region's placer and moves chose among all endpoints of the service.

From the first event on, a stream now goes on only at endpoints of the version that sent it; the placer is told the version. Where there is no other such endpoint, a leaving or silent endpoint keeps its streams: to break them off could only end them. Before the first event any version will do.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -44,8 +44,6 @@
 	headSent     bool // the head of an answer was sent to the caller
 	events       int
 	lastID       string
-	// software is the version of the endpoint that sent the first event of the stream; nil before that.
-	software     *string
 	firstAt      time.Time
 	status       int
 	failure      *bufferedReply // an endpoint's error answer, buffered while others are tried
@@ -67,6 +65,8 @@
 	// moveStopped is set when the stream was stopped for a move that has failed.
 	moveStopped bool
 	progress    progress
+	// software is the software version that began the stream; nil before its first event.
+	software *string
 }
 
 // answerEnding is how the last answer of an endpoint was framed and how it ended.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -31,8 +31,8 @@
 		e.Str("endpoint", c.lastAttempt.view.ID).Int("expected_ms", int(c.lastAttempt.choice.Terms.FirstToken())).
 			Int("cached", c.lastAttempt.choice.CachedTokens)
 	}
-	if c.software != nil {
-		e.Str("software", *c.software)
+	if software := c.streamSoftware(); software != nil {
+		e.Str("software", *software)
 	}
 	if c.req.Origin != "" || c.req.ResumeAfter != "" {
 		e.Str("origin", c.req.Origin).Str("after", c.req.ResumeAfter)
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -232,7 +232,7 @@
 // resumeOnOtherEndpoint ends the attempt of a resumable stream, so that the stream continues at
 // another endpoint.
 func (c *call) resumeOnOtherEndpoint(from fleet.View) string {
-	if !c.route.Resumable {
+	if !c.route.Resumable || (c.streamSoftware() != nil && !c.canContinueElsewhere(time.Now())) {
 		return "stays"
 	}
 	c.mu.Lock()
@@ -253,7 +253,7 @@
 // chooseMoveTarget chooses the endpoint where a stream continues.
 func (c *call) chooseMoveTarget(excluded map[string]bool) (fleet.View, bool) {
 	now := time.Now()
-	views := slices.DeleteFunc(c.g.fleet.Usable(now, c.service.Name), func(v fleet.View) bool { return !c.g.fleet.WithinLimit(now, v.ID) })
+	views := slices.DeleteFunc(c.usable(now), func(v fleet.View) bool { return !c.g.fleet.WithinLimit(now, v.ID) })
 	q := c.query()
 	q.Excluded = excluded
 	choice, ok := c.g.placement.Choose(now, q, c.g.candidates(now, views, true, c.service))
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -31,10 +31,13 @@
 	if m := c.takeReadyMove(); m != nil {
 		return c.placeMovedStream(now, m)
 	}
-	views := c.g.fleet.Usable(now, c.service.Name)
+	views := c.usable(now)
 	if resume := c.g.fleet.NextResume(now, c.service.Name); len(views) == 0 && resume > 0 {
 		return nil, c.notRun(http.StatusServiceUnavailable, problem.TypeOverloaded, "every endpoint has asked for time").WithRetryAfter(resume)
 	}
+	if software := c.streamSoftware(); len(views) == 0 && software != nil {
+		return nil, c.notRun(http.StatusServiceUnavailable, problem.TypeUnavailable, "no endpoint has the software version that began the stream: "+*software).WithRetryAfter(noEndpointRetryAfter)
+	}
 	if len(views) == 0 {
 		return nil, c.notRun(http.StatusServiceUnavailable, problem.TypeUnavailable, "the service has no endpoint").WithRetryAfter(noEndpointRetryAfter)
 	}
@@ -157,7 +160,7 @@
 // placeMovedStream returns an attempt at the endpoint that the stream was moved to.
 func (c *call) placeMovedStream(now time.Time, m *streamMove) (*endpointAttempt, *problem.Problem) {
 	view, ok := c.g.fleet.Get(m.target)
-	if !ok {
+	if software := c.streamSoftware(); !ok || (software != nil && view.Version != *software) {
 		return nil, problem.Unknown(http.StatusBadGateway, problem.TypeOutcomeUnknown, "the endpoint that the stream was moved to is gone")
 	}
 	q := c.query()
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -100,6 +100,8 @@
 	Answer   int              `json:"answer"`
 	Parts    []placement.Part `json:"parts,omitempty"`
 	Priority int              `json:"priority,omitempty"`
+	// Software is the only software version that may be chosen; nil for any.
+	Software *string `json:"software,omitempty"`
 	// Excluded must not be chosen, Suspect only if there is no other.
 	Excluded []string `json:"excluded,omitempty"`
 	Suspect  []string `json:"suspect,omitempty"`
@@ -178,7 +180,7 @@
 	}
 	req := placeRequest{
 		Service: q.Service, Zone: q.Zone, Key: q.Key, Prompt: q.PromptTokens, Answer: q.MaxAnswerTokens, Parts: q.Parts,
-		Priority: q.Priority, Remaining: c.deadline.Sub(now),
+		Priority: q.Priority, Software: c.streamSoftware(), Remaining: c.deadline.Sub(now),
 	}
 	for id := range q.Excluded {
 		req.Excluded = append(req.Excluded, id)
@@ -254,7 +256,7 @@
 	for _, id := range req.Excluded {
 		q.Excluded[id] = true
 	}
-	candidates := g.candidates(now, g.fleet.Usable(now, service.Name), true, service)
+	candidates := g.candidates(now, ofSoftware(g.fleet.Usable(now, service.Name), req.Software), true, service)
 	for i := range candidates {
 		candidates[i].Suspect = candidates[i].Suspect || slices.Contains(req.Suspect, candidates[i].ID)
 	}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -142,32 +142,6 @@
 	return c.out.Write(events)
 }
 
-// recordSoftware records at which software version the stream began, and counts what continues it.
-func (c *call) recordSoftware(a *endpointAttempt) {
-	if a.continued {
-		return
-	}
-	a.continued = true
-	software := a.view.Version
-	way := "attempt"
-	switch {
-	case c.software == nil:
-		c.software = &software
-		if c.req.Origin == "" && c.req.ResumeAfter == "" {
-			return // a new stream
-		}
-		c.g.metrics.continuations.WithLabelValues("request", "unknown").Inc()
-		return
-	case a.kvCopy != nil:
-		way = "move"
-	}
-	relation := "same"
-	if *c.software != software {
-		relation = "other"
-	}
-	c.g.metrics.continuations.WithLabelValues(way, relation).Inc()
-}
-
 // updateProgress publishes the stream's progress to other goroutines.
 func (c *call) updateProgress(now time.Time) {
 	c.mu.Lock()
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -83,8 +83,12 @@
 }
 
 // reserveRetry takes the next retry from the budget when an unresponsive attempt is about to be
-// abandoned. Without a retry the attempt continues to wait.
+// abandoned. Without a retry, or without another endpoint for the rest of a stream, the attempt continues to
+// wait.
 func (c *call) reserveRetry() bool {
+	if c.streamSoftware() != nil && !c.canContinueElsewhere(time.Now()) {
+		return false
+	}
 	if !c.g.budget(c.service.Name).AllowRetry(time.Now()) {
 		return false
 	}
