A stream that its caller continues goes on at the version that began it

Hosts now record at which version their streams begin. While a service has several versions, they tell three other hosts of each record, of different availability zones; who has no record asks these, then others. With one version, nothing is told or asked: it began every stream. What cannot be known is refused, not run.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -132,11 +132,12 @@
 	// certain.
 	pausedUntil map[string]time.Time
 	limits      map[string]*limit // by id, see limit.go
+	software    softwareHistory
 }
 
 // NewTable returns an empty table.
 func NewTable(recoverTime time.Duration) *Table {
-	return &Table{RecoverTime: recoverTime, entries: map[string]*entry{}, leftIncarnations: map[string]int64{}, pausedUntil: map[string]time.Time{}, removed: map[string]removal{}, limits: map[string]*limit{}}
+	return &Table{RecoverTime: recoverTime, entries: map[string]*entry{}, leftIncarnations: map[string]int64{}, pausedUntil: map[string]time.Time{}, removed: map[string]removal{}, limits: map[string]*limit{}, software: softwareHistory{}}
 }
 
 // RegistryReturned records that the registry answers again after an outage.
@@ -177,6 +178,10 @@
 		change.Added = true
 		change.Drained = e.State == StateDraining
 	}
+	if known {
+		t.software.unlist(now, old.Endpoint)
+	}
+	t.software.list(now, e)
 	t.entries[e.ID] = fresh
 	return change
 }
@@ -202,6 +207,7 @@
 // drop deletes an entry. The caller holds the lock.
 func (t *Table) drop(now time.Time, id string, e *entry) {
 	delete(t.entries, id)
+	t.software.unlist(now, e.Endpoint)
 	if e.State == StateDraining {
 		t.leftIncarnations[id] = e.Born
 		return
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -136,6 +136,7 @@
 			continue
 		case stepDone:
 			c.recordGenerationTime()
+			c.g.recordCompletion(c)
 			c.logEnd("served")
 		case stepStop:
 			c.logEnd("caller-left")
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -394,6 +394,9 @@
 			e.Str("source", read.source).Dur("read", read.at.Sub(read.began))
 		}
 		e.Msg("")
+		if c.Added {
+			g.tellHolders(time.Now(), c.Endpoint.Service, tellDelay)
+		}
 		if c.Removed {
 			g.placement.Remove(c.Endpoint.ID)
 			g.placer.table.Remove(c.Endpoint.ID)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -112,6 +112,7 @@
 	calls        callTable
 	relays       *relayState
 	placer       *placerState
+	lineage      *lineageState
 	era          eraState
 	leader       *leaderState
 	leaving      atomic.Bool
@@ -169,6 +170,7 @@
 	g.calls.calls = map[*call]struct{}{}
 	g.relays = newRelayState()
 	g.placer = newPlacerState(opts.Host)
+	g.lineage = newLineageState(now)
 	g.leader = newLeaderState(lease.Options{TTL: opts.LeaseTTL, Margin: opts.LeaseTTL / 4})
 	return g
 }
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -49,7 +49,7 @@
 	r.QuotaDemand, r.Shares = g.quota.Demand(now), g.quota.Shares()
 	r.Relayed = g.quotaRelay(now).Peer != ""
 	r.Usage = g.usage.Recent()
-	r.Limits = g.reportedLimits(now)
+	r.Limits, r.Software = g.reportedLimits(now), g.reportedSoftware(now)
 	if r.FencingToken = g.leader.fencingToken(now); r.FencingToken != 0 {
 		r.Targets = g.leader.targetCounts()
 		if g.opts.UsageWindow > 0 {
@@ -75,7 +75,10 @@
 		onSnapshot: func(read feedRead, records []port.TopicRecord, restored bool) {
 			g.receiveReports(read.at, records, restored)
 		},
-		onAnswer: func(now time.Time, _ time.Duration) { g.presence.MarkRead(now) },
+		onAnswer: func(now time.Time, _ time.Duration) {
+			g.presence.MarkRead(now)
+			g.lineage.hostsRead.Store(true)
+		},
 	}
 	tick := time.NewTicker(reportInterval / 2)
 	defer tick.Stop()
@@ -190,6 +193,7 @@
 		}
 		for _, report := range decoded[i] {
 			g.learnEra(report.Era)
+			g.receiveSoftware(now, report)
 			if g.presence.ReceiveReport(now, report, restored) && report.Host != g.opts.Host {
 				g.log.Info().Str("event", "host").Str("change", "heard").Str("peer", report.Host).Str("state", string(report.State)).Msg("")
 			}
--- /dev/null
+++ b/gateway/lineage.go
@@ -0,0 +1,320 @@
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/catalog"
+	"github.com/cicadanotch/cicadanotch/lineage"
+	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/presence"
+	"github.com/cicadanotch/cicadanotch/problem"
+	"github.com/cicadanotch/cicadanotch/rendezvous"
+)
+
+// Methods by which hosts tell and ask one another at which software version streams began.
+const (
+	methodStreamsBegan = "gateway.streams-began"
+	methodStreamOrigin = "gateway.stream-origin"
+)
+
+const (
+	// tellDelay is how long a host gathers the streams that it begins before it tells the holders.
+	tellDelay = 40 * time.Millisecond
+	// tellRetryDelay is the delay after which streams are told again of which no holder could be told.
+	tellRetryDelay = 500 * time.Millisecond
+	tellTimeout    = time.Second
+	// maxStreamsTold bounds the streams in one call, of about 40 bytes each.
+	maxStreamsTold = 2000
+	// askTimeout bounds the wait for an answer: a round trip between regions, and a holder that has used up
+	// its share of the processor for a tenth of a second.
+	askTimeout = 200 * time.Millisecond
+	// maxHostsAsked bounds the hosts that are asked if the holders do not know. On small deployments these are
+	// all, the host that began the stream included.
+	maxHostsAsked = 16
+	// maxSoftwareAge is the age of the registry up to which a version that is not in it counts as not served.
+	maxSoftwareAge = 1500 * time.Millisecond
+	// unknownOriginRetryAfter is the delay after which a caller asks again: hosts may have been told of the
+	// stream by then, or be reachable again.
+	unknownOriginRetryAfter = 500 * time.Millisecond
+)
+
+// lineageState is what this process knows of where streams began.
+type lineageState struct {
+	table *lineage.Table
+	// hostsRead is set when the reports of hosts, those of earlier processes included, have been read.
+	hostsRead atomic.Bool
+
+	mu sync.Mutex
+	// telling holds the services whose streams are told soon.
+	telling map[string]bool
+}
+
+func newLineageState(now time.Time) *lineageState {
+	return &lineageState{table: lineage.NewTable(now), telling: map[string]bool{}}
+}
+
+// streamsBegan tells a holder of streams, by software version.
+type streamsBegan struct {
+	Streams map[string][]string `json:"s"`
+}
+
+type originRequest struct {
+	Stream string `json:"s"`
+}
+
+// originReply holds the software version at which a stream began; Known is unset if there is no record.
+type originReply struct {
+	Software string `json:"v,omitempty"`
+	Known    bool   `json:"k,omitempty"`
+}
+
+// recordBeginning records the first event of a stream that its caller may continue.
+func (g *Gateway) recordBeginning(c *call, software string) {
+	if !c.route.Resumable {
+		return
+	}
+	now := time.Now()
+	g.lineage.table.Began(now, c.service.Name, c.req.ID, software)
+	g.tellHolders(now, c.service.Name, tellDelay)
+}
+
+// recordCompletion records that a stream has been sent completely.
+func (g *Gateway) recordCompletion(c *call) {
+	if c.route.Resumable {
+		g.lineage.table.Completed(c.service.Name, c.req.ID)
+	}
+}
+
+// tellHolders tells, after a delay, the holders of the streams of a service that this host has begun, if the service
+// has several software versions.
+func (g *Gateway) tellHolders(now time.Time, service string, delay time.Duration) {
+	if len(g.fleet.SoftwareVersions(now, service, lineage.RecordTTL)) < 2 {
+		return
+	}
+	s := g.lineage
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.telling[service] {
+		return
+	}
+	s.telling[service] = true
+	time.AfterFunc(delay, func() { g.tellUntold(service) })
+}
+
+func (g *Gateway) tellUntold(service string) {
+	s := g.lineage
+	s.mu.Lock()
+	delete(s.telling, service)
+	s.mu.Unlock()
+	if g.ports.Peers == nil || !g.tomb.Alive() {
+		return
+	}
+	untold := s.table.TakeUntold(service)
+	if len(untold) == 0 {
+		return
+	}
+	messages, addresses := g.messagesToHolders(untold)
+	var (
+		sending sync.WaitGroup
+		mu      sync.Mutex
+		told    = map[string]bool{}
+	)
+	for host, batches := range messages {
+		for _, m := range batches {
+			sending.Go(func() {
+				ctx, cancel := context.WithTimeout(g.context(), tellTimeout)
+				defer cancel()
+				if err := g.ports.Peers.Call(ctx, addresses[host], methodStreamsBegan, m, nil); err != nil {
+					g.log.Info().Str("event", "streams_untold").Str("peer", host).Err(err).Msg("")
+					return
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				for _, streams := range m.Streams {
+					for _, stream := range streams {
+						told[stream] = true
+					}
+				}
+			})
+		}
+	}
+	sending.Wait()
+	var again []string
+	for stream := range untold {
+		if !told[stream] {
+			again = append(again, stream)
+		}
+	}
+	if len(again) > 0 && len(messages) > 0 {
+		s.table.ReturnUntold(service, again)
+		g.tellHolders(time.Now(), service, tellRetryDelay)
+	}
+}
+
+// messagesToHolders returns the messages that tell the holders of streams, by host, and the hosts' addresses.
+func (g *Gateway) messagesToHolders(untold map[string]string) (messages map[string][]*streamsBegan, addresses map[string]string) {
+	hosts, addresses := g.recordHosts()
+	messages = map[string][]*streamsBegan{}
+	sizes := map[string]int{}
+	for stream, software := range untold {
+		for _, holder := range lineage.Holders(stream, hosts) {
+			if holder == g.opts.Host {
+				continue
+			}
+			if sizes[holder]%maxStreamsTold == 0 {
+				messages[holder] = append(messages[holder], &streamsBegan{map[string][]string{}})
+			}
+			sizes[holder]++
+			m := messages[holder][len(messages[holder])-1]
+			m.Streams[software] = append(m.Streams[software], stream)
+		}
+	}
+	return messages, addresses
+}
+
+// recordHosts returns the hosts that may hold records, this one included, and their addresses by name.
+func (g *Gateway) recordHosts() (hosts []lineage.Host, addresses map[string]string) {
+	addresses = map[string]string{}
+	for _, r := range append(g.presence.Live(), g.report(time.Now())) {
+		if r.Peer != "" {
+			hosts = append(hosts, lineage.Host{Name: r.Host, Zone: r.Zone})
+			addresses[r.Host] = r.Peer
+		}
+	}
+	return hosts, addresses
+}
+
+// resolveOrigin finds out at which software version the stream began that the caller continues. It returns a
+// refusal if that is not known: the stream must not go on at another version.
+func (c *call) resolveOrigin(ctx context.Context) *problem.Problem {
+	if c.route.Kind != catalog.KindStreaming || (c.req.Origin == "" && c.req.ResumeAfter == "") {
+		return nil
+	}
+	software, known := c.g.lineage.table.Lookup(c.req.Origin)
+	if !known {
+		software, known = c.g.knowledge(time.Now(), c.service.Name).Only()
+	}
+	if !known && c.req.Origin != "" {
+		software, known = c.g.askOrigin(ctx, c.req.Origin)
+	}
+	if !known {
+		c.g.metrics.continuations.WithLabelValues("request", "unknown").Inc()
+		return c.notRun(http.StatusServiceUnavailable, problem.TypeUnavailable, "not known at which software version the stream began").WithRetryAfter(unknownOriginRetryAfter)
+	}
+	c.g.metrics.continuations.WithLabelValues("request", "same").Inc()
+	if c.req.Origin != "" {
+		c.g.lineage.table.Learn(time.Now(), c.req.Origin, software)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.software = &software
+	return nil
+}
+
+// knowledge returns which software versions may have begun a stream that is still continued.
+func (g *Gateway) knowledge(now time.Time, service string) lineage.Knowledge {
+	asOf := g.feedAsOf(port.TopicEndpoints).Load()
+	return lineage.Knowledge{
+		Served:  g.fleet.SoftwareVersions(now, service, lineage.RecordTTL),
+		Current: asOf != 0 && now.Sub(time.Unix(0, asOf)) <= maxSoftwareAge && g.lineage.hostsRead.Load(),
+	}
+}
+
+// askOrigin asks other hosts at which software version a stream began: its holders, then others. The second
+// round finds streams that holders are only about to be told of.
+func (g *Gateway) askOrigin(ctx context.Context, stream string) (software string, known bool) {
+	if g.ports.Peers == nil {
+		return "", false
+	}
+	hosts, addresses := g.recordHosts()
+	if software, known = g.askHosts(ctx, stream, lineage.Holders(stream, hosts), addresses); known {
+		return software, true
+	}
+	select {
+	case <-time.After(tellDelay):
+	case <-ctx.Done():
+		return "", false
+	}
+	names := make([]string, 0, len(hosts))
+	for _, h := range hosts {
+		names = append(names, h.Name)
+	}
+	return g.askHosts(ctx, stream, rendezvous.Top(stream, names, maxHostsAsked), addresses)
+}
+
+// askHosts asks hosts at the same time and returns the first record of the stream.
+func (g *Gateway) askHosts(ctx context.Context, stream string, names []string, addresses map[string]string) (software string, known bool) {
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	replies := make(chan originReply, len(names))
+	for _, name := range names {
+		if name == g.opts.Host {
+			software, known := g.lineage.table.Lookup(stream)
+			replies <- originReply{software, known}
+			continue
+		}
+		go func() {
+			var reply originReply
+			// A host that does not answer has told nothing: the other holders know as much.
+			_ = g.ports.Peers.Call(ctx, addresses[name], methodStreamOrigin, originRequest{stream}, &reply)
+			replies <- reply
+		}()
+	}
+	for range names {
+		if reply := <-replies; reply.Known {
+			return reply.Software, true
+		}
+	}
+	return "", false
+}
+
+func (g *Gateway) serveStreamsBegan(_ context.Context, params json.RawMessage) (any, error) {
+	var m streamsBegan
+	if err := json.Unmarshal(params, &m); err != nil {
+		return nil, errors.Wrap(err, "decode streams that began")
+	}
+	now := time.Now()
+	for software, streams := range m.Streams {
+		for _, stream := range streams {
+			g.lineage.table.Learn(now, stream, software)
+		}
+	}
+	return struct{}{}, nil
+}
+
+func (g *Gateway) serveStreamOrigin(_ context.Context, params json.RawMessage) (any, error) {
+	var req originRequest
+	if err := json.Unmarshal(params, &req); err != nil {
+		return nil, errors.Wrap(err, "decode stream")
+	}
+	software, known := g.lineage.table.Lookup(req.Stream)
+	return originReply{software, known}, nil
+}
+
+// reportedSoftware returns how many milliseconds ago each software version was last listed.
+func (g *Gateway) reportedSoftware(now time.Time) map[string]map[string]int64 {
+	out := map[string]map[string]int64{}
+	for service, ages := range g.fleet.SoftwareAges(now, lineage.RecordTTL) {
+		out[service] = map[string]int64{}
+		for version, age := range ages {
+			out[service][version] = age.Milliseconds()
+		}
+	}
+	return out
+}
+
+// receiveSoftware takes over the software versions of another host's report.
+func (g *Gateway) receiveSoftware(now time.Time, r presence.Report) {
+	for service, versions := range r.Software {
+		for version, age := range versions {
+			g.fleet.SoftwareSeen(service, version, now.Add(-time.Duration(age)*time.Millisecond))
+		}
+	}
+}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -60,6 +60,11 @@
 		c.logEnd("refused")
 		return
 	}
+	if p := c.resolveOrigin(ctx); p != nil {
+		c.refuse(p)
+		c.logEnd("refused")
+		return
+	}
 	if p := c.admit(); p != nil {
 		c.refuse(p)
 		c.logEnd("refused")
--- a/gateway/software.go
+++ b/gateway/software.go
@@ -31,11 +31,11 @@
 	}
 	c.mu.Unlock()
 	switch {
-	case began == nil && c.req.Origin == "" && c.req.ResumeAfter == "":
-		return // a new stream
 	case began == nil:
-		c.g.metrics.continuations.WithLabelValues("request", "unknown").Inc()
+		c.g.recordBeginning(c, a.view.Version)
 		return
+	case c.events == 0:
+		return // of a stream that the caller continues, see resolveOrigin
 	case a.kvCopy != nil:
 		way = "move"
 	}
--- /dev/null
+++ b/lineage/lineage.go
@@ -0,0 +1,186 @@
+// Package lineage holds at which software version streams began. Callers continue a stream that was broken off
+// with a further request, often at another host, and what endpoints of two software versions write does not fit
+// together.
+//
+// Load pattern: while a release replaces endpoints, hosts and endpoints fail, and hundreds of callers continue
+// their streams within a second at hosts that did not serve them. Each host records the streams that it
+// begins. While a service has several software versions, it also tells the Holders of each record, and a host
+// that is asked to continue a stream asks these.
+//
+// Invariant: a stream goes on only at the version that is recorded for it, or, without a record, at the only
+// version that can have begun it.
+package lineage
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cicadanotch/cicadanotch/rendezvous"
+)
+
+const (
+	// RecordTTL is the least time for which a record is kept: the longest stream of the platform's data
+	// sheets takes 15 s, and its caller may continue it for as long again.
+	RecordTTL = 45 * time.Second
+	// maxRecords bounds the records of one generation, of which a Table holds two. A host begins about 20
+	// streams a second at the size to design for, and holds three records of each.
+	maxRecords = 50_000
+	// holderCount is how many hosts hold the record of a stream beside the one that began it.
+	holderCount = 3
+)
+
+// Table holds the records of one host. Safe for concurrent use; no other lock is taken while its lock is held.
+type Table struct {
+	mu sync.Mutex
+	// current and previous are two generations of records, software version by stream; previous is dropped
+	// when current is RecordTTL old or full.
+	current, previous map[string]string
+	rotatedAt         time.Time
+	// untold holds the streams of this host, by service, of which no other host has been told.
+	untold map[string]map[string]bool
+}
+
+// NewTable returns an empty table.
+func NewTable(now time.Time) *Table {
+	return &Table{current: map[string]string{}, previous: map[string]string{}, rotatedAt: now, untold: map[string]map[string]bool{}}
+}
+
+// Began records that a stream of this host has begun.
+func (t *Table) Began(now time.Time, service, stream, software string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.put(now, stream, software)
+	t.markUntold(service, stream)
+}
+
+// Learn records what is known of a stream that another host began.
+func (t *Table) Learn(now time.Time, stream, software string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.put(now, stream, software)
+}
+
+// Completed records that a stream has been sent completely, so that other hosts need not be told of it. The
+// record is kept: the caller may not have received all that was sent.
+func (t *Table) Completed(service, stream string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.untold[service], stream)
+}
+
+// Lookup returns the software version at which a stream began; ok is false if there is no record.
+func (t *Table) Lookup(stream string) (software string, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.lookup(stream)
+}
+
+// TakeUntold returns the streams of a service of which no other host has been told, with their software
+// versions. They count as told from now on.
+func (t *Table) TakeUntold(service string) map[string]string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := map[string]string{}
+	for stream := range t.untold[service] {
+		if software, ok := t.lookup(stream); ok {
+			out[stream] = software
+		}
+	}
+	delete(t.untold, service)
+	return out
+}
+
+// ReturnUntold undoes TakeUntold for streams that no host could be told of.
+func (t *Table) ReturnUntold(service string, streams []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, stream := range streams {
+		if _, ok := t.lookup(stream); ok {
+			t.markUntold(service, stream)
+		}
+	}
+}
+
+// Len returns the number of records.
+func (t *Table) Len() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.current) + len(t.previous)
+}
+
+func (t *Table) lookup(stream string) (string, bool) {
+	if software, ok := t.current[stream]; ok {
+		return software, true
+	}
+	software, ok := t.previous[stream]
+	return software, ok
+}
+
+func (t *Table) put(now time.Time, stream, software string) {
+	if now.Sub(t.rotatedAt) >= RecordTTL || len(t.current) >= maxRecords {
+		t.previous, t.current, t.rotatedAt = t.current, make(map[string]string, len(t.current)), now
+		for _, streams := range t.untold {
+			for s := range streams {
+				if _, ok := t.previous[s]; !ok {
+					delete(streams, s)
+				}
+			}
+		}
+	}
+	t.current[stream] = software
+}
+
+func (t *Table) markUntold(service, stream string) {
+	if t.untold[service] == nil {
+		t.untold[service] = map[string]bool{}
+	}
+	t.untold[service][stream] = true
+}
+
+// Host is a host that may hold records.
+type Host struct {
+	Name, Zone string
+}
+
+// Holders returns the names of the hosts that hold the record of a stream, in descending order of their
+// rendezvous score for it: those with the highest scores of different availability zones, then others, holderCount
+// in all. Hosts that know of the same hosts compute the same holders, and the loss of a zone leaves one of them.
+func Holders(stream string, hosts []Host) []string {
+	names := make([]string, len(hosts))
+	zoneOf := make(map[string]string, len(hosts))
+	for i, h := range hosts {
+		names[i], zoneOf[h.Name] = h.Name, h.Zone
+	}
+	ranked := rendezvous.Rank(stream, names)
+	var holders, rest []string
+	zones := map[string]bool{}
+	for _, name := range ranked {
+		if zone := zoneOf[name]; !zones[zone] && len(holders) < holderCount {
+			zones[zone] = true
+			holders = append(holders, name)
+		} else {
+			rest = append(rest, name)
+		}
+	}
+	return append(holders, rest[:min(len(rest), holderCount-len(holders))]...)
+}
+
+// Knowledge is what a host knows when a caller asks it to continue a stream of which it has no record.
+type Knowledge struct {
+	// Served are the software versions that may have begun the stream.
+	Served []string
+	// Current reports that Served holds all of them: the registry was read a short time ago, and so were
+	// the reports of what had been served before this process started.
+	Current bool
+}
+
+// Only returns the software version at which a stream without a record goes on; ok is false if more than one may
+// have begun it, and it must not go on anywhere.
+func (k Knowledge) Only() (software string, ok bool) {
+	served := slices.Compact(slices.Sorted(slices.Values(k.Served)))
+	if !k.Current || len(served) != 1 {
+		return "", false
+	}
+	return served[0], true
+}
--- /dev/null
+++ b/lineage/lineage_test.go
@@ -0,0 +1,107 @@
+package lineage
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func TestRecords(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(start)
+	table.Began(start, "llm", "a", "v1")
+	table.Began(start, "llm", "b", "v2")
+	table.Began(start, "other", "c", "v1")
+	table.Learn(start, "d", "v1")
+	table.Completed("llm", "b")
+	software, ok := table.Lookup("b")
+	is.True(ok && software == "v2")
+	is.Equal(table.TakeUntold("llm"), map[string]string{"a": "v1"}) // neither completed, nor of another service, nor learned
+	is.Equal(len(table.TakeUntold("llm")), 0)
+	table.ReturnUntold("llm", []string{"a", "unknown"})
+	is.Equal(table.TakeUntold("llm"), map[string]string{"a": "v1"})
+	// A record is kept for RecordTTL at least, and for twice that at most while others come.
+	for age := time.Duration(0); age <= 2*RecordTTL; age += RecordTTL / 9 {
+		table.Learn(start.Add(age), fmt.Sprint("new", age), "v3")
+		software, ok := table.Lookup("a")
+		is.True(ok || age > RecordTTL)
+		is.True(!ok || software == "v1")
+	}
+	_, ok = table.Lookup("a")
+	is.True(!ok)
+	is.Equal(len(table.TakeUntold("other")), 0)
+}
+
+// TestRecordsAreBounded guards against memory that grows with the number of streams.
+func TestRecordsAreBounded(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(start)
+	for i := range 3*maxRecords + 1 {
+		table.Began(start, "llm", fmt.Sprint(i), "v1")
+	}
+	is.True(table.Len() <= 2*maxRecords)
+	_, ok := table.Lookup(fmt.Sprint(3 * maxRecords))
+	is.True(ok) // the newest are kept
+	is.True(len(table.TakeUntold("llm")) <= 2*maxRecords)
+}
+
+// TestHolders: hosts agree on the holders of a stream, the loss of a host moves no others, and the holders
+// are spread over availability zones.
+func TestHolders(t *testing.T) {
+	is := is.New(t)
+	var hosts []Host
+	for n := range 12 {
+		hosts = append(hosts, Host{fmt.Sprint("h", n), fmt.Sprint("z", n%4)})
+	}
+	rng := rand.New(rand.NewPCG(1, 1))
+	held := map[string]int{}
+	for n := range 2000 {
+		stream := fmt.Sprint("s", n)
+		holders := Holders(stream, hosts)
+		is.Equal(len(holders), 3)
+		zones := map[string]bool{}
+		for _, name := range holders {
+			held[name]++
+			zones[hosts[slices.IndexFunc(hosts, func(h Host) bool { return h.Name == name })].Zone] = true
+		}
+		is.Equal(len(zones), 3)
+		other := slices.Clone(hosts)
+		rng.Shuffle(len(other), func(i, j int) { other[i], other[j] = other[j], other[i] })
+		is.Equal(Holders(stream, other), holders)
+		without := Holders(stream, slices.DeleteFunc(other, func(h Host) bool { return h.Name == holders[1] }))
+		is.True(slices.Contains(without, holders[0]))
+	}
+	for _, h := range hosts {
+		is.True(held[h.Name] > 300 && held[h.Name] < 700) // 500 on average
+	}
+	is.Equal(len(Holders("s", hosts[:1])), 1)
+	is.Equal(len(Holders("s", []Host{{"a", "z"}, {"b", "z"}, {"c", "z"}, {"d", "z"}})), 3) // one zone only
+}
+
+func TestOnly(t *testing.T) {
+	for name, tc := range map[string]struct {
+		served   []string
+		current  bool
+		software string
+		ok       bool
+	}{
+		"one version":                     {[]string{"v1", "v1"}, true, "v1", true},
+		"two versions":                    {[]string{"v1", "v2"}, true, "", false},
+		"one version, knowledge outdated": {[]string{"v1"}, false, "", false},
+		"none":                            {nil, true, "", false},
+		"one version without a name":      {[]string{""}, true, "", true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			software, ok := Knowledge{tc.served, tc.current}.Only()
+			is.Equal(ok, tc.ok)
+			is.Equal(software, tc.software)
+		})
+	}
+}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -93,6 +93,9 @@
 	Relayed bool               `json:"y,omitempty"`
 	// Limits holds the limits that endpoints have named to this host, by id.
 	Limits map[string]Limit `json:"k,omitempty"`
+	// Software is how many milliseconds ago each software version was last listed, for the services that
+	// have had several of late.
+	Software map[string]map[string]int64 `json:"j,omitempty"`
 	// Usage counts the requests that started to run, by window.
 	Usage map[int64]usage.Counts `json:"n,omitempty"`
 	// Decided is the usage that the leader has decided to report, by window.
