Soak: two software versions, and callers who continue streams that were broken off

Checked: a caller gets a stream from one version over all its requests (promise software), and streams that are continued at hosts without faults go on nearly as often as new ones begin (promise continue).

--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -92,7 +92,8 @@
 	return platformtest.SendRequest(d.front, id, path, key, stream)
 }
 
-const completeStream = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\nid: 5\ndata: 5\n\nid: 6\ndata: 6\n\nid: 7\ndata: 7\n\nid: 8\ndata: 8\n\n"
+// completeStream is the body of a stream of an endpoint whose software version is not set.
+var completeStream = platformtest.CompleteStream("v1", 0)
 
 // TestPlatformPath sends requests over real connections through a host to stand-ins
 // of the platform and its endpoints, with faults of single requests only. It guards
--- a/daemon/software_test.go
+++ b/daemon/software_test.go
@@ -35,12 +35,13 @@
 		origin := fmt.Sprint("cut", n)
 		first := platformtest.SendRequest(d.front, origin, "/stream/1", "secret", true)
 		is.True(first.Err != nil) // no other endpoint of the version
-		is.True(strings.HasPrefix(completeStream, first.Body))
+		events, software := platformtest.StreamEvents(first.Body)
+		is.Equal(len(software), 1)
 		rest := platformtest.Send(t.Context(), http.DefaultClient, d.front, platformtest.Request{
-			ID: fmt.Sprint("rest", n), Path: "/stream/1", Key: "secret", Stream: true, Origin: origin, After: fmt.Sprint(strings.Count(first.Body, "data")),
+			ID: fmt.Sprint("rest", n), Path: "/stream/1", Key: "secret", Stream: true, Origin: origin, After: fmt.Sprint(events),
 		})
 		is.NoErr(rest.Err)
-		is.Equal(first.Body+rest.Body, completeStream)
+		is.Equal(first.Body+rest.Body, platformtest.CompleteStream(software[0], 0))
 		is.Equal(strings.Split(rest.Seal, ".")[0], strings.Split(first.Seal, ".")[0]) // the only endpoint of its version
 	}
 }
--- a/soak/check.go
+++ b/soak/check.go
@@ -23,6 +23,8 @@
 	promiseFence    = "fence"    // a fencing token is used by one leader only
 	promiseRecovery = "recovery" // every host serves again after the faults
 	promiseStop     = "stop"     // a planned stop interrupts no request
+	promiseSoftware = "software" // a caller gets a stream from one software version, over all its requests
+	promiseContinue = "continue" // streams that their callers continue go on nearly as often as new ones begin
 )
 
 // versionOrderTolerance is the largest interval between two probes for which their
@@ -36,6 +38,8 @@
 	Faults     []string
 	// Served counts the requests answered with success, Sent all requests.
 	Served, Sent int
+	// Continued counts the streams that callers continued at hosts without faults, WentOn those that went on.
+	Continued, WentOn int
 }
 
 func (r *Report) addViolation(promise, format string, args ...any) {
@@ -79,6 +83,7 @@
 	if tr.opts.CheckTiming {
 		tr.checkDrain(r, byEndpoint, byID)
 		tr.checkStops(r)
+		tr.checkContinuations(r)
 	}
 	return r
 }
@@ -91,12 +96,13 @@
 		id, _ := strings.CutSuffix(a.Seal, "."+q.id)
 		want := "ran " + q.id + " at " + id
 		if q.kind == kindStream {
-			want = platformtest.CompleteStream()
+			want = tr.wholeStream(q)
 		}
 		if id == a.Seal || a.Body != want {
 			r.addViolation(promiseAnswer, "%s of %s: unexpected seal %q, body %q", q.id, q.path, a.Seal, a.Body)
 		}
 	}
+	tr.checkSoftware(r, q)
 	if q.kind == kindNonIdempotent && len(runs) > 1 {
 		r.addViolation(promiseOnce, "%s ran %d times", q.id, len(runs))
 	}
@@ -107,6 +113,67 @@
 	}
 }
 
+// wholeStream returns the body of a complete answer to a stream, which the software version wrote that wrote its
+// first event.
+func (tr *testRun) wholeStream(q *request) string {
+	first := q
+	if q.origin != nil {
+		first = q.origin
+	}
+	_, software := first.events()
+	if len(software) == 0 {
+		return "a stream with events"
+	}
+	return platformtest.CompleteStream(software[0], q.after)
+}
+
+// checkSoftware verifies promiseSoftware for one request of a stream.
+func (tr *testRun) checkSoftware(r *Report, q *request) {
+	if q.kind != kindStream {
+		return
+	}
+	_, software := q.events()
+	if q.origin != nil {
+		_, first := q.origin.events()
+		software = append(software, first...)
+	}
+	slices.Sort(software)
+	if software = slices.Compact(software); len(software) > 1 {
+		r.addViolation(promiseSoftware, "%s of %s holds events of %v", q.id, q.host, software)
+	}
+}
+
+// checkContinuations verifies promiseContinue: of minContinuations or more streams that were continued at hosts
+// without faults, while two endpoints of their software version served, at least half the share goes on of
+// the share of new streams that begin.
+func (tr *testRun) checkContinuations(r *Report) {
+	const minContinuations = 12
+	var continued, wentOn, sent, began float64
+	for _, q := range tr.requests {
+		from := q.sent.Add(-faultRecoveryWindow)
+		if h := tr.host(q.host); q.kind != kindStream || h == nil || h.hadFault(from, q.ended) || tr.hadEndpointFault(from, q.ended) {
+			continue
+		}
+		n, _ := q.events()
+		switch {
+		case q.origin == nil:
+			sent++
+			if n > 0 {
+				began++
+			}
+		case q.sameSoftware >= 2:
+			continued++
+			if n > 0 || q.answer.Err == nil && q.answer.Status == http.StatusOK {
+				wentOn++
+			}
+		}
+	}
+	r.Continued, r.WentOn = int(continued), int(wentOn)
+	if continued >= minContinuations && sent > 0 && wentOn/continued < began/sent/2 {
+		r.addViolation(promiseContinue, "%.0f of %.0f continued streams went on, %.0f of %.0f new ones began", wentOn, continued, began, sent)
+	}
+}
+
 // versionOf returns the configuration version whose route a probe requested.
 func versionOf(q *request) int {
 	var n int
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -73,6 +73,18 @@
 	kind                        kind
 	sent, ended                 time.Time
 	answer                      platformtest.Answer
+
+	// origin is the first request of the stream that this one continues, nil for a new stream, and after the
+	// events received before. sameSoftware counts the endpoints of its software version that were ready when
+	// this request was sent.
+	origin       *request
+	after        int
+	sameSoftware int
+}
+
+// events returns the number of events in the answer to a stream, and the software versions that wrote them.
+func (q *request) events() (n int, software []string) {
+	return platformtest.StreamEvents(q.answer.Body)
 }
 
 type kind string
@@ -187,6 +199,12 @@
 
 func routeOf(version int) string { return fmt.Sprintf("v%d", version) }
 
+// softwareVersions is the number of software versions of each service.
+const softwareVersions = 2
+
+// maxContinuations bounds how often a caller continues a stream.
+const maxContinuations = 2
+
 // addEndpoint starts an endpoint behind a proxy and registers it. The endpoint disconnects
 // on 2% of the requests, declines 2%, leaves 1% unsealed, answers 4% with neither a length nor
 // chunks, and 2% likewise but broken off inside an event; it serves the rest.
@@ -218,6 +236,8 @@
 		return errors.Wrap(err, "start proxy to an endpoint")
 	}
 	server.SetProxyAddress(link.address())
+	// Of its own source, so that seeds keep their behaviours.
+	server.SetSoftware(fmt.Sprint("v", 1+rand.New(rand.NewPCG(tr.opts.Seed, uint64(5000+n))).IntN(softwareVersions)))
 	server.SetDelay(time.Duration(rng.Int64N(int64(maxWorkDuration))))
 	added := &endpoint{Endpoint: server, service: service, zone: zone, link: link}
 	tr.mu.Lock()
@@ -279,6 +299,14 @@
 		r := tr.nextRequest(rng)
 		ctx, cancel := context.WithTimeout(context.Background(), requestTimeout)
 		tr.send(ctx, client, current, r)
+		for range maxContinuations {
+			next := tr.continuation(r)
+			if next == nil {
+				break
+			}
+			r, current = next, addresses[rng.IntN(len(addresses))]
+			tr.send(ctx, client, current, r)
+		}
 		cancel()
 		if r.answer.Err != nil {
 			current = ""
@@ -305,6 +333,29 @@
 	return r
 }
 
+// continuation returns a request that continues the stream of r, nil if r was answered completely or brought no
+// event.
+func (tr *testRun) continuation(r *request) *request {
+	n, _ := r.events()
+	if r.kind != kindStream || r.answer.Err == nil || (n == 0 && r.origin == nil) {
+		return nil
+	}
+	origin := r
+	if r.origin != nil {
+		origin = r.origin
+	}
+	next := &request{id: fmt.Sprintf("r%d-%d", tr.opts.Seed, tr.sequence.Add(1)), kind: kindStream, path: r.path, origin: origin, after: r.after + n}
+	_, software := origin.events()
+	tr.mu.Lock()
+	defer tr.mu.Unlock()
+	for _, e := range tr.endpoints {
+		if e.service == "llm" && e.Software() == software[0] && e.drainedAt.IsZero() && !e.removed {
+			next.sameSoftware++
+		}
+	}
+	return next
+}
+
 func (tr *testRun) send(ctx context.Context, client *http.Client, address string, r *request) {
 	for _, h := range tr.hosts {
 		if h.Front == address {
@@ -315,7 +366,11 @@
 	tr.requests = append(tr.requests, r)
 	tr.mu.Unlock()
 	r.sent = time.Now()
-	answer := platformtest.SendRequestWith(ctx, client, address, r.id, r.path, "secret", r.kind == kindStream)
+	sent := platformtest.Request{ID: r.id, Path: r.path, Key: "secret", Stream: r.kind == kindStream}
+	if r.origin != nil {
+		sent.Origin, sent.After = r.origin.id, fmt.Sprint(r.after)
+	}
+	answer := platformtest.Send(ctx, client, address, sent)
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
 	r.answer, r.ended = answer, time.Now()
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -122,7 +122,7 @@
 			if err != nil {
 				return err
 			}
-			fmt.Printf("seed %d: %d of %d served, %d faults of %v, broken: %q\n", seed, r.Served, r.Sent, len(r.Faults), faultKindsOf(seed), r.Violations)
+			fmt.Printf("seed %d: %d of %d served, %d of %d streams continued, %d faults of %v, broken: %q\n", seed, r.Served, r.Sent, r.WentOn, r.Continued, len(r.Faults), faultKindsOf(seed), r.Violations)
 			if len(r.Violations) == 0 {
 				return nil
 			}
@@ -192,6 +192,9 @@
 	promiseDrain: {"drain"},
 	promiseStop:  {"terminate"},
 	promiseBack:  {"configuration"},
+
+	promiseSoftware: {"configuration"},
+	promiseContinue: {"configuration"},
 }
 
 // plantedFaults are the planted faults by the promise that they break.
@@ -241,6 +244,14 @@
 		old.Version = current.Version
 		return old.BuildIndexes()
 	})},
+	promiseSoftware: {plantSoftware(func(fleet.Endpoint) string { return "" })},
+	// With a version of its own for each endpoint, callers have to continue every stream that is broken off.
+	promiseContinue: {plantSoftware(func(e fleet.Endpoint) string { return e.ID }), plantForward(func(next port.Endpoints, ctx context.Context, f *port.Forward) (*port.Reply, error) {
+		if f.Origin != "" {
+			return nil, port.ErrNotSent
+		}
+		return next.Forward(ctx, f)
+	})},
 	promiseUsage: {func(p *gateway.Ports) { p.LeaderAPI = plantedLeaderTasks{LeaderAPI: p.LeaderAPI, extraUsage: 1} }},
 	promiseFence: {func(p *gateway.Ports) {
 		p.LeaderAPI = plantedLeaderTasks{LeaderAPI: p.LeaderAPI, fencingToken: 1 << 40}
@@ -292,6 +303,18 @@
 	}
 }
 
+// plantSoftware replaces the software versions of endpoints.
+func plantSoftware(version func(fleet.Endpoint) string) func(*gateway.Ports) {
+	return func(p *gateway.Ports) {
+		decode := p.DecodeEndpoint
+		p.DecodeEndpoint = func(id string, raw []byte) (fleet.Endpoint, error) {
+			e, err := decode(id, raw)
+			e.Version = version(e)
+			return e, err
+		}
+	}
+}
+
 type plantedLeaderTasks struct {
 	port.LeaderAPI
 	extraUsage   int
