A call whose answer is partly forwarded is not sent again

Found by TestEndlessBody: an idempotent call with an answer longer than what is buffered, broken off after its beginning had been forwarded, was sent to a second endpoint, whose answer could only be dropped (the head had been sent). It cost an endpoint a run and a retry of the budget; the caller's answer was aborted all the same.

TestDecide: the case "broken idempotent call, partly forwarded" failed before (resume, want fail).

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -158,7 +158,7 @@
 	_, unsent := c.guard.ProveNotRun()
 	return requestState{
 		MayHaveRun: !unsent,
-		Idempotent: c.route.Kind == catalog.KindIdempotent, Resumable: c.route.Resumable, Started: c.events > 0,
+		Idempotent: c.route.Kind == catalog.KindIdempotent, Resumable: c.route.Resumable, Started: c.events > 0 || c.headSent,
 		SentAttempts: c.sent, UnsentAttempts: c.unsent, MaxAttempts: max(c.route.MaxAttempts, 1), Remaining: time.Until(c.deadline),
 	}
 }
--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -54,7 +54,7 @@
 	// request may start again.
 	Idempotent bool
 	Resumable  bool
-	// Started reports that events of the stream have been forwarded to the caller, MayHaveRun that
+	// Started reports that a part of the answer has been forwarded to the caller, MayHaveRun that
 	// an endpoint may be running the request or may have run it.
 	Started    bool
 	MayHaveRun bool
@@ -110,7 +110,8 @@
 		}
 		return stepForwardFailure
 	default: // outcomeBroken and outcomeUnresponsive: the endpoint may have run the request
-		if (s.Idempotent || s.Resumable) && withinLimits && takeRetry() {
+		mayStartAgain := s.Idempotent && !s.Started
+		if (mayStartAgain || s.Resumable) && withinLimits && takeRetry() {
 			return retryOrResume(s)
 		}
 		return stepFail
--- a/gateway/decide_test.go
+++ b/gateway/decide_test.go
@@ -41,6 +41,7 @@
 		"broken non-idempotent request":              {outcomeBroken, first, true, stepFail},
 		"unresponsive, non-idempotent request":       {outcomeUnresponsive, first, true, stepFail},
 		"broken idempotent call":                     {outcomeBroken, idempotent, true, stepRetry},
+		"broken idempotent call, partly forwarded":   {outcomeBroken, with(func(s *requestState) { s.Idempotent, s.Started = true, true }), true, stepFail},
 		"broken idempotent call, budget spent":       {outcomeBroken, idempotent, false, stepFail},
 		"broken resumable stream before its start":   {outcomeBroken, resumable, true, stepRetry},
 		"broken resumable stream":                    {outcomeBroken, started, true, stepResume},
