Bound what is read of an answer without end

Endpoints in trouble may send bytes that are no answer without end, in a head or a body, until the host closes. A body without a length was forwarded as long as it came, and an unfinished event or an answer held up to 1 MB each, with no bound on their sum.

- The head of a response, with the interim responses before it: 64 KB.
- A body whose length is not stated: 64 MB; an event or a buffered answer: 256 KB.
- What a host holds of all answers and events beyond a read buffer each: 16 MB.
Beyond that, answers are forwarded as they arrive, and unfinished events are given up.

The connection is closed at once, the endpoint is suspect as "endless" in the log and counted in cicadanotch_gateway_endless_answers_total, and another endpoint is tried where the request allows it.

--- a/adapter/endpointhttp/endpointhttp.go
+++ b/adapter/endpointhttp/endpointhttp.go
@@ -53,6 +53,9 @@
 	// request.
 	readBufferBytes  = 4 << 10
 	writeBufferBytes = 4 << 10
+	// maxHeadBytes bounds the head of a response with the interim responses before it. Callers may send
+	// heads of 16 KB.
+	maxHeadBytes = 64 << 10
 	// maxStaleResponses bounds the stale responses, late ones to earlier requests, that
 	// are skipped before a connection is closed, maxStaleResponseBytes the body that is
 	// read of each.
@@ -115,7 +118,9 @@
 	pool    *Pool
 	address string
 	reader  *bufio.Reader
-	writer  *bufio.Writer
+	// received is what reader reads from.
+	received *boundedReader
+	writer   *bufio.Writer
 	// idleDeadline is the time from which the idle connection must not be used,
 	// because the endpoint may close it.
 	idleDeadline time.Time
@@ -163,9 +168,10 @@
 		p.unreserve(f.Address)
 		return nil, errors.Wrapf(port.ErrNotSent, "dial %s: %v", f.Address, err)
 	}
+	received := &boundedReader{Reader: raw}
 	return &conn{
-		Conn: raw, pool: p, address: f.Address,
-		reader: bufio.NewReaderSize(raw, readBufferBytes), writer: bufio.NewWriterSize(raw, writeBufferBytes),
+		Conn: raw, pool: p, address: f.Address, received: received,
+		reader: bufio.NewReaderSize(received, readBufferBytes), writer: bufio.NewWriterSize(raw, writeBufferBytes),
 	}, nil
 }
 
@@ -299,6 +305,9 @@
 	if err != nil {
 		cancelClose()
 		c.close()
+		if errors.Is(err, port.ErrEndless) {
+			return nil, errors.Wrapf(port.ErrEndless, "%s: more than %d bytes of head", f.Address, maxHeadBytes)
+		}
 		return nil, errors.Wrapf(port.ErrBroken, "%s: %v", f.Address, err)
 	}
 	return reply, nil
@@ -369,10 +378,36 @@
 	return nil
 }
 
-// readHead reads the head of one response and skips interim (1xx) responses.
+// boundedReader reads at most remaining bytes while bounded is set.
+type boundedReader struct {
+	io.Reader
+	bounded   bool
+	remaining int
+}
+
+// Read implements io.Reader. It returns port.ErrEndless beyond the bound.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if !r.bounded {
+		return r.Reader.Read(p)
+	}
+	if r.remaining <= 0 {
+		return 0, port.ErrEndless
+	}
+	n, err := r.Reader.Read(p[:min(len(p), r.remaining)])
+	r.remaining -= n
+	return n, err
+}
+
+// readHead reads the head of one response and skips interim (1xx) responses. It returns port.ErrEndless if they
+// exceed maxHeadBytes.
 func (ex *exchange) readHead() (*port.Reply, string, error) {
+	ex.conn.received.bounded, ex.conn.received.remaining = true, maxHeadBytes
+	defer func() { ex.conn.received.bounded = false }()
 	for {
 		resp, err := http.ReadResponse(ex.conn.reader, &http.Request{Method: ex.method})
+		if err != nil && ex.conn.received.remaining <= 0 {
+			return nil, "", errors.Wrap(port.ErrEndless, "read head") // err may tell only where the head was cut
+		}
 		if err != nil {
 			return nil, "", errors.Wrap(err, "read head")
 		}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -337,6 +337,11 @@
 		return outcomeMoved, err
 	}
 	c.tried[a.view.ID] = true
+	if errors.Is(err, port.ErrEndless) {
+		c.g.metrics.endless.Inc()
+		c.markSuspect(now, a, "endless")
+		return outcomeBroken, err
+	}
 	c.markSuspect(now, a, "broken")
 	return outcomeBroken, err
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -108,6 +108,7 @@
 	budgets      sync.Map // service name to *attempt.WindowBudget
 	answerTimes  sync.Map // service name to *attempt.ResponseTimeEstimator
 	hostCount    atomic.Int64
+	heldBytes    atomic.Int64             // of answers that are not forwarded yet, see heldBytes
 	limitHosts   atomic.Pointer[[]string] // hosts among which the limits of endpoints are divided
 	calls        callTable
 	relays       *relayState
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -34,6 +34,7 @@
 	moves         *prometheus.CounterVec
 	answerEndings *prometheus.CounterVec
 	continuations *prometheus.CounterVec
+	endless       prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -100,7 +101,11 @@
 		Name: "cicadanotch_gateway_continuations_total",
 		Help: "Streams continued by an endpoint, by way (attempt, move, request of the caller) and by its software version against that which began the stream (same, other, unknown).",
 	}, []string{"way", "software"})
-	m.registry.MustRegister(m.answerEndings, m.continuations, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
+	m.endless = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_endless_answers_total",
+		Help: "Answers of endpoints that were given up because they exceeded what an answer may have.",
+	})
+	m.registry.MustRegister(m.answerEndings, m.continuations, m.endless, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
 		m.feedReads, m.version, m.hosts, m.fencingToken, m.leaderCalls, m.moves, collectors.NewGoCollector())
 	return m
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -14,9 +14,13 @@
 const (
 	// maxBufferedBytes bounds an answer that is buffered until it is complete, so that the request
 	// can still be retried; longer answers are forwarded as they arrive.
-	maxBufferedBytes = 1 << 20
+	maxBufferedBytes = 256 << 10
 	// maxEventBytes bounds one event of a stream.
-	maxEventBytes   = 1 << 20
+	maxEventBytes = 256 << 10
+	// maxUnstatedBytes bounds an answer whose length is not stated: endpoints in trouble send without end.
+	maxUnstatedBytes = 64 << 20
+	// maxHeldBytes bounds what is held of all answers and events that exceed a read buffer.
+	maxHeldBytes    = 16 << 20
 	readBufferBytes = 8 << 10
 )
 
@@ -35,11 +39,13 @@
 	if c.headSent {
 		return outcomeBroken, errors.Errorf("resumed stream: got status %d, want an event stream with status 200", reply.Status)
 	}
-	body, err := io.ReadAll(io.LimitReader(reply.Body, maxBufferedBytes+1))
+	var held heldBytes
+	defer func() { held.release(c.g) }()
+	body, complete, err := c.bufferReply(reply, &held)
 	if err != nil {
 		return outcomeBroken, err
 	}
-	if len(body) > maxBufferedBytes {
+	if !complete {
 		return c.forwardLongReply(reply, body)
 	}
 	a.answered = true
@@ -52,6 +58,24 @@
 	return outcomeComplete, nil
 }
 
+// bufferReply reads an answer. complete is false if it is too long to buffer, or too much is held of others; body
+// is then its beginning.
+func (c *call) bufferReply(reply *port.Reply, held *heldBytes) (body []byte, complete bool, err error) {
+	buf := make([]byte, readBufferBytes)
+	for {
+		n, err := reply.Body.Read(buf)
+		body = append(body, buf[:n]...)
+		switch {
+		case err == io.EOF:
+			return body, true, nil
+		case err != nil:
+			return nil, false, err
+		case len(body) > maxBufferedBytes || !held.grow(c.g, len(body)):
+			return body, false, nil
+		}
+	}
+}
+
 // forwardLongReply forwards an answer that is too long to buffer.
 func (c *call) forwardLongReply(reply *port.Reply, chunk []byte) (outcome, error) {
 	c.countUsage()
@@ -60,10 +84,13 @@
 		return outcomeCanceled, err
 	}
 	buf := make([]byte, readBufferBytes)
-	for {
+	for forwarded := 0; ; {
 		if err := c.out.Write(chunk); err != nil {
 			return outcomeCanceled, err
 		}
+		if forwarded += len(chunk); reply.Length < 0 && forwarded > maxUnstatedBytes {
+			return outcomeBroken, errors.Wrapf(port.ErrEndless, "answer without a length exceeds %d bytes", maxUnstatedBytes)
+		}
 		n, err := reply.Body.Read(buf)
 		chunk = buf[:n]
 		if err == io.EOF {
@@ -78,6 +105,27 @@
 	}
 }
 
+// heldBytes is what is held of one answer, as far as it exceeds a read buffer. The sum over all answers of a host
+// is bounded by maxHeldBytes.
+type heldBytes struct{ counted int64 }
+
+// grow accounts for size bytes that are held. It reports false, and counts no more than before, if the host
+// holds too much.
+func (h *heldBytes) grow(g *Gateway, size int) bool {
+	more := int64(size-readBufferBytes) - h.counted
+	if more <= 0 {
+		return true
+	}
+	if g.heldBytes.Add(more) > maxHeldBytes {
+		g.heldBytes.Add(-more)
+		return false
+	}
+	h.counted += more
+	return true
+}
+
+func (h *heldBytes) release(g *Gateway) { g.heldBytes.Add(-h.counted) }
+
 // writeReply sends a complete answer to the caller.
 func (c *call) writeReply(b *bufferedReply) {
 	c.status, c.headSent = b.status, true
@@ -96,21 +144,32 @@
 
 // forwardStream forwards complete events as they arrive.
 func (c *call) forwardStream(a *endpointAttempt, reply *port.Reply, wd *watchdog) (outcome, error) {
-	var splitter eventSplitter
+	var (
+		splitter eventSplitter
+		held     heldBytes
+		received int
+	)
+	defer func() { held.release(c.g) }()
 	buf := make([]byte, readBufferBytes)
 	for {
 		n, err := reply.Body.Read(buf)
+		received += n
 		if events := splitter.add(buf[:n]); len(events) > 0 {
 			if writeErr := c.forwardEvents(a, reply, events); writeErr != nil {
 				return outcomeCanceled, writeErr
 			}
 			wd.reset(c.gapTimeout())
 		}
+		rest := splitter.rest()
 		switch {
-		case len(splitter.rest()) > maxEventBytes:
-			return outcomeBroken, errors.New("stream event exceeds the maximum size")
+		case len(rest) > maxEventBytes:
+			return outcomeBroken, errors.Wrapf(port.ErrEndless, "event of a stream exceeds %d bytes", maxEventBytes)
+		case reply.Length < 0 && received > maxUnstatedBytes:
+			return outcomeBroken, errors.Wrapf(port.ErrEndless, "stream without a length exceeds %d bytes", maxUnstatedBytes)
+		case !held.grow(c.g, len(rest)):
+			return outcomeBroken, errors.Errorf("more than %d bytes are held of unfinished events and answers", maxHeldBytes)
 		case err == io.EOF:
-			return c.endStream(a, reply, splitter.rest())
+			return c.endStream(a, reply, rest)
 		case err != nil:
 			return outcomeBroken, err
 		}
--- a/port/forward.go
+++ b/port/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -17,6 +18,8 @@
 	// ErrBroken means that, after the request may have been sent, the connection
 	// ended or the response violated the protocol.
 	ErrBroken = errors.New("connection broken")
+	// ErrEndless is an ErrBroken: the endpoint sent more than an answer may have.
+	ErrEndless = fmt.Errorf("answer without end: %w", ErrBroken)
 	// ErrTooManyConnections means that this host uses all of its share of connections
 	// to the endpoint. Nothing was sent.
 	ErrTooManyConnections = errors.New("share of connections in use")
