One call at a time tells a host of streams, and a silent one is left alone for a second

Each host called each holder every 40 ms, also one that did not answer for the 4 s until it counted as gone: 25 calls in progress and 25 log lines a second for each. Streams now go through an outbox for each holder, which is sent by one call at a time and again after a second if that fails; so each holder is told in the end, not one of them.

TestHoldersThatFailAreLeftAlone failed before (more than 12 calls in 2 s to four silent hosts), and passes.

--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -395,7 +395,7 @@
 		}
 		e.Msg("")
 		if c.Added {
-			g.tellHolders(time.Now(), c.Endpoint.Service, tellDelay)
+			g.tellHolders(time.Now(), c.Endpoint.Service)
 		}
 		if c.Removed {
 			g.placement.Remove(c.Endpoint.ID)
--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -27,11 +27,11 @@
 const (
 	// tellDelay is how long a host gathers the streams that it begins before it tells the holders.
 	tellDelay = 40 * time.Millisecond
-	// tellRetryDelay is the delay after which streams are told again of which no holder could be told.
-	tellRetryDelay = 500 * time.Millisecond
-	tellTimeout    = time.Second
-	// maxStreamsTold bounds the streams in one call, of about 40 bytes each.
-	maxStreamsTold = 2000
+	// tellBackoff is the delay after which a host is told again that did not answer within tellTimeout.
+	tellBackoff = time.Second
+	tellTimeout = time.Second
+	// maxOutbox bounds the streams that a host is still to be told of, of about 40 bytes each.
+	maxOutbox = 5000
 	// askTimeout bounds the wait for an answer: a round trip between regions, and a holder that has used up
 	// its share of the processor for a tenth of a second.
 	askTimeout = 200 * time.Millisecond
@@ -51,13 +51,17 @@
 	// hostsRead is set when the reports of hosts, those of earlier processes included, have been read.
 	hostsRead atomic.Bool
 
+	// mu is taken before the lock of table.
 	mu sync.Mutex
-	// telling holds the services whose streams are told soon.
-	telling map[string]bool
+	// gathering holds the services whose streams are passed to the outboxes within tellDelay.
+	gathering map[string]bool
+	// outboxes holds, by host, the streams that the host has not been told of, with their software versions.
+	// There is an outbox while sendOutbox runs for the host.
+	outboxes map[string]map[string]string
 }
 
 func newLineageState(now time.Time) *lineageState {
-	return &lineageState{table: lineage.NewTable(now), telling: map[string]bool{}}
+	return &lineageState{table: lineage.NewTable(now), gathering: map[string]bool{}, outboxes: map[string]map[string]string{}}
 }
 
 // streamsBegan tells a holder of streams, by software version.
@@ -82,7 +86,7 @@
 	}
 	now := time.Now()
 	g.lineage.table.Began(now, c.service.Name, c.req.ID, software)
-	g.tellHolders(now, c.service.Name, tellDelay)
+	g.tellHolders(now, c.service.Name)
 }
 
 // recordCompletion records that a stream has been sent completely.
@@ -92,91 +96,96 @@
 	}
 }
 
-// tellHolders tells, after a delay, the holders of the streams of a service that this host has begun, if the service
-// has several software versions.
-func (g *Gateway) tellHolders(now time.Time, service string, delay time.Duration) {
-	if len(g.fleet.SoftwareVersions(now, service, lineage.RecordTTL)) < 2 {
+// tellHolders tells, after tellDelay, the holders of the streams of a service that this host has begun, if the
+// service has several software versions.
+func (g *Gateway) tellHolders(now time.Time, service string) {
+	if g.ports.Peers == nil || len(g.fleet.SoftwareVersions(now, service, lineage.RecordTTL)) < 2 {
 		return
 	}
 	s := g.lineage
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.telling[service] {
+	if s.gathering[service] {
 		return
 	}
-	s.telling[service] = true
-	time.AfterFunc(delay, func() { g.tellUntold(service) })
+	s.gathering[service] = true
+	time.AfterFunc(tellDelay, func() { g.tellUntold(service) })
 }
 
+// tellUntold passes the streams of a service that no other host knows to the outboxes of their holders.
 func (g *Gateway) tellUntold(service string) {
+	hosts, _ := g.recordHosts()
 	s := g.lineage
 	s.mu.Lock()
-	delete(s.telling, service)
-	s.mu.Unlock()
-	if g.ports.Peers == nil || !g.tomb.Alive() {
-		return
-	}
-	untold := s.table.TakeUntold(service)
-	if len(untold) == 0 {
-		return
-	}
-	messages, addresses := g.messagesToHolders(untold)
-	var (
-		sending sync.WaitGroup
-		mu      sync.Mutex
-		told    = map[string]bool{}
-	)
-	for host, batches := range messages {
-		for _, m := range batches {
-			sending.Go(func() {
-				ctx, cancel := context.WithTimeout(g.context(), tellTimeout)
-				defer cancel()
-				if err := g.ports.Peers.Call(ctx, addresses[host], methodStreamsBegan, m, nil); err != nil {
-					g.log.Info().Str("event", "streams_untold").Str("peer", host).Err(err).Msg("")
-					return
-				}
-				mu.Lock()
-				defer mu.Unlock()
-				for _, streams := range m.Streams {
-					for _, stream := range streams {
-						told[stream] = true
-					}
-				}
-			})
+	defer s.mu.Unlock()
+	delete(s.gathering, service)
+	for stream, software := range s.table.TakeUntold(service) {
+		for _, holder := range lineage.Holders(stream, hosts) {
+			if holder == g.opts.Host {
+				continue
+			}
+			if s.outboxes[holder] == nil {
+				s.outboxes[holder] = map[string]string{}
+				go g.sendOutbox(holder)
+			}
+			s.outboxes[holder][stream] = software
 		}
 	}
-	sending.Wait()
-	var again []string
-	for stream := range untold {
-		if !told[stream] {
-			again = append(again, stream)
+}
+
+// sendOutbox sends what is in the outbox of a host until that is empty or the host is gone. There is one call to a
+// host at a time; one that fails is repeated after tellBackoff, with what has been added since.
+func (g *Gateway) sendOutbox(host string) {
+	for {
+		_, addresses := g.recordHosts()
+		address, live := addresses[host]
+		streams := g.lineage.takeOutbox(host, live)
+		if len(streams) == 0 {
+			return
+		}
+		m := streamsBegan{map[string][]string{}}
+		for stream, software := range streams {
+			m.Streams[software] = append(m.Streams[software], stream)
+		}
+		ctx, cancel := context.WithTimeout(g.context(), tellTimeout)
+		err := g.ports.Peers.Call(ctx, address, methodStreamsBegan, m, nil)
+		cancel()
+		if err == nil {
+			continue
+		}
+		g.log.Info().Str("event", "streams_untold").Str("peer", host).Int("streams", len(streams)).Err(err).Msg("")
+		g.lineage.returnToOutbox(host, streams)
+		select {
+		case <-time.After(tellBackoff):
+		case <-g.tomb.Dying():
+			return
 		}
 	}
-	if len(again) > 0 && len(messages) > 0 {
-		s.table.ReturnUntold(service, again)
-		g.tellHolders(time.Now(), service, tellRetryDelay)
+}
+
+// takeOutbox empties the outbox of a host. It returns nil, and removes the outbox, if that is empty or the host is
+// gone.
+func (s *lineageState) takeOutbox(host string, live bool) map[string]string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	streams := s.outboxes[host]
+	if len(streams) == 0 || !live {
+		delete(s.outboxes, host)
+		return nil
 	}
+	s.outboxes[host] = map[string]string{}
+	return streams
 }
 
-// messagesToHolders returns the messages that tell the holders of streams, by host, and the hosts' addresses.
-func (g *Gateway) messagesToHolders(untold map[string]string) (messages map[string][]*streamsBegan, addresses map[string]string) {
-	hosts, addresses := g.recordHosts()
-	messages = map[string][]*streamsBegan{}
-	sizes := map[string]int{}
-	for stream, software := range untold {
-		for _, holder := range lineage.Holders(stream, hosts) {
-			if holder == g.opts.Host {
-				continue
-			}
-			if sizes[holder]%maxStreamsTold == 0 {
-				messages[holder] = append(messages[holder], &streamsBegan{map[string][]string{}})
-			}
-			sizes[holder]++
-			m := messages[holder][len(messages[holder])-1]
-			m.Streams[software] = append(m.Streams[software], stream)
+// returnToOutbox undoes takeOutbox, as far as maxOutbox allows.
+func (s *lineageState) returnToOutbox(host string, streams map[string]string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for stream, software := range streams {
+		if len(s.outboxes[host]) < maxOutbox {
+			s.outboxes[host][stream] = software
 		}
 	}
-	return messages, addresses
 }
 
 // recordHosts returns the hosts that may hold records, this one included, and their addresses by name.
--- a/lineage/lineage.go
+++ b/lineage/lineage.go
@@ -91,17 +91,6 @@
 	return out
 }
 
-// ReturnUntold undoes TakeUntold for streams that no host could be told of.
-func (t *Table) ReturnUntold(service string, streams []string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	for _, stream := range streams {
-		if _, ok := t.lookup(stream); ok {
-			t.markUntold(service, stream)
-		}
-	}
-}
-
 // Len returns the number of records.
 func (t *Table) Len() int {
 	t.mu.Lock()
