--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -176,6 +176,7 @@
 
 	mu        sync.Mutex
 	transfers int
+	carried   int // bytes of all transfers that were begun
 }
 
 // transfer returns when a message has arrived, or with an error when ctx has ended before.
@@ -183,6 +184,7 @@
 	const step = 10 * time.Millisecond
 	l.mu.Lock()
 	l.transfers++
+	l.carried += size
 	l.mu.Unlock()
 	defer func() {
 		l.mu.Lock()
@@ -477,6 +479,7 @@
 	lines     *bytes.Buffer // log lines of all hosts
 	linesMu   sync.Mutex
 	hosts     []*Gateway
+	hostsMu   sync.Mutex   // of hosts, while some are started
 	peers     *memoryPeers // nil if hosts cannot reach each other
 }
 
@@ -510,12 +513,20 @@
 // startHost starts a host; it is stopped when the test ends.
 func (tp *testPlatform) startHost(t *testing.T, opts Options) *Gateway {
 	t.Helper()
+	return tp.startHostOn(t, opts, nil)
+}
+
+// startHostOn starts a host whose reads of the store are answered through a link; nil for no delay.
+func (tp *testPlatform) startHostOn(t *testing.T, opts Options, way *sharedLink) *Gateway {
+	t.Helper()
+	store := &hostStore{memoryStore: tp.store}
+	store.way.Store(way)
 	var peers port.Peers
 	if tp.peers != nil {
 		peers = tp.peers
 	}
 	g := New(opts, Ports{
-		Peers: peers, Store: &hostStore{memoryStore: tp.store}, Endpoints: tp.endpoints, IdleConnections: tp.endpoints, LeaderAPI: tp.leaderAPI,
+		Peers: peers, Store: store, Endpoints: tp.endpoints, IdleConnections: tp.endpoints, LeaderAPI: tp.leaderAPI,
 		DecodeConfiguration: func(raw []byte) (*catalog.Snapshot, error) {
 			var s catalog.Snapshot
 			if err := json.Unmarshal(raw, &s); err != nil {
@@ -530,7 +541,9 @@
 		Logger: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: tp}},
 	})
 	g.Start()
+	tp.hostsMu.Lock()
 	tp.hosts = append(tp.hosts, g)
+	tp.hostsMu.Unlock()
 	t.Cleanup(func() { is.New(t).NoErr(g.Stop()) })
 	return g
 }
