--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -39,14 +39,6 @@
 	// an answer again ends the delays of the others.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 2 * time.Second
-	// maxHostsDelay is how long a process that has started waits for the reports of hosts before it reads
-	// other topics: without them it knows no relay, and reads them all from the store.
-	maxHostsDelay = 500 * time.Millisecond
-	// maxRelayStartup is how long a process that has started waits for its relay before it reads the
-	// configuration from the store. The relay may have started at the same time.
-	maxRelayStartup = 1500 * time.Millisecond
-	// relayStartupInterval is how often it asks the relay meanwhile.
-	relayStartupInterval = 100 * time.Millisecond
 	// minOutage is the time without an answer that counts as an outage.
 	minOutage = 1200 * time.Millisecond
 )
@@ -107,12 +99,6 @@
 )
 
 func (f *follower) run() error {
-	select {
-	case <-f.g.hostsKnown:
-	case <-time.After(maxHostsDelay):
-	case <-f.g.tomb.Dying():
-		return nil
-	}
 	backoff := minBackoff
 	for f.g.tomb.Alive() {
 		began := time.Now()
@@ -163,10 +149,6 @@
 		f.hasSnapshot = false
 	}
 	page, read, err, fromRelay := f.pollRelay()
-	for !fromRelay && f.awaitsRelay() {
-		f.sleep(relayStartupInterval)
-		page, read, err, fromRelay = f.pollRelay()
-	}
 	if !fromRelay {
 		storeBegan := time.Now()
 		ctx, cancel := context.WithTimeout(f.g.context(), f.pollTimeout+maxTransferTime)
@@ -216,15 +198,6 @@
 	return nil
 }
 
-// awaitsRelay reports whether this process has just started and leaves the first read of the configuration to a
-// host that is to read it for the whole region or zone. When many hosts start at the same time, their reads would
-// fill the link between regions for seconds.
-func (f *follower) awaitsRelay() bool {
-	now := time.Now()
-	return f.topic == port.TopicConfiguration && !f.everRead && f.g.tomb.Alive() &&
-		now.Sub(f.g.startedAt) < maxRelayStartup && f.g.hasDesignatedRelay(now)
-}
-
 // logAge logs when this host begins and ceases to be late with the topic.
 func (f *follower) logAge(now time.Time, source string) {
 	age := now.Sub(f.asOf)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -122,7 +122,6 @@
 
 	startedAt       time.Time
 	configured      chan struct{} // closed when a configuration is in force
-	hostsKnown      chan struct{} // closed when the reports of hosts have been read
 	hasConfig       atomic.Bool
 	hasEndpoints    atomic.Bool
 	sequence        atomic.Int64
@@ -165,7 +164,7 @@
 		demand:       scaling.NewMeter(),
 		metrics:      newMetrics(),
 		startedAt:    now,
-		leaveStarted: make(chan struct{}), configured: make(chan struct{}), hostsKnown: make(chan struct{}),
+		leaveStarted: make(chan struct{}), configured: make(chan struct{}),
 	}
 	g.metrics.watchFeeds(g)
 	g.hostCount.Store(assumedHosts)
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -63,6 +63,12 @@
 // this host is the leader. A relay that reads through another relay reads twice in each reportInterval,
 // so that its zone learns no later than if it read the store.
 func (g *Gateway) followHosts() error {
+	select {
+	case <-g.configured:
+	case <-time.After(maxHostsStartDelay):
+	case <-g.tomb.Dying():
+		return nil
+	}
 	f := &follower{
 		g: g, topic: port.TopicHosts, lateAge: lateHostsAge,
 		onRecords: func(read feedRead, records []port.TopicRecord) { g.receiveReports(read.at, records, false) },
@@ -71,6 +77,7 @@
 		},
 		onAnswer: func(now time.Time, _ time.Duration) {
 			g.presence.MarkRead(now)
+			g.lineage.hostsRead.Store(true)
 		},
 	}
 	tick := time.NewTicker(reportInterval / 2)
@@ -87,9 +94,6 @@
 		case between && !g.relays.readsForOthers():
 		case f.pollAnew() == nil:
 			g.aggregateReports(time.Now())
-			if !g.lineage.hostsRead.Swap(true) {
-				close(g.hostsKnown)
-			}
 		}
 		if !between {
 			g.updateShares(time.Now())
@@ -157,6 +161,11 @@
 	return out
 }
 
+// maxHostsStartDelay is the longest time that a starting process waits for the configuration before
+// it reads the reports of hosts: without the configuration nothing is served, and when all hosts of
+// a region start together they share the region's link for their reads.
+const maxHostsStartDelay = 2 * time.Second
+
 // decisionMemory is how long the leader reports a decision after its window: reports are due 10 s after
 // it, and an older copy of the store is some seconds old.
 const decisionMemory = 20 * time.Second
--- a/gateway/relaychoice.go
+++ b/gateway/relaychoice.go
@@ -19,7 +19,7 @@
 	g.relays.mu.Lock()
 	defer g.relays.mu.Unlock()
 	g.relays.live = live
-	g.setRelays(g.relays.choose(now, self, g.relays.failedUntil))
+	g.setRelays(g.relays.choose(now, self))
 }
 
 // chooseUpstreamAgain chooses the host to read through among the same hosts as the last time, after the
@@ -29,19 +29,11 @@
 	self := g.report(now)
 	g.relays.mu.Lock()
 	defer g.relays.mu.Unlock()
-	c := g.relays.choose(now, self, g.relays.failedUntil)
+	c := g.relays.choose(now, self)
 	c.zone, c.candidates = g.relays.chosen, g.relays.candidates
 	g.setRelays(c)
 }
 
-// hasDesignatedRelay reports whether another host is to call the store for this one, whether it has failed or not.
-func (g *Gateway) hasDesignatedRelay(now time.Time) bool {
-	self := g.report(now)
-	g.relays.mu.Lock()
-	defer g.relays.mu.Unlock()
-	return g.relays.choose(now, self, nil).upstream.Host != ""
-}
-
 // relayChoice holds relayState's chosen, upstream, relaying and candidates.
 type relayChoice struct {
 	zone, upstream presence.Report
@@ -49,14 +41,11 @@
 	candidates     int
 }
 
-// choose returns the relays of a host among those that have not failed. The caller holds the lock.
-func (s *relayState) choose(now time.Time, self presence.Report, failedUntil map[string]time.Time) relayChoice {
+// choose returns the relays of a host. The caller holds the lock.
+func (s *relayState) choose(now time.Time, self presence.Report) relayChoice {
 	var inRegion, inZone []presence.Report
-	if self.State == presence.StateStarting {
-		self.State = presence.StateServing // it will be: hosts that start together choose the same relay
-	}
 	for _, r := range append(slices.Clone(s.live), self) {
-		if r.Region != self.Region || r.Peer == "" || r.State != presence.StateServing || now.Before(failedUntil[r.Host]) {
+		if r.Region != self.Region || r.Peer == "" || r.State != presence.StateServing || now.Before(s.failedUntil[r.Host]) {
 			continue
 		}
 		inRegion = append(inRegion, r)
