--- a/gateway/software_test.go
+++ b/gateway/software_test.go
@@ -312,6 +312,15 @@
 			time.Sleep(6 * time.Second)
 			return c.resume(t, cut, c.begin(t.Context(), c.hosts[0], streams))
 		}, 0, 0},
+		"one version, the store is away and the first host gone": {[]string{"11", "12"}, func(t *testing.T, c *continuation) (int, []*problem.Problem) {
+			ids := c.begin(t.Context(), c.hosts[0], streams)
+			for _, g := range c.hosts {
+				g.ports.Store.(*hostStore).unreachable.Store(true)
+			}
+			time.Sleep(4 * time.Second)
+			c.fail(t, c.hosts[0])
+			return c.resume(t, c.hosts[1], ids)
+		}, streams, streams},
 		"a host is cut off with others that know no more": {[]string{"11", "12"}, func(t *testing.T, c *continuation) (int, []*problem.Problem) {
 			for _, g := range c.hosts[1:3] {
 				g.ports.Store.(*hostStore).unreachable.Store(true)
