Log which requests repeat, and probe endpoints that break a connection

Attempt lines hold a fingerprint of what is asked for (host, workspace, method, target, body). After a broken connection the host opens a new one and logs whether a process listens; cicadanotch_gateway_probes_total counts the results. Decisions do not use either yet. The function that computes the fingerprint moves from node to quarantine, so that both cores have the same.

TestProbe covers the probe.

--- a/adapter/endpointhttp/endpointhttp_test.go
+++ b/adapter/endpointhttp/endpointhttp_test.go
@@ -288,3 +288,18 @@
 	is.True(errors.Is(err, port.ErrBroken))
 	<-disconnected
 }
+
+// TestProbe guards against taking an endpoint whose process has ended for one that broke a connection.
+func TestProbe(t *testing.T) {
+	is := is.New(t)
+	p := New(codec{}, nil)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	is.NoErr(err)
+	is.NoErr(p.Probe(t.Context(), l.Addr().String()))
+	is.NoErr(l.Close())
+	is.True(errors.Is(p.Probe(t.Context(), l.Addr().String()), port.ErrNotListening))
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	err = p.Probe(ctx, l.Addr().String())
+	is.True(err != nil && !errors.Is(err, port.ErrNotListening)) // not known
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -37,6 +37,8 @@
 	cost      float64
 	deadline  time.Time
 	guard     problem.Guard
+	// fingerprint identifies the request among the repetitions of it, see quarantine.Fingerprint.
+	fingerprint uint64
 
 	// Used only by the goroutine that serves the request.
 	tried        map[string]bool
@@ -343,6 +345,7 @@
 		return outcomeBroken, err
 	}
 	c.markSuspect(now, a, "broken")
+	c.logProbe(a, c.g.probe(a.view.Address))
 	return outcomeBroken, err
 }
 
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -307,6 +307,7 @@
 	// respond answers an attempt; n counts the attempts of the request from 1.
 	respond func(ctx context.Context, f *port.Forward, n int) (*port.Reply, error)
 	move    func(address string, m port.StreamMove) (string, error)
+	probe   func(address string) error
 }
 
 func (e *fakeEndpoints) Forward(ctx context.Context, f *port.Forward) (*port.Reply, error) {
@@ -332,6 +333,13 @@
 
 func (e *fakeEndpoints) CloseIdle(string) {}
 
+func (e *fakeEndpoints) Probe(_ context.Context, address string) error {
+	if e.probe == nil {
+		return nil
+	}
+	return e.probe(address)
+}
+
 func (e *fakeEndpoints) attempts(id string) []*port.Forward {
 	e.mu.Lock()
 	defer e.mu.Unlock()
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/cicadanotch/cicadanotch/catalog"
@@ -49,12 +50,20 @@
 	e.Int("sent", c.sent).Int64("config", c.version).Int64("ms", now.Sub(c.arrived).Milliseconds()).Msg(c.finalDetail)
 }
 
+func formatFingerprint(f uint64) string { return strconv.FormatUint(f, 16) }
+
+// logProbe logs whether an endpoint that broke the connection of an attempt has ended.
+func (c *call) logProbe(a *endpointAttempt, result probeResult) {
+	c.g.log.Info().Str("event", "endpoint_probed").Str("request", c.req.ID).Str("fingerprint", formatFingerprint(c.fingerprint)).
+		Str("endpoint", a.view.ID).Str("result", string(result)).Msg("")
+}
+
 // logAttempt logs an attempt without a complete answer and the step that follows.
 func (c *call) logAttempt(a *endpointAttempt, o outcome, next step, err error) {
 	now := time.Now()
 	e := c.g.log.Warn().Str("event", "attempt").Str("request", c.req.ID).Str("endpoint", a.view.ID).
 		Str("zone", a.view.Zone).Str("software", a.view.Version).Str("state", string(a.view.State)).Str("outcome", string(o)).Str("next", string(next)).
-		Int("sent", c.sent).Int("events", c.events).Int64("ms", now.Sub(a.startedAt).Milliseconds()).
+		Str("fingerprint", formatFingerprint(c.fingerprint)).Int("sent", c.sent).Int("events", c.events).Int64("ms", now.Sub(a.startedAt).Milliseconds()).
 		Int("expected_ms", int(a.choice.Terms.FirstToken())).Dur("entry_age", now.Sub(a.view.ListedAt))
 	if c.ending.framing != "" {
 		e.Str("framing", string(c.ending.framing)).Int("unfinished", c.ending.unfinished)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -35,6 +35,7 @@
 	answerEndings *prometheus.CounterVec
 	continuations *prometheus.CounterVec
 	endless       prometheus.Counter
+	probes        *prometheus.CounterVec
 }
 
 func newMetrics() *metrics {
@@ -105,7 +106,11 @@
 		Name: "cicadanotch_gateway_endless_answers_total",
 		Help: "Answers of endpoints that were given up because they exceeded what an answer may have.",
 	})
-	m.registry.MustRegister(m.answerEndings, m.continuations, m.endless, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
+	m.probes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_probes_total",
+		Help: "Probes of endpoints after a connection broke, by result (listening, refused: the process has ended, unknown).",
+	}, []string{"result"})
+	m.registry.MustRegister(m.probes, m.answerEndings, m.continuations, m.endless, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
 		m.feedReads, m.version, m.hosts, m.fencingToken, m.leaderCalls, m.moves, collectors.NewGoCollector())
 	return m
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -8,6 +8,7 @@
 	"github.com/cicadanotch/cicadanotch/catalog"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/problem"
+	"github.com/cicadanotch/cicadanotch/quarantine"
 	"github.com/cicadanotch/cicadanotch/quota"
 )
 
@@ -105,6 +106,11 @@
 			return problem.Refuse(&c.guard, http.StatusUnauthorized, problem.TypeUnauthorized, "no workspace has this key")
 		}
 	}
+	workspace := ""
+	if c.workspace != nil {
+		workspace = c.workspace.Name
+	}
+	c.fingerprint = quarantine.Fingerprint(c.req.Host, workspace, c.req.Method, c.req.Target, c.req.Body)
 	name := c.route.Service(c.req.ID)
 	service, ok := snapshot.Services[name]
 	if !ok {
--- a/node/plan.go
+++ b/node/plan.go
@@ -8,12 +8,11 @@
 	"slices"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/cicadanotch/cicadanotch/config"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/prefix"
 	"github.com/cicadanotch/cicadanotch/problem"
+	"github.com/cicadanotch/cicadanotch/quarantine"
 	"github.com/cicadanotch/cicadanotch/request"
 )
 
@@ -107,7 +106,7 @@
 	}
 	req.Service, req.Workspace, req.Priority = doc.Service, w.Name, doc.Priority
 	req.Deadline = req.Arrived.Add(doc.Latency.RequestTimeout.Std())
-	req.Fingerprint = fingerprint(req)
+	req.Fingerprint = quarantine.Fingerprint(req.Service, req.Workspace, req.Method, req.Path, req.Body)
 	return req, nil
 }
 
@@ -190,16 +189,6 @@
 	return config.Workspace{}, false
 }
 
-// fingerprint returns the hash that identifies equal requests.
-func fingerprint(req *request.Request) uint64 {
-	d := xxhash.New()
-	for _, part := range []string{req.Service, req.Workspace, req.Method, req.Path} {
-		_, _ = d.WriteString(part + "\x00") // xxhash.Digest never returns an error
-	}
-	_, _ = d.Write(req.Body)
-	return d.Sum64()
-}
-
 // quote quotes a caller's text for a problem detail and truncates long texts.
 func quote(s string) string {
 	const maxBytes = 64
--- a/port/forward.go
+++ b/port/forward.go
@@ -23,6 +23,8 @@
 	// ErrTooManyConnections means that this host uses all of its share of connections
 	// to the endpoint. Nothing was sent.
 	ErrTooManyConnections = errors.New("share of connections in use")
+	// ErrNotListening means that no process listens at the endpoint's address: the connection was refused.
+	ErrNotListening = errors.New("no process listens at the address")
 )
 
 // Request is a decoded request of a caller.
@@ -166,4 +168,7 @@
 	// MoveStream copies a running request and returns the handle of the copy. It
 	// returns ErrNoSuchRun or ErrMoveFailed.
 	MoveStream(ctx context.Context, address string, m StreamMove) (handle string, err error)
+	// Probe opens a connection to an endpoint and closes it. It returns ErrNotListening, or another error if
+	// it is not known whether a process listens.
+	Probe(ctx context.Context, address string) error
 }
