Move the table of attempts in flight from node to quarantine

Both serving cores are to record deaths with all requests that ran at the endpoint; the gateway needs the same table. No change of behaviour.

--- a/node/attempts.go
+++ b/node/attempts.go
@@ -179,7 +179,7 @@
 	if placed.only != "" {
 		host, ok := n.acquire(a, n.allExcept(a.Request.Service, placed.only))
 		if !ok {
-			n.inFlight.endIsolation(placed.only)
+			n.inFlight.EndIsolation(placed.only)
 		}
 		return host, ok
 	}
@@ -213,11 +213,11 @@
 	defer cancel(nil)
 	r.cancel, r.started, r.firstIndex = cancel, time.Now(), a.Answer.Len()
 	a.setCurrent(r)
-	n.inFlight.add(r.host.ID, r.id, a.Request.Fingerprint)
+	n.inFlight.Add(r.host.ID, r.id, a.Request.Fingerprint)
 	err := run(attemptCtx, r)
 	moved := err != nil && a.awaitMove(ctx)
-	n.inFlight.remove(r.host.ID, r.id, !moved && isAny(err, port.ErrEndpointBroken), time.Now())
-	n.inFlight.endIsolation(r.host.ID)
+	n.inFlight.Remove(r.host.ID, r.id, !moved && isAny(err, port.ErrEndpointBroken), time.Now())
+	n.inFlight.EndIsolation(r.host.ID)
 	a.setCurrent(nil)
 	n.endpoints.release(a.Request, r.host.ID, usageOf(a))
 	a.addSpend(r.host, time.Since(r.started))
--- a/node/node.go
+++ b/node/node.go
@@ -82,7 +82,7 @@
 	leaving     *leavingTable
 	queues      admit.Table
 	usage       *usageTable
-	inFlight    *inFlightTable
+	inFlight    *quarantine.InFlight
 	quarantine  *quarantine.Table
 	// deathSyncs counts the exchanges of endpoint deaths with peers.
 	deathSyncs atomic.Int64
@@ -117,7 +117,7 @@
 		hosts:      newHostTable(),
 		requests:   newRequestTable(),
 		usage:      newUsageTable(),
-		inFlight:   newInFlightTable(),
+		inFlight:   quarantine.NewInFlight(),
 		quarantine: quarantine.NewTable(),
 	}
 	if n.log == nil {
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -25,8 +25,6 @@
 	// deathGrace is how long to wait until all attempts at a dead endpoint have failed,
 	// so that the second report of its death lists all of them.
 	deathGrace = 50 * time.Millisecond
-	// brokenAttemptTTL is how long a broken attempt still counts as running.
-	brokenAttemptTTL = 3 * time.Second
 	// peerExchangeTimeout bounds one exchange of deaths, or one usage report, with a peer.
 	peerExchangeTimeout = 800 * time.Millisecond
 	// confirmTimeout bounds the wait for the peers' reports of what ran at endpoints
@@ -44,153 +42,11 @@
 	isolatePollInterval = 50 * time.Millisecond
 )
 
-// inFlightTable holds the attempts in flight at each endpoint, with the fingerprints of
-// their requests.
-type inFlightTable struct {
-	mu        sync.Mutex
-	endpoints map[string]map[string]inFlightAttempt
-	// pendingDeaths holds a channel for each endpoint whose death is being recorded; it is
-	// closed when that is done.
-	pendingDeaths map[string]chan struct{}
-	// isolated holds the endpoints reserved for one isolated request.
-	isolated map[string]bool
-}
-
-// inFlightAttempt is an attempt that runs or broke within brokenAttemptTTL.
-type inFlightAttempt struct {
-	fingerprint uint64
-	// brokeAt is when the attempt broke; zero while it is running.
-	brokeAt time.Time
-}
-
-func newInFlightTable() *inFlightTable {
-	return &inFlightTable{
-		endpoints:     map[string]map[string]inFlightAttempt{},
-		pendingDeaths: map[string]chan struct{}{},
-		isolated:      map[string]bool{},
-	}
-}
-
-func (f *inFlightTable) add(endpoint, attemptID string, fingerprint uint64) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	rows, ok := f.endpoints[endpoint]
-	if !ok {
-		rows = map[string]inFlightAttempt{}
-		f.endpoints[endpoint] = rows
-	}
-	rows[attemptID] = inFlightAttempt{fingerprint: fingerprint}
-}
-
-// remove removes an attempt. One that broke is retained for brokenAttemptTTL, and
-// broken attempts older than that are removed.
-func (f *inFlightTable) remove(endpoint, attemptID string, broke bool, now time.Time) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	rows := f.endpoints[endpoint]
-	row := rows[attemptID]
-	delete(rows, attemptID)
-	if broke {
-		row.brokeAt = now
-		rows[attemptID] = row
-	}
-	for id, other := range rows {
-		if !other.brokeAt.IsZero() && now.Sub(other.brokeAt) > brokenAttemptTTL {
-			delete(rows, id)
-		}
-	}
-	if len(rows) == 0 {
-		delete(f.endpoints, endpoint)
-	}
-}
-
-// fingerprintsAt returns, sorted, the fingerprints of the requests that run at an
-// endpoint or broke there within brokenAttemptTTL.
-func (f *inFlightTable) fingerprintsAt(endpoint string, now time.Time) []uint64 {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []uint64
-	for _, row := range f.endpoints[endpoint] {
-		if row.brokeAt.IsZero() || now.Sub(row.brokeAt) <= brokenAttemptTTL {
-			out = append(out, row.fingerprint)
-		}
-	}
-	slices.Sort(out)
-	return slices.Compact(out)
-}
-
-// endpointsRunning returns the endpoints where a request with any of the given
-// fingerprints runs. The fingerprints must be sorted.
-func (f *inFlightTable) endpointsRunning(fingerprints []uint64) []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	var out []string
-	for endpoint, rows := range f.endpoints {
-		for _, row := range rows {
-			if _, found := slices.BinarySearch(fingerprints, row.fingerprint); found && row.brokeAt.IsZero() {
-				out = append(out, endpoint)
-				break
-			}
-		}
-	}
-	return out
-}
-
-// beginDeathRecord returns the channel that is closed when an endpoint's death is
-// recorded, and whether the calling goroutine is the one to record it.
-func (f *inFlightTable) beginDeathRecord(endpoint string) (chan struct{}, bool) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if done, ok := f.pendingDeaths[endpoint]; ok {
-		return done, false
-	}
-	done := make(chan struct{})
-	f.pendingDeaths[endpoint] = done
-	return done, true
-}
-
-// endDeathRecord ends what beginDeathRecord began.
-func (f *inFlightTable) endDeathRecord(endpoint string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	close(f.pendingDeaths[endpoint])
-	delete(f.pendingDeaths, endpoint)
-}
-
-// isolate reserves an endpoint for one request; it returns false if the endpoint is
-// reserved already.
-func (f *inFlightTable) isolate(endpoint string) bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.isolated[endpoint] {
-		return false
-	}
-	f.isolated[endpoint] = true
-	return true
-}
-
-// endIsolation ends the reservation made by isolate, if there is one.
-func (f *inFlightTable) endIsolation(endpoint string) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	delete(f.isolated, endpoint)
-}
-
-func (f *inFlightTable) isolatedEndpoints() []string {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	out := make([]string, 0, len(f.isolated))
-	for endpoint := range f.isolated {
-		out = append(out, endpoint)
-	}
-	return out
-}
-
 // recordEndpointDeath records the death of an endpoint with all requests that ran
 // there. It returns only when the death is recorded, so that none of them is retried
 // earlier. Concurrent calls for one endpoint wait for the first.
 func (n *Node) recordEndpointDeath(ctx context.Context, host port.Host) {
-	done, first := n.inFlight.beginDeathRecord(host.ID)
+	done, first := n.inFlight.BeginDeathRecord(host.ID)
 	if !first {
 		select {
 		case <-done:
@@ -198,11 +54,11 @@
 		}
 		return
 	}
-	defer n.inFlight.endDeathRecord(host.ID)
+	defer n.inFlight.EndDeathRecord(host.ID)
 	n.recordDeath(host) // peers learn of the death while this host waits for the other attempts
 	pause(ctx, deathGrace)
 	n.recordDeath(host)
-	n.confirmQuarantine(ctx, n.inFlight.fingerprintsAt(host.ID, time.Now()))
+	n.confirmQuarantine(ctx, n.inFlight.FingerprintsAt(host.ID, time.Now()))
 }
 
 // recordDeath records and publishes the death of an endpoint with the requests that
@@ -215,7 +71,7 @@
 		Zone:        host.Zone,
 		At:          now,
 		Announced:   n.hosts.leaving(host),
-		Running:     n.inFlight.fingerprintsAt(host.ID, now),
+		Running:     n.inFlight.FingerprintsAt(host.ID, now),
 	})
 }
 
@@ -370,9 +226,9 @@
 			return placement{only: endpoint}, true
 		}
 	case quarantine.VerdictClear:
-		return placement{excluded: excluded, avoided: union(excluded, n.inFlight.isolatedEndpoints())}, true
+		return placement{excluded: excluded, avoided: union(excluded, n.inFlight.IsolatedEndpoints())}, true
 	}
-	avoid := append(n.inFlight.isolatedEndpoints(), n.inFlight.endpointsRunning(j.CoRunning)...)
+	avoid := append(n.inFlight.IsolatedEndpoints(), n.inFlight.EndpointsRunning(j.CoRunning)...)
 	return placement{excluded: excluded, avoided: union(excluded, avoid)}, true
 }
 
@@ -428,7 +284,7 @@
 // for it.
 func (n *Node) isolateIdle(a *Accepted, j quarantine.Evaluation) string {
 	endpoint, ok := j.IsolatedEndpoint(a.Request.Fingerprint, n.idleEndpoints(a.Request.Service))
-	if !ok || !n.inFlight.isolate(endpoint) {
+	if !ok || !n.inFlight.Isolate(endpoint) {
 		return ""
 	}
 	return endpoint
