Quarantine requests under which endpoints ended, in the gateway too

Cause: only node used quarantine.Table. The gateway forgot each crash with the attempt that saw it, and could not tell a crash from a broken connection.

Change: a connection that breaks is followed by a probe; if no process listens, the host records the death with all requests that it had there, before any of them is tried again. The record is told to at most 32 hosts at once and appended to the topic of the hosts' reports, so that reads need no further calls to the store and a host that starts knows it before it serves. Requests with a verdict are refused before they take quota, at each attempt and right before they are sent; suspects of one death go to endpoints of their own. The answer is 503 with the time until the verdict expires if the attempt was not sent, and 502 if it was: the caller may come again, and a 4xx would say that the request is wrong.

Ruled out: a topic of its own. It passed the same cases, but its reads broke the bounds of TestFewCallsWhileStoreIsAway and TestOneHostOfEachRegionCallsTheStore.

TestCrashesQuarantineNobody holds: no sound request is refused.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -15,6 +15,7 @@
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/presence"
 	"github.com/cicadanotch/cicadanotch/problem"
+	"github.com/cicadanotch/cicadanotch/quarantine"
 )
 
 // Causes with which an attempt is cancelled.
@@ -99,6 +100,8 @@
 	answered  bool
 	continued bool // its first events have been counted as a continuation
 	kvCopy    *port.KVCopy
+	// inFlight identifies the attempt in quarantineState.inFlight while it may be running; empty otherwise.
+	inFlight string
 }
 
 func (c *call) endpointID() string {
@@ -138,6 +141,7 @@
 			continue
 		case stepDone:
 			c.recordGenerationTime()
+			c.g.quarantine.table.RecordCompletion(time.Now(), c.fingerprint)
 			c.g.recordCompletion(c)
 			c.logEnd("served")
 		case stepStop:
@@ -203,10 +207,11 @@
 	c.setCurrent(a)
 	defer c.setCurrent(nil)
 	defer func() { c.release(&a.choice, !a.answered) }()
+	defer func() { c.endInFlight(a, false) }()
 
 	wd := startWatchdog(cancel, c.headTimeout(a), c.reserveRetry)
 	defer wd.stop()
-	tracker := &sendTracker{c: c, endpoint: a.view.ID, moved: a.kvCopy != nil}
+	tracker := &sendTracker{c: c, endpointAttempt: a, moved: a.kvCopy != nil}
 	reply, err := c.g.ports.Endpoints.Forward(ctx, c.newForward(a, tracker))
 	if err != nil {
 		return c.classifyFailure(ctx, a, err)
@@ -243,10 +248,10 @@
 
 // sendTracker records, from the transport's calls, whether the request was sent or declined.
 type sendTracker struct {
-	c        *call
-	endpoint string
-	moved    bool // the attempt continues a stream that was moved
-	attempt  *problem.SentAttempt
+	c *call
+	*endpointAttempt
+	moved   bool // the attempt continues a stream that was moved
+	attempt *problem.SentAttempt
 }
 
 // begin fails if the request must not be sent after all: opening the connection takes time, in which
@@ -256,9 +261,12 @@
 	switch {
 	case !now.Before(s.c.deadline):
 		return errors.New("the deadline has passed")
-	case !s.moved && s.c.g.fleet.Paused(now, s.endpoint):
+	case !s.moved && s.c.g.fleet.Paused(now, s.view.ID):
 		return errors.New("the endpoint has asked for time")
+	case !s.moved && s.c.evaluate(now).Verdict == quarantine.VerdictQuarantine:
+		return errors.New("endpoints have ended while running the request")
 	}
+	s.c.beginInFlight(s.endpointAttempt)
 	s.attempt = s.c.guard.RecordSend()
 	if !s.moved {
 		s.c.sent++ // a moved stream is the same run
@@ -330,7 +338,7 @@
 	case errors.Is(err, port.ErrNotSent):
 		c.unsent++
 		c.tried[a.view.ID] = true
-		if !c.g.fleet.Paused(now, a.view.ID) {
+		if !c.g.fleet.Paused(now, a.view.ID) && c.evaluate(now).Verdict != quarantine.VerdictQuarantine {
 			c.markSuspect(now, a, "unreachable")
 		}
 		return outcomeUnsent, err
@@ -345,7 +353,7 @@
 		return outcomeBroken, err
 	}
 	c.markSuspect(now, a, "broken")
-	c.logProbe(a, c.g.probe(a.view.Address))
+	c.examineBreak(ctx, a)
 	return outcomeBroken, err
 }
 
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -113,6 +113,7 @@
 	calls        callTable
 	relays       *relayState
 	placer       *placerState
+	quarantine   *quarantineState
 	lineage      *lineageState
 	era          eraState
 	leader       *leaderState
@@ -172,6 +173,7 @@
 	g.relays = newRelayState()
 	g.placer = newPlacerState(opts.Host)
 	g.lineage = newLineageState(now)
+	g.quarantine = newQuarantineState()
 	g.leader = newLeaderState(lease.Options{TTL: opts.LeaseTTL, Margin: opts.LeaseTTL / 4})
 	return g
 }
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -73,6 +73,7 @@
 		g: g, topic: port.TopicHosts, lateAge: lateHostsAge,
 		onRecords: func(read feedRead, records []port.TopicRecord) { g.receiveReports(read.at, records, false) },
 		onSnapshot: func(read feedRead, records []port.TopicRecord, restored bool) {
+			g.repeatDeaths(records)
 			g.receiveReports(read.at, records, restored)
 		},
 		onAnswer: func(now time.Time, _ time.Duration) {
@@ -179,6 +180,7 @@
 // host's report removes the host's own record beside, and the host must not seem gone in between. restored
 // is as in presence.Table.ReceiveReport.
 func (g *Gateway) receiveReports(now time.Time, records []port.TopicRecord, restored bool) {
+	records = g.receiveDeaths(now, records)
 	decoded := make([][]presence.Report, len(records))
 	last := map[string]int{} // index of the last record with a report, by key
 	for i, r := range records {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -36,6 +36,7 @@
 	continuations *prometheus.CounterVec
 	endless       prometheus.Counter
 	probes        *prometheus.CounterVec
+	deaths        prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -110,7 +111,11 @@
 		Name: "cicadanotch_gateway_probes_total",
 		Help: "Probes of endpoints after a connection broke, by result (listening, refused: the process has ended, unknown).",
 	}, []string{"result"})
-	m.registry.MustRegister(m.probes, m.answerEndings, m.continuations, m.endless, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
+	m.deaths = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_endpoint_deaths_total",
+		Help: "Records of this host that an endpoint ended while it had requests there, two for each endpoint at the most.",
+	})
+	m.registry.MustRegister(m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
 		m.feedReads, m.version, m.hosts, m.fencingToken, m.leaderCalls, m.moves, collectors.NewGoCollector())
 	return m
 }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -31,6 +31,9 @@
 	if m := c.takeReadyMove(); m != nil {
 		return c.placeMovedStream(now, m)
 	}
+	if p := c.refuseQuarantined(now); p != nil {
+		return nil, p
+	}
 	views := c.usable(now)
 	if resume := c.g.fleet.NextResume(now, c.service.Name); len(views) == 0 && resume > 0 {
 		return nil, c.notRun(http.StatusServiceUnavailable, problem.TypeOverloaded, "every endpoint has asked for time").WithRetryAfter(resume)
@@ -41,7 +44,7 @@
 	if len(views) == 0 {
 		return nil, c.notRun(http.StatusServiceUnavailable, problem.TypeUnavailable, "the service has no endpoint").WithRetryAfter(noEndpointRetryAfter)
 	}
-	choice, ok, limited := c.chooseWithinLimits(now, views)
+	choice, ok, limited := c.chooseWithinLimits(now, c.separated(now, views))
 	if limited {
 		return nil, c.notRun(http.StatusServiceUnavailable, problem.TypeOverloaded, "every endpoint has named a limit that is used up").WithRetryAfter(c.g.fleet.NextWithinLimit(now, views))
 	}
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -56,6 +56,11 @@
 		c.logEnd("refused")
 		return
 	}
+	if p := c.refuseQuarantined(arrived); p != nil {
+		c.refuse(p)
+		c.logEnd("refused")
+		return
+	}
 	if p := c.refuseIfStopping(); p != nil {
 		c.refuse(p)
 		c.logEnd("refused")
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -8,6 +8,7 @@
 	"github.com/cicadanotch/cicadanotch/fleet"
 	"github.com/cicadanotch/cicadanotch/placement"
 	"github.com/cicadanotch/cicadanotch/presence"
+	"github.com/cicadanotch/cicadanotch/quarantine"
 	"github.com/cicadanotch/cicadanotch/quota"
 )
 
@@ -24,6 +25,8 @@
 	Quota        []quota.WorkspaceState `json:"quota"`
 	Hosts        []presence.Report      `json:"hosts"`
 	FencingToken int64                  `json:"duty_fence"`
+	Suspected    []quarantine.Row       `json:"suspected"`
+	Deaths       []quarantine.Death     `json:"deaths"`
 }
 
 // State returns the current state.
@@ -33,6 +36,7 @@
 		StoreAge:  g.storeAge(now),
 		Endpoints: g.fleet.All(), Placement: g.placement.State(), Quota: g.quota.State(),
 		Hosts: g.presence.Live(), FencingToken: g.leader.fencingToken(now),
+		Suspected: g.quarantine.table.State(now), Deaths: g.quarantine.table.Deaths(now),
 	}
 	if c := g.catalog.Current(); c != nil {
 		s.Config = c.Version
