Quarantine a request after three deaths in a row, whatever else dies

What callers saw: while endpoints crashed for other reasons, or several requests crashed endpoints at the same time, none of these requests was quarantined; 60 and 22 to 28 endpoints ended under one request in 24 s.

Cause: a death does not count if an endpoint that did not run the request died in the same zone within 5 s, since a loss of the zone would explain it. With crashes more often than that, no death ever counts.

Change: three deaths on three endpoints, at least 100 ms apart, that only this request has in common quarantine it, correlated or not. A request that is sent on after a death meets the loss of a zone once or twice.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -10,7 +10,9 @@
 // did not run the request died in the same availability zone at about the same
 // time. Deaths of two endpoints quarantine a request if no other request was
 // running at all of them. If another request was, each of these requests is
-// isolated, so that the next death identifies the cause.
+// isolated, so that the next death identifies the cause. Three deaths one after
+// the other quarantine it even if others died in the zone: a request that is sent
+// on cannot follow the loss of a zone that often.
 //
 // Time is passed in; the package does no I/O.
 package quarantine
@@ -36,6 +38,11 @@
 	// ran on the endpoint.
 	minQuarantineDeaths = 2
 	minQuarantineScore  = 0.05
+	// minCorrelatedRounds replaces minQuarantineDeaths if deaths are counted that other deaths in the
+	// availability zone may explain. Deaths within roundInterval of one another are one round: a request
+	// that is sent again after a death is not yet at the next endpoint then.
+	minCorrelatedRounds = 3
+	roundInterval       = 100 * time.Millisecond
 	// minIsolateScore is the score from which a request runs isolated.
 	minIsolateScore = 0.5
 	// maxDeaths bounds the deaths in a table, maxRunning the requests recorded
@@ -202,8 +209,13 @@
 	endpoints := map[string]bool{}
 	coRunning := map[uint64]bool{}
 	var common []uint64
+	var all deathSeries
 	for _, d := range t.deaths {
-		if !t.countsAgainst(d, fingerprint) {
+		if !t.suspects(d, fingerprint) {
+			continue
+		}
+		all.add(d)
+		if t.correlated(d, fingerprint) {
 			continue
 		}
 		for _, f := range d.Running {
@@ -216,6 +228,9 @@
 	}
 	j.Deaths = len(endpoints)
 	j.Verdict = verdictOf(j, len(common) == 1)
+	if j.Verdict != VerdictQuarantine && all.identifies() {
+		j.Verdict, j.Deaths, j.Score, j.Until = VerdictQuarantine, len(all.endpoints), all.score, all.lastAt.Add(SuspicionTTL)
+	}
 	delete(coRunning, fingerprint)
 	j.CoRunning = slices.Sorted(maps.Keys(coRunning))
 	return j
@@ -247,25 +262,55 @@
 	})
 }
 
-// countsAgainst reports whether a death counts against a request: the request
-// ran there and has not completed since, the death was not announced, and no
-// unannounced death within correlationWindow in the same availability zone hit
-// another endpoint that did not run the request.
-func (t *Table) countsAgainst(d *Death, fingerprint uint64) bool {
+// suspects reports whether a death raises suspicion against a request: the request ran there and has not
+// completed since, and the death was not announced.
+func (t *Table) suspects(d *Death, fingerprint uint64) bool {
 	_, ran := slices.BinarySearch(d.Running, fingerprint)
-	if !ran || d.Announced || !d.At.After(t.completedAt[fingerprint]) {
-		return false
-	}
+	return ran && !d.Announced && d.At.After(t.completedAt[fingerprint])
+}
+
+// correlated reports whether a death has likely another cause than a request that ran there: an unannounced
+// death within correlationWindow in the same availability zone hit another endpoint that did not run it.
+func (t *Table) correlated(d *Death, fingerprint uint64) bool {
 	for _, other := range t.deaths {
 		if other.Zone != d.Zone || other.Endpoint == d.Endpoint || other.Announced ||
 			other.At.Sub(d.At).Abs() > correlationWindow {
 			continue
 		}
 		if _, ranThere := slices.BinarySearch(other.Running, fingerprint); !ranThere {
-			return false // another cause affects endpoints of this zone
+			return true
 		}
 	}
-	return true
+	return false
+}
+
+// deathSeries holds what the deaths of endpoints that ran one request have in common, correlated ones included.
+type deathSeries struct {
+	endpoints map[string]bool
+	// common holds the requests that ran at all of them.
+	common []uint64
+	score  float64
+	rounds int
+	lastAt time.Time
+}
+
+// add adds the next death in order of time.
+func (s *deathSeries) add(d *Death) {
+	if s.endpoints == nil {
+		s.endpoints = map[string]bool{}
+	}
+	s.common = intersect(s.common, d.Running, len(s.endpoints) == 0)
+	if !s.endpoints[d.Endpoint] && (s.rounds == 0 || d.At.Sub(s.lastAt) >= roundInterval) {
+		s.rounds++
+	}
+	s.endpoints[d.Endpoint] = true
+	s.score += 1 / float64(len(d.Running))
+	s.lastAt = d.At
+}
+
+// identifies reports whether the series identifies the request as the cause of the deaths.
+func (s *deathSeries) identifies() bool {
+	return s.rounds >= minCorrelatedRounds && s.score >= minQuarantineScore && len(s.common) == 1
 }
 
 // Deaths returns the deaths that have not expired, oldest first.
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -73,7 +73,20 @@
 		"completed before":                    {deaths: []quarantine.Death{death("a", "z1", minute, poison), death("b", "z1", 2*minute, poison)}, completed: time.Second, want: quarantine.VerdictQuarantine},
 		"expired":                             {deaths: []quarantine.Death{death("a", "z1", 0, poison), death("b", "z1", time.Second, poison)}, at: time.Hour, want: quarantine.VerdictClear},
 		"reported by two hosts in parts":      {deaths: []quarantine.Death{death("a", "z1", 0, poison), death("a", "z1", 0, coRunning(16, 100)...)}, want: quarantine.VerdictSeparate},
-		"two deaths of another request":       {deaths: []quarantine.Death{death("a", "z1", 0, 8), death("b", "z1", minute, 8)}, want: quarantine.VerdictClear},
+		"three correlated deaths, one after the other": {deaths: []quarantine.Death{
+			death("a", "z1", 0, poison, 5), death("b", "z1", time.Second, poison, 6), death("c", "z1", 2*time.Second, poison, 7), death("d", "z1", time.Second, 9),
+		}, want: quarantine.VerdictQuarantine},
+		"three correlated deaths, two requests, in turn": {deaths: []quarantine.Death{
+			death("a", "z1", 0, poison), death("b", "z1", time.Second, 8), death("c", "z1", 2*time.Second, poison), death("d", "z1", 3*time.Second, 8),
+			death("e", "z1", 4*time.Second, poison), death("f", "z1", 5*time.Second, 8),
+		}, want: quarantine.VerdictQuarantine},
+		"three correlated deaths with the same other request": {deaths: []quarantine.Death{
+			death("a", "z1", 0, poison, 5), death("b", "z1", time.Second, poison, 5), death("c", "z1", 2*time.Second, poison, 5), death("d", "z1", time.Second, 9),
+		}, want: quarantine.VerdictClear},
+		"three correlated deaths at one moment": {deaths: []quarantine.Death{
+			death("a", "z1", 0, poison), death("b", "z1", 20*time.Millisecond, poison), death("c", "z1", 40*time.Millisecond, poison), death("d", "z1", 60*time.Millisecond, 9),
+		}, want: quarantine.VerdictClear},
+		"two deaths of another request": {deaths: []quarantine.Death{death("a", "z1", 0, 8), death("b", "z1", minute, 8)}, want: quarantine.VerdictClear},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
