Tell other hosts which suspect requests have completed

What callers would see: a sound request that is sent again and again, such as a poll of one resource, runs at endpoints that crash for reasons of their own. It completes elsewhere a moment later, but only the host that served it knew, in both cores; the others refused it for 15 minutes.

Change: what completes is attached to the records of the deaths that counted against it (Death.Cleared) and told and merged like these, in peers' exchanges, the log and the store. Such records are at most one for each death and request. A death that follows still counts.

TestCompletionIsTold and TestLedger state it for the tables.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -141,7 +141,7 @@
 			continue
 		case stepDone:
 			c.recordGenerationTime()
-			c.g.quarantine.table.RecordCompletion(time.Now(), c.fingerprint)
+			c.clear()
 			c.g.recordCompletion(c)
 			c.logEnd("served")
 		case stepStop:
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -207,12 +207,30 @@
 	}
 	g.metrics.deaths.Inc()
 	g.logDeath(d, g.opts.Host)
+	g.publishDeath(d)
+}
+
+// publishDeath tells the other hosts of a death, or of what is new of it.
+func (g *Gateway) publishDeath(d quarantine.Death) {
 	g.notifyHosts(d)
 	if g.quarantine.enqueue(g.deathKey(d), d) {
 		go g.sendDeaths()
 	}
 }
 
+// clear records that the request has run to its end, and tells the other hosts if it was suspect.
+func (c *call) clear() {
+	cleared := c.g.quarantine.table.RecordCompletion(time.Now(), c.fingerprint)
+	if len(cleared) == 0 {
+		return
+	}
+	c.g.log.Info().Str("event", "request_cleared").Str("request", c.req.ID).Str("fingerprint", formatFingerprint(c.fingerprint)).
+		Int("deaths", len(cleared)).Msg("")
+	for _, d := range cleared {
+		c.g.publishDeath(d)
+	}
+}
+
 func (g *Gateway) logDeath(d quarantine.Death, by string) {
 	g.log.Warn().Str("event", "endpoint_died").Str("endpoint", d.Endpoint).Str("zone", d.Zone).Str("by", by).
 		Int("running", len(d.Running)).Bool("announced", d.Announced).Msg("")
@@ -227,7 +245,12 @@
 func (q *quarantineState) enqueue(key string, d quarantine.Death) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	q.own[key], q.unsent[key] = d, true
+	merged, known := q.own[key]
+	if !known {
+		merged = quarantine.Death{Endpoint: d.Endpoint, Incarnation: d.Incarnation, Zone: d.Zone, At: d.At}
+	}
+	merged.Merge(d)
+	q.own[key], q.unsent[key] = merged, true
 	starts := !q.sending
 	q.sending = true
 	return starts
--- a/node/attempts.go
+++ b/node/attempts.go
@@ -244,7 +244,9 @@
 func (n *Node) resultOf(ctx context.Context, a *Accepted, r *runningAttempt, err, cause error) attempt.Result {
 	switch {
 	case err == nil:
-		n.quarantine.RecordCompletion(time.Now(), a.Request.Fingerprint)
+		for _, d := range n.quarantine.RecordCompletion(time.Now(), a.Request.Fingerprint) {
+			n.publishRecord(d)
+		}
 		return attempt.ResultComplete
 	case errors.Is(cause, errAttemptMoved):
 		return attempt.ResultMoved
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -101,14 +101,18 @@
 	}
 }
 
-// publishDeath records a death locally and, in the background, notifies peers and
-// appends it to the log. A death that is already known is not published again.
+// publishDeath records a death locally and publishes it. A death that is already known is not published again.
 func (n *Node) publishDeath(d quarantine.Death) {
 	if !n.quarantine.Add(time.Now(), d) {
 		return
 	}
 	n.log.Warn().Str("endpoint", d.Endpoint).Int("running", len(d.Running)).Bool("announced", d.Announced).Msg("endpoint died")
 	n.metrics.deaths.Inc()
+	n.publishRecord(d)
+}
+
+// publishRecord, in the background, notifies peers of a record of a death and appends it to the log.
+func (n *Node) publishRecord(d quarantine.Death) {
 	n.tomb.Go(func() error {
 		n.notifyPeers([]quarantine.Death{d})
 		return nil
--- a/quarantine/ledger.go
+++ b/quarantine/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -38,8 +39,13 @@
 		return errors.Wrap(ErrMalformed, err.Error())
 	}
 	l.mu.Lock()
-	l.deaths = append(l.deaths, d)
-	l.deaths = l.deaths[max(len(l.deaths)-maxDeaths, 0):]
+	known := slices.IndexFunc(l.deaths, func(other Death) bool { return other.key() == d.key() })
+	if known >= 0 {
+		l.deaths[known].Merge(d)
+	} else {
+		l.deaths = append(l.deaths, d.clone())
+		l.deaths = l.deaths[max(len(l.deaths)-maxDeaths, 0):]
+	}
 	l.mu.Unlock()
 	l.table.Add(l.now(), d)
 	return nil
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -63,6 +63,38 @@
 	Announced bool `json:"announced,omitempty"`
 	// Running holds the fingerprints of the requests, sorted.
 	Running []uint64 `json:"running"`
+	// Cleared holds those of Running that have completed since, sorted: they do not crash what runs them.
+	Cleared []uint64 `json:"cleared,omitempty"`
+}
+
+// Merge adds what another record of the same death holds. It reports whether that was new. Merging in any order
+// gives the same result, except for lists beyond maxRunning.
+func (d *Death) Merge(other Death) bool {
+	changed := other.Announced && !d.Announced
+	d.Announced = d.Announced || other.Announced
+	var ran, cleared bool
+	d.Running, ran = union(d.Running, other.Running)
+	d.Cleared, cleared = union(d.Cleared, other.Cleared)
+	return changed || ran || cleared
+}
+
+// union adds the elements of more to a sorted set of at most maxRunning, and reports whether it has grown.
+func union(set, more []uint64) ([]uint64, bool) {
+	grown := false
+	for _, f := range more {
+		if at, found := slices.BinarySearch(set, f); !found && len(set) < maxRunning {
+			set = slices.Insert(set, at, f)
+			grown = true
+		}
+	}
+	return set, grown
+}
+
+// clone returns a copy that shares nothing with d.
+func (d *Death) clone() Death {
+	c := *d
+	c.Running, c.Cleared = slices.Clone(d.Running), slices.Clone(d.Cleared)
+	return c
 }
 
 // Verdict says how a request may run.
@@ -99,6 +131,8 @@
 
 type deathKey struct{ endpoint, incarnation string }
 
+func (d *Death) key() deathKey { return deathKey{d.Endpoint, d.Incarnation} }
+
 // Table holds the deaths of the last SuspicionTTL. It is safe for concurrent
 // use.
 type Table struct {
@@ -129,7 +163,7 @@
 	if now.Sub(d.At) > SuspicionTTL || d.Endpoint == "" {
 		return false
 	}
-	key := deathKey{d.Endpoint, d.Incarnation}
+	key := d.key()
 	known, ok := t.byKey[key]
 	if !ok {
 		known = &Death{Endpoint: d.Endpoint, Incarnation: d.Incarnation, Zone: d.Zone, At: d.At}
@@ -150,17 +184,14 @@
 	}
 }
 
+// merge merges a record into a known death and keeps deathCounts.
 func (t *Table) merge(known *Death, d Death) bool {
-	changed := d.Announced && !known.Announced
-	known.Announced = known.Announced || d.Announced
-	for _, f := range d.Running {
-		at, found := slices.BinarySearch(known.Running, f)
-		if found || len(known.Running) >= maxRunning {
-			continue
+	before := slices.Clone(known.Running)
+	changed := known.Merge(d)
+	for _, f := range known.Running {
+		if _, found := slices.BinarySearch(before, f); !found {
+			t.deathCounts[f]++
 		}
-		known.Running = slices.Insert(known.Running, at, f)
-		t.deathCounts[f]++
-		changed = true
 	}
 	return changed
 }
@@ -173,7 +204,7 @@
 }
 
 func (t *Table) remove(d *Death) {
-	delete(t.byKey, deathKey{d.Endpoint, d.Incarnation})
+	delete(t.byKey, d.key())
 	for _, f := range d.Running {
 		t.deathCounts[f]--
 		if t.deathCounts[f] <= 0 {
@@ -183,14 +214,28 @@
 	}
 }
 
-// RecordCompletion records the completion of a request. Deaths before it no longer
-// count against the request, which has then run without crashing its endpoint.
-func (t *Table) RecordCompletion(now time.Time, fingerprint uint64) {
+// RecordCompletion records the completion of a request. Deaths before it no longer count against the request, which
+// has then run without crashing its endpoint. It returns records of the deaths that counted until then, which the
+// other hosts should merge.
+func (t *Table) RecordCompletion(now time.Time, fingerprint uint64) []Death {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.deathCounts[fingerprint] > 0 {
-		t.completedAt[fingerprint] = now
+	if t.deathCounts[fingerprint] == 0 {
+		return nil
 	}
+	t.completedAt[fingerprint] = now
+	var out []Death
+	for _, d := range t.deaths {
+		_, ran := slices.BinarySearch(d.Running, fingerprint)
+		if !ran || d.At.After(now) {
+			continue
+		}
+		cleared := Death{Endpoint: d.Endpoint, Incarnation: d.Incarnation, Zone: d.Zone, At: d.At, Running: []uint64{fingerprint}, Cleared: []uint64{fingerprint}}
+		if d.Merge(cleared) {
+			out = append(out, cleared)
+		}
+	}
+	return out
 }
 
 // Judge returns the verdict on a request.
@@ -266,7 +311,8 @@
 // completed since, and the death was not announced.
 func (t *Table) suspects(d *Death, fingerprint uint64) bool {
 	_, ran := slices.BinarySearch(d.Running, fingerprint)
-	return ran && !d.Announced && d.At.After(t.completedAt[fingerprint])
+	_, cleared := slices.BinarySearch(d.Cleared, fingerprint)
+	return ran && !cleared && !d.Announced && d.At.After(t.completedAt[fingerprint])
 }
 
 // correlated reports whether a death has likely another cause than a request that ran there: an unannounced
@@ -320,9 +366,7 @@
 	t.expire(now)
 	out := make([]Death, 0, len(t.deaths))
 	for _, d := range t.deaths {
-		c := *d
-		c.Running = slices.Clone(d.Running)
-		out = append(out, c)
+		out = append(out, d.clone())
 	}
 	return out
 }
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -118,6 +118,32 @@
 	is.Equal(len(table.State(start.Add(time.Hour))), 0)
 }
 
+// TestCompletionIsTold guards against a request that stays quarantined at other hosts after it has completed at one,
+// and against one that is cleared of a death that follows.
+func TestCompletionIsTold(t *testing.T) {
+	is := is.New(t)
+	first, second := quarantine.NewTable(), quarantine.NewTable()
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	for _, table := range []*quarantine.Table{first, second} {
+		table.Add(at(time.Second), death("a", "z1", 0, poison))
+		table.Add(at(time.Second), death("b", "z2", time.Second, poison, 5))
+	}
+	records := first.RecordCompletion(at(2*time.Second), poison)
+	is.Equal(len(records), 2)
+	is.Equal(len(first.RecordCompletion(at(3*time.Second), poison)), 0) // nothing new to tell
+	is.Equal(second.Judge(at(2*time.Second), poison).Verdict, quarantine.VerdictQuarantine)
+	for _, d := range records {
+		is.True(second.Add(at(2*time.Second), d))
+	}
+	for _, table := range []*quarantine.Table{first, second} {
+		is.Equal(table.Judge(at(2*time.Second), poison).Verdict, quarantine.VerdictClear)
+		is.Equal(table.Judge(at(2*time.Second), 5).Verdict, quarantine.VerdictIsolate) // the other request is not cleared
+		table.Add(at(4*time.Second), death("c", "z1", 4*time.Second, poison))
+		table.Add(at(5*time.Second), death("d", "z2", 5*time.Second, poison))
+		is.Equal(table.Judge(at(5*time.Second), poison).Verdict, quarantine.VerdictQuarantine)
+	}
+}
+
 // TestLedger guards against verdicts that differ between a host that folded the
 // log and one that imported a checkpoint.
 func TestLedger(t *testing.T) {
@@ -130,11 +156,18 @@
 		is.NoErr(err)
 		is.NoErr(ledger.Fold(record.Position{}, e))
 	}
+	cleared := death("a", "z1", 0, 5)
+	cleared.Cleared = []uint64{5}
+	e, err := record.New(record.KindQuarantine, "host", cleared)
+	is.NoErr(err)
+	is.NoErr(ledger.Fold(record.Position{}, e))
 	raw, err := ledger.Export()
 	is.NoErr(err)
 	is.NoErr(quarantine.NewLedger(second, now).Import(raw))
 	for _, table := range []*quarantine.Table{first, second} {
 		is.Equal(table.Judge(now(), poison).Verdict, quarantine.VerdictQuarantine)
+		is.Equal(table.Judge(now(), 5).Verdict, quarantine.VerdictClear)
+		is.Equal(len(table.Deaths(now())), 2)
 	}
 	is.True(ledger.Fold(record.Position{}, record.Envelope{Body: []byte("{")}) != nil)
 }
