--- a/gateway/log.go
+++ b/gateway/log.go
@@ -58,6 +58,17 @@
 		Str("endpoint", a.view.ID).Str("result", string(result)).Msg("")
 }
 
+// sharedParts returns the ids of the parts of the prompt that other requests may have too.
+func (c *call) sharedParts() []string {
+	var ids []string
+	for i, p := range c.req.Parts {
+		if i < len(c.req.Parts)-1 {
+			ids = append(ids, p.ID)
+		}
+	}
+	return ids
+}
+
 // logAttempt logs an attempt without a complete answer and the step that follows.
 func (c *call) logAttempt(a *endpointAttempt, o outcome, next step, err error) {
 	now := time.Now()
@@ -68,6 +79,12 @@
 	if c.ending.framing != "" {
 		e.Str("framing", string(c.ending.framing)).Int("unfinished", c.ending.unfinished)
 	}
+	if !c.firstAt.IsZero() {
+		e.Int64("answering_ms", now.Sub(c.firstAt).Milliseconds())
+	}
+	if shared := c.sharedParts(); len(shared) > 0 {
+		e.Strs("parts", shared)
+	}
 	if err != nil {
 		e.Str("error", err.Error())
 	}
