--- a/gateway/crashing_test.go
+++ b/gateway/crashing_test.go
@@ -196,10 +196,23 @@
 
 // soundTraffic sends sound requests at random hosts until stopped and counts what becomes of them.
 type soundTraffic struct {
-	mu                        sync.Mutex
-	sent, served, quarantined int
-	stop                      chan struct{}
-	done                      sync.WaitGroup
+	mu sync.Mutex
+	soundCounts
+	stop chan struct{}
+	done sync.WaitGroup
+}
+
+type soundCounts struct{ sent, served, quarantined int }
+
+func (c soundCounts) share() float64 { return float64(c.served) / float64(max(c.sent, 1)) }
+
+// take returns what has been counted since the last time.
+func (s *soundTraffic) take() soundCounts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	counted := s.soundCounts
+	s.soundCounts = soundCounts{}
+	return counted
 }
 
 const soundInterval = 40 * time.Millisecond
