Quarantine parts of prompts under which endpoints ended

Cause: a quarantine knew whole requests only, and each of these came once.

Change: a death also lists the parts of the prompts that may have caused it: those of requests which had not been answering for 500 ms when the endpoint ended, without the request's own part. A part is cleared of the deaths before a request with it began an answer that went on for 500 ms or to its end; that is told like completions. Three deaths at least a second apart that no two requests explain identify the parts that all of them have in common and nobody has cleared. A request with all of these is refused, so sound requests that share some of them are not. Deaths that lethal parts explain count against no request.

Ruled out: counting deaths by part alone, as the first part is at each of them; refusing by any part in doubt, for the same reason; verdicts as records, for the reasons in docs/decisions/0014.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -40,6 +40,8 @@
 	guard     problem.Guard
 	// fingerprint identifies the request among the repetitions of it, see quarantine.Fingerprint.
 	fingerprint uint64
+	// partKeys are the keys of the shared parts of the prompt, sorted, see quarantine.PartKey.
+	partKeys []uint64
 
 	// Used only by the goroutine that serves the request.
 	tried        map[string]bool
@@ -102,6 +104,9 @@
 	kvCopy    *port.KVCopy
 	// inFlight identifies the attempt in quarantineState.inFlight while it may be running; empty otherwise.
 	inFlight string
+	// begunAt is when its answer began; partsCleared is set once it has cleared the parts of the prompt.
+	begunAt      time.Time
+	partsCleared bool
 }
 
 func (c *call) endpointID() string {
@@ -141,7 +146,7 @@
 			continue
 		case stepDone:
 			c.recordGenerationTime()
-			c.clear()
+			c.clear(a)
 			c.g.recordCompletion(c)
 			c.logEnd("served")
 		case stepStop:
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -74,7 +74,7 @@
 
 // evaluate returns the verdict on the request.
 func (c *call) evaluate(now time.Time) quarantine.Evaluation {
-	return c.g.quarantine.table.Judge(now, c.fingerprint)
+	return c.g.quarantine.table.Judge(now, c.fingerprint, c.partKeys)
 }
 
 // refuseQuarantined refuses a request under which endpoints have ended. The status is one after which callers may
@@ -85,6 +85,9 @@
 		return nil
 	}
 	detail := "endpoints ended while running it: " + strconv.Itoa(e.Deaths)
+	if len(e.Parts) > 0 {
+		detail = "endpoints ended while running requests with a part of its prompt: " + strconv.Itoa(e.Deaths)
+	}
 	return c.notRun(http.StatusServiceUnavailable, problem.TypeQuarantined, detail).WithRetryAfter(e.Until.Sub(now))
 }
 
@@ -116,7 +119,7 @@
 	q.attempts++
 	a.inFlight = strconv.FormatInt(q.attempts, 10)
 	q.mu.Unlock()
-	q.inFlight.Add(a.view.ID, a.inFlight, c.fingerprint)
+	q.inFlight.Add(a.view.ID, a.inFlight, quarantine.Run{Fingerprint: c.fingerprint, Parts: c.partKeys})
 }
 
 // endInFlight undoes beginInFlight. broke is as in quarantine.InFlight.Remove.
@@ -201,6 +204,7 @@
 		Endpoint: v.ID, Incarnation: strconv.FormatInt(v.Born, 10), Zone: v.Zone, At: now,
 		Announced: !ok || listed.State != fleet.StateReady || !listed.LeavesAt.IsZero(),
 		Running:   g.quarantine.inFlight.FingerprintsAt(v.ID, now),
+		Parts:     g.quarantine.inFlight.SuspectPartsAt(v.ID, now),
 	}
 	if !g.quarantine.table.Add(now, d) {
 		return
@@ -218,8 +222,13 @@
 	}
 }
 
-// clear records that the request has run to its end, and tells the other hosts if it was suspect.
-func (c *call) clear() {
+// clear records that the request has run to its end in an attempt, and tells the other hosts if it or parts of its
+// prompt were suspect.
+func (c *call) clear(a *endpointAttempt) {
+	if a.begunAt.IsZero() {
+		a.begunAt = a.startedAt
+	}
+	c.clearParts(a.begunAt)
 	cleared := c.g.quarantine.table.RecordCompletion(time.Now(), c.fingerprint)
 	if len(cleared) == 0 {
 		return
@@ -231,9 +240,30 @@
 	}
 }
 
+// clearParts tells the other hosts that the parts of the prompt do not crash endpoints, if any of them was suspect:
+// a request with them has been answering since began.
+func (c *call) clearParts(began time.Time) {
+	for _, d := range c.g.quarantine.table.ClearParts(began, c.partKeys) {
+		c.g.publishDeath(d)
+	}
+}
+
+// recordAnswering records that the answer of an attempt goes on. Once it has done so for a while, it clears the parts
+// of the prompt.
+func (c *call) recordAnswering(now time.Time, a *endpointAttempt) {
+	switch {
+	case a.begunAt.IsZero():
+		a.begunAt = now
+		c.g.quarantine.inFlight.Begin(a.view.ID, a.inFlight, now)
+	case !a.partsCleared && now.Sub(a.begunAt) >= quarantine.AnsweringTime:
+		a.partsCleared = true
+		c.clearParts(a.begunAt)
+	}
+}
+
 func (g *Gateway) logDeath(d quarantine.Death, by string) {
 	g.log.Warn().Str("event", "endpoint_died").Str("endpoint", d.Endpoint).Str("zone", d.Zone).Str("by", by).
-		Int("running", len(d.Running)).Bool("announced", d.Announced).Msg("")
+		Int("running", len(d.Running)).Int("parts", len(d.Parts)).Bool("announced", d.Announced).Msg("")
 }
 
 // deathKey returns the key of this host's record of a death. What several hosts had running there is merged.
@@ -374,7 +404,7 @@
 // result is as of this host's steady clock.
 func (g *Gateway) addDeath(now time.Time, d quarantine.Death, by string) time.Time {
 	d.At = now.Add(-max(g.clock.Wall(now).Sub(d.At), 0))
-	if g.quarantine.table.Add(now, d) {
+	if g.quarantine.table.Add(now, d) && len(d.Cleared)+len(d.ClearedParts) == 0 {
 		g.logDeath(d, by)
 	}
 	return d.At
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -14,19 +14,20 @@
 
 // State is a snapshot of a process's state, for debugging.
 type State struct {
-	Host         string                 `json:"host"`
-	Ready        bool                   `json:"ready"`
-	Leaving      bool                   `json:"leaving"`
-	Config       int64                  `json:"configuration"`
-	InProgress   int                    `json:"in_progress"`
-	StoreAge     time.Duration          `json:"store_age_ns"`
-	Endpoints    []fleet.View           `json:"endpoints"`
-	Placement    []placement.Row        `json:"placement"`
-	Quota        []quota.WorkspaceState `json:"quota"`
-	Hosts        []presence.Report      `json:"hosts"`
-	FencingToken int64                  `json:"duty_fence"`
-	Suspected    []quarantine.Row       `json:"suspected"`
-	Deaths       []quarantine.Death     `json:"deaths"`
+	Host         string                   `json:"host"`
+	Ready        bool                     `json:"ready"`
+	Leaving      bool                     `json:"leaving"`
+	Config       int64                    `json:"configuration"`
+	InProgress   int                      `json:"in_progress"`
+	StoreAge     time.Duration            `json:"store_age_ns"`
+	Endpoints    []fleet.View             `json:"endpoints"`
+	Placement    []placement.Row          `json:"placement"`
+	Quota        []quota.WorkspaceState   `json:"quota"`
+	Hosts        []presence.Report        `json:"hosts"`
+	FencingToken int64                    `json:"duty_fence"`
+	Suspected    []quarantine.Row         `json:"suspected"`
+	Deaths       []quarantine.Death       `json:"deaths"`
+	LethalParts  []quarantine.LethalParts `json:"lethal_parts"`
 }
 
 // State returns the current state.
@@ -37,6 +38,7 @@
 		Endpoints: g.fleet.All(), Placement: g.placement.State(), Quota: g.quota.State(),
 		Hosts: g.presence.Live(), FencingToken: g.leader.fencingToken(now),
 		Suspected: g.quarantine.table.State(now), Deaths: g.quarantine.table.Deaths(now),
+		LethalParts: g.quarantine.table.LethalParts(now),
 	}
 	if c := g.catalog.Current(); c != nil {
 		s.Config = c.Version
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -185,6 +185,7 @@
 		c.g.settle(c.placer, settlement{Ticket: c.ticket, Started: now.Sub(a.startedAt)})
 	}
 	c.recordSoftware(a)
+	c.recordAnswering(now, a)
 	if c.events == 0 {
 		c.firstAt = now
 		c.countUsage()
--- a/node/attempts.go
+++ b/node/attempts.go
@@ -12,6 +12,7 @@
 	"github.com/cicadanotch/cicadanotch/attempt"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/problem"
+	"github.com/cicadanotch/cicadanotch/quarantine"
 	"github.com/cicadanotch/cicadanotch/record"
 )
 
@@ -213,7 +214,7 @@
 	defer cancel(nil)
 	r.cancel, r.started, r.firstIndex = cancel, time.Now(), a.Answer.Len()
 	a.setCurrent(r)
-	n.inFlight.Add(r.host.ID, r.id, a.Request.Fingerprint)
+	n.inFlight.Add(r.host.ID, r.id, quarantine.Run{Fingerprint: a.Request.Fingerprint})
 	err := run(attemptCtx, r)
 	moved := err != nil && a.awaitMove(ctx)
 	n.inFlight.Remove(r.host.ID, r.id, !moved && isAny(err, port.ErrEndpointBroken), time.Now())
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -80,7 +80,7 @@
 // no request is refused on the observations of this host only.
 func (n *Node) confirmQuarantine(ctx context.Context, running []uint64) {
 	suspected := slices.ContainsFunc(running, func(f uint64) bool {
-		return n.quarantine.Judge(time.Now(), f).Verdict == quarantine.VerdictQuarantine
+		return n.quarantine.Judge(time.Now(), f, nil).Verdict == quarantine.VerdictQuarantine
 	})
 	if !suspected {
 		return
@@ -194,7 +194,7 @@
 // refuseQuarantined refuses a request that is quarantined.
 func (n *Node) refuseQuarantined(req *request.Request, guard *problem.Guard) *problem.Problem {
 	now := time.Now()
-	j := n.quarantine.Judge(now, req.Fingerprint)
+	j := n.quarantine.Judge(now, req.Fingerprint, nil)
 	if j.Verdict != quarantine.VerdictQuarantine {
 		return nil
 	}
@@ -217,7 +217,7 @@
 // placementFor returns where a request may run; it returns false if the request is
 // quarantined. excluded holds the endpoints that must not be chosen again.
 func (n *Node) placementFor(ctx context.Context, a *Accepted, excluded map[string]bool) (placement, bool) {
-	j := n.quarantine.Judge(time.Now(), a.Request.Fingerprint)
+	j := n.quarantine.Judge(time.Now(), a.Request.Fingerprint, nil)
 	switch j.Verdict {
 	case quarantine.VerdictQuarantine:
 		return placement{}, false
--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -49,7 +49,7 @@
 			peers.set(id, n)
 			return n
 		}
-		verdict := func(n *Node) quarantine.Verdict { return n.quarantine.Judge(time.Now(), suspect).Verdict }
+		verdict := func(n *Node) quarantine.Verdict { return n.quarantine.Judge(time.Now(), suspect, nil).Verdict }
 		first, second, third := start("entry-0"), start("entry-1"), start("entry-2")
 		time.Sleep(3 * time.Second)
 		for _, endpoint := range []string{"a", "b"} {
--- a/quarantine/inflight.go
+++ b/quarantine/inflight.go
@@ -21,9 +21,17 @@
 	isolated map[string]bool
 }
 
+// Run is what an attempt runs: the request's fingerprint and the keys of the parts of its prompt, without its own part.
+type Run struct {
+	Fingerprint uint64
+	Parts       []uint64
+}
+
 // inFlightAttempt is an attempt that runs or broke within brokenAttemptTTL.
 type inFlightAttempt struct {
-	fingerprint uint64
+	Run
+	// begunAt is when its answer began; zero before that.
+	begunAt time.Time
 	// brokeAt is when the attempt broke; zero while it is running.
 	brokeAt time.Time
 }
@@ -38,7 +46,7 @@
 }
 
 // Add adds an attempt that is about to be sent.
-func (f *InFlight) Add(endpoint, attemptID string, fingerprint uint64) {
+func (f *InFlight) Add(endpoint, attemptID string, run Run) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	rows, ok := f.endpoints[endpoint]
@@ -46,7 +54,7 @@
 		rows = map[string]inFlightAttempt{}
 		f.endpoints[endpoint] = rows
 	}
-	rows[attemptID] = inFlightAttempt{fingerprint: fingerprint}
+	rows[attemptID] = inFlightAttempt{Run: run}
 }
 
 // Remove removes an attempt. One that broke is retained for brokenAttemptTTL, and
@@ -79,7 +87,36 @@
 	var out []uint64
 	for _, row := range f.endpoints[endpoint] {
 		if row.brokeAt.IsZero() || now.Sub(row.brokeAt) <= brokenAttemptTTL {
-			out = append(out, row.fingerprint)
+			out = append(out, row.Fingerprint)
+		}
+	}
+	slices.Sort(out)
+	return slices.Compact(out)
+}
+
+// Begin records that the answer to an attempt has begun.
+func (f *InFlight) Begin(endpoint, attemptID string, now time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if row, ok := f.endpoints[endpoint][attemptID]; ok && row.begunAt.IsZero() {
+		row.begunAt = now
+		f.endpoints[endpoint][attemptID] = row
+	}
+}
+
+// SuspectPartsAt returns, sorted, the keys of the parts of prompts that may cause the death of an endpoint: those of
+// the requests that run there or broke there within brokenAttemptTTL and had not been answering for AnsweringTime.
+func (f *InFlight) SuspectPartsAt(endpoint string, now time.Time) []uint64 {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var out []uint64
+	for _, row := range f.endpoints[endpoint] {
+		end := row.brokeAt
+		if end.IsZero() {
+			end = now
+		}
+		if now.Sub(end) <= brokenAttemptTTL && (row.begunAt.IsZero() || end.Sub(row.begunAt) < AnsweringTime) {
+			out = append(out, row.Parts...)
 		}
 	}
 	slices.Sort(out)
@@ -94,7 +131,7 @@
 	var out []string
 	for endpoint, rows := range f.endpoints {
 		for _, row := range rows {
-			if _, found := slices.BinarySearch(fingerprints, row.fingerprint); found && row.brokeAt.IsZero() {
+			if _, found := slices.BinarySearch(fingerprints, row.Fingerprint); found && row.brokeAt.IsZero() {
 				out = append(out, endpoint)
 				break
 			}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -14,6 +14,9 @@
 // the other quarantine it even if others died in the zone: a request that is sent
 // on cannot follow the loss of a zone that often.
 //
+// Parts of prompts that crash endpoints are found likewise, see parts.go. Deaths
+// that they explain count against no request.
+//
 // Time is passed in; the package does no I/O.
 package quarantine
 
@@ -65,6 +68,10 @@
 	Running []uint64 `json:"running"`
 	// Cleared holds those of Running that have completed since, sorted: they do not crash what runs them.
 	Cleared []uint64 `json:"cleared,omitempty"`
+	// Parts holds the keys of the parts of prompts that may have caused the death, ClearedParts those of them with
+	// which requests have been answered since; see parts.go. Both are sorted.
+	Parts        []uint64 `json:"parts,omitempty"`
+	ClearedParts []uint64 `json:"cleared_parts,omitempty"`
 }
 
 // Merge adds what another record of the same death holds. It reports whether that was new. Merging in any order
@@ -72,10 +79,15 @@
 func (d *Death) Merge(other Death) bool {
 	changed := other.Announced && !d.Announced
 	d.Announced = d.Announced || other.Announced
-	var ran, cleared bool
-	d.Running, ran = union(d.Running, other.Running)
-	d.Cleared, cleared = union(d.Cleared, other.Cleared)
-	return changed || ran || cleared
+	for _, list := range []struct {
+		own  *[]uint64
+		more []uint64
+	}{{&d.Running, other.Running}, {&d.Cleared, other.Cleared}, {&d.Parts, other.Parts}, {&d.ClearedParts, other.ClearedParts}} {
+		grown := false
+		*list.own, grown = union(*list.own, list.more)
+		changed = changed || grown
+	}
+	return changed
 }
 
 // union adds the elements of more to a sorted set of at most maxRunning, and reports whether it has grown.
@@ -94,6 +106,7 @@
 func (d *Death) clone() Death {
 	c := *d
 	c.Running, c.Cleared = slices.Clone(d.Running), slices.Clone(d.Cleared)
+	c.Parts, c.ClearedParts = slices.Clone(d.Parts), slices.Clone(d.ClearedParts)
 	return c
 }
 
@@ -122,6 +135,8 @@
 	// whose deaths count.
 	Score  float64 `json:"score"`
 	Deaths int     `json:"deaths"`
+	// Parts holds the parts of the prompt that the verdict is on; it is empty for one on the request as a whole.
+	Parts []uint64 `json:"parts,omitempty"`
 	// CoRunning holds the co-running requests: those that ran on an endpoint whose
 	// death counts against this request. It must not run beside them. Sorted.
 	CoRunning []uint64 `json:"-"`
@@ -144,11 +159,16 @@
 	// completedAt is the time at which a request listed in a death last
 	// completed.
 	completedAt map[uint64]time.Time
+	// partDeaths is the number of deaths that count against each part of prompts.
+	partDeaths map[uint64]int
+	// lethal is the result of lethalParts; it is valid while lethalKnown is set.
+	lethal      []LethalParts
+	lethalKnown bool
 }
 
 // NewTable returns an empty table.
 func NewTable() *Table {
-	return &Table{byKey: map[deathKey]*Death{}, deathCounts: map[uint64]int{}, completedAt: map[uint64]time.Time{}}
+	return &Table{byKey: map[deathKey]*Death{}, deathCounts: map[uint64]int{}, completedAt: map[uint64]time.Time{}, partDeaths: map[uint64]int{}}
 }
 
 // Add merges a death into the table. It reports whether the table changed, in
@@ -184,16 +204,25 @@
 	}
 }
 
-// merge merges a record into a known death and keeps deathCounts.
+// merge merges a record into a known death and keeps the counts.
 func (t *Table) merge(known *Death, d Death) bool {
-	before := slices.Clone(known.Running)
+	t.count(known, -1)
 	changed := known.Merge(d)
-	for _, f := range known.Running {
-		if _, found := slices.BinarySearch(before, f); !found {
-			t.deathCounts[f]++
+	t.count(known, 1)
+	t.lethalKnown = t.lethalKnown && !changed
+	return changed
+}
+
+// count adds n to the counts of what a death lists.
+func (t *Table) count(d *Death, n int) {
+	for _, f := range d.Running {
+		t.deathCounts[f] += n
+	}
+	for _, p := range d.suspectParts() {
+		if t.partDeaths[p] += n; t.partDeaths[p] == 0 {
+			delete(t.partDeaths, p)
 		}
 	}
-	return changed
 }
 
 func (t *Table) expire(now time.Time) {
@@ -205,8 +234,9 @@
 
 func (t *Table) remove(d *Death) {
 	delete(t.byKey, d.key())
+	t.lethalKnown = false
+	t.count(d, -1)
 	for _, f := range d.Running {
-		t.deathCounts[f]--
 		if t.deathCounts[f] <= 0 {
 			delete(t.deathCounts, f)
 			delete(t.completedAt, f)
@@ -238,14 +268,21 @@
 	return out
 }
 
-// Judge returns the verdict on a request.
-func (t *Table) Judge(now time.Time, fingerprint uint64) Evaluation {
+// Judge returns the verdict on a request; parts are the keys of the parts of its prompt, sorted, without its own part.
+func (t *Table) Judge(now time.Time, fingerprint uint64, parts []uint64) Evaluation {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.expire(now)
+	if len(parts) > 0 {
+		for _, l := range t.lethalParts() {
+			if l.within(parts) {
+				return Evaluation{Verdict: VerdictQuarantine, Deaths: l.Deaths, Parts: l.Parts, Until: l.Until}
+			}
+		}
+	}
 	if t.deathCounts[fingerprint] == 0 {
 		return Evaluation{Verdict: VerdictClear}
 	}
-	t.expire(now)
 	return t.evaluate(fingerprint)
 }
 
@@ -256,7 +293,7 @@
 	var common []uint64
 	var all deathSeries
 	for _, d := range t.deaths {
-		if !t.suspects(d, fingerprint) {
+		if !t.suspects(d, fingerprint) || t.explained(d) {
 			continue
 		}
 		all.add(d)
@@ -323,7 +360,7 @@
 			other.At.Sub(d.At).Abs() > correlationWindow {
 			continue
 		}
-		if _, ranThere := slices.BinarySearch(other.Running, fingerprint); !ranThere {
+		if _, ranThere := slices.BinarySearch(other.Running, fingerprint); !ranThere && !t.explained(other) {
 			return true
 		}
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -101,7 +101,7 @@
 				if tc.completed > 0 {
 					table.RecordCompletion(start.Add(tc.completed), poison)
 				}
-				is.Equal(table.Judge(at, poison).Verdict, tc.want)
+				is.Equal(table.Judge(at, poison, nil).Verdict, tc.want)
 			}
 		})
 	}
@@ -112,7 +112,7 @@
 	table := quarantine.NewTable()
 	is.True(table.Add(start, death("a", "z1", 0, poison, 5, 9)))
 	is.True(!table.Add(start, death("a", "z1", 0, poison, 9))) // nothing new to forward
-	is.Equal(table.Judge(start, poison).CoRunning, []uint64{5, 9})
+	is.Equal(table.Judge(start, poison, nil).CoRunning, []uint64{5, 9})
 	is.Equal(len(table.State(start)), 3)
 	is.Equal(len(table.Deaths(start.Add(time.Hour))), 0)
 	is.Equal(len(table.State(start.Add(time.Hour))), 0)
@@ -131,16 +131,16 @@
 	records := first.RecordCompletion(at(2*time.Second), poison)
 	is.Equal(len(records), 2)
 	is.Equal(len(first.RecordCompletion(at(3*time.Second), poison)), 0) // nothing new to tell
-	is.Equal(second.Judge(at(2*time.Second), poison).Verdict, quarantine.VerdictQuarantine)
+	is.Equal(second.Judge(at(2*time.Second), poison, nil).Verdict, quarantine.VerdictQuarantine)
 	for _, d := range records {
 		is.True(second.Add(at(2*time.Second), d))
 	}
 	for _, table := range []*quarantine.Table{first, second} {
-		is.Equal(table.Judge(at(2*time.Second), poison).Verdict, quarantine.VerdictClear)
-		is.Equal(table.Judge(at(2*time.Second), 5).Verdict, quarantine.VerdictIsolate) // the other request is not cleared
+		is.Equal(table.Judge(at(2*time.Second), poison, nil).Verdict, quarantine.VerdictClear)
+		is.Equal(table.Judge(at(2*time.Second), 5, nil).Verdict, quarantine.VerdictIsolate) // the other request is not cleared
 		table.Add(at(4*time.Second), death("c", "z1", 4*time.Second, poison))
 		table.Add(at(5*time.Second), death("d", "z2", 5*time.Second, poison))
-		is.Equal(table.Judge(at(5*time.Second), poison).Verdict, quarantine.VerdictQuarantine)
+		is.Equal(table.Judge(at(5*time.Second), poison, nil).Verdict, quarantine.VerdictQuarantine)
 	}
 }
 
@@ -165,8 +165,8 @@
 	is.NoErr(err)
 	is.NoErr(quarantine.NewLedger(second, now).Import(raw))
 	for _, table := range []*quarantine.Table{first, second} {
-		is.Equal(table.Judge(now(), poison).Verdict, quarantine.VerdictQuarantine)
-		is.Equal(table.Judge(now(), 5).Verdict, quarantine.VerdictClear)
+		is.Equal(table.Judge(now(), poison, nil).Verdict, quarantine.VerdictQuarantine)
+		is.Equal(table.Judge(now(), 5, nil).Verdict, quarantine.VerdictClear)
 		is.Equal(len(table.Deaths(now())), 2)
 	}
 	is.True(ledger.Fold(record.Position{}, record.Envelope{Body: []byte("{")}) != nil)
@@ -181,17 +181,17 @@
 	idle := []string{"b", "c", "d"}
 	used := map[string]bool{}
 	for f := uint64(1); f <= 3; f++ {
-		endpoint, ok := table.Judge(start, f).IsolatedEndpoint(f, idle)
+		endpoint, ok := table.Judge(start, f, nil).IsolatedEndpoint(f, idle)
 		is.True(ok)
 		is.True(!used[endpoint]) // no two share an endpoint
 		used[endpoint] = true
 	}
-	_, ok := table.Judge(start, 4).IsolatedEndpoint(4, idle)
+	_, ok := table.Judge(start, 4, nil).IsolatedEndpoint(4, idle)
 	is.True(!ok) // more co-running requests than idle endpoints
-	_, ok = table.Judge(start, 1).IsolatedEndpoint(1, nil)
+	_, ok = table.Judge(start, 1, nil).IsolatedEndpoint(1, nil)
 	is.True(!ok)
 	table.Add(start, death("b", "z2", time.Second, 5, 6))
-	endpoint, ok := table.Judge(start, 6).IsolatedEndpoint(6, idle[:1])
+	endpoint, ok := table.Judge(start, 6, nil).IsolatedEndpoint(6, idle[:1])
 	is.True(ok) // a score of 0.5: isolated
 	is.Equal(endpoint, "b")
 }
@@ -206,12 +206,105 @@
 	for _, list := range lists {
 		used := map[string]bool{}
 		for _, f := range coRunning(8, 100) {
-			endpoint, ok := table.Judge(start, f).SeparateEndpoint(f, list)
+			endpoint, ok := table.Judge(start, f, nil).SeparateEndpoint(f, list)
 			is.True(ok)
 			is.True(!used[endpoint]) // no two share an endpoint
 			used[endpoint] = true
 		}
 	}
-	_, ok := table.Judge(start, 106).SeparateEndpoint(106, lists[0][:3])
+	_, ok := table.Judge(start, 106, nil).SeparateEndpoint(106, lists[0][:3])
 	is.True(!ok) // fewer endpoints than co-running requests
 }
+
+// TestLethalParts states which parts of prompts deaths identify.
+func TestLethalParts(t *testing.T) {
+	const (
+		system  = 100 // a part that all requests share
+		lethal  = 101
+		subject = 102
+	)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	died := func(endpoint string, after time.Duration, request uint64, parts ...uint64) quarantine.Death {
+		d := death(endpoint, "z1", after, request)
+		d.Parts = parts
+		return d
+	}
+	three := []quarantine.Death{
+		died("a", 0, 1, system, lethal), died("b", time.Second, 2, system, lethal), died("c", 2*time.Second, 3, system, lethal),
+	}
+	for name, tc := range map[string]struct {
+		deaths []quarantine.Death
+		// answered holds the parts of requests that are answered after all deaths.
+		answered []uint64
+		parts    []uint64 // of the request to judge
+		want     quarantine.Verdict
+	}{
+		"three deaths":                          {three, []uint64{system}, []uint64{system, lethal}, quarantine.VerdictQuarantine},
+		"with another first part":               {three, []uint64{system}, []uint64{lethal, subject}, quarantine.VerdictQuarantine},
+		"a sound request":                       {three, []uint64{system}, []uint64{system, subject}, quarantine.VerdictClear},
+		"not told apart yet":                    {three, nil, []uint64{system, lethal}, quarantine.VerdictQuarantine},
+		"not told apart yet, a sound request":   {three, nil, []uint64{system, subject}, quarantine.VerdictClear},
+		"two deaths":                            {three[:2], []uint64{system}, []uint64{system, lethal}, quarantine.VerdictClear},
+		"answered since":                        {three, []uint64{system, lethal}, []uint64{system, lethal}, quarantine.VerdictClear},
+		"announced":                             {[]quarantine.Death{three[0], three[1], announced(three[2])}, nil, []uint64{system, lethal}, quarantine.VerdictClear},
+		"at one moment":                         {[]quarantine.Death{three[0], died("b", 100*time.Millisecond, 2, system, lethal), died("c", 200*time.Millisecond, 3, system, lethal)}, nil, []uint64{system, lethal}, quarantine.VerdictClear},
+		"one request is at all":                 {[]quarantine.Death{three[0], died("b", time.Second, 1, system, lethal), died("c", 2*time.Second, 1, system, lethal)}, nil, []uint64{system, lethal}, quarantine.VerdictClear},
+		"one request and a chance death":        {[]quarantine.Death{three[0], died("b", time.Second, 1, system, lethal), died("c", 2*time.Second, 3, system, lethal)}, nil, []uint64{system, lethal}, quarantine.VerdictClear},
+		"a part that was near":                  {[]quarantine.Death{died("a", 0, 1, lethal, subject), died("b", time.Second, 2, lethal, subject), died("c", 2*time.Second, 3, lethal, subject), died("d", 3*time.Second, 4, lethal)}, nil, []uint64{system, subject}, quarantine.VerdictClear},
+		"two lethal parts, that of one":         {[]quarantine.Death{three[0], died("d", 400*time.Millisecond, 5, subject), three[1], died("e", 1400*time.Millisecond, 6, subject), three[2], died("f", 2400*time.Millisecond, 7, subject)}, []uint64{system}, []uint64{system, subject}, quarantine.VerdictQuarantine},
+		"three deaths of one endpoint's starts": {[]quarantine.Death{three[0], {Endpoint: "a", Incarnation: "y", Zone: "z1", At: at(time.Second), Running: []uint64{2}, Parts: []uint64{lethal}}, {Endpoint: "a", Incarnation: "z", Zone: "z1", At: at(2 * time.Second), Running: []uint64{3}, Parts: []uint64{lethal}}}, nil, []uint64{lethal}, quarantine.VerdictClear},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			rng := rand.New(rand.NewPCG(1, 1))
+			for range 4 { // the verdict must not depend on the order of reports
+				table := quarantine.NewTable()
+				rng.Shuffle(len(tc.deaths), func(i, j int) { tc.deaths[i], tc.deaths[j] = tc.deaths[j], tc.deaths[i] })
+				for _, d := range tc.deaths {
+					table.Add(at(4*time.Second), d)
+				}
+				table.ClearParts(at(4*time.Second), tc.answered)
+				is.Equal(table.Judge(at(5*time.Second), 9, tc.parts).Verdict, tc.want)
+			}
+		})
+	}
+}
+
+// TestDeathsOfLethalPartsBlameNoRequest guards against sound requests that are quarantined because they ran beside
+// requests with a lethal part, also if another host has told of the deaths.
+func TestDeathsOfLethalPartsBlameNoRequest(t *testing.T) {
+	is := is.New(t)
+	const lethal, system = 101, 100
+	first, second := quarantine.NewTable(), quarantine.NewTable()
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	for i, endpoint := range []string{"a", "b", "c"} {
+		d := death(endpoint, "z"+endpoint, time.Duration(i)*time.Second, poison, uint64(10+i))
+		d.Parts = []uint64{system, lethal}
+		for _, table := range []*quarantine.Table{first, second} {
+			table.Add(at(3*time.Second), d)
+		}
+	}
+	is.Equal(first.Judge(at(3*time.Second), poison, []uint64{system}).Verdict, quarantine.VerdictQuarantine) // it ran at each death
+	for _, endpoint := range []string{"d", "e"} {
+		d := death(endpoint, "z"+endpoint, 4*time.Second, 20)
+		if endpoint == "e" {
+			d = death(endpoint, "z"+endpoint, 5*time.Second, 21)
+		}
+		d.Parts = []uint64{system, lethal}
+		for _, table := range []*quarantine.Table{first, second} {
+			table.Add(at(6*time.Second), d)
+		}
+	}
+	records := first.ClearParts(at(6*time.Second), []uint64{system})
+	is.Equal(len(records), 5)
+	is.Equal(len(first.ClearParts(at(6*time.Second), []uint64{system})), 0) // nothing new to tell
+	for _, d := range records {
+		is.True(second.Add(at(6*time.Second), d))
+	}
+	for _, table := range []*quarantine.Table{first, second} {
+		is.Equal(table.Judge(at(6*time.Second), poison, []uint64{system}).Verdict, quarantine.VerdictClear)
+		is.Equal(table.Judge(at(6*time.Second), 9, []uint64{system, lethal}).Parts, []uint64{lethal})
+		is.Equal(len(table.LethalParts(at(6*time.Second))), 1)
+		is.Equal(len(table.LethalParts(at(time.Hour))), 0)
+	}
+}
--- a/replay/suspects.go
+++ b/replay/suspects.go
@@ -82,7 +82,7 @@
 	for id := range e.isolated {
 		excluded[id] = true
 	}
-	j := e.suspects.Judge(e.sim.clock.time(), c.fingerprint)
+	j := e.suspects.Judge(e.sim.clock.time(), c.fingerprint, nil)
 	switch j.Verdict {
 	case quarantine.VerdictQuarantine:
 		return nil, false, false
