Refuse chats by messages that crash engines, in the other core too

The parts of a chat are its messages but the last; deaths list those of chats that had not been answering for 500 ms, answers clear them, and both are told as before. A completion has no parts.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -40,7 +40,7 @@
 	guard     problem.Guard
 	// fingerprint identifies the request among the repetitions of it, see quarantine.Fingerprint.
 	fingerprint uint64
-	// partKeys are the keys of the shared parts of the prompt, sorted, see quarantine.PartKey.
+	// partKeys are the keys of the shared parts of the prompt, sorted, see quarantine.PartKeys.
 	partKeys []uint64
 
 	// Used only by the goroutine that serves the request.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/cicadanotch/cicadanotch/catalog"
@@ -117,10 +116,7 @@
 		workspace = c.workspace.Name
 	}
 	c.fingerprint = quarantine.Fingerprint(c.req.Host, workspace, c.req.Method, c.req.Target, c.req.Body)
-	for _, id := range c.sharedParts() {
-		c.partKeys = append(c.partKeys, quarantine.PartKey(id))
-	}
-	slices.Sort(c.partKeys)
+	c.partKeys = quarantine.PartKeys(c.sharedParts())
 	name := c.route.Service(c.req.ID)
 	service, ok := snapshot.Services[name]
 	if !ok {
--- a/node/attempts.go
+++ b/node/attempts.go
@@ -60,6 +60,9 @@
 	firstIndex int
 	// kvHandle names the KV cache to resume from; empty for none.
 	kvHandle string
+	// begunAt is when its answer began; partsCleared is set once it has cleared the parts of the prompt.
+	begunAt      time.Time
+	partsCleared bool
 }
 
 // Move specifies where a request continues.
@@ -214,7 +217,7 @@
 	defer cancel(nil)
 	r.cancel, r.started, r.firstIndex = cancel, time.Now(), a.Answer.Len()
 	a.setCurrent(r)
-	n.inFlight.Add(r.host.ID, r.id, quarantine.Run{Fingerprint: a.Request.Fingerprint})
+	n.inFlight.Add(r.host.ID, r.id, quarantine.Run{Fingerprint: a.Request.Fingerprint, Parts: a.Request.Parts})
 	err := run(attemptCtx, r)
 	moved := err != nil && a.awaitMove(ctx)
 	n.inFlight.Remove(r.host.ID, r.id, !moved && isAny(err, port.ErrEndpointBroken), time.Now())
@@ -245,9 +248,7 @@
 func (n *Node) resultOf(ctx context.Context, a *Accepted, r *runningAttempt, err, cause error) attempt.Result {
 	switch {
 	case err == nil:
-		for _, d := range n.quarantine.RecordCompletion(time.Now(), a.Request.Fingerprint) {
-			n.publishRecord(d)
-		}
+		n.recordCompletion(a, r)
 		return attempt.ResultComplete
 	case errors.Is(cause, errAttemptMoved):
 		return attempt.ResultMoved
--- a/node/execute.go
+++ b/node/execute.go
@@ -133,6 +133,7 @@
 		return err
 	}
 	n.endpoints.recordFirstToken(a.Request, r.host.ID)
+	n.recordAnswering(a, r)
 	if c.Index == 0 {
 		n.metrics.firstToken.Observe(time.Since(a.Request.Arrived).Seconds())
 	}
--- a/node/plan.go
+++ b/node/plan.go
@@ -123,6 +123,7 @@
 	req.Stream, req.MaxTokens = prompt.Stream, prompt.MaxTokens
 	req.PromptTokens = prefix.Tokens(prompt.Text)
 	req.Blocks = prefix.Blocks(prompt.Model, prompt.Text)
+	req.Parts = quarantine.PartKeys(prompt.Shared)
 	req.Repeatable = true
 	return doc, nil
 }
--- a/node/quarantine.go
+++ b/node/quarantine.go
@@ -72,6 +72,7 @@
 		At:          now,
 		Announced:   n.hosts.leaving(host),
 		Running:     n.inFlight.FingerprintsAt(host.ID, now),
+		Parts:       n.inFlight.SuspectPartsAt(host.ID, now),
 	})
 }
 
@@ -111,6 +112,35 @@
 	n.publishRecord(d)
 }
 
+// recordAnswering records that the answer of an attempt goes on. Once it has done so for a while, it clears the parts
+// of the prompt.
+func (n *Node) recordAnswering(a *Accepted, r *runningAttempt) {
+	now := time.Now()
+	switch {
+	case r.begunAt.IsZero():
+		r.begunAt = now
+		n.inFlight.Begin(r.host.ID, r.id, now)
+	case !r.partsCleared && now.Sub(r.begunAt) >= quarantine.AnsweringTime:
+		r.partsCleared = true
+		n.publishRecords(n.quarantine.ClearParts(r.begunAt, a.Request.Parts))
+	}
+}
+
+// recordCompletion records that a request has run to its end in an attempt.
+func (n *Node) recordCompletion(a *Accepted, r *runningAttempt) {
+	if r.begunAt.IsZero() {
+		r.begunAt = r.started
+	}
+	n.publishRecords(n.quarantine.ClearParts(r.begunAt, a.Request.Parts))
+	n.publishRecords(n.quarantine.RecordCompletion(time.Now(), a.Request.Fingerprint))
+}
+
+func (n *Node) publishRecords(records []quarantine.Death) {
+	for _, d := range records {
+		n.publishRecord(d)
+	}
+}
+
 // publishRecord, in the background, notifies peers of a record of a death and appends it to the log.
 func (n *Node) publishRecord(d quarantine.Death) {
 	n.tomb.Go(func() error {
@@ -194,7 +224,7 @@
 // refuseQuarantined refuses a request that is quarantined.
 func (n *Node) refuseQuarantined(req *request.Request, guard *problem.Guard) *problem.Problem {
 	now := time.Now()
-	j := n.quarantine.Judge(now, req.Fingerprint, nil)
+	j := n.quarantine.Judge(now, req.Fingerprint, req.Parts)
 	if j.Verdict != quarantine.VerdictQuarantine {
 		return nil
 	}
@@ -217,7 +247,7 @@
 // placementFor returns where a request may run; it returns false if the request is
 // quarantined. excluded holds the endpoints that must not be chosen again.
 func (n *Node) placementFor(ctx context.Context, a *Accepted, excluded map[string]bool) (placement, bool) {
-	j := n.quarantine.Judge(time.Now(), a.Request.Fingerprint, nil)
+	j := n.quarantine.Judge(time.Now(), a.Request.Fingerprint, a.Request.Parts)
 	switch j.Verdict {
 	case quarantine.VerdictQuarantine:
 		return placement{}, false
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -25,8 +25,18 @@
 	minPartCauses = 3
 )
 
-// PartKey returns the key of a part of prompts.
-func PartKey(id string) uint64 { return xxhash.Sum64String(id) }
+// maxParts bounds the parts of one prompt that are considered, the first ones.
+const maxParts = 64
+
+// PartKeys returns the keys of parts of a prompt, given by their ids or texts, sorted.
+func PartKeys(parts []string) []uint64 {
+	var keys []uint64
+	for _, p := range parts[:min(len(parts), maxParts)] {
+		keys = append(keys, xxhash.Sum64String(p))
+	}
+	slices.Sort(keys)
+	return slices.Compact(keys)
+}
 
 // LethalParts are parts of prompts that together crash endpoints: mostly one, or several if no request has told them
 // apart yet. A request that has all of them must not run.
--- a/request/prompt.go
+++ b/request/prompt.go
@@ -18,7 +18,10 @@
 	Model string
 	// Text is the text of the prompt in the order in which the engine processes it. For a chat
 	// it holds the role and the text of each message; content parts without text are left out.
-	Text      string
+	Text string
+	// Shared holds the role and text of each message but the last: what other prompts may have too. It is
+	// empty for a completion.
+	Shared    []string
 	MaxTokens int
 	Stream    bool
 	// IncludeUsage requests token usage in the last event of the stream.
@@ -63,34 +66,34 @@
 	if b.N != nil && *b.N != 1 {
 		return p, errors.Wrap(ErrBadPrompt, `field "n" must be 1`)
 	}
-	var err error
-	p.Text, err = b.text(api)
+	messages, err := b.messages(api)
+	if err == nil {
+		p.Text, p.Shared = strings.Join(messages, ""), messages[:len(messages)-1]
+	}
 	return p, err
 }
 
-func (b *promptBody) text(api port.GenerateAPI) (string, error) {
+// messages returns the messages of the prompt, each with its role; a completion has one, without a role.
+func (b *promptBody) messages(api port.GenerateAPI) ([]string, error) {
 	if api == port.APICompletion {
 		var text string
 		if err := json.Unmarshal(b.Prompt, &text); err != nil {
-			return "", errors.Wrap(ErrBadPrompt, `field "prompt" must be a string`)
+			return nil, errors.Wrap(ErrBadPrompt, `field "prompt" must be a string`)
 		}
-		return text, nil
+		return []string{text}, nil
 	}
 	if len(b.Messages) == 0 {
-		return "", errors.Wrap(ErrBadPrompt, `field "messages" is missing or empty`)
+		return nil, errors.Wrap(ErrBadPrompt, `field "messages" is missing or empty`)
 	}
-	var out strings.Builder
+	out := make([]string, 0, len(b.Messages))
 	for i, m := range b.Messages {
 		text, err := contentText(m.Content)
 		if err != nil {
-			return "", errors.Wrapf(ErrBadPrompt, `field "messages[%d].content": %v`, i, err)
+			return nil, errors.Wrapf(ErrBadPrompt, `field "messages[%d].content": %v`, i, err)
 		}
-		out.WriteString(m.Role)
-		out.WriteByte('\n')
-		out.WriteString(text)
-		out.WriteByte('\n')
+		out = append(out, m.Role+"\n"+text+"\n")
 	}
-	return out.String(), nil
+	return out, nil
 }
 
 // contentText returns the text of a message's content, which is a string or a list of
--- a/request/request.go
+++ b/request/request.go
@@ -83,6 +83,8 @@
 	MaxTokens    int `json:"max_tokens,omitempty"`
 	// Blocks are the chained prefix block hashes of the prompt.
 	Blocks []uint64 `json:"blocks,omitempty"`
+	// Parts are the keys of the messages of the prompt but the last, sorted; see quarantine.PartKeys.
+	Parts []uint64 `json:"parts,omitempty"`
 
 	// Method, Path, ContentType, Repeatable and IdempotencyKey are set on
 	// KindCall.
