Do not count a death against a request that has just completed

A request that many callers send runs at many endpoints at once, and two of these crashed between two of its completions.

Change: a death within 5 s after a completion does not count, at the host that saw the completion or was told of it; what the host concludes is attached to the death and travels with it. A request that crashes each endpoint never completes.

TestRecentCompletionClears failed before.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -52,6 +52,11 @@
 	// for each death.
 	maxDeaths  = 512
 	maxRunning = 512
+	// recentCompletion is how long after a completion a death does not count against the request: if many
+	// callers send it at the same time, the next completion is under way.
+	recentCompletion = 5 * time.Second
+	// minCompletionsSwept is the number of completions from which old ones are removed.
+	minCompletionsSwept = 1024
 )
 
 // Death is the end of one endpoint process, with the requests that one or more
@@ -156,9 +161,10 @@
 	byKey  map[deathKey]*Death
 	// deathCounts is the number of deaths that list each fingerprint.
 	deathCounts map[uint64]int
-	// completedAt is the time at which a request listed in a death last
-	// completed.
+	// completedAt is the time at which a request last completed, or was learned to have.
 	completedAt map[uint64]time.Time
+	// sweepAt is the number of completions at which old ones are removed next.
+	sweepAt int
 	// partDeaths is the number of deaths that count against each part of prompts.
 	partDeaths map[uint64]int
 	// lethal is the result of lethalParts; it is valid while lethalKnown is set.
@@ -190,7 +196,33 @@
 		t.byKey[key] = known
 		t.insert(known)
 	}
-	return t.merge(known, d) || !ok
+	changed := t.merge(known, d) || !ok
+	for _, f := range d.Cleared {
+		t.completed(now, f)
+	}
+	t.clearRecentlyCompleted(known)
+	return changed
+}
+
+// clearRecentlyCompleted clears a death of the requests that had completed within recentCompletion before it.
+func (t *Table) clearRecentlyCompleted(d *Death) {
+	for _, f := range d.Running {
+		if at, ok := t.completedAt[f]; ok && d.At.Sub(at) <= recentCompletion {
+			d.Cleared, _ = union(d.Cleared, []uint64{f})
+		}
+	}
+}
+
+// completed records the time of a completion, and removes old ones now and then.
+func (t *Table) completed(now time.Time, fingerprint uint64) {
+	if now.After(t.completedAt[fingerprint]) {
+		t.completedAt[fingerprint] = now
+	}
+	if len(t.completedAt) < max(t.sweepAt, minCompletionsSwept) {
+		return
+	}
+	maps.DeleteFunc(t.completedAt, func(_ uint64, at time.Time) bool { return now.Sub(at) > recentCompletion })
+	t.sweepAt = 2 * len(t.completedAt)
 }
 
 // insert adds a death in order of time and removes the oldest if there are more
@@ -239,7 +271,6 @@
 	for _, f := range d.Running {
 		if t.deathCounts[f] <= 0 {
 			delete(t.deathCounts, f)
-			delete(t.completedAt, f)
 		}
 	}
 }
@@ -250,10 +281,10 @@
 func (t *Table) RecordCompletion(now time.Time, fingerprint uint64) []Death {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.completed(now, fingerprint)
 	if t.deathCounts[fingerprint] == 0 {
 		return nil
 	}
-	t.completedAt[fingerprint] = now
 	var out []Death
 	for _, d := range t.deaths {
 		_, ran := slices.BinarySearch(d.Running, fingerprint)
@@ -349,7 +380,7 @@
 func (t *Table) suspects(d *Death, fingerprint uint64) bool {
 	_, ran := slices.BinarySearch(d.Running, fingerprint)
 	_, cleared := slices.BinarySearch(d.Cleared, fingerprint)
-	return ran && !cleared && !d.Announced && d.At.After(t.completedAt[fingerprint])
+	return ran && !cleared && !d.Announced
 }
 
 // correlated reports whether a death has likely another cause than a request that ran there: an unannounced
