Leave it to the next completion to clear a death everywhere

Cause: since a host that had seen the request complete within 5 s marked the death as cleared on its own, so the completion after it had nothing left to tell. Now that host does not count the death, and the next completion clears and tells it.

TestRecentCompletionClears has the host that was not told; it failed before.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -200,19 +200,9 @@
 	for _, f := range d.Cleared {
 		t.completed(now, f)
 	}
-	t.clearRecentlyCompleted(known)
 	return changed
 }
 
-// clearRecentlyCompleted clears a death of the requests that had completed within recentCompletion before it.
-func (t *Table) clearRecentlyCompleted(d *Death) {
-	for _, f := range d.Running {
-		if at, ok := t.completedAt[f]; ok && d.At.Sub(at) <= recentCompletion {
-			d.Cleared, _ = union(d.Cleared, []uint64{f})
-		}
-	}
-}
-
 // completed records the time of a completion, and removes old ones now and then.
 func (t *Table) completed(now time.Time, fingerprint uint64) {
 	if now.After(t.completedAt[fingerprint]) {
@@ -221,7 +211,7 @@
 	if len(t.completedAt) < max(t.sweepAt, minCompletionsSwept) {
 		return
 	}
-	maps.DeleteFunc(t.completedAt, func(_ uint64, at time.Time) bool { return now.Sub(at) > recentCompletion })
+	maps.DeleteFunc(t.completedAt, func(f uint64, at time.Time) bool { return now.Sub(at) > recentCompletion && t.deathCounts[f] == 0 })
 	t.sweepAt = 2 * len(t.completedAt)
 }
 
@@ -376,11 +366,13 @@
 }
 
 // suspects reports whether a death raises suspicion against a request: the request ran there and has not
-// completed since, and the death was not announced.
+// completed since or, as far as this host knows, within recentCompletion before; and the death was not announced.
 func (t *Table) suspects(d *Death, fingerprint uint64) bool {
 	_, ran := slices.BinarySearch(d.Running, fingerprint)
 	_, cleared := slices.BinarySearch(d.Cleared, fingerprint)
-	return ran && !cleared && !d.Announced
+	completedAt, completed := t.completedAt[fingerprint]
+	lately := completed && d.At.Sub(completedAt) <= recentCompletion
+	return ran && !cleared && !lately && !d.Announced
 }
 
 // correlated reports whether a death has likely another cause than a request that ran there: an unannounced
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -157,7 +157,13 @@
 	add(first, "a", time.Second)
 	add(first, "b", 2*time.Second)
 	is.Equal(first.Judge(at(2*time.Second), poison, nil).Verdict, quarantine.VerdictClear)
-	for _, d := range first.Deaths(at(2 * time.Second)) { // what the first table knows, another one learns
+	for _, d := range first.Deaths(at(2 * time.Second)) {
+		second.Add(at(2*time.Second), d)
+	}
+	is.Equal(second.Judge(at(2*time.Second), poison, nil).Verdict, quarantine.VerdictQuarantine) // it has not been told
+	records := first.RecordCompletion(at(2*time.Second), poison)
+	is.Equal(len(records), 2) // the deaths that did not count here do elsewhere
+	for _, d := range records {
 		second.Add(at(2*time.Second), d)
 	}
 	add(second, "c", 3*time.Second)
