Soak: requests and parts that crash endpoints, at any host

A drill sends, every 250 ms, calls that crash what runs them and streams with a part that does, no two alike. Crashed endpoints are replaced after 0.7 s. The new promise lethal is the users' rule, checked from what endpoints got: at most three later than 4 s after the third crash (a part: the fifth), at hosts without faults.

--- a/soak/check.go
+++ b/soak/check.go
@@ -24,6 +24,7 @@
 	promiseRecovery = "recovery" // every host serves again after the faults
 	promiseStop     = "stop"     // a planned stop interrupts no request
 	promiseSoftware = "software" // a caller gets a stream from one software version, over all its requests
+	promiseLethal   = "lethal"   // requests that crash endpoints are stopped
 	promiseContinue = "continue" // streams that their callers continue go on nearly as often as new ones begin
 )
 
@@ -38,6 +39,8 @@
 	Faults     []string
 	// Served counts the requests answered with success, Sent all requests.
 	Served, Sent int
+	// Lethal counts the endpoints that lethal requests have crashed.
+	Lethal int
 	// Continued counts the streams that callers continued at hosts without faults, WentOn those that went on.
 	Continued, WentOn int
 }
@@ -77,6 +80,7 @@
 			}
 		}
 	}
+	tr.checkLethal(r, byEndpoint, byID)
 	tr.checkVersions(r)
 	tr.checkLeaderTasks(r)
 	tr.checkRecovery(r)
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -70,7 +70,7 @@
 }
 
 // drills are further kinds, injected only in runs that name them: seeds of other runs keep their faults.
-var drills = []fault{{"store restored", restoreStore}}
+var drills = []fault{{"store restored", restoreStore}, {kindLethalRequests, sendLethalRequests}}
 
 // FaultKinds returns the names of all kinds of faults except drills.
 func FaultKinds() []string {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -70,6 +70,7 @@
 // request is one request of a caller and its outcome.
 type request struct {
 	id, path, host, incarnation string
+	prompt                      string
 	kind                        kind
 	sent, ended                 time.Time
 	answer                      platformtest.Answer
@@ -240,6 +241,7 @@
 	server.SetSoftware(fmt.Sprint("v", 1+rand.New(rand.NewPCG(tr.opts.Seed, uint64(5000+n))).IntN(softwareVersions)))
 	server.SetDelay(time.Duration(rng.Int64N(int64(maxWorkDuration))))
 	added := &endpoint{Endpoint: server, service: service, zone: zone, link: link}
+	server.SetCrash(func() { tr.crashEndpoint(added) })
 	tr.mu.Lock()
 	tr.endpoints = append(tr.endpoints, added)
 	tr.mu.Unlock()
@@ -366,7 +368,7 @@
 	tr.requests = append(tr.requests, r)
 	tr.mu.Unlock()
 	r.sent = time.Now()
-	sent := platformtest.Request{ID: r.id, Path: r.path, Key: "secret", Stream: r.kind == kindStream}
+	sent := platformtest.Request{ID: r.id, Path: r.path, Key: "secret", Stream: r.kind == kindStream || r.kind == kindLethalPart, Prompt: r.prompt}
 	if r.origin != nil {
 		sent.Origin, sent.After = r.origin.id, fmt.Sprint(r.after)
 	}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -354,3 +354,17 @@
 	is.Equal(r.Violations, nil)
 	is.True(r.Served > 0)
 }
+
+// TestLethal sends requests that crash endpoints, at any host, beside kills of hosts and of endpoints.
+func TestLethal(t *testing.T) {
+	is := is.New(t)
+	r, err := Run(t.Context(), Options{
+		Seed: 4, AddressBase: os.Getpid() + 2, Hosts: 3, Endpoints: 4, Callers: 4, FaultPhase: 20 * time.Second, SettleDelay: 8 * time.Second,
+		FaultKinds: []string{kindLethalRequests, kindLethalRequests, "kill", "worker dies", "configuration"}, Dir: t.TempDir(), Command: command(""),
+	})
+	is.NoErr(err)
+	t.Logf("%d of %d served, %d endpoints crashed; faults:\n%s", r.Served, r.Sent, r.Lethal, strings.Join(r.Faults, "\n"))
+	is.Equal(r.Violations, nil)
+	is.True(r.Lethal > 0)
+	is.True(r.Served > 0)
+}
