Take a clearance that is read later for a completion of its own time

What callers would see: a host that starts reads that a request completed long ago, takes it for a completion of now, and for 5 s counts no death against that request, also those since.

Change: a clearance proves a completion at the time of its death or later, so that time is used. Verdicts no longer depend on the order in which records come.

TestOldClearanceClearsNoLaterDeath failed before.

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -198,15 +198,15 @@
 	}
 	changed := t.merge(known, d) || !ok
 	for _, f := range d.Cleared {
-		t.completed(now, f)
+		t.completed(now, known.At, f) // at that time or later
 	}
 	return changed
 }
 
-// completed records the time of a completion, and removes old ones now and then.
-func (t *Table) completed(now time.Time, fingerprint uint64) {
-	if now.After(t.completedAt[fingerprint]) {
-		t.completedAt[fingerprint] = now
+// completed records that a request completed at a time, and removes old completions now and then.
+func (t *Table) completed(now, at time.Time, fingerprint uint64) {
+	if at.After(t.completedAt[fingerprint]) {
+		t.completedAt[fingerprint] = at
 	}
 	if len(t.completedAt) < max(t.sweepAt, minCompletionsSwept) {
 		return
@@ -271,7 +271,7 @@
 func (t *Table) RecordCompletion(now time.Time, fingerprint uint64) []Death {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.completed(now, fingerprint)
+	t.completed(now, now, fingerprint)
 	if t.deathCounts[fingerprint] == 0 {
 		return nil
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -174,6 +174,20 @@
 	is.Equal(first.Judge(at(21*time.Second), poison, nil).Verdict, quarantine.VerdictQuarantine) // not completed lately
 }
 
+// TestOldClearanceClearsNoLaterDeath guards against a host that starts, reads that a request completed long ago, and
+// takes that for a completion of now.
+func TestOldClearanceClearsNoLaterDeath(t *testing.T) {
+	is := is.New(t)
+	table := quarantine.NewTable()
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	old := death("a", "z1", 0, poison)
+	old.Cleared = []uint64{poison}
+	for _, d := range []quarantine.Death{old, death("b", "z1", time.Minute, poison), death("c", "z2", 2*time.Minute, poison)} {
+		table.Add(at(3*time.Minute), d)
+	}
+	is.Equal(table.Judge(at(3*time.Minute), poison, nil).Verdict, quarantine.VerdictQuarantine)
+}
+
 // TestLedger guards against verdicts that differ between a host that folded the
 // log and one that imported a checkpoint.
 func TestLedger(t *testing.T) {
