--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -21,8 +21,8 @@
 	"github.com/cicadanotch/cicadanotch/rendezvous"
 )
 
-// methodDeath tells a host of the death of an endpoint.
-const methodDeath = "gateway.death"
+// methodDeaths tells a host of deaths of endpoints.
+const methodDeaths = "gateway.deaths"
 
 // A request may crash each endpoint that runs it, and its caller sends it again, to any host. Each host records the
 // endpoints that end while it has requests there, with these requests: it tells other hosts at once, and appends the
@@ -211,13 +211,20 @@
 	}
 	g.metrics.deaths.Inc()
 	g.logDeath(d, g.opts.Host)
-	g.publishDeath(d)
+	g.publishDeaths(d)
 }
 
-// publishDeath tells the other hosts of a death, or of what is new of it.
-func (g *Gateway) publishDeath(d quarantine.Death) {
-	g.notifyHosts(d)
-	if g.quarantine.enqueue(g.deathKey(d), d) {
+// publishDeaths tells the other hosts of deaths, or of what is new of them.
+func (g *Gateway) publishDeaths(deaths ...quarantine.Death) {
+	if len(deaths) == 0 {
+		return
+	}
+	g.notifyHosts(deaths)
+	starts := false
+	for _, d := range deaths {
+		starts = g.quarantine.enqueue(g.deathKey(d), d) || starts
+	}
+	if starts {
 		go g.sendDeaths()
 	}
 }
@@ -235,17 +242,13 @@
 	}
 	c.g.log.Info().Str("event", "request_cleared").Str("request", c.req.ID).Str("fingerprint", formatFingerprint(c.fingerprint)).
 		Int("deaths", len(cleared)).Msg("")
-	for _, d := range cleared {
-		c.g.publishDeath(d)
-	}
+	c.g.publishDeaths(cleared...)
 }
 
 // clearParts tells the other hosts that the parts of the prompt do not crash endpoints, if any of them was suspect:
 // a request with them has been answering since began.
 func (c *call) clearParts(began time.Time) {
-	for _, d := range c.g.quarantine.table.ClearParts(began, c.partKeys) {
-		c.g.publishDeath(d)
-	}
+	c.g.publishDeaths(c.g.quarantine.table.ClearParts(began, c.partKeys)...)
 }
 
 // recordAnswering records that the answer of an attempt goes on. Once it has done so for a while, it clears the parts
@@ -410,36 +413,42 @@
 	return d.At
 }
 
-// notifyHosts tells other hosts of a death. One that does not answer reads it with the reports of hosts.
-func (g *Gateway) notifyHosts(d quarantine.Death) {
+// notifyHosts tells other hosts of deaths. One that does not answer reads them with the reports of hosts.
+func (g *Gateway) notifyHosts(deaths []quarantine.Death) {
 	if g.ports.Peers == nil {
 		return
 	}
-	d.At = g.clock.Wall(d.At)
+	notice := deathNotice{By: g.opts.Host}
+	for _, d := range deaths {
+		d.At = g.clock.Wall(d.At)
+		notice.Deaths = append(notice.Deaths, d)
+	}
 	_, addresses := g.recordHosts()
 	delete(addresses, g.opts.Host)
-	for _, host := range rendezvous.Top(d.Endpoint, slices.Collect(maps.Keys(addresses)), maxNotifiedHosts) {
+	for _, host := range rendezvous.Top(deaths[0].Endpoint, slices.Collect(maps.Keys(addresses)), maxNotifiedHosts) {
 		go func() {
 			ctx, cancel := context.WithTimeout(g.context(), notifyTimeout)
 			defer cancel()
-			if err := g.ports.Peers.Call(ctx, addresses[host], methodDeath, deathNotice{g.opts.Host, d}, nil); err != nil {
-				g.log.Info().Str("event", "death_untold").Str("peer", host).Str("endpoint", d.Endpoint).Err(err).Msg("")
+			if err := g.ports.Peers.Call(ctx, addresses[host], methodDeaths, notice, nil); err != nil {
+				g.log.Info().Str("event", "death_untold").Str("peer", host).Int("deaths", len(deaths)).Err(err).Msg("")
 			}
 		}()
 	}
 }
 
 type deathNotice struct {
-	By    string           `json:"by"`
-	Death quarantine.Death `json:"death"`
+	By     string             `json:"by"`
+	Deaths []quarantine.Death `json:"deaths"`
 }
 
-func (g *Gateway) serveDeath(_ context.Context, params json.RawMessage) (any, error) {
+func (g *Gateway) serveDeaths(_ context.Context, params json.RawMessage) (any, error) {
 	var n deathNotice
 	if err := json.Unmarshal(params, &n); err != nil {
-		return nil, errors.Wrap(err, "decode death")
+		return nil, errors.Wrap(err, "decode deaths")
+	}
+	for _, d := range n.Deaths {
+		g.addDeath(time.Now(), d, n.By)
 	}
-	g.addDeath(time.Now(), n.Death, n.By)
 	return struct{}{}, nil
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -200,7 +200,7 @@
 	return map[string]port.PeerHandler{
 		methodRead: g.serveRead, methodReport: g.serveReport, methodTakeQuota: g.serveTakeQuota,
 		methodPlace: g.servePlace, methodSettle: g.serveSettle, methodLoads: g.serveLoads,
-		methodStreamsBegan: g.serveStreamsBegan, methodStreamOrigin: g.serveStreamOrigin, methodDeath: g.serveDeath,
+		methodStreamsBegan: g.serveStreamsBegan, methodStreamOrigin: g.serveStreamOrigin, methodDeaths: g.serveDeaths,
 	}
 }
 
