Tell and append the deaths of many endpoints in few calls

What the hosts would do: when many endpoints end at the same moment, a loss of a zone or a reclaim, each host made a call to each other host, and an append to the store, for each endpoint that it had requests at, twice, and for each of these requests that completed elsewhere. At 195 hosts that is more calls than hosts or the store bear.

Change: deaths are gathered for 20 ms and clearances for 300 ms before hosts are told; records go to the store once a second at most. An endpoint that has announced that it leaves counts against no request, so nobody is told.

--- a/gateway/lethal_test.go
+++ b/gateway/lethal_test.go
@@ -3,12 +3,14 @@
 import (
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
 
+	"github.com/cicadanotch/cicadanotch/fleet"
 	"github.com/cicadanotch/cicadanotch/port"
 )
 
@@ -180,3 +182,59 @@
 		time.Sleep(5 * time.Second)
 	}
 }
+
+// TestDeathsOfManyEndpointsTakeFewCalls guards against a call for each endpoint and host when many endpoints end at the
+// same moment, and against any when they had announced it.
+func TestDeathsOfManyEndpointsTakeFewCalls(t *testing.T) {
+	for name, tc := range map[string]struct {
+		route     string
+		announced bool
+		// maxCalls is the number of calls of one host to another: for the first record of the deaths, the second,
+		// and what has been cleared of them within the second that is counted.
+		maxCalls int
+	}{"a crash": {"resume", false, 4}, "a reclaim": {"stream", true, 0}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				rng := newLockedRand(3)
+				tp, peers := startRegions(t, 3, startInterval)
+				tp.store.remove(port.TopicEndpoints, "1")
+				f := tp.startFleet(0, 30)
+				time.Sleep(settleTime)
+				var sounds []*soundTraffic
+				for k := range 8 {
+					sounds = append(sounds, tp.startSound(t, rng, func(n int) *port.Request { return soundRequest(tc.route, 10_000*k+n) }))
+				}
+				time.Sleep(3 * time.Second)
+				ending := f.running()[:20]
+				if tc.announced {
+					for _, p := range ending {
+						leaving := p.Endpoint
+						leaving.State = fleet.StateDraining
+						tp.store.put(port.TopicEndpoints, p.ID, leaving)
+					}
+					time.Sleep(700 * time.Millisecond) // known to all hosts, and streams still run
+				}
+				before := peers.count(methodDeaths)
+				var appends atomic.Int64
+				tp.store.setFail(func(call string, _ port.Topic) error {
+					if call == "append" {
+						appends.Add(1)
+					}
+					return nil
+				})
+				for _, p := range ending {
+					f.crash(p, "")
+				}
+				time.Sleep(time.Second)
+				calls := peers.count(methodDeaths) - before
+				t.Logf("%d calls and %d appends of %d hosts", calls, appends.Load(), len(tp.hosts))
+				is.True(int(appends.Load()) <= 3*len(tp.hosts)) // a report, the deaths, and what clears them
+				is.True(calls <= tc.maxCalls*len(tp.hosts)*(len(tp.hosts)-1))
+				for _, s := range sounds {
+					s.end()
+				}
+			})
+		})
+	}
+}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -39,6 +39,14 @@
 	// confirmDelay is the time in which the records of other hosts arrive: of what else ran at the endpoint. No
 	// request is refused on the observations of one host only.
 	confirmDelay = 150 * time.Millisecond
+	// deathNoticeDelay and clearanceNoticeDelay are how long a host gathers deaths and what clears them before it
+	// tells the others: endpoints end many at a time, and their requests are answered elsewhere one by one.
+	deathNoticeDelay     = 20 * time.Millisecond
+	clearanceNoticeDelay = 300 * time.Millisecond
+	// appendDelay is how long a host gathers records before it appends them, appendInterval the least time between two
+	// such calls: they are billed, and the other hosts have been told.
+	appendDelay    = 100 * time.Millisecond
+	appendInterval = time.Second
 	// maxNotifiedHosts bounds the hosts that are told of a death at once; the others read it with the reports of
 	// hosts. notifyTimeout bounds one such call.
 	maxNotifiedHosts = 32
@@ -60,6 +68,9 @@
 	own     map[string]quarantine.Death
 	unsent  map[string]bool
 	sending bool
+	// untold holds what the other hosts are told at noticeDue, which is zero while there is nothing.
+	untold    []quarantine.Death
+	noticeDue time.Time
 	// listed holds the times of all deaths in the topic, by the key of the record.
 	listed   map[string]time.Time
 	attempts int64
@@ -211,15 +222,19 @@
 	}
 	g.metrics.deaths.Inc()
 	g.logDeath(d, g.opts.Host)
-	g.publishDeaths(d)
+	if !d.Announced { // it counts against no request, here or elsewhere
+		g.publish(deathNoticeDelay, d)
+	}
 }
 
-// publishDeaths tells the other hosts of deaths, or of what is new of them.
-func (g *Gateway) publishDeaths(deaths ...quarantine.Death) {
+// publish tells the other hosts, after a delay at most, of deaths or of what is new of them.
+func (g *Gateway) publish(delay time.Duration, deaths ...quarantine.Death) {
 	if len(deaths) == 0 {
 		return
 	}
-	g.notifyHosts(deaths)
+	if g.quarantine.gather(time.Now().Add(delay), deaths) {
+		time.AfterFunc(delay, g.notifyHosts)
+	}
 	starts := false
 	for _, d := range deaths {
 		starts = g.quarantine.enqueue(g.deathKey(d), d) || starts
@@ -242,13 +257,13 @@
 	}
 	c.g.log.Info().Str("event", "request_cleared").Str("request", c.req.ID).Str("fingerprint", formatFingerprint(c.fingerprint)).
 		Int("deaths", len(cleared)).Msg("")
-	c.g.publishDeaths(cleared...)
+	c.g.publish(clearanceNoticeDelay, cleared...)
 }
 
 // clearParts tells the other hosts that the parts of the prompt do not crash endpoints, if any of them was suspect:
 // a request with them has been answering since began.
 func (c *call) clearParts(began time.Time) {
-	c.g.publishDeaths(c.g.quarantine.table.ClearParts(began, c.partKeys)...)
+	c.g.publish(clearanceNoticeDelay, c.g.quarantine.table.ClearParts(began, c.partKeys)...)
 }
 
 // recordAnswering records that the answer of an attempt goes on. Once it has done so for a while, it clears the parts
@@ -334,6 +349,7 @@
 // sendDeaths appends records until there are none left. One that fails is repeated with a growing delay.
 func (g *Gateway) sendDeaths() {
 	backoff := minBackoff
+	pause(g.context(), appendDelay)
 	for g.tomb.Alive() {
 		began := time.Now()
 		records, keys := g.quarantine.takeUnsent(began, g.clock.Wall)
@@ -346,6 +362,7 @@
 		g.observeStore("append", began, time.Now(), err)
 		if err == nil {
 			backoff = minBackoff
+			pause(g.context(), appendInterval)
 			continue
 		}
 		g.log.Warn().Str("event", "deaths_not_recorded").Int("records", len(records)).Err(err).Msg("")
@@ -413,9 +430,31 @@
 	return d.At
 }
 
-// notifyHosts tells other hosts of deaths. One that does not answer reads them with the reports of hosts.
-func (g *Gateway) notifyHosts(deaths []quarantine.Death) {
-	if g.ports.Peers == nil {
+// gather adds deaths to the next notice, which is due at a time or before. It reports whether none is due by then, so
+// that the caller has to send one.
+func (q *quarantineState) gather(due time.Time, deaths []quarantine.Death) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	q.untold = append(q.untold, deaths...)
+	if !q.noticeDue.IsZero() && !due.Before(q.noticeDue) {
+		return false
+	}
+	q.noticeDue = due
+	return true
+}
+
+func (q *quarantineState) takeUntold() []quarantine.Death {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	untold := q.untold
+	q.untold, q.noticeDue = nil, time.Time{}
+	return untold
+}
+
+// notifyHosts tells other hosts of the deaths gathered. One that does not answer reads them with the reports of hosts.
+func (g *Gateway) notifyHosts() {
+	deaths := g.quarantine.takeUntold()
+	if len(deaths) == 0 || g.ports.Peers == nil || !g.tomb.Alive() {
 		return
 	}
 	notice := deathNotice{By: g.opts.Host}
