--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -72,7 +72,8 @@
 	untold    []quarantine.Death
 	noticeDue time.Time
 	// listed holds the times of all deaths in the topic, by the key of the record.
-	listed   map[string]time.Time
+	listed map[string]time.Time
+	// attempts counts the attempts sent; it names them in inFlight.
 	attempts int64
 }
 
@@ -102,8 +103,8 @@
 	return c.notRun(http.StatusServiceUnavailable, problem.TypeQuarantined, detail).WithRetryAfter(e.Until.Sub(now))
 }
 
-// separated returns the endpoints that a suspect request may be sent to: one of its own if there are enough for all
-// suspects of a death, so that the next death tells which of them causes it.
+// separated returns the endpoints that a request may be sent to. A suspect request gets one of its own if there are
+// enough for all suspects of a death, so that the next death tells which of them causes it.
 func (c *call) separated(now time.Time, views []fleet.View) []fleet.View {
 	e := c.evaluate(now)
 	if e.Verdict == quarantine.VerdictClear {
@@ -420,8 +421,8 @@
 	return others
 }
 
-// addDeath adds a death that another host has recorded, and returns when it was. Its time is wall-clock time; the
-// result is as of this host's steady clock.
+// addDeath adds a record of another host and returns the time of the death. The record holds a wall-clock time, the
+// result is a time of this host's steady clock.
 func (g *Gateway) addDeath(now time.Time, d quarantine.Death, by string) time.Time {
 	d.At = now.Add(-max(g.clock.Wall(now).Sub(d.At), 0))
 	if g.quarantine.table.Add(now, d) && len(d.Cleared)+len(d.ClearedParts) == 0 {
--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -71,8 +71,8 @@
 }
 
 // ClearParts records that a request with these parts has been answering for AnsweringTime, or to its end, since began.
-// Deaths before that no longer count against the parts. It returns records of the deaths that did until then, which the other hosts should
-// merge.
+// Deaths before that no longer count against the parts. It returns records of the deaths that did until then, which
+// the other hosts should merge.
 func (t *Table) ClearParts(began time.Time, parts []uint64) []Death {
 	t.mu.Lock()
 	defer t.mu.Unlock()
