--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -77,9 +77,11 @@
 		cloud := &fakeCloud{}
 		peers := &fakePeers{nodes: map[string]*Node{}}
 		var nodes []*Node
-		for i := range 2 {
-			id := fmt.Sprintf("entry-%d", i)
+		ids := []string{"entry-0", "entry-1"}
+		for _, id := range ids {
 			cloud.hosts = append(cloud.hosts, port.Host{ID: id, Role: port.RoleEntry, Region: "plateau", Zone: "jos-a", State: port.HostLive, PeerAddress: id})
+		}
+		for _, id := range ids {
 			n := New(Settings{
 				Host: id, Region: "plateau", Zone: "jos-a", CallerAddress: "127.0.0.1:0", PeerAddress: "127.0.0.1:0",
 				PollInterval: config.Duration(time.Second), LoadInterval: config.Duration(time.Second),
