--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -127,14 +127,7 @@
 				return nil
 			}
 			failed.Add(1)
-			if *logsDir == "" {
-				return nil
-			}
-			text := strings.Join(append(r.Faults, r.Violations...), "\n")
-			if err := os.WriteFile(filepath.Join(dir, "faults.txt"), []byte(text), 0o644); err != nil {
-				return err
-			}
-			return os.CopyFS(filepath.Join(*logsDir, fmt.Sprintf("seed-%d", seed)), os.DirFS(dir))
+			return keepLogs(r, dir, fmt.Sprintf("seed-%d", seed))
 		})
 	}
 	is := is.New(t)
@@ -142,6 +135,18 @@
 	is.Equal(failed.Load(), int64(0)) // seeds with a broken promise
 }
 
+// keepLogs copies the logs of a run to logsDir, if one is given.
+func keepLogs(r *Report, dir, name string) error {
+	if *logsDir == "" {
+		return nil
+	}
+	text := strings.Join(append(r.Faults, r.Violations...), "\n")
+	if err := os.WriteFile(filepath.Join(dir, "faults.txt"), []byte(text), 0o644); err != nil {
+		return err
+	}
+	return os.CopyFS(filepath.Join(*logsDir, name), os.DirFS(dir))
+}
+
 // perRequestPromises are the promises that a planted fault breaks with each request. The
 // others need injected faults too and are tested only with -plants.
 var perRequestPromises = []string{promiseAnswer, promiseOnce, promiseRefusal, promiseAsked}
@@ -358,11 +363,15 @@
 // TestLethal sends requests that crash endpoints, at any host, beside kills of hosts and of endpoints.
 func TestLethal(t *testing.T) {
 	is := is.New(t)
+	dir := t.TempDir()
 	r, err := Run(t.Context(), Options{
 		Seed: 4, AddressBase: os.Getpid() + 2, Hosts: 3, Endpoints: 4, Callers: 4, FaultPhase: 20 * time.Second, SettleDelay: 8 * time.Second,
-		FaultKinds: []string{kindLethalRequests, kindLethalRequests, "kill", "worker dies", "configuration"}, Dir: t.TempDir(), Command: command(""),
+		FaultKinds: []string{kindLethalRequests, kindLethalRequests, "kill", "worker dies", "configuration"}, Dir: dir, Command: command(""),
 	})
 	is.NoErr(err)
+	if len(r.Violations) > 0 {
+		is.NoErr(keepLogs(r, dir, fmt.Sprintf("lethal-%d", os.Getpid())))
+	}
 	t.Logf("%d of %d served, %d endpoints crashed; faults:\n%s", r.Served, r.Sent, r.Lethal, strings.Join(r.Faults, "\n"))
 	is.Equal(r.Violations, nil)
 	is.True(r.Lethal > 0)
