Do not count requests that were answered since among the causes of deaths

Callers saw: requests with a lethal part crashed endpoints on and on.

Cause: parts are identified only if at least three requests are needed to explain the deaths. needsCauses also took requests as explanations that were answered after these deaths and so caused none of them.

Change: only requests that a death still raises suspicion against may explain it. RecordCompletion also renews what is derived from the deaths.

TestLethalPartIsFoundBesideASoundRequest failed before (clear, not quarantine).

--- a/quarantine/parts.go
+++ b/quarantine/parts.go
@@ -140,39 +140,39 @@
 		endpoints[d.Endpoint] = true
 		deaths = append(deaths, d)
 	}
-	if rounds < minPartRounds || !needsCauses(deaths, minPartCauses) {
+	if rounds < minPartRounds || !t.needsCauses(deaths, minPartCauses) {
 		return LethalParts{}, false
 	}
 	return LethalParts{Parts: common, Deaths: len(endpoints), Until: deaths[len(deaths)-1].At.Add(SuspicionTTL)}, true
 }
 
 // needsCauses reports whether at least n different causes are needed to explain deaths by requests, each of which
-// may have caused the deaths of all endpoints that ran it.
-func needsCauses(deaths []*Death, n int) bool {
-	left := slices.Clone(deaths)
+// may have caused the deaths of all endpoints that it is suspected of.
+func (t *Table) needsCauses(deaths []*Death, n int) bool {
+	var left [][]uint64 // the suspect requests of each death not explained yet
+	for _, d := range deaths {
+		left = append(left, t.suspectRequests(d))
+	}
 	for range n - 1 {
 		if len(left) == 0 {
 			return false
 		}
 		request, ok := mostFrequent(left)
 		if !ok {
-			left = left[1:] // nothing is known to have run there
+			left = left[1:] // no request is suspected of it
 			continue
 		}
-		left = slices.DeleteFunc(left, func(d *Death) bool {
-			_, ran := slices.BinarySearch(d.Running, request)
-			return ran
-		})
+		left = slices.DeleteFunc(left, func(requests []uint64) bool { return slices.Contains(requests, request) })
 	}
 	return len(left) > 0
 }
 
-// mostFrequent returns the request that ran at most of the endpoints, the first by fingerprint among several; ok is
-// false if none ran.
-func mostFrequent(deaths []*Death) (request uint64, ok bool) {
+// mostFrequent returns the request in most of the lists, the first by fingerprint among several; ok is false if all
+// are empty.
+func mostFrequent(lists [][]uint64) (request uint64, ok bool) {
 	count := map[uint64]int{}
-	for _, d := range deaths {
-		for _, f := range d.Running {
+	for _, requests := range lists {
+		for _, f := range requests {
 			count[f]++
 		}
 	}
--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -282,7 +282,7 @@
 			continue
 		}
 		cleared := Death{Endpoint: d.Endpoint, Incarnation: d.Incarnation, Zone: d.Zone, At: d.At, Running: []uint64{fingerprint}, Cleared: []uint64{fingerprint}}
-		if d.Merge(cleared) {
+		if t.merge(d, cleared) {
 			out = append(out, cleared)
 		}
 	}
@@ -375,6 +375,11 @@
 	return ran && !cleared && !lately && !d.Announced
 }
 
+// suspectRequests returns the requests that a death raises suspicion against, sorted.
+func (t *Table) suspectRequests(d *Death) []uint64 {
+	return slices.DeleteFunc(slices.Clone(d.Running), func(f uint64) bool { return !t.suspects(d, f) })
+}
+
 // correlated reports whether a death has likely another cause than a request that ran there: an unannounced
 // death within correlationWindow in the same availability zone hit another endpoint that did not run it.
 func (t *Table) correlated(d *Death, fingerprint uint64) bool {
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -1,6 +1,7 @@
 package quarantine_test
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -352,3 +353,39 @@
 		is.Equal(len(table.LethalParts(at(time.Hour))), 0)
 	}
 }
+
+// TestLethalPartIsFoundBesideASoundRequest guards against a lethal part that is not identified since a request which
+// is answered after each death, and so caused none, ran at most of the endpoints.
+func TestLethalPartIsFoundBesideASoundRequest(t *testing.T) {
+	const (
+		lethal = 101
+		sound  = 50
+	)
+	at := func(d time.Duration) time.Time { return start.Add(d) }
+	for name, tc := range map[string]struct {
+		answered bool
+		want     quarantine.Verdict
+	}{
+		"answered since": {true, quarantine.VerdictQuarantine},
+		"not answered":   {false, quarantine.VerdictClear}, // it and one other request could have caused all deaths
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			first, second := quarantine.NewTable(), quarantine.NewTable()
+			for i, running := range [][]uint64{{1, sound}, {2, sound}, {3}} {
+				now := at(time.Duration(i) * 2 * time.Second)
+				d := death(fmt.Sprint("e", i), "z1", time.Duration(i)*2*time.Second, running...)
+				d.Parts = []uint64{lethal}
+				first.Add(now, d)
+				second.Add(now, d)
+				if tc.answered {
+					for _, record := range first.RecordCompletion(now.Add(100*time.Millisecond), sound) {
+						second.Add(now.Add(200*time.Millisecond), record)
+					}
+				}
+			}
+			is.Equal(first.Judge(at(5*time.Second), 9, []uint64{lethal}).Verdict, tc.want)
+			is.Equal(second.Judge(at(5*time.Second), 9, []uint64{lethal}).Verdict, tc.want)
+		})
+	}
+}
