Do not let answered requests hide a lethal request

Callers would see: a request that crashes endpoints goes on being sent, isolated instead of refused, as long as a request of many callers was at the same endpoints.

Cause: two deaths quarantine a request if no other ran at both, three in a row likewise. Requests that were answered since a death were still counted among those that ran there.

Change: only requests that a death raises suspicion against are held in common.

TestLethalRequestIsFoundBesideASoundRequest failed in both cases before (isolate and clear, not quarantine).

--- a/quarantine/quarantine.go
+++ b/quarantine/quarantine.go
@@ -8,11 +8,11 @@
 //
 // A death counts against a request unless it was announced, or endpoints that
 // did not run the request died in the same availability zone at about the same
-// time. Deaths of two endpoints quarantine a request if no other request was
-// running at all of them. If another request was, each of these requests is
-// isolated, so that the next death identifies the cause. Three deaths one after
-// the other quarantine it even if others died in the zone: a request that is sent
-// on cannot follow the loss of a zone that often.
+// time. Deaths of two endpoints quarantine a request if they count against no
+// other request. If they do, each of these requests is isolated, so that the next
+// death identifies the cause. Three deaths one after the other quarantine it even
+// if others died in the zone: a request that is sent on cannot follow the loss of
+// a zone that often.
 //
 // Parts of prompts that crash endpoints are found likewise, see parts.go. Deaths
 // that they explain count against no request.
@@ -317,14 +317,15 @@
 		if !t.suspects(d, fingerprint) || t.explained(d) {
 			continue
 		}
-		all.add(d)
+		suspects := t.suspectRequests(d)
+		all.add(d, suspects)
 		if t.correlated(d, fingerprint) {
 			continue
 		}
 		for _, f := range d.Running {
 			coRunning[f] = true
 		}
-		common = intersect(common, d.Running, len(endpoints) == 0)
+		common = intersect(common, suspects, len(endpoints) == 0)
 		endpoints[d.Endpoint] = true
 		j.Score += 1 / float64(len(d.Running))
 		j.Until = d.At.Add(SuspicionTTL)
@@ -340,7 +341,7 @@
 }
 
 // verdictOf returns the verdict for the number and score of the deaths that
-// count. unique reports whether no other request ran at all of these deaths.
+// count. unique reports whether all of them raise suspicion against no other request.
 func verdictOf(j Evaluation, unique bool) Verdict {
 	switch {
 	case j.Deaths == 0:
@@ -353,14 +354,14 @@
 	return VerdictSeparate
 }
 
-// intersect removes from common what is not in running; both are sorted. For the
-// first list it returns a copy of running.
-func intersect(common, running []uint64, first bool) []uint64 {
+// intersect removes from common what is not in suspects; both are sorted. For the
+// first list it returns a copy of suspects.
+func intersect(common, suspects []uint64, first bool) []uint64 {
 	if first {
-		return slices.Clone(running)
+		return slices.Clone(suspects)
 	}
 	return slices.DeleteFunc(common, func(f uint64) bool {
-		_, found := slices.BinarySearch(running, f)
+		_, found := slices.BinarySearch(suspects, f)
 		return !found
 	})
 }
@@ -398,19 +399,19 @@
 // deathSeries holds what the deaths of endpoints that ran one request have in common, correlated ones included.
 type deathSeries struct {
 	endpoints map[string]bool
-	// common holds the requests that ran at all of them.
+	// common holds the requests that all of them raise suspicion against.
 	common []uint64
 	score  float64
 	rounds int
 	lastAt time.Time
 }
 
-// add adds the next death in order of time.
-func (s *deathSeries) add(d *Death) {
+// add adds the next death in order of time, with the requests that it raises suspicion against.
+func (s *deathSeries) add(d *Death, suspects []uint64) {
 	if s.endpoints == nil {
 		s.endpoints = map[string]bool{}
 	}
-	s.common = intersect(s.common, d.Running, len(s.endpoints) == 0)
+	s.common = intersect(s.common, suspects, len(s.endpoints) == 0)
 	if !s.endpoints[d.Endpoint] && (s.rounds == 0 || d.At.Sub(s.lastAt) >= roundInterval) {
 		s.rounds++
 	}
--- a/quarantine/quarantine_test.go
+++ b/quarantine/quarantine_test.go
@@ -389,3 +389,33 @@
 		})
 	}
 }
+
+// TestLethalRequestIsFoundBesideASoundRequest guards against a lethal request that is not quarantined since a request
+// which is answered after each death, and so caused none, ran at all of the endpoints.
+func TestLethalRequestIsFoundBesideASoundRequest(t *testing.T) {
+	const sound = 50
+	for name, tc := range map[string]struct {
+		zones []string
+		want  quarantine.Verdict
+	}{
+		"two deaths":                  {[]string{"z1", "z2"}, quarantine.VerdictQuarantine},
+		"three beside others' deaths": {[]string{"z1", "z1", "z1"}, quarantine.VerdictQuarantine},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			table := quarantine.NewTable()
+			var now time.Time
+			for i, zone := range tc.zones {
+				now = start.Add(time.Duration(i) * 6 * time.Second)
+				table.Add(now, death(fmt.Sprint("e", i), zone, now.Sub(start), poison, sound))
+				if len(tc.zones) > 2 {
+					table.Add(now, death(fmt.Sprint("other", i), zone, now.Sub(start), uint64(100+i)))
+				}
+				is.True(table.Judge(now, sound, nil).Verdict != quarantine.VerdictQuarantine)
+				table.RecordCompletion(now.Add(100*time.Millisecond), sound)
+			}
+			is.Equal(table.Judge(now.Add(time.Second), poison, nil).Verdict, tc.want)
+			is.Equal(table.Judge(now.Add(time.Second), sound, nil).Verdict, quarantine.VerdictClear)
+		})
+	}
+}
