--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -147,14 +147,8 @@
 		}
 		time.Sleep(5 * time.Second)
 		relay := tp.regionRelay(far)
-		large := configuration(2)
-		for i := range routes {
-			route := large.Routes[0]
-			route.PathPrefix = fmt.Sprintf("/more%d/", i)
-			large.Routes = append(large.Routes, route)
-		}
 		peers.setUnresponsive(relay.opts.Peer, true)
-		tp.checkNewsInTime(is, large, relay)
+		tp.checkNewsInTime(is, grownConfiguration(2, routes), relay)
 	})
 }
 
--- a/gateway/restart_test.go
+++ b/gateway/restart_test.go
@@ -2,12 +2,15 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	dto "github.com/prometheus/client_model/go"
 
+	"github.com/cicadanotch/cicadanotch/catalog"
 	"github.com/cicadanotch/cicadanotch/port"
 )
 
@@ -50,13 +53,7 @@
 						region = append(region, g)
 					}
 				}
-				large := configuration(2)
-				for i := range routes {
-					route := large.Routes[0]
-					route.PathPrefix = fmt.Sprintf("/more%d/", i)
-					large.Routes = append(large.Routes, route)
-				}
-				tp.store.put(port.TopicConfiguration, configurationKey, large)
+				tp.store.put(port.TopicConfiguration, configurationKey, grownConfiguration(2, routes))
 				time.Sleep(5 * time.Second)
 				size := len(tp.store.topics[port.TopicConfiguration].newest[configurationKey].Value)
 				between.takeCarried()
@@ -83,3 +80,93 @@
 		})
 	}
 }
+
+// TestRelaysSettleAfterManyHostsRestart replays a kill of six in ten hosts of a region without the store while the
+// configuration grows (issue 29). Hosts that differ on who relays refuse each other, read the store over the one link
+// that all of them share, and by that grow later and differ more, long after the cause is gone.
+func TestRelaysSettleAfterManyHostsRestart(t *testing.T) {
+	const (
+		perZone      = 14 // as on coldroot-jos-grown
+		killed       = 0.6
+		restartDelay = 2 * time.Second // at most
+		settleWithin = 5 * time.Second // after the last start
+		maxChanges   = 10              // of the relay, of one host
+	)
+	for seed := range uint64(3) {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.NewRelaxed(t)
+				rng := rand.New(rand.NewPCG(seed, 2))
+				tp, peers := startRegions(t, perZone, startInterval)
+				between := &sharedLink{bytesPerSecond: 60e6 / 8, delay: 60 * time.Millisecond}
+				var region []*Gateway
+				for _, g := range tp.hosts {
+					if g.opts.Region == "r1" {
+						g.ports.Store.(*hostStore).way.Store(between)
+						region = append(region, g)
+					}
+				}
+				tp.store.put(port.TopicConfiguration, configurationKey, grownConfiguration(2, 4200))
+				time.Sleep(5 * time.Second)
+				before := map[*Gateway]int{}
+				for _, g := range region {
+					before[g] = g.relayChanges()
+				}
+				between.takeCarried()
+				started := make(chan *Gateway, len(region))
+				var left []*Gateway
+				for _, g := range region {
+					if rng.Float64() >= killed {
+						left = append(left, g)
+						continue
+					}
+					delay := time.Duration(rng.Float64() * float64(restartDelay))
+					go func() { started <- tp.restart(t, peers, g, delay) }()
+				}
+				time.Sleep(300 * time.Millisecond)
+				tp.store.put(port.TopicConfiguration, configurationKey, grownConfiguration(3, 5600))
+				kept := len(left)
+				for range len(region) - kept {
+					left = append(left, <-started)
+				}
+				time.Sleep(settleWithin)
+				relays, most, unready := map[string]int{}, 0, 0
+				for _, g := range left {
+					if relay := tp.regionRelay(g); relay != nil {
+						relays[relay.opts.Host]++
+					}
+					most = max(most, g.relayChanges()-before[g])
+					if !g.Ready() {
+						unready++
+					}
+				}
+				size := len(tp.store.topics[port.TopicConfiguration].newest[configurationKey].Value)
+				t.Logf("%d of %d hosts restarted: %d not ready, relays %v, at most %d changes of one host, %.1f copies of %d KB crossed the link",
+					len(region)-kept, len(region), unready, relays, most, float64(between.takeCarried())/float64(size), size>>10)
+				is.Equal(unready, 0)
+				is.Equal(len(relays), 1) // hosts that read for the region
+				is.True(most < maxChanges)
+			})
+		})
+	}
+}
+
+// relayChanges returns how often a host has changed its relay.
+func (g *Gateway) relayChanges() int {
+	var m dto.Metric
+	if err := g.metrics.stateChanges.WithLabelValues("relay").Write(&m); err != nil {
+		panic(err)
+	}
+	return int(m.GetCounter().GetValue())
+}
+
+// grownConfiguration returns a configuration with further routes.
+func grownConfiguration(version int64, routes int) catalog.Snapshot {
+	grown := configuration(version)
+	for i := range routes {
+		route := grown.Routes[0]
+		route.PathPrefix = fmt.Sprintf("/more%d/", i)
+		grown.Routes = append(grown.Routes, route)
+	}
+	return grown
+}
