Hosts of a region take turns to read the store, also when they start

Cause: who reads the store for others was derived from what is read that way, and each disagreement made more of them. - A host that started knew no relay before it had a configuration, and read 1.4 MB from the store. - A relay whose knowledge was 2 ms over its bound refused; a refusal counted as a failure, so each reader struck another host from its candidates, and hosts that had agreed began to differ. - A host whose relays had failed twice read the store, whatever its turn. - A host that was asked to relay read all topics anew from the store, as hosts that read through a relay kept nothing.

Ruled out: that the start alone is the cause.

Change: - A process reads the reports of hosts first, which are small, without reporting itself, and then all topics through its relay; while that has yet to read them it asks again for up to 1.5 s. - A relay that cannot serve a read says so with the age of what it knows and the host that it reads through; a read under way is awaited for 250 ms beyond the bound. A refusal leaves the relay a candidate. The reader asks the host named, then the next in order, and reads the store only if that is itself, if two machines were silent, or if three relays know no better and nothing has been known for 2.2 s. - All hosts keep what they read.

--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -278,8 +278,8 @@
 		"snapshot by a host in a later":   {readRequest{Topic: port.TopicHosts, Era: 2, From: -1}, false, false},
 		"snapshot by a host in an earler": {readRequest{Topic: port.TopicHosts, Era: 0, From: -1}, true, false},
 	} {
-		reply, _, err := s.read(time.Now(), tc.req)
-		is.NoErr(err)
+		reply, _ := s.read(time.Now(), tc.req)
+		is.True(!reply.Stale)
 		ok := !reply.Unready
 		if ok != tc.ok || reply.Expired != tc.expired {
 			t.Errorf("%s: got ok %v, expired %v", name, ok, reply.Expired)
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -29,6 +30,8 @@
 	// minRelayInterval is the least time between two reads of a relay. The relay itself reads the store at
 	// the intervals above; a host that waited as long again would know everything later.
 	minRelayInterval = 50 * time.Millisecond
+	// maxRelayJitter spreads the hosts that ask relays again after all of them have refused.
+	maxRelayJitter = 150 * time.Millisecond
 	// endpointsPollTimeout is how long a read of the registry waits for a change. With
 	// minEndpointsInterval, it bounds the age of what a relay knows: below maxTopicAge by the time of a
 	// call.
@@ -39,6 +42,9 @@
 	// an answer again ends the delays of the others.
 	minBackoff = 150 * time.Millisecond
 	maxBackoff = 2 * time.Second
+	// maxRelayDiscovery is the longest time that a starting process waits for the reports of hosts, which name the
+	// relay, before it reads the other topics from the store.
+	maxRelayDiscovery = 500 * time.Millisecond
 	// minOutage is the time without an answer that counts as an outage.
 	minOutage = 1200 * time.Millisecond
 )
@@ -99,6 +105,12 @@
 )
 
 func (f *follower) run() error {
+	select {
+	case <-f.g.hostsRead:
+	case <-time.After(maxRelayDiscovery):
+	case <-f.g.tomb.Dying():
+		return nil
+	}
 	backoff := minBackoff
 	for f.g.tomb.Alive() {
 		began := time.Now()
@@ -117,6 +129,10 @@
 			f.g.log.Warn().Str("event", "feed_expired").Str("topic", string(f.topic)).Int64("from", f.offset).Msg("")
 			continue
 		}
+		if errors.Is(err, errRelayUnready) {
+			f.sleep(minRelayInterval + rand.N(maxRelayJitter))
+			continue
+		}
 		f.sleepBackoff(backoff)
 		backoff = min(2*backoff, maxBackoff)
 	}
@@ -145,9 +161,6 @@
 func (f *follower) poll() error {
 	began := time.Now()
 	f.startEra()
-	if f.g.relays.needsSnapshot(f.topic) {
-		f.hasSnapshot = false
-	}
 	page, read, err, fromRelay := f.pollRelay()
 	if !fromRelay {
 		storeBegan := time.Now()
@@ -166,6 +179,9 @@
 	}
 	now := time.Now()
 	f.g.observeFeed(f.topic, read, now.Sub(began), err)
+	if errors.Is(err, errRelayUnready) {
+		return err
+	}
 	if err != nil {
 		f.recordStoreFailure(now, err)
 		f.logAge(now, read.source)
@@ -176,11 +192,7 @@
 		// history.
 		return port.ErrStoreExpired
 	}
-	if !fromRelay || f.g.relays.isRelaying() {
-		f.g.relays.cachePage(f.topic, !f.hasSnapshot, page, read.asOf)
-	} else {
-		f.g.relays.dropCache(f.topic)
-	}
+	f.g.relays.cachePage(f.topic, !f.hasSnapshot, page, read.asOf)
 	outage := f.recordAnswer(began, now)
 	f.onAnswer(now, outage)
 	if f.hasSnapshot {
@@ -229,7 +241,7 @@
 	if !f.hasSnapshot {
 		from = -1
 	}
-	return f.g.readFromRelay(readRequest{Topic: f.topic, Era: f.era, From: from, Wait: f.pollTimeout, Reads: f.reads})
+	return f.g.readFromRelay(readRequest{Topic: f.topic, Era: f.era, From: from, Wait: f.pollTimeout, Reads: f.reads}, f.asOf)
 }
 
 // recordStoreFailure records that a call to the store failed. Only the first failure since the last
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -123,6 +123,7 @@
 
 	startedAt       time.Time
 	configured      chan struct{} // closed when a configuration is in force
+	hostsRead       chan struct{} // closed after the first read of the reports of hosts, also if it failed
 	hasConfig       atomic.Bool
 	hasEndpoints    atomic.Bool
 	sequence        atomic.Int64
@@ -165,7 +166,7 @@
 		demand:       scaling.NewMeter(),
 		metrics:      newMetrics(),
 		startedAt:    now,
-		leaveStarted: make(chan struct{}), configured: make(chan struct{}),
+		leaveStarted: make(chan struct{}), configured: make(chan struct{}), hostsRead: make(chan struct{}),
 	}
 	g.metrics.watchFeeds(g)
 	g.hostCount.Store(assumedHosts)
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -63,12 +63,6 @@
 // this host is the leader. A relay that reads through another relay reads twice in each reportInterval,
 // so that its zone learns no later than if it read the store.
 func (g *Gateway) followHosts() error {
-	select {
-	case <-g.configured:
-	case <-time.After(maxHostsStartDelay):
-	case <-g.tomb.Dying():
-		return nil
-	}
 	f := &follower{
 		g: g, topic: port.TopicHosts, lateAge: lateHostsAge,
 		onRecords: func(read feedRead, records []port.TopicRecord) { g.receiveReports(read.at, records, false) },
@@ -81,18 +75,27 @@
 			g.lineage.hostsRead.Store(true)
 		},
 	}
+	if f.poll() == nil {
+		g.chooseRelay(time.Now(), g.presence.Live())
+	}
+	close(g.hostsRead)
+	select {
+	case <-g.configured:
+	case <-time.After(maxHostsStartDelay):
+	case <-g.tomb.Dying():
+		return nil
+	}
 	tick := time.NewTicker(reportInterval / 2)
 	defer tick.Stop()
 	leaveStarted := g.leaveStarted
-	for between := false; ; {
-		// The first report is sent after the first read, so that it goes to the relay if there is
-		// one. After an error other than ErrStoreRefused the read is tried all the same; the next
-		// tick sends a new report.
-		refused := !between && f.hasSnapshot && errors.Is(g.sendReport(), port.ErrStoreRefused)
+	for between, first := false, true; ; first = false {
+		// The first report is sent an interval after the start. After an error other than ErrStoreRefused the
+		// read is tried all the same; the next tick sends a new report.
+		refused := !between && !first && f.hasSnapshot && errors.Is(g.sendReport(), port.ErrStoreRefused)
 		switch {
 		case refused:
 			f.recordStoreFailure(time.Now(), port.ErrStoreRefused) // the store would refuse a read too
-		case between && !g.relays.readsForOthers():
+		case between && !(g.relays.readsForOthers() && g.canRelay(time.Now())):
 		case f.pollAnew() == nil:
 			g.aggregateReports(time.Now())
 		}
@@ -122,7 +125,7 @@
 		g.log.Error().Str("event", "report_unwritable").Err(err).Msg("")
 		return err
 	}
-	if r.FencingToken == 0 && g.callRelay(methodReport, relayCallMargin, append(g.relays.reportsToSendUp(), raw), nil) {
+	if r.FencingToken == 0 && g.tellRelay(append(g.relays.reportsToSendUp(), raw)) {
 		return nil
 	}
 	received, newlyForwarded := g.relays.reportsToForward(began)
@@ -163,8 +166,7 @@
 }
 
 // maxHostsStartDelay is the longest time that a starting process waits for the configuration before
-// it reads the reports of hosts: without the configuration nothing is served, and when all hosts of
-// a region start together they share the region's link for their reads.
+// it reads the reports of hosts again and reports itself: without the configuration it serves nothing.
 const maxHostsStartDelay = 2 * time.Second
 
 // decisionMemory is how long the leader reports a decision after its window: reports are due 10 s after
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -44,11 +44,26 @@
 	takeQuotaTimeout = 150 * time.Millisecond
 	// relayBackoff is how long a host does not use a relay that failed to answer it. It doubles with
 	// each failure since the last answer, up to maxRelayBackoff. Within startupWindow of the host's
-	// own start the relay is likely starting too, and is retried after relayStartupBackoff.
+	// own start a relay on whose machine no process listens is likely starting too, and is retried after
+	// relayStartupBackoff.
 	relayBackoff        = 3 * time.Second
 	maxRelayBackoff     = 24 * time.Second
 	relayStartupBackoff = 300 * time.Millisecond
 	startupWindow       = 3 * time.Second
+	// maxRelaysAsked is how many relays may refuse a read of a topic. Then this host reads the store only if it has
+	// known nothing new of the topic for relayPatience, and asks the relays again before.
+	maxRelaysAsked = 3
+	relayPatience  = 2200 * time.Millisecond
+	// maxSilentRelays is how many may leave a call unanswered before this host reads the store. A call that fails
+	// within minSilence was answered by the relay's machine: no process listens there.
+	maxSilentRelays = 2
+	minSilence      = 100 * time.Millisecond
+	// detourDuration is how long a host reads a topic from another relay after the chosen one has refused to
+	// serve it. After maxSilentRelays it reads the store until the first of them may be tried again.
+	detourDuration = time.Second
+	// relayStartPatience is how long a process that starts waits for a relay that has yet to read a topic: all of a
+	// region may start at once, and only one of them is to read the store.
+	relayStartPatience = 1500 * time.Millisecond
 	// askedTTL is how long a host relays after it was last asked to, whether it has chosen itself or not:
 	// hosts whose views differ choose different relays. Hosts read each topic at least once a second.
 	askedTTL = 3 * time.Second
@@ -64,6 +79,9 @@
 	// the store itself: news must be known within 3 s.
 	maxTopicAge = 1300 * time.Millisecond
 	leafGrace   = 600 * time.Millisecond
+	// staleGrace is how much older than that a relay's knowledge may grow while a read of it is held: the
+	// relay's own read is under way, and no other host would get an answer sooner.
+	staleGrace = 250 * time.Millisecond
 	// maxHostsAge replaces maxTopicAge for the reports of hosts, which are read once a second.
 	maxHostsAge = 1700 * time.Millisecond
 	// forwardDelay is how long a relay gathers reports before it forwards them to the relay of the
@@ -78,6 +96,12 @@
 	maxCachedBytes   = 8 << 20
 )
 
+var (
+	errNoRelay = errors.New("no relay")
+	// errRelayUnready means that the relays have yet to read the topic, and are to be asked again.
+	errRelayUnready = errors.New("the relays have yet to read the topic")
+)
+
 var errNotRelay = errors.New("not a relay, or out of touch with the store")
 
 // relayState is the state of this process as a relay and as a client of one.
@@ -85,12 +109,11 @@
 	mu      sync.Mutex
 	topics  map[port.Topic]*topicCache
 	reports map[string]receivedReport // by key of the report
-	// failedUntil holds, by host, the time until which the host is not used as a relay because it
-	// has failed as one; unreachableUntil the time until which it is not asked for quota either. The
-	// latter is set only if it did not answer at all: a relay that answers that it cannot reach the
-	// store still grants quota.
-	failedUntil      map[string]time.Time
-	unreachableUntil map[string]time.Time
+	// failedUntil holds, by host, the time until which the host is not used as a relay because it did not
+	// answer. One that refuses, because it is out of touch with the store, stays a candidate, so that hosts
+	// which agree on the candidates go on to agree; detours holds the relays used instead, by topic.
+	failedUntil map[string]time.Time
+	detours     map[port.Topic]relayDetour
 	// failures counts the failures of a relay since its last answer, by host.
 	failures map[string]int
 	// live are the live hosts as of the last reports.
@@ -116,6 +139,13 @@
 	takers map[string]time.Time
 }
 
+// relayDetour is the relay from which a topic is read for a while, since the chosen one refused to serve it; zero for
+// the store.
+type relayDetour struct {
+	relay presence.Report
+	until time.Time
+}
+
 type receivedReport struct {
 	raw        json.RawMessage
 	receivedAt time.Time
@@ -124,7 +154,7 @@
 }
 
 func newRelayState() *relayState {
-	return &relayState{topics: map[port.Topic]*topicCache{}, reports: map[string]receivedReport{}, failedUntil: map[string]time.Time{}, unreachableUntil: map[string]time.Time{}, takers: map[string]time.Time{}, failures: map[string]int{}, added: make(chan struct{})}
+	return &relayState{topics: map[port.Topic]*topicCache{}, reports: map[string]receivedReport{}, failedUntil: map[string]time.Time{}, detours: map[port.Topic]relayDetour{}, takers: map[string]time.Time{}, failures: map[string]int{}, added: make(chan struct{})}
 }
 
 // currentRelay returns the last report of the host that calls the store for this one, zero when this
@@ -132,16 +162,30 @@
 func (g *Gateway) currentRelay(now time.Time) presence.Report {
 	s := g.relays
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if now.Before(s.failedUntil[s.upstream.Host]) {
-		return presence.Report{}
+	upstream := s.upstream
+	failed := now.Before(s.failedUntil[upstream.Host])
+	s.mu.Unlock()
+	if failed {
+		return g.nextRelay(now, nil, peerHost{})
 	}
-	return s.upstream
+	return upstream
 }
 
-// markRelayFailed records that a relay did not answer in time or cannot reach the store, and chooses
-// another.
-func (g *Gateway) markRelayFailed(now time.Time, host, method string, err error) {
+// relayOf returns the host from which this one reads a topic, zero when that is the store.
+func (g *Gateway) relayOf(now time.Time, topic port.Topic) presence.Report {
+	s := g.relays
+	s.mu.Lock()
+	d, ok := s.detours[topic]
+	ok = ok && now.Before(d.until) && !now.Before(s.failedUntil[d.relay.Host])
+	s.mu.Unlock()
+	if ok {
+		return d.relay
+	}
+	return g.currentRelay(now)
+}
+
+// markRelayFailed records that a relay did not answer. silent is set if its machine did not either.
+func (g *Gateway) markRelayFailed(now time.Time, host, method string, silent bool, err error) {
 	s := g.relays
 	s.mu.Lock()
 	alreadyFailed := now.Before(s.failedUntil[host])
@@ -149,50 +193,50 @@
 	if !alreadyFailed {
 		s.failures[host]++
 	}
-	if now.Sub(g.startedAt) < startupWindow {
+	if now.Sub(g.startedAt) < startupWindow && !silent {
 		backoff = relayStartupBackoff
 	}
 	s.failedUntil[host] = now.Add(backoff)
-	if !errors.Is(err, port.ErrPeerRefused) {
-		s.unreachableUntil[host] = now.Add(backoff)
-	}
 	s.mu.Unlock()
-	if !alreadyFailed && g.currentRelay(now).Host == "" {
-		g.chooseUpstreamAgain(now)
-	}
 	if !alreadyFailed {
 		g.metrics.stateChanges.WithLabelValues("relay_failed").Inc()
 		g.log.Warn().Str("event", "dependency_lost").Str("dependency", "relay/"+host).Str("method", method).Err(err).Msg("continuing without the relay")
 	}
 }
 
-// callRelay calls the relay; ok is false when there is none or the call failed.
-func (g *Gateway) callRelay(method string, timeout time.Duration, params, result any) (ok bool) {
-	return g.callPeer(g.currentRelay(time.Now()), method, timeout, params, result)
-}
-
-// callPeer calls a relay. If the call fails, it marks the relay as failed, except after a call that
-// takes quota or while this process stops. ok is false without a relay and when the call failed.
-func (g *Gateway) callPeer(relay presence.Report, method string, timeout time.Duration, params, result any) (ok bool) {
+// callPeer calls a relay. If it does not answer, it is marked as failed, except after a call that takes quota or
+// while this process stops.
+func (g *Gateway) callPeer(relay presence.Report, method string, timeout time.Duration, params, result any) error {
 	if relay.Peer == "" || g.ports.Peers == nil {
-		return false
+		return errNoRelay
 	}
 	ctx, cancel := context.WithTimeout(g.context(), timeout)
 	defer cancel()
-	if err := g.ports.Peers.Call(ctx, relay.Peer, method, params, result); err != nil {
-		// One slow answer to a call that takes quota does not mean that the relay has failed; the
-		// reads from it detect that.
-		if g.context().Err() == nil && method != methodTakeQuota {
-			g.markRelayFailed(time.Now(), relay.Host, method, err)
-		}
-		return false
-	}
-	if method == methodRead {
+	began := time.Now()
+	err := g.ports.Peers.Call(ctx, relay.Peer, method, params, result)
+	switch {
+	case err == nil && method == methodRead:
 		g.relays.mu.Lock()
 		delete(g.relays.failures, relay.Host)
 		g.relays.mu.Unlock()
+	case err != nil && g.context().Err() == nil && method != methodTakeQuota && !errors.Is(err, port.ErrPeerRefused):
+		// One slow answer to a call that takes quota does not mean that the relay has failed; the
+		// reads from it detect that.
+		g.markRelayFailed(time.Now(), relay.Host, method, time.Since(began) > minSilence, err)
 	}
-	return true
+	return err
+}
+
+// tellRelay sends reports to the relay or, if that refuses or fails, to the next; ok is false if neither took them.
+func (g *Gateway) tellRelay(reports []json.RawMessage) (ok bool) {
+	relay := g.currentRelay(time.Now())
+	if g.callPeer(relay, methodReport, relayCallMargin, reports, nil) == nil {
+		return true
+	}
+	if relay.Host == "" {
+		return false
+	}
+	return g.callPeer(g.nextRelay(time.Now(), []string{relay.Host}, peerHost{}), methodReport, relayCallMargin, reports, nil) == nil
 }
 
 // PeerHandlers returns the methods that other hosts call.
@@ -220,6 +264,8 @@
 	// Retry is set if another relay has just failed. This one may be about to notice that too and to
 	// take its place: it is given until the end of Wait to read the topic.
 	Retry bool `json:"retry,omitempty"`
+	// Redirects is set if the host understands replies with Stale.
+	Redirects bool `json:"redirects,omitempty"`
 }
 
 // maxAge is the age of the relay's knowledge of the topic up to which the relay serves the read.
@@ -234,6 +280,12 @@
 	return limit
 }
 
+// peerHost is a host and the address at which other hosts call it.
+type peerHost struct {
+	Host string `json:"host,omitempty"`
+	Peer string `json:"peer,omitempty"`
+}
+
 type readReply struct {
 	Records []port.TopicRecord `json:"records,omitempty"`
 	// Packed holds the records instead, as compressed JSON, if they are large: a configuration of
@@ -245,7 +297,11 @@
 	// Unready is set if the relay does not hold the topic. It does from its next read on, because it was
 	// asked.
 	Unready bool `json:"unready,omitempty"`
-	// Reads counts the relay\'s own reads of the topic.
+	// Stale is set if what the relay knows is older than the read allows: Age, or the time since the store's
+	// last answer to it. It has no records then. Upstream is the host that the relay itself reads through.
+	Stale    bool     `json:"stale,omitempty"`
+	Upstream peerHost `json:"upstream"`
+	// Reads counts the relay's own reads of the topic.
 	Reads int64 `json:"reads,omitempty"`
 	// Age is the time since the store is known to have held nothing after End, over all relays that the
 	// records came through. Held is how long the relay has held the call, so that the rest of the
@@ -276,36 +332,45 @@
 	held := min(req.Wait, relayPollTimeout)
 	for {
 		now := time.Now()
-		if !g.canRelay(now) {
-			return nil, errors.Wrapf(errNotRelay, "last answer of the store %v ago", g.storeAge(now))
-		}
 		added := g.relays.awaitTopic(now)
-		reply, wake, err := g.relays.read(now, req)
-		if err != nil {
-			return nil, err
-		}
-		if reply.Unready && req.Retry && now.Sub(began) < held {
-			select {
-			case <-added:
-			case <-time.After(held - now.Sub(began)):
-			case <-ctx.Done():
-				return nil, ctx.Err()
-			}
-			continue
-		}
+		reply, wake := g.relays.read(now, req)
 		reply.Held = now.Sub(began)
-		if wake == nil || reply.Held >= held {
+		wait := min(held-reply.Held, req.maxAge()-reply.Age+time.Millisecond)
+		switch storeAge := g.storeAge(now); {
+		case reply.Unready:
+			if wait = held - reply.Held; !req.Retry || wait <= 0 {
+				return reply, nil
+			}
+			wake = added
+		case reply.Stale:
+			// The read that is under way may be about to end.
+			if wait = req.maxAge() + staleGrace - reply.Age; wait <= 0 {
+				return g.refuseRead(req, reply)
+			}
+		case !g.canRelay(now):
+			reply.Age = max(reply.Age, storeAge)
+			return g.refuseRead(req, reply)
+		case wake == nil || reply.Held >= held:
 			return g.relays.packReply(req, reply)
 		}
 		select {
 		case <-wake:
-		case <-time.After(min(held-reply.Held, req.maxAge()-reply.Age+time.Millisecond)):
+		case <-time.After(wait):
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		}
 	}
 }
 
+// refuseRead answers that this host knows a topic no better than as of the age in the reply.
+func (g *Gateway) refuseRead(req readRequest, reply readReply) (any, error) {
+	if !req.Redirects {
+		return nil, errors.Wrapf(errNotRelay, "topic %s as of %v ago", req.Topic, reply.Age)
+	}
+	upstream := g.relayOf(time.Now(), req.Topic)
+	return readReply{Stale: true, Era: reply.Era, Age: reply.Age, Held: reply.Held, Upstream: peerHost{upstream.Host, upstream.Peer}}, nil
+}
+
 // awaitTopic returns a channel that is closed when a topic is cached that was not, and makes this host a relay
 // for a while.
 func (s *relayState) awaitTopic(now time.Time) chan struct{} {
@@ -356,34 +421,58 @@
 	}
 }
 
-// readFromRelay reads a topic from the relay or, if that fails, from the one that is chosen in its place, so
-// that the hosts of a failed relay do not all read the store at once. ok is false when the store has to be
-// read instead.
-func (g *Gateway) readFromRelay(req readRequest) (page port.TopicPage, read feedRead, err error, ok bool) {
-	var reply readReply
+// readFromRelay reads a topic from the relay or, if that fails or refuses, from those that take its place, so
+// that the hosts of a region do not all read the store at once. ok is false when this host has to read the store: it
+// is the next relay itself, or several did not answer. asOf is the time as of which this host knows the topic. If
+// relays answer but know no better, it returns errRelayUnready while this host may wait longer.
+func (g *Gateway) readFromRelay(req readRequest, asOf time.Time) (page port.TopicPage, read feedRead, err error, ok bool) {
+	now := time.Now()
+	patient, timeout := now.Sub(asOf) < relayPatience, relayPollTimeout+relayCallMargin
 	if req.From < 0 {
 		req.Era = g.latestEra()
+		if patient = now.Sub(g.startedAt) < relayStartPatience; patient {
+			req.Wait, timeout = 0, relayCallMargin
+		}
 	}
-	began := time.Now()
-	relay := g.currentRelay(began)
-	req.ForRelay = g.relays.isRelaying()
-	if !g.callPeer(relay, methodRead, relayPollTimeout+relayCallMargin, req, &reply) {
-		failed := relay.Host
-		began = time.Now()
-		relay = g.currentRelay(began)
-		if failed == "" || relay.Host == failed {
+	req.Redirects = true
+	var (
+		tried           []string
+		refused, silent int
+		reply           readReply
+	)
+	relay := g.relayOf(now, req.Topic)
+	for first := relay.Host; ; {
+		if relay.Peer == "" {
 			return page, read, nil, false
 		}
-		req.ForRelay, req.Retry = g.relays.isRelaying(), true
-		if !g.callPeer(relay, methodRead, relayPollTimeout+relayCallMargin, req, &reply) {
+		reply = readReply{}
+		read = feedRead{source: relay.Host, began: time.Now()}
+		req.ForRelay = g.relays.isRelaying()
+		err = g.callPeer(relay, methodRead, timeout, req, &reply)
+		if err == nil && !reply.Stale && !reply.Unready {
+			if len(tried) > 0 {
+				g.relays.detour(req.Topic, first, relayDetour{relay, time.Now().Add(detourDuration)})
+			}
+			break
+		}
+		switch {
+		case err == nil || errors.Is(err, port.ErrPeerRefused):
+			refused++
+		case time.Since(read.began) > minSilence:
+			silent++
+		}
+		if silent == maxSilentRelays {
+			g.relays.detour(req.Topic, "", relayDetour{until: time.Now().Add(relayBackoff)})
 			return page, read, nil, false
 		}
+		if refused == maxRelaysAsked || reply.Unready && patient {
+			return page, read, errRelayUnready, patient
+		}
+		tried, req.Retry = append(tried, relay.Host), true
+		relay = g.nextRelay(time.Now(), tried, reply.Upstream)
 	}
-	if reply.Unready {
-		return page, read, nil, false
-	}
-	read = feedRead{source: relay.Host, began: began, at: time.Now(), reads: reply.Reads}
-	read.asOf = read.at.Add(-reply.Age - max(0, read.at.Sub(began)-reply.Held))
+	read.at, read.reads = time.Now(), reply.Reads
+	read.asOf = read.at.Add(-reply.Age - max(0, read.at.Sub(read.began)-reply.Held))
 	g.learnEra(reply.Era)
 	g.noteStoreAnswer(read.asOf)
 	if reply.Expired {
@@ -397,6 +486,16 @@
 	return port.TopicPage{Era: reply.Era, Records: records, End: reply.End}, read, nil, true
 }
 
+// detour makes this host read a topic by a detour, unless the relay chosen has failed: then another is chosen in its
+// place.
+func (s *relayState) detour(topic port.Topic, chosen string, d relayDetour) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !time.Now().Before(s.failedUntil[chosen]) {
+		s.detours[topic] = d
+	}
+}
+
 // serveReport receives the reports of hosts. A relay whose reports go to the relay of the region forwards
 // them soon, so that they are not delayed by another report interval.
 func (g *Gateway) serveReport(_ context.Context, params json.RawMessage) (any, error) {
@@ -443,7 +542,7 @@
 func (g *Gateway) forwardReports() {
 	raws := g.relays.reportsToSendUp()
 	if len(raws) > 0 && g.tomb.Alive() {
-		g.callRelay(methodReport, relayCallMargin, raws, nil)
+		g.tellRelay(raws)
 	}
 }
 
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -370,7 +370,7 @@
 	g := New(hostOptions("h1"), Ports{Peers: newMemoryPeers(), Store: &hostStore{memoryStore: tp.store}, Logger: &log.Logger{Writer: &log.IOWriter{Writer: tp}}})
 	former := presence.Report{Host: "former", Peer: "10.0.0.8:7600"}
 	g.relays.upstream = presence.Report{Host: "present", Peer: "10.0.0.9:7600"}
-	is.True(!g.callPeer(former, methodRead, time.Second, readRequest{}, nil))
+	is.True(g.callPeer(former, methodRead, time.Second, readRequest{}, nil) != nil)
 	is.Equal(g.currentRelay(time.Now()).Host, "present")
 	is.True(!g.relays.failedUntil["former"].IsZero())
 }
@@ -520,12 +520,11 @@
 	is := is.New(t)
 	s := newRelayState()
 	s.cachePage(port.TopicConfiguration, false, port.TopicPage{End: 12, Records: []port.TopicRecord{{Offset: 11, Key: "other", Value: []byte("1")}}}, time.Now())
-	reply, _, err := s.read(time.Now(), readRequest{Topic: port.TopicConfiguration, From: -1})
-	is.NoErr(err)
+	reply, _ := s.read(time.Now(), readRequest{Topic: port.TopicConfiguration, From: -1})
 	is.True(reply.Unready)
 	s.cachePage(port.TopicConfiguration, true, port.TopicPage{End: 12, Records: []port.TopicRecord{{Offset: 3, Key: "config", Value: []byte("1")}}}, time.Now())
-	reply, _, err = s.read(time.Now(), readRequest{Topic: port.TopicConfiguration, From: -1})
-	is.NoErr(err)
+	reply, _ = s.read(time.Now(), readRequest{Topic: port.TopicConfiguration, From: -1})
+	is.True(!reply.Stale)
 	is.Equal(len(reply.Records), 1)
 }
 
@@ -534,13 +533,7 @@
 // fraction of its size, and the same bytes for all that ask from the same offset.
 func TestLargeRepliesAreCompressedOnce(t *testing.T) {
 	is := is.New(t)
-	large := configuration(2)
-	for i := range 1660 {
-		route := large.Routes[0]
-		route.PathPrefix = fmt.Sprintf("/more%d/", i)
-		large.Routes = append(large.Routes, route)
-	}
-	value, err := json.Marshal(large)
+	value, err := json.Marshal(grownConfiguration(2, 1660))
 	is.NoErr(err)
 	s := newRelayState()
 	s.cachePage(port.TopicConfiguration, true, port.TopicPage{End: 4}, time.Now())
@@ -548,8 +541,8 @@
 	var first readReply
 	for i := range 33 {
 		req := readRequest{Topic: port.TopicConfiguration, From: 4}
-		reply, _, err := s.read(time.Now(), req)
-		is.NoErr(err)
+		reply, _ := s.read(time.Now(), req)
+		is.True(!reply.Stale)
 		reply, err = s.packReply(req, reply)
 		is.NoErr(err)
 		is.True(len(reply.Packed) > 0 && len(reply.Packed) < len(value)/8)
@@ -563,8 +556,8 @@
 	is.Equal(records[0].Value, value)
 	s.cachePage(port.TopicConfiguration, false, port.TopicPage{End: 6, Records: []port.TopicRecord{{Offset: 5, Key: "config", Value: []byte("{}")}}}, time.Now())
 	req := readRequest{Topic: port.TopicConfiguration, From: 4}
-	reply, _, err := s.read(time.Now(), req)
-	is.NoErr(err)
+	reply, _ := s.read(time.Now(), req)
+	is.True(!reply.Stale)
 	reply, err = s.packReply(req, reply)
 	is.NoErr(err)
 	records, err = reply.records()
@@ -590,7 +583,7 @@
 		// It reads the store for a while, as if all that could relay for it had failed.
 		for _, g := range tp.hosts {
 			if g != former {
-				former.markRelayFailed(time.Now(), g.opts.Host, methodRead, port.ErrPeerBroken)
+				former.markRelayFailed(time.Now(), g.opts.Host, methodRead, true, port.ErrPeerBroken)
 			}
 		}
 		time.Sleep(2 * time.Second)
--- a/gateway/relaycache.go
+++ b/gateway/relaycache.go
@@ -33,19 +33,19 @@
 }
 
 // read answers from the cached records. If there is nothing to return yet it also returns the channel that
-// is closed by the next page. It returns an error that is errNotRelay if the cache is older than the read
-// allows.
-func (s *relayState) read(now time.Time, req readRequest) (reply readReply, wake chan struct{}, err error) {
+// is closed by the next page, also if the cache is older than the read allows (Stale).
+func (s *relayState) read(now time.Time, req readRequest) (reply readReply, wake chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	cache := s.topics[req.Topic]
 	if cache == nil || cache.era < req.Era || req.From < 0 && !cache.complete {
-		return readReply{Unready: true}, nil, nil
-	}
-	if age := now.Sub(cache.asOf); age > req.maxAge() {
-		return readReply{}, nil, errors.Wrapf(errNotRelay, "topic %s as of %v ago", req.Topic, age)
+		return readReply{Unready: true}, nil
 	}
 	reply = readReply{Era: cache.era, End: cache.end, Reads: cache.reads, Age: now.Sub(cache.asOf)}
+	if reply.Age > req.maxAge() {
+		reply.Stale = true
+		return reply, cache.wake
+	}
 	switch {
 	case req.From < 0:
 		for _, record := range cache.newest {
@@ -61,7 +61,7 @@
 			wake = cache.wake
 		}
 	}
-	return reply, wake, nil
+	return reply, wake
 }
 
 // packReply compresses the records of a reply if they are large. Hosts that ask from the same offset get
@@ -158,22 +158,3 @@
 	}
 	return slices.Clone(records[first:])
 }
-
-// dropCache drops what is cached of a topic that this process no longer reads for others: it would grow
-// stale unnoticed.
-func (s *relayState) dropCache(topic port.Topic) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if cache := s.topics[topic]; cache != nil {
-		delete(s.topics, topic)
-		close(cache.wake)
-	}
-}
-
-// needsSnapshot reports whether this process is to relay a topic of which it has no complete cache.
-func (s *relayState) needsSnapshot(topic port.Topic) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	cache := s.topics[topic]
-	return s.relays(time.Now()) && (cache == nil || !cache.complete)
-}
--- a/gateway/relaychoice.go
+++ b/gateway/relaychoice.go
@@ -9,8 +9,8 @@
 	"github.com/cicadanotch/cicadanotch/rendezvous"
 )
 
-// chooseRelay chooses the relays of this host's region and zone. Candidates are this host and the live
-// hosts, as far as they serve, have a peer address and have not failed this host as a relay a moment ago
+// chooseRelay chooses the relays of this host's region and zone. Candidates are this host, also while it starts, and
+// the live hosts, as far as they serve, have a peer address and have not failed this host as a relay a moment ago
 // (see failedUntil). The candidate with the most cores is chosen; among equals, the one with the highest
 // rendezvous score. Hosts with the same candidates choose the same relays. With fewer than
 // minHostsForRelay candidates in the region or zone, it has none.
@@ -19,19 +19,20 @@
 	g.relays.mu.Lock()
 	defer g.relays.mu.Unlock()
 	g.relays.live = live
-	g.setRelays(g.relays.choose(now, self))
+	g.setRelays(g.relays.choose(now, self, nil))
 }
 
-// chooseUpstreamAgain chooses the host to read through among the same hosts as the last time, after the
-// one in use has failed. Quota is taken from the zone's relay as before: without reports of the others,
-// hosts would not agree on another.
-func (g *Gateway) chooseUpstreamAgain(now time.Time) {
+// nextRelay returns the host to read through in place of those tried: the one that the last of them reads through
+// itself, or the next in order. It is zero if this host is the next. Quota is taken from the zone's relay as before.
+func (g *Gateway) nextRelay(now time.Time, tried []string, named peerHost) presence.Report {
 	self := g.report(now)
-	g.relays.mu.Lock()
-	defer g.relays.mu.Unlock()
-	c := g.relays.choose(now, self)
-	c.zone, c.candidates = g.relays.chosen, g.relays.candidates
-	g.setRelays(c)
+	s := g.relays
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if named.Peer != "" && named.Host != self.Host && !slices.Contains(tried, named.Host) && !now.Before(s.failedUntil[named.Host]) {
+		return presence.Report{Host: named.Host, Peer: named.Peer}
+	}
+	return s.choose(now, self, tried).upstream
 }
 
 // relayChoice holds relayState's chosen, upstream, relaying and candidates.
@@ -41,11 +42,12 @@
 	candidates     int
 }
 
-// choose returns the relays of a host. The caller holds the lock.
-func (s *relayState) choose(now time.Time, self presence.Report) relayChoice {
+// choose returns the relays of a host, none of those tried. The caller holds the lock.
+func (s *relayState) choose(now time.Time, self presence.Report, tried []string) relayChoice {
 	var inRegion, inZone []presence.Report
 	for _, r := range append(slices.Clone(s.live), self) {
-		if r.Region != self.Region || r.Peer == "" || r.State != presence.StateServing || now.Before(s.failedUntil[r.Host]) {
+		serves := r.State == presence.StateServing || r.Host == self.Host && r.State == presence.StateStarting
+		if r.Region != self.Region || r.Peer == "" || !serves || now.Before(s.failedUntil[r.Host]) || slices.Contains(tried, r.Host) {
 			continue
 		}
 		inRegion = append(inRegion, r)
--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -18,7 +18,7 @@
 	s := g.relays
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.chosen.Host == "" || s.chosen.Host == g.opts.Host || now.Before(s.unreachableUntil[s.chosen.Host]) {
+	if s.chosen.Host == "" || s.chosen.Host == g.opts.Host || now.Before(s.failedUntil[s.chosen.Host]) {
 		return presence.Report{}
 	}
 	return s.chosen
@@ -109,7 +109,7 @@
 		return 0, true
 	}
 	var reply takeQuotaReply
-	if g.callPeer(g.quotaRelay(now), methodTakeQuota, takeQuotaTimeout, takeQuotaRequest{g.opts.Host, w.Name, cost}, &reply) && !reply.Unknown {
+	if g.callPeer(g.quotaRelay(now), methodTakeQuota, takeQuotaTimeout, takeQuotaRequest{g.opts.Host, w.Name, cost}, &reply) == nil && !reply.Unknown {
 		return reply.RetryAfter, reply.Taken
 	}
 	return g.quota.Take(now, w, cost)
@@ -121,7 +121,7 @@
 		return
 	}
 	var reply takeQuotaReply
-	if !g.callPeer(g.quotaRelay(now), methodTakeQuota, takeQuotaTimeout, takeQuotaRequest{g.opts.Host, w.Name, -cost}, &reply) || reply.Unknown {
+	if g.callPeer(g.quotaRelay(now), methodTakeQuota, takeQuotaTimeout, takeQuotaRequest{g.opts.Host, w.Name, -cost}, &reply) != nil || reply.Unknown {
 		g.quota.Return(now, w, cost)
 	}
 }
