Log detours around relays; state who reads the store for a region

A host that reads a topic from another host than its relay logs relay_detour once, with the topic and what it reads instead; without it, a region that reads past its relay was not to be seen in the logs.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -463,7 +463,7 @@
 		err = g.callPeer(relay, methodRead, timeout, req, &reply)
 		if err == nil && !reply.Stale && !reply.Unready {
 			if len(tried) > 0 {
-				g.relays.detour(req.Topic, first, relayDetour{relay, time.Now().Add(detourDuration)})
+				g.detour(req.Topic, first, relayDetour{relay, time.Now().Add(detourDuration)})
 			}
 			break
 		}
@@ -474,7 +474,7 @@
 			silent++
 		}
 		if silent == maxSilentRelays {
-			g.relays.detour(req.Topic, "", relayDetour{until: time.Now().Add(relayBackoff)})
+			g.detour(req.Topic, "", relayDetour{until: time.Now().Add(relayBackoff)})
 			return page, read, nil, false
 		}
 		if refused == maxRelaysAsked || reply.Unready && patient {
@@ -501,12 +501,26 @@
 
 // detour makes this host read a topic by a detour, unless the relay chosen has failed: then another is chosen in its
 // place.
-func (s *relayState) detour(topic port.Topic, chosen string, d relayDetour) {
+func (g *Gateway) detour(topic port.Topic, chosen string, d relayDetour) {
+	s := g.relays
+	now := time.Now()
 	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !time.Now().Before(s.failedUntil[chosen]) {
-		s.detours[topic] = d
+	if now.Before(s.failedUntil[chosen]) {
+		s.mu.Unlock()
+		return
+	}
+	before, known := s.detours[topic]
+	s.detours[topic] = d
+	s.mu.Unlock()
+	if known && before.relay.Host == d.relay.Host && now.Sub(before.until) < detourDuration {
+		return // it goes on
+	}
+	instead := d.relay.Host
+	if instead == "" {
+		instead = storeSource
 	}
+	g.metrics.stateChanges.WithLabelValues("relay_detour").Inc()
+	g.log.Info().Str("event", "relay_detour").Str("topic", string(topic)).Str("relay", chosen).Str("instead", instead).Msg("")
 }
 
 // serveReport receives the reports of hosts. A relay whose reports go to the relay of the region forwards
