Retain less of a topic at hosts that do not relay; log lateness while relays are asked

Every host keeps what it reads since hosts take turns; beside the newest record of each key a host that does not relay needs few others: 1 MB of a topic instead of 8. A host whose relays know no better logs feed_late as one that reads the store does.

--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -184,6 +184,7 @@
 	now := time.Now()
 	f.g.observeFeed(f.topic, read, now.Sub(began), err)
 	if errors.Is(err, errRelayUnready) {
+		f.logAge(now, read.source)
 		return err
 	}
 	if err != nil {
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -91,9 +91,11 @@
 	receivedReportTTL = 2200 * time.Millisecond
 	// minPackedReplyBytes is the size of records from which a reply is compressed.
 	minPackedReplyBytes = 16 << 10
-	// maxCachedRecords and maxCachedBytes bound the records of a topic that a relay retains.
-	maxCachedRecords = 4096
-	maxCachedBytes   = 8 << 20
+	// maxCachedRecords and maxCachedBytes bound the records of a topic that a relay retains beside the newest of each
+	// key, maxIdleCachedBytes those that another host retains.
+	maxCachedRecords   = 4096
+	maxCachedBytes     = 8 << 20
+	maxIdleCachedBytes = 1 << 20
 )
 
 var (
--- a/gateway/relaycache.go
+++ b/gateway/relaycache.go
@@ -137,7 +137,11 @@
 	if asOf.After(cache.asOf) {
 		cache.asOf = asOf
 	}
-	cache.records = latestRecords(cache.records, maxCachedRecords, maxCachedBytes)
+	maxBytes := maxIdleCachedBytes
+	if s.relays(time.Now()) {
+		maxBytes = maxCachedBytes
+	}
+	cache.records = latestRecords(cache.records, maxCachedRecords, maxBytes)
 	cache.first = cache.end - int64(len(cache.records))
 	if len(page.Records) > 0 {
 		cache.packed = map[int64][]byte{}
