Pass over relays that the store refuses

Cause: the store refuses a third of the hosts, among them the three that are first in the region's order. Each was held to be about to read the topic: the others gave it the end of the call, counted it among the three relays that know no better, and waited 2.5 s for them before they read the store.

Change: a relay that the store has refused since it last answered says so at once. It is not counted and the next in order is asked, so that the first that the store answers reads it. After six such the reader tries the store itself.

TestStoreRefusesManyHostsOfARegion: 2, 3 and 4 of 9 hosts refused failed before, all hold after.

--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -51,9 +51,11 @@
 	relayStartupBackoff = 300 * time.Millisecond
 	startupWindow       = 3 * time.Second
 	// maxRelaysAsked is how many relays may refuse a read of a topic. Then this host reads the store only if it has
-	// known nothing new of the topic for relayPatience, and asks the relays again before.
-	maxRelaysAsked = 3
-	relayPatience  = 2500 * time.Millisecond
+	// known nothing new of the topic for relayPatience, and asks the relays again before. Those that the store
+	// refuses are not counted, as waiting for them is in vain; after maxCutOffRelays the store is read.
+	maxRelaysAsked  = 3
+	maxCutOffRelays = 6
+	relayPatience   = 2500 * time.Millisecond
 	// maxSilentRelays is how many may leave a call unanswered before this host reads the store. A call that fails
 	// within minSilence was answered by the relay's machine: no process listens there.
 	maxSilentRelays = 2
@@ -315,6 +317,8 @@
 	// last answer to it. It has no records then. Upstream is the host that the relay itself reads through.
 	Stale    bool     `json:"stale,omitempty"`
 	Upstream peerHost `json:"upstream"`
+	// CutOff is set with Stale if the store has refused the relay since it last answered.
+	CutOff bool `json:"cut_off,omitempty"`
 	// Reads counts the relay's own reads of the topic.
 	Reads int64 `json:"reads,omitempty"`
 	// Age is the time since the store is known to have held nothing after End, over all relays that the
@@ -328,9 +332,13 @@
 // a call since. Hosts choose their relay at different times, so it does not matter whether this one has
 // chosen itself.
 func (g *Gateway) canRelay(now time.Time) bool {
-	return g.storeAge(now) < maxRelayStaleness && g.lastStoreAnswer.Load() >= g.lastStoreRefusal.Load()
+	return g.storeAge(now) < maxRelayStaleness && !g.isCutOff()
 }
 
+// isCutOff reports whether the store has refused a call since it last answered this host or, as far as it knows, its
+// relays.
+func (g *Gateway) isCutOff() bool { return g.lastStoreAnswer.Load() < g.lastStoreRefusal.Load() }
+
 // storeAge returns the time since the store's last answer to this host or, as far as it knows, to its
 // relays.
 func (g *Gateway) storeAge(now time.Time) time.Duration {
@@ -351,6 +359,8 @@
 		reply.Held = now.Sub(began)
 		wait := min(held-reply.Held, req.maxAge()-reply.Age+time.Millisecond)
 		switch storeAge := g.storeAge(now); {
+		case g.isCutOff():
+			return g.refuseRead(req, reply)
 		case reply.Unready:
 			if wait = held - reply.Held; !req.Retry || wait <= 0 {
 				return reply, nil
@@ -382,7 +392,7 @@
 		return nil, errors.Wrapf(errNotRelay, "topic %s as of %v ago", req.Topic, reply.Age)
 	}
 	upstream := g.relayOf(time.Now(), req.Topic)
-	return readReply{Stale: true, Era: reply.Era, Age: reply.Age, Held: reply.Held, Upstream: peerHost{upstream.Host, upstream.Peer}}, nil
+	return readReply{Stale: true, CutOff: g.isCutOff(), Era: reply.Era, Age: reply.Age, Held: reply.Held, Upstream: peerHost{upstream.Host, upstream.Peer}}, nil
 }
 
 // awaitTopic returns a channel that is closed when a topic is cached that was not, and makes this host a relay
@@ -450,9 +460,9 @@
 	}
 	req.Redirects = true
 	var (
-		tried           []string
-		refused, silent int
-		reply           readReply
+		tried                   []string
+		refused, cutOff, silent int
+		reply                   readReply
 	)
 	relay := g.relayOf(now, req.Topic)
 	for first := relay.Host; ; {
@@ -470,6 +480,8 @@
 			break
 		}
 		switch {
+		case err == nil && reply.CutOff:
+			cutOff++
 		case err == nil || errors.Is(err, port.ErrPeerRefused):
 			refused++
 		case time.Since(read.began) > minSilence:
@@ -479,6 +491,9 @@
 			g.detour(req.Topic, "", relayDetour{until: time.Now().Add(relayBackoff)})
 			return page, read, nil, false
 		}
+		if cutOff == maxCutOffRelays {
+			return page, read, nil, false
+		}
 		if refused == maxRelaysAsked || reply.Unready && patient {
 			return page, read, errRelayUnready, patient
 		}
--- a/gateway/restart_test.go
+++ b/gateway/restart_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,6 +13,7 @@
 
 	"github.com/cicadanotch/cicadanotch/catalog"
 	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/rendezvous"
 )
 
 // restart ends the process of a host and starts it anew after a while, its calls to the store on the same link.
@@ -215,3 +217,37 @@
 		})
 	}
 }
+
+// TestStoreRefusesManyHostsOfARegion replays platform_down with "nodes many" on coldroot-jos (scale-2, seed
+// 727543410171): the store refuses the hosts that are first in the region's order, and revoked keys went on being
+// accepted at the others, which waited for these.
+func TestStoreRefusesManyHostsOfARegion(t *testing.T) {
+	for _, refused := range []int{2, 3, 4} {
+		for _, perZone := range []int{3, 6} {
+			t.Run(fmt.Sprint(refused, " of ", 3*perZone), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					is := is.New(t)
+					tp, _ := startRegions(t, perZone, startInterval)
+					var names []string
+					for _, g := range tp.hosts {
+						if g.opts.Region == "r1" {
+							names = append(names, g.opts.Host)
+						}
+					}
+					first := rendezvous.Top("relay/region/r1", names, refused)
+					for _, name := range first {
+						tp.hostNamed(name).ports.Store.(*hostStore).unreachable.Store(true)
+					}
+					time.Sleep(200 * time.Millisecond)
+					tp.store.put(port.TopicConfiguration, configurationKey, configuration(2))
+					time.Sleep(inForce)
+					for _, g := range tp.hosts {
+						if !slices.Contains(first, g.opts.Host) {
+							is.Equal(g.catalog.Current().Version, int64(2))
+						}
+					}
+				})
+			})
+		}
+	}
+}
