--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -50,22 +50,6 @@
 	maxRelayBackoff     = 24 * time.Second
 	relayStartupBackoff = 300 * time.Millisecond
 	startupWindow       = 3 * time.Second
-	// maxRelaysAsked is how many relays may refuse a read of a topic. Then this host reads the store only if it has
-	// known nothing new of the topic for relayPatience, and asks the relays again before. Those that the store
-	// refuses are not counted, as waiting for them is in vain; after maxCutOffRelays the store is read.
-	maxRelaysAsked  = 3
-	maxCutOffRelays = 6
-	relayPatience   = 2500 * time.Millisecond
-	// maxSilentRelays is how many may leave a call unanswered before this host reads the store. A call that fails
-	// within minSilence was answered by the relay's machine: no process listens there.
-	maxSilentRelays = 2
-	minSilence      = 100 * time.Millisecond
-	// detourDuration is how long a host reads a topic from another relay after the chosen one has refused to
-	// serve it. After maxSilentRelays it reads the store until the first of them may be tried again.
-	detourDuration = time.Second
-	// relayStartPatience is how long a process that starts waits for a relay that has yet to read a topic: all of a
-	// region may start at once, and only one of them is to read the store.
-	relayStartPatience = 1500 * time.Millisecond
 	// askedTTL is how long a host relays after it was last asked to, whether it has chosen itself or not:
 	// hosts whose views differ choose different relays. Hosts read each topic at least once a second.
 	askedTTL = 3 * time.Second
@@ -445,101 +429,6 @@
 	}
 }
 
-// readFromRelay reads a topic from the relay or, if that fails or refuses, from those that take its place, so
-// that the hosts of a region do not all read the store at once. ok is false when this host has to read the store: it
-// is the next relay itself, or several did not answer. asOf is the time as of which this host knows the topic. If
-// relays answer but know no better, it returns errRelayUnready while this host may wait longer.
-func (g *Gateway) readFromRelay(req readRequest, asOf time.Time) (page port.TopicPage, read feedRead, err error, ok bool) {
-	now := time.Now()
-	patient, timeout := now.Sub(asOf) < relayPatience, relayPollTimeout+relayCallMargin
-	if req.From < 0 {
-		req.Era = g.latestEra()
-		if patient = now.Sub(g.startedAt) < relayStartPatience; patient {
-			req.Wait, timeout = 0, relayCallMargin
-		}
-	}
-	req.Redirects = true
-	var (
-		tried                   []string
-		refused, cutOff, silent int
-		reply                   readReply
-	)
-	relay := g.relayOf(now, req.Topic)
-	for first := relay.Host; ; {
-		if relay.Peer == "" {
-			return page, read, nil, false
-		}
-		reply = readReply{}
-		read = feedRead{source: relay.Host, began: time.Now()}
-		req.ForRelay = g.relays.isRelaying()
-		err = g.callPeer(relay, methodRead, timeout, req, &reply)
-		if err == nil && !reply.Stale && !reply.Unready {
-			if len(tried) > 0 {
-				g.detour(req.Topic, first, relayDetour{relay, time.Now().Add(detourDuration)})
-			}
-			break
-		}
-		switch {
-		case err == nil && reply.CutOff:
-			cutOff++
-		case err == nil || errors.Is(err, port.ErrPeerRefused):
-			refused++
-		case time.Since(read.began) > minSilence:
-			silent++
-		}
-		if silent == maxSilentRelays {
-			g.detour(req.Topic, "", relayDetour{until: time.Now().Add(relayBackoff)})
-			return page, read, nil, false
-		}
-		if cutOff == maxCutOffRelays {
-			return page, read, nil, false
-		}
-		if refused == maxRelaysAsked || reply.Unready && patient {
-			return page, read, errRelayUnready, patient
-		}
-		tried = append(tried, relay.Host)
-		relay = g.nextRelay(time.Now(), tried, reply.Upstream)
-		req.Retry = relay.Host != reply.Upstream.Host
-	}
-	read.at, read.reads = time.Now(), reply.Reads
-	read.asOf = read.at.Add(-reply.Age - max(0, read.at.Sub(read.began)-reply.Held))
-	g.learnEra(reply.Era)
-	g.noteStoreAnswer(read.asOf)
-	if reply.Expired {
-		return page, read, port.ErrStoreExpired, true
-	}
-	records, err := reply.records()
-	if err != nil {
-		g.log.Warn().Str("event", "relay_reply_unreadable").Str("topic", string(req.Topic)).Int64("from", req.From).Err(err).Msg("")
-		return page, read, nil, false
-	}
-	return port.TopicPage{Era: reply.Era, Records: records, End: reply.End}, read, nil, true
-}
-
-// detour makes this host read a topic by a detour, unless the relay chosen has failed: then another is chosen in its
-// place.
-func (g *Gateway) detour(topic port.Topic, chosen string, d relayDetour) {
-	s := g.relays
-	now := time.Now()
-	s.mu.Lock()
-	if now.Before(s.failedUntil[chosen]) {
-		s.mu.Unlock()
-		return
-	}
-	before, known := s.detours[topic]
-	s.detours[topic] = d
-	s.mu.Unlock()
-	if known && before.relay.Host == d.relay.Host && now.Sub(before.until) < detourDuration {
-		return // it goes on
-	}
-	instead := d.relay.Host
-	if instead == "" {
-		instead = storeSource
-	}
-	g.metrics.stateChanges.WithLabelValues("relay_detour").Inc()
-	g.log.Info().Str("event", "relay_detour").Str("topic", string(topic)).Str("relay", chosen).Str("instead", instead).Msg("")
-}
-
 // serveReport receives the reports of hosts. A relay whose reports go to the relay of the region forwards
 // them soon, so that they are not delayed by another report interval.
 func (g *Gateway) serveReport(_ context.Context, params json.RawMessage) (any, error) {
