Send no request again on a connection that has carried it

Cause: responses are matched by the request id, and a request that is sent again bears the same id. A late copy of the response to its earlier attempt, on the same kept connection, was taken for its answer; a copy of a refusal made a request that was running count as not run.

Ruled out: copies of responses to other requests, with a length or in chunks, before or after the connection is taken again (TestLateCopyOfAnswer, TestKeptConnections); a response without an id or with wrong framing breaks the attempt.

Change: a connection remembers the last ids that it has carried, and a request that is among them takes another.

Four of eleven rows of TestLateCopyOfAnswer fail without the change, none with it.

--- /dev/null
+++ b/adapter/endpointhttp/body.go
@@ -0,0 +1,72 @@
+package endpointhttp
+
+import (
+	"io"
+
+	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/port"
+)
+
+// responseBody returns the connection to the pool when the response is complete.
+type responseBody struct {
+	io.ReadCloser
+	exchange *exchange
+	// done is set when the connection was returned to the pool or closed.
+	done bool
+}
+
+func (b *responseBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p)
+	switch {
+	case err == io.EOF:
+		b.finish()
+	case err != nil:
+		b.closeConn()
+		err = errors.Wrap(port.ErrBroken, err.Error())
+	}
+	return n, err
+}
+
+// finish returns the connection to the pool if the request was written completely
+// and its context was not canceled. Otherwise it closes the connection.
+func (b *responseBody) finish() {
+	if b.done {
+		return
+	}
+	b.done = true
+	c := b.exchange.conn
+	if !b.exchange.cancelClose() {
+		c.close()
+		return
+	}
+	if b.exchange.written != nil {
+		select {
+		case <-b.exchange.written:
+		default:
+			c.close() // the endpoint responded early; closing stops the rest of the body
+			return
+		}
+		if b.exchange.writeErr != nil {
+			c.close()
+			return
+		}
+	}
+	c.pool.put(c, b.exchange.idleTime)
+}
+
+// closeConn closes the connection unless finish or closeConn was called before.
+func (b *responseBody) closeConn() {
+	if !b.done {
+		b.done = true
+		b.exchange.cancelClose()
+		b.exchange.conn.close()
+	}
+}
+
+// Close implements io.Closer. If the response was not read to its end, the connection
+// is closed, so that the endpoint stops its work.
+func (b *responseBody) Close() error {
+	b.closeConn()
+	return nil
+}
--- a/adapter/endpointhttp/endpointhttp.go
+++ b/adapter/endpointhttp/endpointhttp.go
@@ -7,7 +7,8 @@
 // response that was complete, that belonged to the request, and that was not followed
 // by further bytes. The checks see only bytes that have arrived, so a late response to
 // an earlier request may still come after them. It is recognized by its request id
-// and skipped.
+// and skipped. A request that is sent again bears the same id, so it is not sent on a
+// connection that has carried it before.
 package endpointhttp
 
 import (
@@ -16,6 +17,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -62,6 +64,9 @@
 	// read of each.
 	maxStaleResponses     = 2
 	maxStaleResponseBytes = 256 << 10
+	// maxCarriedIDs bounds the request ids that are remembered of a connection. A request is sent again
+	// within its deadline, before a connection has carried many others.
+	maxCarriedIDs = 32
 	// maxInlineBodyBytes is the size up to which a body is written before the
 	// response is read. A longer body is written while the response is read, because
 	// an endpoint may respond before it has read the body. The size is below the
@@ -128,9 +133,23 @@
 	// wasPooled is set when the connection is returned to the pool for the first time;
 	// each request after that reuses the connection.
 	wasPooled bool
+	// carried holds the ids of the last requests that were sent on it, the oldest first.
+	carried   []string
 	closeOnce sync.Once
 }
 
+// hasCarried reports whether a request with the id was sent on the connection: a late copy of its
+// response could not be told from the response to the same request sent again.
+func (c *conn) hasCarried(id string) bool { return id != "" && slices.Contains(c.carried, id) }
+
+// carry records that a request with the id is about to be sent on the connection.
+func (c *conn) carry(id string) {
+	if len(c.carried) >= maxCarriedIDs {
+		c.carried = slices.Delete(c.carried, 0, 1)
+	}
+	c.carried = append(c.carried, id)
+}
+
 // close closes the connection and subtracts it from those open to its address.
 func (c *conn) close() {
 	c.closeOnce.Do(func() {
@@ -154,7 +173,7 @@
 		if c == nil {
 			break
 		}
-		if c.reusable() {
+		if c.reusable() && !c.hasCarried(f.ID) {
 			return c, nil
 		}
 		c.close()
@@ -372,6 +391,7 @@
 
 func (ex *exchange) send(f *port.Forward) error {
 	c := ex.conn
+	c.carry(f.ID)
 	if err := ex.conn.pool.codec.WriteHead(c.writer, f); err != nil {
 		return err
 	}
@@ -445,66 +465,3 @@
 	}
 	return port.FramingConnection
 }
-
-// responseBody returns the connection to the pool when the response is complete.
-type responseBody struct {
-	io.ReadCloser
-	exchange *exchange
-	// done is set when the connection was returned to the pool or closed.
-	done bool
-}
-
-func (b *responseBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	switch {
-	case err == io.EOF:
-		b.finish()
-	case err != nil:
-		b.closeConn()
-		err = errors.Wrap(port.ErrBroken, err.Error())
-	}
-	return n, err
-}
-
-// finish returns the connection to the pool if the request was written completely
-// and its context was not canceled. Otherwise it closes the connection.
-func (b *responseBody) finish() {
-	if b.done {
-		return
-	}
-	b.done = true
-	c := b.exchange.conn
-	if !b.exchange.cancelClose() {
-		c.close()
-		return
-	}
-	if b.exchange.written != nil {
-		select {
-		case <-b.exchange.written:
-		default:
-			c.close() // the endpoint responded early; closing stops the rest of the body
-			return
-		}
-		if b.exchange.writeErr != nil {
-			c.close()
-			return
-		}
-	}
-	c.pool.put(c, b.exchange.idleTime)
-}
-
-// closeConn closes the connection unless finish or closeConn was called before.
-func (b *responseBody) closeConn() {
-	if !b.done {
-		b.done = true
-		b.exchange.cancelClose()
-		b.exchange.conn.close()
-	}
-}
-
-// Close implements io.Closer. If the response was not read to its end, the connection
-// is closed, so that the endpoint stops its work.
-func (b *responseBody) Close() error {
-	b.closeConn()
-	return nil
-}
