Ask again whether a stalled attempt may be abandoned

Cause: the watchdog of an attempt asked once, when its limit had passed, whether another attempt is allowed. If the retry budget was used up at that moment, the attempt of a stalled endpoint was never abandoned, though a retry was free soon after; it lasted to the deadline of the request.

Change: it asks again every 200 ms until the attempt makes progress or ends.

--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/cicadanotch/cicadanotch/catalog"
@@ -19,14 +20,21 @@
 	// callTargetShare is the fraction of a call's objective after which another endpoint is tried,
 	// so that the second attempt can still answer in time.
 	callTargetShare = 0.6
+	// watchdogRetryInterval is how long after an attempt could not be abandoned it is asked again whether another
+	// one is allowed.
+	watchdogRetryInterval = 200 * time.Millisecond
 )
 
 // watchdog cancels an attempt that receives nothing within a limit, if another attempt is allowed.
 // A zero limit disables it.
 type watchdog struct {
-	timer   *time.Timer
 	cancel  context.CancelCauseFunc
 	allowed func() bool
+
+	mu    sync.Mutex
+	timer *time.Timer
+	// resets counts the calls of reset and stop.
+	resets int
 }
 
 func startWatchdog(cancel context.CancelCauseFunc, limit time.Duration, allowed func() bool) *watchdog {
@@ -36,27 +44,38 @@
 }
 
 func (d *watchdog) reset(limit time.Duration) {
-	switch {
-	case limit <= 0 && d.timer != nil:
-		d.timer.Stop()
-	case limit <= 0:
-	case d.timer == nil:
-		d.timer = time.AfterFunc(limit, func() {
-			if d.allowed() {
-				d.cancel(errUnresponsive)
-			}
-		})
-	default:
-		d.timer.Reset(limit)
-	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.resets++
+	d.start(limit)
 }
 
-func (d *watchdog) stop() {
+// start replaces the timer. The caller holds d.mu.
+func (d *watchdog) start(limit time.Duration) {
 	if d.timer != nil {
 		d.timer.Stop()
 	}
+	if limit > 0 {
+		resets := d.resets
+		d.timer = time.AfterFunc(limit, func() { d.expire(resets) })
+	}
 }
 
+// expire cancels the attempt, or tries so again later while no other attempt is allowed.
+func (d *watchdog) expire(resets int) {
+	if d.allowed() {
+		d.cancel(errUnresponsive)
+		return
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.resets == resets {
+		d.start(watchdogRetryInterval)
+	}
+}
+
+func (d *watchdog) stop() { d.reset(0) }
+
 // headTimeout returns how long an attempt may take until the head of its answer, zero for no limit.
 // Only attempts of requests that may run again are abandoned; for others the endpoint may still
 // answer.
