Take neither comments nor repeated events for progress of a stream

A resumable stream whose endpoint had stalled but sent comments, or its last event again, was not resumed elsewhere; a comment before the first event also counted the request as begun.

Ruled out: bytes of an unfinished event, blank lines and lines of comments without a blank line, which never counted; slow events within the allowed pause, which do (rows of TestStalledStreamThatSendsBytes).

Change: a comment is forwarded with the event after it and begins none; the limit starts anew with an event that is new to the caller.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -6,7 +6,8 @@
 )
 
 // eventSplitter splits a stream of server-sent events into complete events. An event ends with a blank line;
-// lines end with LF or CRLF.
+// lines end with LF or CRLF. A comment is returned with the event after it: an endpoint that has stalled may go on to
+// send comments.
 type eventSplitter struct {
 	pending []byte
 	// returned is the length of the events at the start of pending that add has returned, scanned that of
@@ -28,12 +29,14 @@
 		if n < 0 {
 			return s.pending[:s.returned]
 		}
-		blank := isBlankLine(s.pending[s.scanned : s.scanned+n])
+		line := s.pending[s.scanned : s.scanned+n]
 		s.scanned += n + 1
-		if blank && s.begun {
-			s.returned = s.scanned
+		switch {
+		case isBlankLine(line) && s.begun:
+			s.returned, s.begun = s.scanned, false
+		case !isBlankLine(line) && !isComment(line):
+			s.begun = true
 		}
-		s.begun = !blank
 	}
 }
 
@@ -45,12 +48,15 @@
 	return len(line) == 0 || (len(line) == 1 && line[0] == '\r')
 }
 
+// isComment reports whether a line is a comment.
+func isComment(line []byte) bool { return bytes.HasPrefix(line, []byte(":")) }
+
 // endsInsideEvent reports whether the bytes after the last complete event of a stream begin a further one.
 // Blank lines and comments do not.
 func endsInsideEvent(rest []byte) bool {
 	for len(rest) > 0 {
 		line, after, terminated := bytes.Cut(rest, []byte("\n"))
-		comment := terminated && bytes.HasPrefix(line, []byte(":"))
+		comment := terminated && isComment(line)
 		if !isBlankLine(line) && !comment {
 			return true
 		}
@@ -68,12 +74,12 @@
 		if n < 0 {
 			return len(b)
 		}
-		blank := isBlankLine(b[read : read+n])
+		line := b[read : read+n]
 		read += n + 1
-		if blank && begun {
+		if isBlankLine(line) && begun {
 			return read
 		}
-		begun = begun || !blank
+		begun = begun || !isBlankLine(line) && !isComment(line)
 	}
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -155,10 +155,13 @@
 		n, err := reply.Body.Read(buf)
 		received += n
 		if events := splitter.add(buf[:n]); len(events) > 0 {
+			first, before := !a.answered, c.events
 			if writeErr := c.forwardEvents(a, reply, events); writeErr != nil {
 				return outcomeCanceled, writeErr
 			}
-			wd.reset(c.gapTimeout())
+			if first || c.events > before { // an endpoint that has stalled may repeat its last event
+				wd.reset(c.gapTimeout())
+			}
 		}
 		rest := splitter.rest()
 		switch {
