Do not abandon a long answer that is being forwarded

Cause: an idempotent request is tried elsewhere when its answer takes longer than a part of its objective. That limit went on after an answer too long to be held was being forwarded: no other endpoint can answer then, and the caller's answer was cut.

Change: the limit ends when forwarding begins. TestLongAnswerInProgressIsNotAbandoned fails without the change.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -46,6 +46,7 @@
 		return outcomeBroken, err
 	}
 	if !complete {
+		wd.reset(0) // its beginning is forwarded, so no other endpoint can answer
 		return c.forwardLongReply(reply, body)
 	}
 	a.answered = true
