Check the lease right before each call of the leader, and end the call with it

Cause: the leader checked its lease once and then made a row of orders and usage reports, each of which may take 1.5 s; it renews its lease with reports that wait for the end of the row. With a slow platform, orders went out, or waited for a connection, up to seconds after the lease had ended and another host could have taken over.

Ruled out: a process that was frozen, as the monotonic clock goes on and the lease has run out (TestTenure); orders of an old leader that arrive late, where the platform enforces fencing (TestFencedLeaderStops).

Change: each call is made in a context that exists only while the lease is held with the same fencing token, and that ends with the lease.

--- a/gateway/capacity.go
+++ b/gateway/capacity.go
@@ -1,7 +1,6 @@
 package gateway
 
 import (
-	"context"
 	"time"
 
 	"github.com/pkg/errors"
@@ -116,7 +115,10 @@
 			delete(g.leader.ordered, earlier)
 		}
 	}
-	ctx, cancel := context.WithTimeout(g.context(), platformCallTimeout)
+	ctx, cancel, ok := g.actContext(t)
+	if !ok {
+		return false
+	}
 	defer cancel()
 	err := g.ports.LeaderAPI.OrderCapacity(ctx, t, order)
 	g.countPlatformCall("capacity", err)
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -535,6 +535,12 @@
 
 // startHostOn starts a host whose reads of the store are answered through a link; nil for no delay.
 func (tp *testPlatform) startHostOn(t *testing.T, opts Options, way *sharedLink) *Gateway {
+	t.Helper()
+	return tp.startHostWith(t, opts, way, tp.leaderAPI, nil)
+}
+
+// startHostWith starts a host that calls the platform by leaderAPI. prepare, if set, is called before it starts.
+func (tp *testPlatform) startHostWith(t *testing.T, opts Options, way *sharedLink, leaderAPI port.LeaderAPI, prepare func(*Gateway)) *Gateway {
 	t.Helper()
 	store := &hostStore{memoryStore: tp.store}
 	store.way.Store(way)
@@ -543,7 +549,7 @@
 		peers = tp.peers
 	}
 	g := New(opts, Ports{
-		Peers: peers, Store: store, Endpoints: tp.endpoints, IdleConnections: tp.endpoints, LeaderAPI: tp.leaderAPI,
+		Peers: peers, Store: store, Endpoints: tp.endpoints, IdleConnections: tp.endpoints, LeaderAPI: leaderAPI,
 		DecodeConfiguration: func(raw []byte) (*catalog.Snapshot, error) {
 			var s catalog.Snapshot
 			if err := json.Unmarshal(raw, &s); err != nil {
@@ -557,6 +563,9 @@
 		},
 		Logger: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: tp}},
 	})
+	if prepare != nil {
+		prepare(g)
+	}
 	g.Start()
 	tp.hostsMu.Lock()
 	tp.hosts = append(tp.hosts, g)
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -137,6 +137,24 @@
 	return token
 }
 
+// actContext returns the context of one call to the platform as leader. It ends no later than the lease, so that a
+// call that waits for a connection is not sent after it. ok is false if this host is not the leader with the
+// fencing token t any more.
+func (g *Gateway) actContext(t port.Tenure) (ctx context.Context, cancel context.CancelFunc, ok bool) {
+	s := g.leader
+	s.mu.Lock()
+	now := time.Now()
+	token, held := s.tenure.Held(now)
+	remaining := s.tenure.Remaining(now)
+	s.mu.Unlock()
+	if !held || token != t.FencingToken {
+		g.log.Warn().Str("event", "duty_too_late").Int64("fence", t.FencingToken).Msg("the lease ended before the call")
+		return nil, nil, false
+	}
+	ctx, cancel = context.WithTimeout(g.context(), min(platformCallTimeout, remaining))
+	return ctx, cancel, true
+}
+
 func (s *leaderState) renewed(began time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/gateway/usage.go
+++ b/gateway/usage.go
@@ -126,7 +126,10 @@
 }
 
 func (g *Gateway) sendUsage(t port.Tenure, window int64, counts usage.Counts) bool {
-	ctx, cancel := context.WithTimeout(g.context(), platformCallTimeout)
+	ctx, cancel, ok := g.actContext(t)
+	if !ok {
+		return false
+	}
 	defer cancel()
 	err := g.ports.LeaderAPI.ReportUsage(ctx, t, window, counts)
 	g.countPlatformCall("usage", err)
--- a/lease/tenure.go
+++ b/lease/tenure.go
@@ -46,5 +46,13 @@
 	return t.fencingToken, true
 }
 
+// Remaining returns how long the process may act from now on; zero if it may not.
+func (t *Tenure) Remaining(now time.Time) time.Duration {
+	if _, held := t.Held(now); !held {
+		return 0
+	}
+	return t.validUntil.Sub(now)
+}
+
 // Expired reports whether the process held the lease and it has expired.
 func (t *Tenure) Expired(now time.Time) bool { return t.fencingToken != 0 && !now.Before(t.validUntil) }
--- a/lease/tenure_test.go
+++ b/lease/tenure_test.go
@@ -32,6 +32,7 @@
 			fencingToken, held := tenure.Held(at(tc.now))
 			is.Equal(held, tc.held)
 			is.Equal(fencingToken, tc.fencingToken)
+			is.Equal(tenure.Remaining(at(tc.now)) > 0, tc.held)
 		})
 	}
 }
