--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -46,6 +46,7 @@
 		return outcomeBroken, err
 	}
 	if !complete {
+		wd.reset(0) // its beginning is forwarded, so no other endpoint can answer
 		return c.forwardLongReply(reply, body)
 	}
 	a.answered = true
@@ -155,10 +156,13 @@
 		n, err := reply.Body.Read(buf)
 		received += n
 		if events := splitter.add(buf[:n]); len(events) > 0 {
+			first, before := !a.answered, c.events
 			if writeErr := c.forwardEvents(a, reply, events); writeErr != nil {
 				return outcomeCanceled, writeErr
 			}
-			wd.reset(c.gapTimeout())
+			if first || c.events > before { // an endpoint that has stalled may repeat its last event
+				wd.reset(c.gapTimeout())
+			}
 		}
 		rest := splitter.rest()
 		switch {
