End the leadership of a host whose machine was suspended

Cause: the lease is measured by the monotonic clock, which stands still while a machine is suspended. After it, the host took its lease for valid, and its next report renewed it, though another host had taken over long before.

Ruled out: the time of day, as a step of it would end leaderships for nothing.

Change: the time of suspension is the difference of the boot clock and the monotonic clock. If it has grown since the leadership was taken, the leadership has ended, and no report renews it. TestSuspendedLeader fails without the change.

--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -89,6 +89,10 @@
 	// tenure is this host's view of the lease on the leadership: the host is the leader while it
 	// holds the lease.
 	tenure *lease.Tenure
+	// suspended returns for how long the machine has been suspended since it was started; tests replace it.
+	// suspendedBefore is that time when this host began to take the leadership.
+	suspended       func() time.Duration
+	suspendedBefore time.Duration
 
 	// Used only by the goroutine of followHosts.
 	era          port.Era // era of topicEnd
@@ -118,7 +122,7 @@
 
 func newLeaderState(opts lease.Options) *leaderState {
 	return &leaderState{
-		tenure: lease.NewTenure(opts), decided: map[int64]usage.Counts{}, recorded: map[int64]bool{}, reported: map[int64]bool{},
+		tenure: lease.NewTenure(opts), suspended: suspendedTime, decided: map[int64]usage.Counts{}, recorded: map[int64]bool{}, reported: map[int64]bool{},
 		writtenInEra: noEra,
 		planners:     map[string]*scaling.Planner{}, ordered: map[port.CapacityOrder]time.Time{},
 	}
@@ -128,7 +132,7 @@
 func (s *leaderState) heldToken(now time.Time) (int64, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tenure.Held(now)
+	return s.held(now)
 }
 
 // fencingToken returns the token of heldToken; zero while this host is not the leader.
@@ -137,24 +141,6 @@
 	return token
 }
 
-// actContext returns the context of one call to the platform as leader. It ends no later than the lease, so that a
-// call that waits for a connection is not sent after it. ok is false if this host is not the leader with the
-// fencing token t any more.
-func (g *Gateway) actContext(t port.Tenure) (ctx context.Context, cancel context.CancelFunc, ok bool) {
-	s := g.leader
-	s.mu.Lock()
-	now := time.Now()
-	token, held := s.tenure.Held(now)
-	remaining := s.tenure.Remaining(now)
-	s.mu.Unlock()
-	if !held || token != t.FencingToken {
-		g.log.Warn().Str("event", "duty_too_late").Int64("fence", t.FencingToken).Msg("the lease ended before the call")
-		return nil, nil, false
-	}
-	ctx, cancel = context.WithTimeout(g.context(), min(platformCallTimeout, remaining))
-	return ctx, cancel, true
-}
-
 func (s *leaderState) renewed(began time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -211,7 +197,8 @@
 func (s *leaderState) leaseExpired(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.tenure.Expired(now)
+	token, _ := s.tenure.Held(now)
+	return s.tenure.Expired(now) || token != 0 && s.wasSuspended()
 }
 
 // resign ends the leadership of this host, if it holds it or its lease has expired, and logs the
@@ -283,6 +270,9 @@
 		s.vacantSince = now.Add(g.leaderTimeout())
 		return false
 	}
+	s.mu.Lock()
+	s.suspendedBefore = s.suspended()
+	s.mu.Unlock()
 	firstInEra := s.writtenInEra != s.era
 	position, err := g.appendLeaderRecord(leaderRecord{Leader: g.opts.Host, Wall: g.clock.Wall(now).UnixMilli()})
 	if err != nil {
--- a/gateway/leader_test.go
+++ b/gateway/leader_test.go
@@ -90,6 +90,30 @@
 	})
 }
 
+// TestSuspendedLeader guards against a leader on a machine that was suspended for longer than its lease: the monotonic
+// clock has stood still, so the lease does not seem to have ended. A report must not renew it either.
+func TestSuspendedLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tp := startServing(t, 3, 8*time.Second)
+		old := tp.hostNamed(tp.leaders(time.Now())[0])
+		token, _ := old.leader.heldToken(time.Now())
+		old.leader.mu.Lock()
+		old.leader.suspended = func() time.Duration { return suspendedTime() + 20*time.Second }
+		old.leader.mu.Unlock()
+		_, held := old.leader.heldToken(time.Now())
+		is.True(!held)
+		_, _, ok := old.actContext(port.Tenure{Leader: old.opts.Host, FencingToken: token})
+		is.True(!ok)
+		time.Sleep(8 * time.Second)
+		leaders := tp.leaders(time.Now())
+		is.Equal(len(leaders), 1)
+		is.True(leaders[0] != old.opts.Host)
+		time.Sleep(20 * time.Second)
+		is.Equal(tp.leaders(time.Now()), leaders)
+	})
+}
+
 // startServing returns a platform whose hosts have run for the given time and whose endpoint
 // answers every request.
 func startServing(t *testing.T, hosts int, age time.Duration) *testPlatform {
