Answer what was accepted before a leaving process ends

Cause: a leaving host ended when no admitted request was in progress. Requests that were still being read were not counted, nor answers whose last bytes were not written yet; the servers were then closed with all their connections. A request that arrived between the last check and the close could be passed on and cut.

Ruled out: requests that come while callers still cache the address, and those that cannot end in the grace period (TestLeaving); kept connections, whose answers say that they are closed.

Change: requests count from before their body is read to the return of their handler; with the decision to end, further ones are refused as not run; the servers are shut down within 200 ms, so that answers are written to their end. Requests that are never read to their end keep the process to the end of its grace period only.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -10,6 +10,7 @@
 	"os/signal"
 	"runtime/debug"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 
@@ -35,6 +36,9 @@
 	// not close one that is about to be used: callers stop using them before four
 	// fifths of the 15 s in the configurations.
 	idleTimeout = 20 * time.Second
+	// closeTimeout is how long the last answers may take to be written when the process ends. It is shorter
+	// than what a leaving host keeps of its grace period for the end.
+	closeTimeout = 200 * time.Millisecond
 	// memoryLimitFraction is the fraction of the process's memory limit that is set as
 	// the soft limit of the garbage collector. gcPercent limits the peak of the memory
 	// in use, which is billed.
@@ -196,9 +200,7 @@
 		h.gateway.Leave(context.Background())
 	case <-h.failed:
 	}
-	for _, s := range h.servers {
-		_ = s.Close() // all requests have ended or run out of time
-	}
+	h.closeServers()
 	if h.peerListener != nil {
 		_ = h.peerListener.Close() // calls of peers in progress may be dropped
 		h.peers.Close()
@@ -210,6 +212,22 @@
 	return err
 }
 
+// closeServers closes the listeners and, after closeTimeout, the connections on which an answer is still being written.
+func (h *host) closeServers() {
+	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	var closing sync.WaitGroup
+	for _, s := range h.servers {
+		closing.Go(func() {
+			if err := s.Shutdown(ctx); err != nil {
+				h.logger.Warn().Str("event", "http").Err(err).Msg("connections are closed that are not idle")
+				_ = s.Close() // requests on them have run out of time
+			}
+		})
+	}
+	closing.Wait()
+}
+
 // watchSettings logs changes of the settings file. It does not apply them: a change
 // of addresses or limits requires a restart of the process.
 func watchSettings(ctx context.Context, path string, logger *log.Logger) {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -26,6 +27,7 @@
 	"github.com/cicadanotch/cicadanotch/placement"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/presence"
+	"github.com/cicadanotch/cicadanotch/problem"
 	"github.com/cicadanotch/cicadanotch/quota"
 	"github.com/cicadanotch/cicadanotch/scaling"
 	"github.com/cicadanotch/cicadanotch/usage"
@@ -276,12 +278,26 @@
 
 func (g *Gateway) canExit(now, began time.Time) bool {
 	if now.Sub(began) >= g.opts.GracePeriod-leaveMargin {
+		g.calls.close()
 		return true
 	}
 	if g.calls.len() > 0 || now.Sub(began) < addressTTLFactor*g.opts.AddressTTL {
 		return false
 	}
-	return now.Sub(g.calls.lastArrival()) >= leaveIdleTime
+	return now.Sub(g.calls.lastArrival()) >= leaveIdleTime && g.calls.closeIfIdle()
+}
+
+// BeginRequest records that the host has begun to read a request; EndRequest must be called when its answer is
+// written. It returns false if the process is about to end: the request must be refused then.
+func (g *Gateway) BeginRequest() bool { return g.calls.open() }
+
+// EndRequest records the end of a request that BeginRequest has recorded.
+func (g *Gateway) EndRequest() { g.calls.done() }
+
+// StoppingProblem is the refusal of a request that has come too late for a process that is about to end.
+func StoppingProblem() *problem.Problem {
+	proof, _ := (&problem.Guard{}).ProveNotRun()
+	return problem.NotRun(proof, http.StatusServiceUnavailable, problem.TypeStopping, "the host is stopping").WithRetryAfter(stoppingRetryAfter)
 }
 
 // Stop ends the feeds and the leader tasks.
@@ -295,6 +311,41 @@
 	mu            sync.Mutex
 	calls         map[*call]struct{}
 	lastArrivedAt time.Time
+	// opened is the number of requests that are being read or answered; calls holds those of them that were
+	// admitted. No further ones are opened once closed is set.
+	opened int
+	closed bool
+}
+
+func (t *callTable) open() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.closed {
+		return false
+	}
+	t.opened++
+	return true
+}
+
+func (t *callTable) done() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.opened--
+}
+
+// close makes the table refuse further requests.
+func (t *callTable) close() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = true
+}
+
+// closeIfIdle closes the table if no request is being read or answered, and reports whether it is closed.
+func (t *callTable) closeIfIdle() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.closed = t.closed || t.opened == 0 && len(t.calls) == 0
+	return t.closed
 }
 
 func (t *callTable) add(c *call) {
