Serve no older configuration than other hosts after a start

Cause: a process that starts takes the first version that it reads. If the store has returned from an older copy, or the relay is behind, that may be older than what the other hosts have in force; a key that was withdrawn was accepted again. The hosts' reports hold their version, which nobody compared.

Ruled out: endpoints that have left, in a store that has lost nothing (TestRestartedHostKnowsWhatLeft); relays that know a topic only of old (TestAgeOverThreeHopsIsBounded); older versions in a process that runs (TestConfigurationInForce).

Change: the first version is held back while a live host reports a later one, for 3 s at most, as the store may have lost that version for good. TestRestartedHostAcceptsNoWithdrawnKey fails without the change.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -14,13 +14,20 @@
 func (g *Gateway) followConfiguration() error {
 	// There may be many versions a second, and decoding a large one takes milliseconds of CPU time:
 	// only the newest one read is decoded.
+	// held is the last record that was read while waiting is set.
+	var held port.TopicRecord
+	waiting := false
 	newest := func(read feedRead, records []port.TopicRecord) {
 		for _, r := range slices.Backward(records) {
 			if r.Key == configurationKey && !r.Removed() {
-				g.installConfiguration(read, r)
+				waiting = g.installConfiguration(read, r)
+				held = r
 				return
 			}
 		}
+		if waiting {
+			waiting = g.installConfiguration(read, held)
+		}
 	}
 	f := &follower{
 		g: g, topic: port.TopicConfiguration, pollTimeout: configPollTimeout, minInterval: minConfigInterval, lateAge: lateFeedAge,
@@ -31,15 +38,39 @@
 	return f.run()
 }
 
-func (g *Gateway) installConfiguration(read feedRead, r port.TopicRecord) {
+// maxVersionWait is how long a process that has just started waits for a version as new as other hosts have in force:
+// the time within which a version must be in force. After that the store has lost that version.
+const maxVersionWait = 3 * time.Second
+
+// isBehind reports whether another host has a later version in force than the first one that this process has read:
+// a key that was withdrawn must not be accepted again.
+func (g *Gateway) isBehind(version int64) bool {
+	if g.hasConfig.Load() || time.Since(g.startedAt) > maxVersionWait {
+		return false
+	}
+	for _, r := range g.presence.Live() {
+		if r.Config > version {
+			return true
+		}
+	}
+	return false
+}
+
+// installConfiguration puts a record's version in force if it is newer. waiting is set if it is held back because other
+// hosts have a later one.
+func (g *Gateway) installConfiguration(read feedRead, r port.TopicRecord) (waiting bool) {
 	snapshot, err := g.ports.DecodeConfiguration(r.Value)
 	if err != nil {
 		g.log.Error().Str("event", "configuration_unreadable").Int64("offset", r.Offset).Err(err).Msg("the previous version stays in force")
-		return
+		return false
+	}
+	if g.isBehind(snapshot.Version) {
+		g.log.Warn().Str("event", "configuration_behind").Int64("version", snapshot.Version).Str("source", read.source).Msg("other hosts have a later version in force")
+		return true
 	}
 	before := g.catalog.Current()
 	if !g.catalog.Install(snapshot) {
-		return
+		return false
 	}
 	g.logWorkspaces(before, snapshot)
 	if !g.hasConfig.Swap(true) {
@@ -50,6 +81,7 @@
 	g.log.Info().Str("event", "configuration").Int64("version", snapshot.Version).Int64("offset", r.Offset).
 		Str("source", read.source).Dur("read", read.at.Sub(read.began)).Int("bytes", len(r.Value)).
 		Int("routes", len(snapshot.Routes)).Int("services", len(snapshot.Services)).Int("workspaces", len(snapshot.Workspaces)).Msg("in force")
+	return false
 }
 
 // logWorkspaces logs the workspaces whose limit, priority or number of keys changed.
