Move services between versions as operators order it

Orders of the operator (op/rollout/SERVICE) were not read, and the endpoints of both versions got requests alike: a bad version got half of the traffic and nobody noticed.

The leader decides under its fencing token and records each decision in its topic; hosts ask it for permission, which counts from the start of their call and lasts 2 s. Checked again right before the bytes go out, so that a host that was paused sends nothing to a version that has been rolled back. Ruled out: the word by the store alone, 2 to 3 s late, and an announcement by the leader's report alone, with which an order whose leader was killed at half time was late.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -101,6 +101,7 @@
 		Store: platform.NewStore(s.StoreAddress, nil, logger), Endpoints: endpoints, IdleConnections: endpoints,
 		LeaderAPI: platform.NewCloud(s.CloudAddress, nil), Peers: peerrpc.NewClient(nil),
 		DecodeConfiguration: platform.DecodeConfiguration, DecodeEndpoint: platform.DecodeEndpoint,
+		DecodeRollout: platform.DecodeRollout, EncodeRolloutStatus: platform.EncodeRolloutStatus,
 		Logger: logger,
 	}
 	for _, w := range wrap {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -62,6 +62,8 @@
 
 	// retryReserved is set when the next retry has already been taken from the budget.
 	retryReserved atomic.Bool
+	// avoidsTarget is set when an endpoint of a roll-out's target gave a bad answer.
+	avoidsTarget atomic.Bool
 
 	// mu guards the fields that other goroutines access.
 	mu      sync.Mutex
@@ -107,6 +109,9 @@
 	// begunAt is when its answer began; partsCleared is set once it has cleared the parts of the prompt.
 	begunAt      time.Time
 	partsCleared bool
+	// firstEventAt is when the first event of a stream came. died is set if the endpoint's process has ended.
+	firstEventAt time.Time
+	died         bool
 }
 
 func (c *call) endpointID() string {
@@ -135,6 +140,7 @@
 			return
 		}
 		o, err := c.attempt(ctx, a)
+		c.recordForRollout(a, o)
 		c.g.metrics.attempts.WithLabelValues(string(o)).Inc()
 		s := c.requestState()
 		next := decide(o, s, c.takeRetry)
@@ -271,6 +277,10 @@
 	case !s.moved && s.c.evaluate(now).Verdict == quarantine.VerdictQuarantine:
 		return errors.New("endpoints have ended while running the request")
 	}
+	if err := s.c.g.mayUse(now, s.view.Service, s.view.Version); err != nil {
+		s.c.g.metrics.rolloutWithheld.Inc()
+		return err
+	}
 	s.c.beginInFlight(s.endpointAttempt)
 	s.attempt = s.c.guard.RecordSend()
 	if !s.moved {
@@ -343,7 +353,7 @@
 	case errors.Is(err, port.ErrNotSent):
 		c.unsent++
 		c.tried[a.view.ID] = true
-		if !c.g.fleet.Paused(now, a.view.ID) && c.evaluate(now).Verdict != quarantine.VerdictQuarantine {
+		if c.g.mayUse(now, a.view.Service, a.view.Version) == nil && !c.g.fleet.Paused(now, a.view.ID) && c.evaluate(now).Verdict != quarantine.VerdictQuarantine {
 			c.markSuspect(now, a, "unreachable")
 		}
 		return outcomeUnsent, err
--- a/gateway/capacity.go
+++ b/gateway/capacity.go
@@ -31,6 +31,9 @@
 		}
 		in := g.capacityInput(service, demands[name])
 		for _, order := range planner.Plan(now, in) {
+			if g.rollouts.serving(name) && order.Count < in.Ready[scaling.Pool{Zone: order.Zone, Spot: order.Spot}] {
+				continue // the endpoints of the old version are the way back
+			}
 			if !g.sendOrder(now, t, planner, order, in) {
 				return
 			}
@@ -82,7 +85,7 @@
 func (g *Gateway) capacityInput(service catalog.Service, demand presence.Demand) scaling.Input {
 	in := scaling.Input{Service: service, Demand: demand, TokenMS: g.placer.table.PaceOf(service.Name).TokenMS, Ready: map[scaling.Pool]int{}, Draining: map[scaling.Pool]int{}}
 	for _, v := range g.fleet.All() {
-		if v.Service != service.Name {
+		if v.Service != service.Name || !g.rollouts.counts(v.Service, v.Version) {
 			continue
 		}
 		pool := scaling.Pool{Zone: v.Zone, Spot: v.Spot}
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -24,9 +24,18 @@
 	}
 	f := &follower{
 		g: g, topic: port.TopicConfiguration, pollTimeout: configPollTimeout, minInterval: minConfigInterval, lateAge: lateFeedAge,
-		onSnapshot: func(read feedRead, records []port.TopicRecord, _ bool) { newest(read, records) },
-		onRecords:  newest,
-		onAnswer:   func(time.Time, time.Duration) {},
+		onSnapshot: func(read feedRead, records []port.TopicRecord, restored bool) {
+			newest(read, records)
+			g.receiveRollouts(records, restored)
+			if !restored {
+				g.withdrawRollouts(records)
+			}
+		},
+		onRecords: func(read feedRead, records []port.TopicRecord) {
+			newest(read, records)
+			g.receiveRollouts(records, false)
+		},
+		onAnswer: func(time.Time, time.Duration) {},
 	}
 	return f.run()
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -27,6 +27,7 @@
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/presence"
 	"github.com/cicadanotch/cicadanotch/quota"
+	"github.com/cicadanotch/cicadanotch/rollout"
 	"github.com/cicadanotch/cicadanotch/scaling"
 	"github.com/cicadanotch/cicadanotch/usage"
 )
@@ -69,6 +70,11 @@
 	QuotaTolerance quota.Tolerance
 	// AddressTTL is the TTL of an address answer as stated to callers.
 	AddressTTL time.Duration
+	// ExposureShare is the part of all requests of a service that a bad version may get in a roll-out. Zero
+	// disables roll-outs.
+	ExposureShare float64
+	// RollbackTime is the time after a version's bad answers within which it gets no more requests.
+	RollbackTime time.Duration
 }
 
 // Ports are the external systems.
@@ -82,6 +88,11 @@
 	// DecodeConfiguration and DecodeEndpoint decode records of the store.
 	DecodeConfiguration func([]byte) (*catalog.Snapshot, error)
 	DecodeEndpoint      func(id string, raw []byte) (fleet.Endpoint, error)
+	// DecodeRollout decodes a record beside the configuration. It returns the service of a key that is that of an
+	// order, and an empty one for any other. A removed record has no value.
+	DecodeRollout func(key string, raw []byte) (service string, order rollout.Order, err error)
+	// EncodeRolloutStatus returns the record that tells the operator the state of an order.
+	EncodeRolloutStatus func(order rollout.Order, state rollout.State) (port.TopicRecord, error)
 	Logger              *log.Logger
 }
 
@@ -117,6 +128,7 @@
 	lineage      *lineageState
 	era          eraState
 	leader       *leaderState
+	rollouts     *rolloutState
 	leaving      atomic.Bool
 	endsAt       atomic.Int64 // deadline for the end of a leaving process, Unix nanoseconds
 	leaveStarted chan struct{}
@@ -175,6 +187,7 @@
 	g.placer = newPlacerState(opts.Host)
 	g.lineage = newLineageState(now)
 	g.quarantine = newQuarantineState()
+	g.rollouts = newRolloutState()
 	g.leader = newLeaderState(lease.Options{TTL: opts.LeaseTTL, Margin: opts.LeaseTTL / 4})
 	return g
 }
@@ -188,6 +201,9 @@
 		g.tomb.Go(g.followEndpoints)
 		g.tomb.Go(g.followHosts)
 		g.tomb.Go(g.exchangeLoads)
+		if g.rollsOut() {
+			g.tomb.Go(g.followRollouts)
+		}
 		return nil
 	})
 }
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -498,6 +498,8 @@
 	hosts     []*Gateway
 	hostsMu   sync.Mutex   // of hosts, while some are started
 	peers     *memoryPeers // nil if hosts cannot reach each other
+	// wrapPeers, if set, returns what a host calls the others through.
+	wrapPeers func(host string, peers port.Peers) port.Peers
 }
 
 func newTestPlatform() *testPlatform {
@@ -542,6 +544,9 @@
 	if tp.peers != nil {
 		peers = tp.peers
 	}
+	if tp.wrapPeers != nil {
+		peers = tp.wrapPeers(opts.Host, peers)
+	}
 	g := New(opts, Ports{
 		Peers: peers, Store: store, Endpoints: tp.endpoints, IdleConnections: tp.endpoints, LeaderAPI: tp.leaderAPI,
 		DecodeConfiguration: func(raw []byte) (*catalog.Snapshot, error) {
@@ -555,6 +560,7 @@
 			var e fleet.Endpoint
 			return e, json.Unmarshal(raw, &e)
 		},
+		DecodeRollout: decodeTestRollout, EncodeRolloutStatus: encodeTestStatus,
 		Logger: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: tp}},
 	})
 	g.Start()
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -103,13 +103,19 @@
 			g.updateShares(time.Now())
 			g.runLeaderTasks(time.Now())
 		}
-		select {
-		case <-g.tomb.Dying():
-			return nil
-		case <-leaveStarted:
-			leaveStarted, between = nil, false // report the state change once, without waiting for the tick
-		case <-tick.C:
-			between = !between
+		for woken := true; woken; {
+			woken = false
+			select {
+			case <-g.tomb.Dying():
+				return nil
+			case <-g.rollouts.wake:
+				woken = true
+				g.runRollouts(time.Now())
+			case <-leaveStarted:
+				leaveStarted, between = nil, false // report the state change once, without waiting for the tick
+			case <-tick.C:
+				between = !between
+			}
 		}
 	}
 }
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -14,11 +14,12 @@
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/presence"
 	"github.com/cicadanotch/cicadanotch/rendezvous"
+	"github.com/cicadanotch/cicadanotch/rollout"
 	"github.com/cicadanotch/cicadanotch/scaling"
 	"github.com/cicadanotch/cicadanotch/usage"
 )
 
-// leaderRecord is a record of the leader topic. Either Leader and Wall are set, or Usage.
+// leaderRecord is a record of the leader topic. Either Leader and Wall are set, or Usage, or Rollout.
 //
 // The topic is appended to only if it has not grown since it was read, so its order is the order of
 // the decisions: no record of an earlier leader follows a takeover.
@@ -33,6 +34,8 @@
 	// Usage is the usage to report for a window, written before the report is sent: every repeated
 	// report, by whichever leader, has the same counts.
 	Usage *decidedUsage `json:"usage,omitempty"`
+	// Rollout is the state of an order to move a service to another version.
+	Rollout *rollout.Record `json:"rollout,omitempty"`
 }
 
 // eraShift is the number of bits of a fencing token that hold the offset; the era is above them.
@@ -146,7 +149,7 @@
 // runLeaderTasks takes the leadership when no host holds it, and runs the leader's tasks while this
 // host holds it.
 func (g *Gateway) runLeaderTasks(now time.Time) {
-	if g.opts.UsageWindow <= 0 && !g.opts.OrdersCapacity {
+	if g.opts.UsageWindow <= 0 && !g.opts.OrdersCapacity && !g.rollsOut() {
 		return
 	}
 	if g.leaving.Load() {
@@ -168,6 +171,7 @@
 		return
 	}
 	t := port.Tenure{Leader: g.opts.Host, FencingToken: token}
+	g.runRollouts(now)
 	g.orderCapacity(now, t)
 	if _, held := s.heldToken(time.Now()); held {
 		g.reportUsage(now, t)
@@ -369,6 +373,9 @@
 		s.decide(record.Usage.Window, record.Usage.Counts)
 		s.recorded[record.Usage.Window] = true
 	}
+	if record.Rollout != nil {
+		g.rollouts.adopt(*record.Rollout)
+	}
 }
 
 // appendLeaderRecord appends a record if the topic has not grown meanwhile. If the answer to an
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -37,6 +37,11 @@
 	endless       prometheus.Counter
 	probes        *prometheus.CounterVec
 	deaths        prometheus.Counter
+
+	rolloutChanges  *prometheus.CounterVec
+	rolloutAnswers  *prometheus.CounterVec
+	rolloutWithheld prometheus.Counter
+	rolloutWaits    prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -115,7 +120,23 @@
 		Name: "cicadanotch_gateway_endpoint_deaths_total",
 		Help: "Records of this host that an endpoint ended while it had requests there, two for each endpoint at the most.",
 	})
-	m.registry.MustRegister(m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
+	m.rolloutChanges = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_rollout_changes_total",
+		Help: "Changes of roll-outs that this host decided as the leader, by state.",
+	}, []string{"state"})
+	m.rolloutAnswers = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_rollout_answers_total",
+		Help: "Answers during roll-outs, by version (target, other) and result (good, failed).",
+	}, []string{"version", "result"})
+	m.rolloutWithheld = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_rollout_withheld_total",
+		Help: "Requests that were not sent to a chosen endpoint after all, because its version had no permission any more.",
+	})
+	m.rolloutWaits = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_rollout_late_seconds_total",
+		Help: "Seconds that completed roll-outs took beyond their deadline, because requests ran at the old version.",
+	})
+	m.registry.MustRegister(m.rolloutChanges, m.rolloutAnswers, m.rolloutWithheld, m.rolloutWaits, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
 		m.feedReads, m.version, m.hosts, m.fencingToken, m.leaderCalls, m.moves, collectors.NewGoCollector())
 	return m
 }
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -173,6 +173,9 @@
 	if c.g.fleet.Paused(time.Now(), from.ID) {
 		return "paused"
 	}
+	if c.g.mayUse(time.Now(), from.Service, from.Version) != nil {
+		return "withheld"
+	}
 	result := "no-target"
 	tried := map[string]bool{from.ID: true}
 	for range maxMoveTargets {
@@ -190,6 +193,9 @@
 
 func (c *call) moveTo(from, target fleet.View, deadline time.Time) string {
 	copyTo := func(last bool) (string, error) {
+		if err := c.g.mayUse(time.Now(), from.Service, from.Version); err != nil {
+			return "", errors.Wrap(port.ErrMoveFailed, err.Error())
+		}
 		ctx, cancel := context.WithTimeout(c.g.context(), min(moveTimeout, time.Until(deadline)))
 		defer cancel()
 		return c.g.ports.Endpoints.MoveStream(ctx, from.Address, port.StreamMove{RequestID: c.req.ID, Target: target.Address, Last: last})
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -102,6 +102,10 @@
 	Priority int              `json:"priority,omitempty"`
 	// Software is the only software version that may be chosen; nil for any.
 	Software *string `json:"software,omitempty"`
+	// Within holds the only endpoints that may be chosen in a roll-out, Versions the only software versions;
+	// empty for any.
+	Within   []string `json:"within,omitempty"`
+	Versions []string `json:"versions,omitempty"`
 	// Excluded must not be chosen, Suspect only if there is no other.
 	Excluded []string `json:"excluded,omitempty"`
 	Suspect  []string `json:"suspect,omitempty"`
@@ -182,6 +186,7 @@
 		Service: q.Service, Zone: q.Zone, Key: q.Key, Prompt: q.PromptTokens, Answer: q.MaxAnswerTokens, Parts: q.Parts,
 		Priority: q.Priority, Software: c.streamSoftware(), Remaining: c.deadline.Sub(now),
 	}
+	req.Within, req.Versions = g.rolloutBounds(c.service.Name, views)
 	for id := range q.Excluded {
 		req.Excluded = append(req.Excluded, id)
 	}
@@ -256,7 +261,8 @@
 	for _, id := range req.Excluded {
 		q.Excluded[id] = true
 	}
-	candidates := g.candidates(now, ofSoftware(g.fleet.Usable(now, service.Name), req.Software), true, service)
+	views := g.withoutEnded(service.Name, ofSoftware(g.fleet.Usable(now, service.Name), req.Software))
+	candidates := g.candidates(now, req.withinRollout(views), true, service)
 	for i := range candidates {
 		candidates[i].Suspect = candidates[i].Suspect || slices.Contains(req.Suspect, candidates[i].ID)
 	}
--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -152,6 +152,7 @@
 	if result != probeRefused {
 		return
 	}
+	a.died = true
 	c.g.recordEndpointDeath(ctx, a.view)
 	if c.evaluate(time.Now()).Verdict == quarantine.VerdictQuarantine {
 		pause(ctx, confirmDelay)
--- a/gateway/software.go
+++ b/gateway/software.go
@@ -48,7 +48,7 @@
 
 // usable returns the endpoints that the request may be sent to.
 func (c *call) usable(now time.Time) []fleet.View {
-	return ofSoftware(c.g.fleet.Usable(now, c.service.Name), c.streamSoftware())
+	return c.withinRollout(now, ofSoftware(c.g.fleet.Usable(now, c.service.Name), c.streamSoftware()))
 }
 
 // ofSoftware returns the endpoints of a software version, all of them for nil.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -28,6 +28,7 @@
 	Suspected    []quarantine.Row         `json:"suspected"`
 	Deaths       []quarantine.Death       `json:"deaths"`
 	LethalParts  []quarantine.LethalParts `json:"lethal_parts"`
+	Rollouts     []RolloutState           `json:"rollouts"`
 }
 
 // State returns the current state.
@@ -39,6 +40,7 @@
 		Hosts: g.presence.Live(), FencingToken: g.leader.fencingToken(now),
 		Suspected: g.quarantine.table.State(now), Deaths: g.quarantine.table.Deaths(now),
 		LethalParts: g.quarantine.table.LethalParts(now),
+		Rollouts:    g.rollouts.state(now, g.leader.fencingToken(now) != 0),
 	}
 	if c := g.catalog.Current(); c != nil {
 		s.Config = c.Version
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -180,7 +180,8 @@
 func (c *call) forwardEvents(a *endpointAttempt, reply *port.Reply, events []byte) error {
 	now := time.Now()
 	if !a.answered {
-		a.answered = true
+		a.answered, a.firstEventAt = true, now
+		c.recordFirstEvent(a)
 		c.g.placement.Started(&a.choice, now.Sub(a.startedAt))
 		c.g.settle(c.placer, settlement{Ticket: c.ticket, Started: now.Sub(a.startedAt)})
 	}
--- a/port/store.go
+++ b/port/store.go
@@ -35,6 +35,8 @@
 	TopicHosts Topic = "hosts"
 	// TopicLeader holds the changes of leader and the decisions of the leaders.
 	TopicLeader Topic = "duties"
+	// TopicStatus holds what the operator reads of the system, by key.
+	TopicStatus Topic = "status"
 )
 
 // TopicRecord is one record of a topic.
--- a/rollout/machine.go
+++ b/rollout/machine.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"time"
 )
 
@@ -110,6 +111,7 @@
 
 	judge   judge
 	longest map[string]time.Duration // of answers of other versions, by route
+	answers map[string]float64       // of all versions, by route
 	// Since the last rise of a fraction:
 	risenAt         time.Time
 	targets, others float64 // answers
@@ -128,7 +130,7 @@
 	if r.State == "" {
 		r.State = StateServing
 	}
-	return &Machine{share: share, record: r, started: started, risenAt: started, judge: judge{map[string]*track{}}, longest: map[string]time.Duration{}}
+	return &Machine{share: share, record: r, started: started, risenAt: started, judge: judge{map[string]*track{}}, longest: map[string]time.Duration{}, answers: map[string]float64{}}
 }
 
 // Record returns the present state.
@@ -155,6 +157,7 @@
 	}
 	for route, row := range e {
 		m.longest[route] = max(m.longest[route], row.Longest)
+		m.answers[route] += row.Target.Answers + row.Others.Answers
 		m.targets += row.Target.Answers
 		m.others += row.Others.Answers
 	}
@@ -273,3 +276,58 @@
 	}
 	return present
 }
+
+// Brisk reports whether a step is due within stepLead or has been taken, so that evidence is needed soon.
+func (m *Machine) Brisk(now time.Time) bool {
+	if m.record.State.Ended() {
+		return false
+	}
+	for route, f := range m.record.Fractions {
+		if f >= middleFraction || m.scheduled(now.Add(stepLead), route, f) > f {
+			return true
+		}
+	}
+	return m.judge.worst().suspect()
+}
+
+// stepLead is how long before a step evidence is wanted faster.
+const stepLead = time.Second
+
+// NoteOthers adds to the versions that were listed beside the target.
+func (m *Machine) NoteOthers(versions []string) {
+	if m.record.State.Ended() {
+		return
+	}
+	for _, v := range versions {
+		if !slices.Contains(m.record.Others, v) {
+			m.record.Others = append(slices.Clone(m.record.Others), v)
+		}
+	}
+}
+
+// Relocate sets the place of the order's record, which differs in a restored store.
+func (m *Machine) Relocate(o Order) {
+	if o.SameContent(m.record.Order) {
+		m.record.Order = o
+	}
+}
+
+// Adopt goes on at a later state that an earlier leader has told.
+func (m *Machine) Adopt(r Record) {
+	order, others := m.record.Order, m.record.Others
+	m.record = r
+	m.record.Order, m.record.Fractions = order, maps.Clone(r.Fractions)
+	m.NoteOthers(others)
+}
+
+// Total returns the fraction of all requests that the target gets, by the requests of each route so far.
+func (m *Machine) Total() float64 {
+	all, target := 0.0, 0.0
+	for route, n := range m.answers {
+		all, target = all+n, target+n*m.record.Fraction(route)
+	}
+	if all == 0 {
+		return m.record.Fraction("")
+	}
+	return target / all
+}
