--- a/gateway/rollout_peers.go
+++ b/gateway/rollout_peers.go
@@ -101,7 +101,7 @@
 		select {
 		case <-g.tomb.Dying():
 			return false
-		case now = <-tick.C:
+		case <-tick.C:
 			now = time.Now() // the tick may have waited for a call
 		}
 	}
--- a/gateway/rollout_test.go
+++ b/gateway/rollout_test.go
@@ -58,6 +58,8 @@
 	service string
 	// bad reports whether an endpoint of a version fails a request now; nil for none.
 	bad func(version string, f *port.Forward) bool
+	// beforeSending is called before the first byte of a request to an endpoint of a version; nil for none.
+	beforeSending func(version string, f *port.Forward)
 	// duration is how long an endpoint of a service without engines takes.
 	duration time.Duration
 
@@ -96,6 +98,9 @@
 
 func (r *rolloutTest) respond(ctx context.Context, f *port.Forward, _ int) (*port.Reply, error) {
 	version := "v" + f.Endpoint[:1]
+	if r.beforeSending != nil {
+		r.beforeSending(version, f)
+	}
 	if err := f.Sending(); err != nil {
 		return nil, fmt.Errorf("%w: %w", port.ErrNotSent, err)
 	}
