Play a roll-out over the wire, with the platform's stand-in

The stand-in takes orders of the operator and returns the stated state; endpoints can fail with an answer of their own.

--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -57,6 +57,7 @@
 		"listen.front=" + d.front, "listen.ready=" + d.ready, "listen.directory=" + d.directory,
 		"provider.address=" + d.store.Address(), "cloud.address=" + d.cloud.Address(), "cloud.duties=usage_report",
 		"bounds.usage_window_s=1", "bounds.usage_late_s=10", "bounds.lease_ms=3000", "bounds.grace_s=8", "bounds.drain_ms=3000", "bounds.budget_slack=58",
+		"bounds.exposure_share=0.1", "bounds.rollback_ms=5000",
 	}, "\n")))
 	is.New(t).NoErr(err)
 	settings.MetricsAddress = sockets.add(t)
