--- a/gateway/behind_test.go
+++ b/gateway/behind_test.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,6 +16,9 @@
 // to be restarted while the store holds version 1 only.
 func startBehind(t *testing.T) (*testPlatform, *memoryPeers, *Gateway) {
 	tp, peers := startRegions(t, 3, startInterval)
+	tp.endpoints.respond = func(_ context.Context, f *port.Forward, _ int) (*port.Reply, error) {
+		return completeReply(f, 200, "ok"), nil
+	}
 	withdrawn := configuration(2)
 	withdrawn.Workspaces[0].Keys = []string{"other"}
 	tp.store.put(port.TopicConfiguration, configurationKey, withdrawn)
