Carry out orders that follow one another

An order written again after a roll back was taken for the one before, because the state that the operator reads was that of the earlier order. A version that an order had left got requests again under the next order. Versions that earlier orders have left are kept out, and do not count as a way back.

go test -run 'OrdersThatFollow|EndedOrders|RolloutRolls|RolloutCompletes|StreamsOfA' ./gateway: ok.

--- a/gateway/rollout.go
+++ b/gateway/rollout.go
@@ -52,7 +52,9 @@
 	// fullSince is when this host began to send all requests to the target; zero if it does not.
 	fullSince time.Time
 	evidence  rollout.Evidence
-	earlier   []rollout.Order
+	// earlier are the orders before this one, banned the versions that they have left without requests.
+	earlier []rollout.Order
+	banned  []string
 }
 
 func newRolloutState() *rolloutState {
@@ -111,6 +113,7 @@
 	if h != nil {
 		fresh.earlier = append(slices.Clone(h.earlier), h.order)
 		fresh.earlier = fresh.earlier[max(len(fresh.earlier)-maxRolloutHistory, 0):]
+		fresh.banned = slices.DeleteFunc(append(slices.Clone(h.banned), h.leaves()...), func(v string) bool { return v == order.Target })
 	}
 	s.held[order.Service] = fresh
 	delete(s.led, order.Service)
@@ -196,8 +199,23 @@
 // moving reports whether the order has not ended.
 func (h *heldRollout) moving() bool { return h.refused == nil && !h.record.State.Ended() }
 
-// excludes reports whether nothing may be sent to a version because the order has ended.
+// leaves returns the versions that get no requests when another order follows: the target, unless the order was
+// completed, and then the others.
+func (h *heldRollout) leaves() []string {
+	switch {
+	case h.refused != nil || len(h.record.Others) == 0:
+		return nil
+	case h.record.State == rollout.StateCompleted:
+		return h.record.Others
+	}
+	return []string{h.order.Target}
+}
+
+// excludes reports whether nothing may be sent to a version, because this order or an earlier one has ended.
 func (h *heldRollout) excludes(version string) bool {
+	if slices.Contains(h.banned, version) {
+		return true
+	}
 	switch h.record.State {
 	case rollout.StateRolledBack:
 		return version == h.order.Target && len(h.record.Others) > 0
@@ -244,10 +262,15 @@
 	return nil
 }
 
-// othersListed reports whether an endpoint of another version than the target is listed as ready.
+// othersListed reports whether an endpoint of another version than the target, and of none that must not be used, is
+// listed as ready.
 func (g *Gateway) othersListed(service, target string) bool {
-	return slices.ContainsFunc(g.fleet.All(), func(v fleet.View) bool {
-		return v.Service == service && v.Version != target && v.State == fleet.StateReady
+	all := g.fleet.All()
+	g.rollouts.mu.Lock()
+	defer g.rollouts.mu.Unlock()
+	h := g.rollouts.held[service]
+	return slices.ContainsFunc(all, func(v fleet.View) bool {
+		return v.Service == service && v.Version != target && v.State == fleet.StateReady && (h == nil || !h.excludes(v.Version))
 	})
 }
 
--- a/gateway/rollout_call.go
+++ b/gateway/rollout_call.go
@@ -31,9 +31,10 @@
 		s.mu.Unlock()
 		return views
 	}
+	views = slices.DeleteFunc(views, func(v fleet.View) bool { return h.excludes(v.Version) })
 	if !h.moving() {
-		defer s.mu.Unlock()
-		return slices.DeleteFunc(views, func(v fleet.View) bool { return h.excludes(v.Version) })
+		s.mu.Unlock()
+		return views
 	}
 	permitted, target, total, key := h.permits(now), h.order.Target, h.total, h.order.Service+"/"+h.order.Target
 	chosen := permitted && !c.avoidsTarget.Load() && rollout.Share(c.req.ID, h.record.Fraction(c.route.Name))
@@ -112,7 +113,7 @@
 	g.rollouts.mu.Lock()
 	defer g.rollouts.mu.Unlock()
 	h := g.rollouts.held[service]
-	if h == nil || h.moving() {
+	if h == nil || h.refused != nil {
 		return views
 	}
 	return slices.DeleteFunc(views, func(v fleet.View) bool { return h.excludes(v.Version) })
--- a/gateway/rollout_failure_test.go
+++ b/gateway/rollout_failure_test.go
@@ -362,3 +362,44 @@
 		})
 	}
 }
+
+// TestOrdersThatFollow answers an order that is written again after a roll back, and one for a third version while the
+// first goes on: each is carried out, and the version that was left gets nothing.
+func TestOrdersThatFollow(t *testing.T) {
+	t.Run("again after a roll back", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			r := startRollout(t, 3, "api")
+			var isBad atomic.Bool
+			isBad.Store(true)
+			r.bad = func(version string, _ *port.Forward) bool { return isBad.Load() && version == "v2" }
+			r.startTraffic(t, 100, "get")
+			time.Sleep(2 * time.Second)
+			r.awaitStatus(t, r.order(), "rolled_back v2", orderDuration)
+			isBad.Store(false)
+			time.Sleep(2 * time.Second)
+			r.awaitStatus(t, r.order(), "completed v2", orderDuration)
+		})
+	})
+	t.Run("another version meanwhile", func(t *testing.T) {
+		synctest.Test(t, func(t *testing.T) {
+			is := is.New(t)
+			r := startRollout(t, 3, "api")
+			r.startTraffic(t, 100, "get")
+			time.Sleep(2 * time.Second)
+			r.order()
+			time.Sleep(3 * time.Second)
+			for _, id := range []string{"31", "32", "33"} {
+				r.store.put(port.TopicEndpoints, id, versionedEndpoint("api", id))
+			}
+			time.Sleep(2 * time.Second)
+			r.store.put(port.TopicConfiguration, testRolloutKey+"api", rollout.Order{Service: "api", Target: "v3", Duration: orderDuration})
+			ordered := time.Now()
+			time.Sleep(time.Second)
+			from := time.Now()
+			r.awaitStatus(t, ordered, "completed v3", orderDuration)
+			target, all, _ := r.toTarget(from, time.Now()) // to v2
+			is.Equal(target, 0)
+			is.True(all > 500)
+		})
+	})
+}
--- a/gateway/rollout_leader.go
+++ b/gateway/rollout_leader.go
@@ -158,6 +158,7 @@
 	s.mu.Lock()
 	recorded, isRecorded := s.recorded[order.Service]
 	known := s.held[order.Service].record
+	again := slices.ContainsFunc(s.held[order.Service].earlier, order.SameContent) || isRecorded && order.SameContent(recorded.Order)
 	s.mu.Unlock()
 	isRecorded = isRecorded && order.Repeats(recorded.Order, recorded.State.Ended())
 	if isRecorded {
@@ -176,7 +177,7 @@
 			return nil // logged by statedEnd
 		}
 		source = "order"
-		if stated != "" {
+		if stated != "" && !again { // else it is the state of the order before
 			record.State, record.Why, source = stated, "stated by an earlier leader", "status"
 		}
 	}
