Decide on refusals for lack of room in a package of its own

Calls of services without engines had no decision under load: overloaded returned early for them, so a call that no endpoint could answer before its deadline was sent all the same. A refusal for lack of room did not say which figures decided.

Ruled out by measurement, see docs/design/overload.md: leaving out endpoints that have declined or answer late. Comparing two endpoints of the region drawn at random changed nothing beyond noise. A further attempt after a decline where the route allows one attempt was not built: the contract counts endpoints that a request is sent to.

Package overload holds the decisions: Prompt as it was in gateway/place.go, Call for calls by their deadline, Returns, which spreads the returns of refused calls by turns, so that those refused first return first. The request's log line states reason, room, Retry-After and the time left; a metric counts reasons. Decisions on prompts are the same as before.

--- a/attempt/response_time.go
+++ b/attempt/response_time.go
@@ -42,6 +42,13 @@
 	e.deviation += deviationGain * (max(diff, -diff) - e.deviation)
 }
 
+// Mean returns the moving average of the response times, or zero if nothing was observed.
+func (e *ResponseTimeEstimator) Mean() time.Duration {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return time.Duration(e.mean * float64(time.Second))
+}
+
 // Estimate returns the estimate, or zero if nothing was observed. A response may take
 // longer.
 func (e *ResponseTimeEstimator) Estimate() time.Duration {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -59,6 +59,7 @@
 	finalDetail string // detail of the final problem, for the log
 	ending      answerEnding
 	lastAttempt *endpointAttempt
+	refusal     *refusal // set when the request was refused for lack of room
 
 	// retryReserved is set when the next retry has already been taken from the budget.
 	retryReserved atomic.Bool
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -114,6 +114,7 @@
 	relays       *relayState
 	placer       *placerState
 	quarantine   *quarantineState
+	overload     *overloadState
 	lineage      *lineageState
 	era          eraState
 	leader       *leaderState
@@ -173,6 +174,7 @@
 	g.calls.calls = map[*call]struct{}{}
 	g.relays = newRelayState()
 	g.placer = newPlacerState(opts.Host)
+	g.overload = newOverloadState()
 	g.lineage = newLineageState(now)
 	g.quarantine = newQuarantineState()
 	g.leader = newLeaderState(lease.Options{TTL: opts.LeaseTTL, Margin: opts.LeaseTTL / 4})
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -44,6 +44,9 @@
 	if c.ending.unfinished > 0 {
 		e.Int("unfinished", c.ending.unfinished)
 	}
+	if r := c.refusal; r != nil {
+		e.Str("reason", string(r.reason)).Dur("room_ms", r.room).Dur("retry_after_ms", r.delay).Dur("left_ms", c.deadline.Sub(now))
+	}
 	if c.req.HasTokens {
 		e.Int("prompt", c.req.PromptTokens).Int("cost", int(c.cost))
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -21,6 +21,7 @@
 	registry      *prometheus.Registry
 	requests      *prometheus.CounterVec
 	refusals      *prometheus.CounterVec
+	overloads     *prometheus.CounterVec
 	attempts      *prometheus.CounterVec
 	firstEvent    *prometheus.HistogramVec
 	answers       *prometheus.HistogramVec
@@ -115,7 +116,11 @@
 		Name: "cicadanotch_gateway_endpoint_deaths_total",
 		Help: "Records of this host that an endpoint ended while it had requests there, two for each endpoint at the most.",
 	})
-	m.registry.MustRegister(m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
+	m.overloads = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_overload_refusals_total",
+		Help: "Requests refused for lack of room, by reason (deadline, objective).",
+	}, []string{"reason"})
+	m.registry.MustRegister(m.overloads, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
 		m.feedReads, m.version, m.hosts, m.fencingToken, m.leaderCalls, m.moves, collectors.NewGoCollector())
 	return m
 }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -13,19 +13,6 @@
 	"github.com/cicadanotch/cicadanotch/problem"
 )
 
-const (
-	// maxFirstTokenRatio is the largest expected time to the first token, as a multiple of the
-	// route's objective, at which a request of the most urgent priority is accepted. Each further
-	// priority lowers it by firstTokenRatioStep, down to minFirstTokenRatio. An answer past its
-	// objective is worth a tenth, and its work delays the requests behind it.
-	maxFirstTokenRatio  = 2.2
-	firstTokenRatioStep = 0.3
-	minFirstTokenRatio  = 1.2
-	// minRetryAfter and maxRetryAfter bound the delay after which refused callers retry.
-	minRetryAfter = 100 * time.Millisecond
-	maxRetryAfter = 3 * time.Second
-)
-
 // place chooses an endpoint for the next attempt, or refuses the request.
 func (c *call) place(now time.Time) (*endpointAttempt, *problem.Problem) {
 	if m := c.takeReadyMove(); m != nil {
@@ -52,11 +39,11 @@
 	if !ok {
 		return nil, c.notRun(http.StatusServiceUnavailable, problem.TypeUnavailable, "every endpoint was tried").WithRetryAfter(c.retryAfterDecline())
 	}
-	if delay, over := c.overloaded(now, choice); over {
+	if room, reason, over := c.overloaded(now, choice); over {
 		c.release(&choice, true)
 		c.g.fleet.ReturnToLimit(now, choice.ID)
 		c.g.demand.Refused(now, c.service.Name, q.PromptTokens, q.MaxAnswerTokens)
-		return nil, c.notRun(http.StatusServiceUnavailable, problem.TypeOverloaded, "no endpoint can start it in time").WithRetryAfter(delay)
+		return nil, c.overloadProblem(now, reason, room, "no endpoint can start it in time")
 	}
 	c.g.demand.Placed(now, c.service.Name, max(q.PromptTokens-choice.CachedTokens, 0), q.MaxAnswerTokens)
 	return &endpointAttempt{choice: choice, view: findView(views, choice.ID)}, nil
@@ -124,22 +111,6 @@
 	return q
 }
 
-// overloaded reports whether the best choice would start the request too late to be of use, and
-// after which delay the caller should retry.
-func (c *call) overloaded(now time.Time, choice placement.Choice) (time.Duration, bool) {
-	if c.service.Engine == nil || c.sent > 0 || c.route.Target <= 0 || choice.Suspect {
-		return 0, false
-	}
-	ratio := max(maxFirstTokenRatio-firstTokenRatioStep*float64(c.priority()), minFirstTokenRatio)
-	limit := min(time.Duration(ratio*float64(c.route.Target)), c.deadline.Sub(now))
-	expected := time.Duration(choice.Terms.FirstToken() * float64(time.Millisecond))
-	if expected <= limit {
-		return 0, false
-	}
-	delay := expected - c.route.Target
-	return min(max(delay, minRetryAfter), maxRetryAfter), true
-}
-
 // candidates converts views into placement candidates.
 func (g *Gateway) candidates(now time.Time, views []fleet.View, engine bool, service catalog.Service) []placement.Candidate {
 	out := make([]placement.Candidate, 0, len(views))
--- /dev/null
+++ b/overload/overload_test.go
@@ -0,0 +1,73 @@
+package overload_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadanotch/cicadanotch/overload"
+)
+
+const ms = time.Millisecond
+
+func TestCall(t *testing.T) {
+	is := is.New(t)
+	s := overload.Start{Wait: 900 * ms, Work: 60 * ms}
+	_, refuse := overload.Call(s, 1200*ms)
+	is.True(!refuse) // late, but before the deadline
+	delay, refuse := overload.Call(s, 800*ms)
+	is.True(refuse)
+	is.Equal(delay, 160*ms)
+	delay, refuse = overload.Call(s, 950*ms)
+	is.True(refuse)
+	is.Equal(delay, 60*ms) // not before a call has ended
+}
+
+func TestPrompt(t *testing.T) {
+	for name, tc := range map[string]struct {
+		expected, objective, remaining time.Duration
+		priority                       int
+		reason                         overload.Reason
+	}{
+		"in time":                         {500 * ms, 600 * ms, 10_000 * ms, 0, ""},
+		"late, most urgent":               {1300 * ms, 600 * ms, 10_000 * ms, 0, ""},
+		"too late, most urgent":           {1330 * ms, 600 * ms, 10_000 * ms, 0, overload.ReasonObjective},
+		"too late, less urgent":           {1300 * ms, 600 * ms, 10_000 * ms, 1, overload.ReasonObjective},
+		"late, least urgent":              {700 * ms, 600 * ms, 10_000 * ms, 9, ""},
+		"in time, but after the deadline": {500 * ms, 600 * ms, 400 * ms, 0, overload.ReasonDeadline},
+		"no objective":                    {60_000 * ms, 0, 10_000 * ms, 0, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			delay, reason, refuse := overload.Prompt(tc.expected, tc.objective, tc.remaining, tc.priority)
+			is.Equal(reason, tc.reason)
+			is.Equal(refuse, tc.reason != "")
+			if refuse {
+				is.Equal(delay, tc.expected-tc.objective)
+			}
+		})
+	}
+}
+
+// TestReturnsOfRefusedCallers replays callers that are refused beside others that repeat at once: with one delay
+// for all, all return to the room of one.
+func TestReturnsOfRefusedCallers(t *testing.T) {
+	is := is.New(t)
+	const turn = 30 * ms
+	var r overload.Returns
+	start := time.Unix(0, 0)
+	var last time.Time
+	for i := range 50 {
+		now := start.Add(time.Duration(i) * ms)
+		delay := r.Next(now, 200*ms, turn)
+		is.True(delay >= overload.MinRetryAfter && delay <= overload.MaxRetryAfter)
+		at := now.Add(delay)
+		is.True(i == 0 || at.Sub(last) == turn) // one after the other, those refused first return first
+		last = at
+	}
+	is.Equal(r.Next(start.Add(time.Minute), time.Millisecond, turn), overload.MinRetryAfter)
+	for range 200 {
+		is.True(r.Next(start, 0, turn) <= overload.MaxRetryAfter)
+	}
+}
