--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -127,6 +127,7 @@
 	relays       *relayState
 	placer       *placerState
 	quarantine   *quarantineState
+	overload     *overloadState
 	lineage      *lineageState
 	era          eraState
 	leader       *leaderState
@@ -187,6 +188,7 @@
 	g.calls.calls = map[*call]struct{}{}
 	g.relays = newRelayState()
 	g.placer = newPlacerState(opts.Host)
+	g.overload = newOverloadState()
 	g.lineage = newLineageState(now)
 	g.quarantine = newQuarantineState()
 	g.rollouts = newRolloutState()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -21,6 +21,7 @@
 	registry      *prometheus.Registry
 	requests      *prometheus.CounterVec
 	refusals      *prometheus.CounterVec
+	overloads     *prometheus.CounterVec
 	attempts      *prometheus.CounterVec
 	firstEvent    *prometheus.HistogramVec
 	answers       *prometheus.HistogramVec
@@ -136,7 +137,11 @@
 		Name: "cicadanotch_gateway_rollout_late_seconds_total",
 		Help: "Seconds that completed roll-outs took beyond their deadline, because requests ran at the old version.",
 	})
-	m.registry.MustRegister(m.rolloutChanges, m.rolloutAnswers, m.rolloutWithheld, m.rolloutWaits, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
+	m.overloads = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_overload_refusals_total",
+		Help: "Requests refused for lack of room, by reason (deadline, objective).",
+	}, []string{"reason"})
+	m.registry.MustRegister(m.overloads, m.rolloutChanges, m.rolloutAnswers, m.rolloutWithheld, m.rolloutWaits, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
 		m.feedReads, m.version, m.hosts, m.fencingToken, m.leaderCalls, m.moves, collectors.NewGoCollector())
 	return m
 }
