--- a/gateway/watchdog_test.go
+++ b/gateway/watchdog_test.go
@@ -34,8 +34,11 @@
 		is := is.New(t)
 		ctx, cancel := context.WithCancelCause(t.Context())
 		defer cancel(nil)
-		var wd *watchdog
-		wd = startWatchdog(cancel, time.Second, func() bool { wd.stop(); return false })
+		started := make(chan *watchdog, 1)
+		started <- startWatchdog(cancel, time.Second, func() bool {
+			(<-started).stop()
+			return false
+		})
 		time.Sleep(time.Minute)
 		synctest.Wait()
 		is.NoErr(ctx.Err())
