--- a/adapter/endpointhttp/body.go
+++ b/adapter/endpointhttp/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 
 	"github.com/pkg/errors"
 
@@ -70,3 +71,34 @@
 	b.closeConn()
 	return nil
 }
+
+// boundedReader reads at most remaining bytes while bounded is set.
+type boundedReader struct {
+	io.Reader
+	bounded   bool
+	remaining int
+}
+
+// Read implements io.Reader. It returns port.ErrEndless beyond the bound.
+func (r *boundedReader) Read(p []byte) (int, error) {
+	if !r.bounded {
+		return r.Reader.Read(p)
+	}
+	if r.remaining <= 0 {
+		return 0, port.ErrEndless
+	}
+	n, err := r.Reader.Read(p[:min(len(p), r.remaining)])
+	r.remaining -= n
+	return n, err
+}
+
+// framing returns how the end of a response is marked.
+func framing(resp *http.Response) port.Framing {
+	switch {
+	case len(resp.TransferEncoding) > 0:
+		return port.FramingChunks
+	case resp.ContentLength >= 0:
+		return port.FramingLength
+	}
+	return port.FramingConnection
+}
--- a/adapter/endpointhttp/endpointhttp.go
+++ b/adapter/endpointhttp/endpointhttp.go
@@ -412,26 +412,6 @@
 	return nil
 }
 
-// boundedReader reads at most remaining bytes while bounded is set.
-type boundedReader struct {
-	io.Reader
-	bounded   bool
-	remaining int
-}
-
-// Read implements io.Reader. It returns port.ErrEndless beyond the bound.
-func (r *boundedReader) Read(p []byte) (int, error) {
-	if !r.bounded {
-		return r.Reader.Read(p)
-	}
-	if r.remaining <= 0 {
-		return 0, port.ErrEndless
-	}
-	n, err := r.Reader.Read(p[:min(len(p), r.remaining)])
-	r.remaining -= n
-	return n, err
-}
-
 // readHead reads the head of one response and skips interim (1xx) responses. It returns port.ErrEndless if they
 // exceed maxHeadBytes.
 func (ex *exchange) readHead() (*port.Reply, string, error) {
@@ -454,14 +434,3 @@
 		return reply, echoed, nil
 	}
 }
-
-// framing returns how the end of a response is marked.
-func framing(resp *http.Response) port.Framing {
-	switch {
-	case len(resp.TransferEncoding) > 0:
-		return port.FramingChunks
-	case resp.ContentLength >= 0:
-		return port.FramingLength
-	}
-	return port.FramingConnection
-}
