Package grant: shares of a limit move only by consent

Ledger (the grantor) and Holding (a holder) keep the sum at one at most: a share is lowered in a reply, counts as given up with the holder's next call, and only then goes to another. A holder accepts a reply to its last call only, and none of a grantor with a lower fencing token than it has addressed. Not wired in yet.

--- a/arch/arch_test.go
+++ b/arch/arch_test.go
@@ -20,7 +20,7 @@
 
 // domain lists the packages that make the decisions.
 var domain = []string{
-	"address", "admit", "answer", "attempt", "capacity", "catalog", "claim", "config", "drain", "fleet", "fold", "hostlist", "lease", "lineage",
+	"address", "admit", "answer", "attempt", "capacity", "catalog", "claim", "config", "drain", "fleet", "fold", "grant", "hostlist", "lease", "lineage",
 	"member", "placement", "prefix", "presence", "problem", "quarantine", "quota", "record", "request", "route", "scaling", "usage",
 }
 
--- /dev/null
+++ b/grant/ledger.go
@@ -0,0 +1,264 @@
+package grant
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// baseRatio is the fraction of a limit that is divided equally among its holders, whatever their
+	// demand: otherwise the first requests at a holder would be refused until the next reply.
+	baseRatio = 0.2
+	// silentTimeout is how long a holder may go without a call before its shares are left as they are:
+	// targets that it does not know would keep parts from the others. Some polls and one slow reply.
+	silentTimeout = 1500 * time.Millisecond
+	// slackRatio is the fraction of a target by which a holder may exceed it before it has to give the
+	// rest up, so that random changes of demand do not keep parts on the way between holders.
+	slackRatio = 0.08
+)
+
+// holder is what the grantor knows of a host.
+type holder struct {
+	start    int64
+	sequence int64
+	heardAt  time.Time
+	holds    bool
+	// bounds is the shares that the host holds at most, by workspace: those that it last stated or
+	// that were granted in the reply to that, whichever are larger.
+	bounds map[string]Parts
+	demand map[string]float64
+}
+
+// Ledger is what a grantor knows of its grants.
+type Ledger struct {
+	token   int64
+	since   time.Time
+	holders map[string]holder
+	// awaited holds the hosts that may hold shares of an earlier grantor and have not called yet.
+	awaited map[string]bool
+	// known is what the callers held when they first called, by workspace. While hosts are awaited, no
+	// more than that is granted.
+	known map[string]Parts
+	// changes are the changes to report since TakeChanges.
+	changes []Change
+}
+
+// ChangeKind is a kind of change of a ledger.
+type ChangeKind string
+
+// Kinds of changes.
+const (
+	// ChangeFreed means that a host's shares were freed, because its next process called or because it
+	// was silent for ReservationTTL.
+	ChangeFreed ChangeKind = "freed"
+	// ChangeComplete means that no host is awaited any longer: all of the limits is granted.
+	ChangeComplete ChangeKind = "complete"
+)
+
+// Change is a change of a ledger for the log.
+type Change struct {
+	Kind ChangeKind
+	Host string
+	// Reason says why, in one of the constants below.
+	Reason string
+}
+
+// Reasons of changes.
+const (
+	ReasonNewProcess = "its next process has called"
+	ReasonSilent     = "silent"
+	ReasonAllCalled  = "all hosts have called"
+	ReasonTime       = "time"
+)
+
+// NewLedger returns the ledger of a grantor that took over at now under a fencing token. awaited are
+// the hosts that may hold shares of earlier grantors: those whose processes were known within
+// ReservationTTL. It is empty if no process of before can be alive.
+func NewLedger(now time.Time, token int64, awaited []string) *Ledger {
+	l := &Ledger{token: token, since: now, holders: map[string]holder{}, awaited: map[string]bool{}, known: map[string]Parts{}}
+	for _, host := range awaited {
+		l.awaited[host] = true
+	}
+	return l
+}
+
+// Token returns the fencing token.
+func (l *Ledger) Token() int64 { return l.token }
+
+// Answer records a call and returns the reply to it. workspaces are those with a limit. The caller must
+// check that it still is the grantor right before it sends the reply.
+func (l *Ledger) Answer(now time.Time, c Call, workspaces []string) (Reply, error) {
+	if c.Token != l.token {
+		return Reply{}, ErrOtherGrantor
+	}
+	h, known := l.holders[c.Host]
+	if known && (c.Start < h.start || c.Start == h.start && c.Sequence <= h.sequence) {
+		return Reply{}, ErrOutdated
+	}
+	l.expire(now)
+	if known && c.Start > h.start && len(h.bounds) > 0 {
+		l.changes = append(l.changes, Change{ChangeFreed, c.Host, ReasonNewProcess})
+	}
+	if !known {
+		for w, p := range c.Held {
+			l.known[w] = min(l.known[w]+p, Whole)
+		}
+	}
+	l.holders[c.Host] = holder{start: c.Start, sequence: c.Sequence, heardAt: now, holds: c.Holds, bounds: maps.Clone(c.Held), demand: c.Demand}
+	l.stopAwaiting(c.Host, ReasonAllCalled)
+	return Reply{Token: l.token, Sequence: c.Sequence, Shares: l.grant(now, c.Host, workspaces)}, nil
+}
+
+// expire frees the shares of holders that have been silent for ReservationTTL, and ends the time in which
+// hosts are awaited.
+func (l *Ledger) expire(now time.Time) {
+	for host, h := range l.holders {
+		if now.Sub(h.heardAt) >= ReservationTTL && len(h.bounds) > 0 {
+			h.bounds, h.holds = nil, false
+			l.holders[host] = h
+			l.changes = append(l.changes, Change{ChangeFreed, host, ReasonSilent})
+		}
+	}
+	if now.Sub(l.since) >= ReservationTTL {
+		for host := range l.awaited {
+			l.stopAwaiting(host, ReasonTime)
+		}
+	}
+}
+
+func (l *Ledger) stopAwaiting(host, reason string) {
+	if !l.awaited[host] {
+		return
+	}
+	delete(l.awaited, host)
+	if len(l.awaited) == 0 {
+		l.changes = append(l.changes, Change{ChangeComplete, host, reason})
+	}
+}
+
+// grant decides the shares of a host and records them.
+func (l *Ledger) grant(now time.Time, host string, workspaces []string) map[string]Parts {
+	h := l.holders[host]
+	if !h.holds {
+		return nil
+	}
+	shares, bounds := map[string]Parts{}, map[string]Parts{}
+	for _, w := range workspaces {
+		held := h.bounds[w]
+		target := l.target(now, w, host)
+		share := min(held, target+Parts(slackRatio*float64(target)))
+		if held < target {
+			share = max(min(target, held+l.free(w)), 0)
+		}
+		if free := l.free(w); free < 0 { // more is held than there is
+			share = max(min(share, held+free), 0)
+		}
+		if share > 0 {
+			shares[w] = share
+		}
+		if bound := max(share, held); bound > 0 {
+			bounds[w] = bound
+		}
+	}
+	for w, held := range h.bounds { // of workspaces that have no limit any longer
+		if _, ok := bounds[w]; !ok {
+			bounds[w] = held
+		}
+	}
+	h.bounds = bounds
+	l.holders[host] = h
+	return shares
+}
+
+// usable returns how much of a limit is at the disposal of this grantor.
+func (l *Ledger) usable(w string) Parts {
+	if len(l.awaited) > 0 {
+		return l.known[w]
+	}
+	return Whole
+}
+
+// free returns how much of a limit no host holds.
+func (l *Ledger) free(w string) Parts { return l.usable(w) - l.Granted(w) }
+
+// Granted returns the sum of what the hosts hold at most.
+func (l *Ledger) Granted(w string) Parts {
+	sum := Parts(0)
+	for _, h := range l.holders {
+		sum += h.bounds[w]
+	}
+	return sum
+}
+
+// target returns the share that a host is to hold: a part of an equal share, and the rest by demand. What
+// silent hosts hold is not divided.
+func (l *Ledger) target(now time.Time, w, host string) Parts {
+	left, total := l.usable(w), 0.0
+	var live []string
+	for name, h := range l.holders {
+		if !h.holds || now.Sub(h.heardAt) >= silentTimeout {
+			left -= h.bounds[w]
+			continue
+		}
+		live = append(live, name)
+	}
+	slices.Sort(live)
+	for _, name := range live {
+		total += l.holders[name].demand[w]
+	}
+	left = max(left, 0)
+	weight, before, found := 0.0, 0.0, false
+	for _, name := range live {
+		own := 1 / float64(len(live))
+		if total > 0 {
+			own = baseRatio*own + (1-baseRatio)*l.holders[name].demand[w]/total
+		}
+		if found = name == host; found {
+			weight = own
+			break
+		}
+		before += own
+	}
+	if !found {
+		return 0
+	}
+	// Rounding the sums rather than the parts makes the targets of all hosts add up to what is left.
+	upTo := func(f float64) Parts { return min(Parts(f*float64(left)+0.5), left) }
+	if host == live[len(live)-1] {
+		return left - upTo(before)
+	}
+	return upTo(before+weight) - upTo(before)
+}
+
+// TakeChanges returns the changes since it was last called.
+func (l *Ledger) TakeChanges() []Change {
+	out := l.changes
+	l.changes = nil
+	return out
+}
+
+// HolderState is the debug view of a host that holds shares.
+type HolderState struct {
+	Host   string           `json:"host"`
+	Age    time.Duration    `json:"age_ns"`
+	Shares map[string]Parts `json:"shares_millionths"`
+}
+
+// State is the debug view of a ledger.
+type State struct {
+	Token   int64         `json:"fence"`
+	Awaited []string      `json:"awaited,omitempty"`
+	Holders []HolderState `json:"holders,omitempty"`
+}
+
+// State returns the debug view, ordered by host.
+func (l *Ledger) State(now time.Time) State {
+	s := State{Token: l.token, Awaited: slices.Sorted(maps.Keys(l.awaited))}
+	for _, host := range slices.Sorted(maps.Keys(l.holders)) {
+		if h := l.holders[host]; len(h.bounds) > 0 {
+			s.Holders = append(s.Holders, HolderState{host, now.Sub(h.heardAt), maps.Clone(h.bounds)})
+		}
+	}
+	return s
+}
