--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -117,6 +117,7 @@
 	lineage      *lineageState
 	era          eraState
 	leader       *leaderState
+	grants       *grantState
 	leaving      atomic.Bool
 	endsAt       atomic.Int64 // deadline for the end of a leaving process, Unix nanoseconds
 	leaveStarted chan struct{}
@@ -142,11 +143,11 @@
 	// once a second, the relay to the store, another relay reads that, each step up to a second
 	// later, and one of them may fail.
 	hostTTL = 4200 * time.Millisecond
-	// shareTimeout is how long a host may go without a report before its last reported shares are
-	// reserved for it: two missed reports and the delay of the third.
+	// shareTimeout is how long a host may go without a report before it counts as unresponsive: two missed
+	// reports and the delay of the third.
 	shareTimeout = 2500 * time.Millisecond
-	// shareTTL is how long the shares of a host that no longer reports stay reserved: it may be cut
-	// off from the store and still serve. The platform states outages of up to that length.
+	// shareTTL is how long a host that no longer reports counts among those that share the budgets of retries:
+	// it may be cut off from the store and still serve. The platform states outages of up to that length.
 	shareTTL = 20 * time.Second
 	// assumedHosts is the number of hosts assumed before a process has read any reports.
 	assumedHosts = 9
@@ -159,7 +160,7 @@
 		opts: opts, ports: ports, log: ports.Logger, tomb: &tomb.Tomb{},
 		fleet:        fleet.NewTable(registryRecoveryTime),
 		placement:    placement.NewTable(opts.Host),
-		quota:        quota.NewTable(now, assumedHosts, opts.QuotaTolerance),
+		quota:        quota.NewTable(assumedHosts, opts.QuotaTolerance),
 		presence:     presence.NewTable(opts.Host, opts.Incarnation, hostTTL),
 		usage:        usage.NewCounter(max(opts.UsageWindow, time.Second)),
 		clock:        usage.NewClock(now),
@@ -175,6 +176,7 @@
 	g.placer = newPlacerState(opts.Host)
 	g.lineage = newLineageState(now)
 	g.quarantine = newQuarantineState()
+	g.grants = newGrantState(opts.Host, now)
 	g.leader = newLeaderState(lease.Options{TTL: opts.LeaseTTL, Margin: opts.LeaseTTL / 4})
 	return g
 }
@@ -188,6 +190,7 @@
 		g.tomb.Go(g.followEndpoints)
 		g.tomb.Go(g.followHosts)
 		g.tomb.Go(g.exchangeLoads)
+		g.tomb.Go(g.followGrants)
 		return nil
 	})
 }
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -36,8 +36,7 @@
 }
 
 // fullReport returns report with all the figures that the other hosts aggregate. It increments the
-// sequence and advances the reported demand of the quota table, so it must be called once for each
-// report that is sent.
+// sequence, so it must be called once for each report that is sent.
 func (g *Gateway) fullReport(now time.Time) presence.Report {
 	g.sequence.Add(1)
 	r := g.report(now)
@@ -46,7 +45,7 @@
 		r.Placer = placer.Host
 	}
 	r.Demands, r.Paces = g.demand.Demands(now), g.ownPaces()
-	r.QuotaDemand, r.Shares = g.quota.Demand(now), g.quota.Shares()
+	r.QuotaDemand, r.Shares = g.quota.Demand(now), g.quota.Shares(now)
 	r.Relayed = g.quotaRelay(now).Peer != ""
 	r.Usage = g.usage.Recent()
 	r.Limits, r.Software = g.reportedLimits(now), g.reportedSoftware(now)
@@ -100,7 +99,6 @@
 			g.aggregateReports(time.Now())
 		}
 		if !between {
-			g.updateShares(time.Now())
 			g.runLeaderTasks(time.Now())
 		}
 		select {
@@ -234,9 +232,7 @@
 	g.choosePlacers(now, live)
 	g.receiveLimits(now, live)
 	g.metrics.hosts.Set(float64(len(live) + 1))
-	// From here on live holds only the hosts that reported within shareTimeout; limits are divided
-	// among these. The shares of a host that has not reported since then, but within shareTTL, stay
-	// reserved: it may be cut off and still grant them, and they must not be granted twice.
+	// From here on live holds only the hosts that reported within shareTimeout.
 	live, unresponsive := g.presence.Within(shareTimeout), g.presence.Unresponsive(shareTimeout, shareTTL)
 	count := len(live) + len(unresponsive) + 1
 	if int(g.hostCount.Swap(int64(count))) != count {
@@ -247,23 +243,15 @@
 		})
 	}
 	loads := map[string]placement.Load{}
-	quotaDemand := map[string]float64{}
 	for _, r := range live {
 		addLoads(loads, r.Loads)
 	}
-	for _, r := range live {
-		for w, rate := range r.QuotaDemand {
-			quotaDemand[w] += rate
-		}
-	}
-	granters := g.quotaGranters(live)
-	reserved := g.reservedShares(unresponsive, granters)
 	g.placement.SetPeers(loads)
 	paces := medianPaces(live)
 	g.placement.SetPeerPaces(paces)
 	g.placer.table.SetPeerPaces(paces)
 	g.placement.SetHosts(len(live) + 1)
-	g.quota.SetShares(granters, quotaDemand, reserved)
+	g.quota.SetHosts(max(count, assumedHosts))
 }
 
 // ownPaces returns the paces that this host has measured: as a placer those of its region.
@@ -287,44 +275,3 @@
 	}
 	return out
 }
-
-// quotaGranters counts the hosts that grant shares of limits, this one included: the relays, and
-// hosts without a relay.
-func (g *Gateway) quotaGranters(live []presence.Report) int {
-	if g.quotaRelay(time.Now()).Peer != "" {
-		// This host grants shares only if its relay fails; its own are then computed as if every
-		// live host granted shares.
-		return len(live) + 1
-	}
-	n := 1
-	for _, r := range live {
-		if !r.Relayed {
-			n++
-		}
-	}
-	return n
-}
-
-// reservedShares sums, by workspace, the shares that the unresponsive hosts may still grant. A host
-// that has reported no share of a workspace has had no request of it and would start with an equal
-// share, which is taken to be one among the granters and all unresponsive hosts.
-func (g *Gateway) reservedShares(unresponsive []presence.Report, granters int) map[string]float64 {
-	out := map[string]float64{}
-	snapshot := g.catalog.Current()
-	if snapshot == nil {
-		return out
-	}
-	for _, r := range unresponsive {
-		if r.Relayed {
-			continue
-		}
-		for _, w := range snapshot.Workspaces {
-			share, reported := r.Shares[w.Name]
-			if !reported {
-				share = 1 / float64(granters+len(unresponsive))
-			}
-			out[w.Name] += share
-		}
-	}
-	return out
-}
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -146,7 +146,7 @@
 // runLeaderTasks takes the leadership when no host holds it, and runs the leader's tasks while this
 // host holds it.
 func (g *Gateway) runLeaderTasks(now time.Time) {
-	if g.opts.UsageWindow <= 0 && !g.opts.OrdersCapacity {
+	if g.opts.UsageWindow <= 0 && !g.opts.OrdersCapacity && !g.hasLimits() {
 		return
 	}
 	if g.leaving.Load() {
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -37,6 +37,10 @@
 	endless       prometheus.Counter
 	probes        *prometheus.CounterVec
 	deaths        prometheus.Counter
+
+	limitShares        prometheus.Gauge
+	limitsGranted      prometheus.Gauge
+	refusedWithinLimit prometheus.Counter
 }
 
 func newMetrics() *metrics {
@@ -115,7 +119,19 @@
 		Name: "cicadanotch_gateway_endpoint_deaths_total",
 		Help: "Records of this host that an endpoint ended while it had requests there, two for each endpoint at the most.",
 	})
-	m.registry.MustRegister(m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
+	m.limitShares = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "cicadanotch_gateway_limit_shares",
+		Help: "Shares of limits that the host holds, summed over workspaces; 1 is one whole limit.",
+	})
+	m.limitsGranted = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "cicadanotch_gateway_limits_granted_ratio",
+		Help: "On the grantor: the part that is granted of the limit of which least is.",
+	})
+	m.refusedWithinLimit = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_refused_within_share_total",
+		Help: "Requests refused by a limit though the host was asked for less than its share.",
+	})
+	m.registry.MustRegister(m.limitShares, m.limitsGranted, m.refusedWithinLimit, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
 		m.feedReads, m.version, m.hosts, m.fencingToken, m.leaderCalls, m.moves, collectors.NewGoCollector())
 	return m
 }
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -53,9 +54,6 @@
 	// askedTTL is how long a host relays after it was last asked to, whether it has chosen itself or not:
 	// hosts whose views differ choose different relays. Hosts read each topic at least once a second.
 	askedTTL = 3 * time.Second
-	// takerTTL is how long a host counts as one that takes its quota here after it last did so.
-	// Callers send several requests a second, so a host that uses this relay takes quota often.
-	takerTTL = 2 * time.Second
 	// maxRelayStaleness is the age of the store's last answer to a relay beyond which the relay
 	// does not accept reports in place of the store. The relay reads the store at least once a second.
 	maxRelayStaleness = 1700 * time.Millisecond
@@ -119,12 +117,7 @@
 	// forwarding is set while forwardReports is due.
 	forwarding bool
 	// candidates is the number of candidates for chosen (see chooseRelay).
-	// hadQuotaRelay reports whether this host had a relay to take quota from when updateShares last
-	// ran.
-	candidates    int
-	hadQuotaRelay bool
-	// takers holds, by host, the time at which the host last took quota here.
-	takers map[string]time.Time
+	candidates int
 }
 
 // relayDetour is the relay from which a topic is read for a while, since the chosen one refused to serve it; zero for
@@ -142,7 +135,7 @@
 }
 
 func newRelayState() *relayState {
-	return &relayState{topics: map[port.Topic]*topicCache{}, reports: map[string]receivedReport{}, failedUntil: map[string]time.Time{}, detours: map[port.Topic]relayDetour{}, takers: map[string]time.Time{}, failures: map[string]int{}, added: make(chan struct{})}
+	return &relayState{topics: map[port.Topic]*topicCache{}, reports: map[string]receivedReport{}, failedUntil: map[string]time.Time{}, detours: map[port.Topic]relayDetour{}, failures: map[string]int{}, added: make(chan struct{})}
 }
 
 // currentRelay returns the last report of the host that calls the store for this one, zero when this
@@ -229,11 +222,13 @@
 
 // PeerHandlers returns the methods that other hosts call.
 func (g *Gateway) PeerHandlers() map[string]port.PeerHandler {
-	return map[string]port.PeerHandler{
+	handlers := map[string]port.PeerHandler{
 		methodRead: g.serveRead, methodReport: g.serveReport, methodTakeQuota: g.serveTakeQuota,
 		methodPlace: g.servePlace, methodSettle: g.serveSettle, methodLoads: g.serveLoads,
 		methodStreamsBegan: g.serveStreamsBegan, methodStreamOrigin: g.serveStreamOrigin, methodDeaths: g.serveDeaths,
 	}
+	maps.Copy(handlers, g.grantHandlers())
+	return handlers
 }
 
 type readRequest struct {
--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -24,40 +24,6 @@
 	return s.chosen
 }
 
-// updateShares adjusts the share that this host grants to the hosts that take from it. A host that
-// has lost its relay starts with empty buckets, because the relay may still be granting. If a relay
-// cannot reach the store, other hosts of its zone may have chosen another relay: it grants only the
-// fraction of the share that is its own and that of the hosts which still take theirs here.
-func (g *Gateway) updateShares(now time.Time) {
-	relayed := g.quotaRelay(now).Peer != ""
-	s := g.relays
-	s.mu.Lock()
-	relayLost := s.hadQuotaRelay && !relayed
-	s.hadQuotaRelay = relayed
-	fraction := 1.0
-	if s.chosen.Host == g.opts.Host && g.storeAge(now) >= maxRelayStaleness {
-		fraction = min(float64(1+s.countTakers(now, takerTTL))/float64(max(s.candidates, 1)), 1)
-	}
-	s.mu.Unlock()
-	if relayLost {
-		g.quota.Reset(now)
-	}
-	g.quota.SetActiveFraction(fraction)
-}
-
-// countTakers counts the hosts that took a share within age and removes the others.
-func (s *relayState) countTakers(now time.Time, age time.Duration) int {
-	n := 0
-	for host, at := range s.takers {
-		if now.Sub(at) < age {
-			n++
-		} else {
-			delete(s.takers, host)
-		}
-	}
-	return n
-}
-
 type takeQuotaRequest struct {
 	// Host is the host that takes the share.
 	Host      string  `json:"host"`
@@ -72,13 +38,6 @@
 	RetryAfter time.Duration `json:"after_ns,omitempty"`
 }
 
-// recordTaker records that a host takes its shares here.
-func (s *relayState) recordTaker(now time.Time, host string) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.takers[host] = now
-}
-
 func (g *Gateway) serveTakeQuota(_ context.Context, params json.RawMessage) (any, error) {
 	var req takeQuotaRequest
 	if err := json.Unmarshal(params, &req); err != nil {
@@ -89,7 +48,6 @@
 	if snapshot == nil || g.quotaRelay(now).Peer != "" {
 		return nil, errNotRelay
 	}
-	g.relays.recordTaker(now, req.Host)
 	w := snapshot.Workspace(req.Workspace)
 	if w == nil {
 		return takeQuotaReply{Unknown: true}, nil
@@ -98,21 +56,41 @@
 		g.quota.Return(now, w, -req.Cost)
 		return takeQuotaReply{Taken: true}, nil
 	}
-	after, ok := g.quota.Take(now, w, req.Cost)
+	after, ok := g.takeHere(now, w, req.Cost)
 	return takeQuotaReply{Taken: ok, RetryAfter: after}, nil
 }
 
+// takeHere takes from this host's own share. If that is used up, the host asks for a larger one at once.
+func (g *Gateway) takeHere(now time.Time, w *catalog.Workspace, cost float64) (time.Duration, bool) {
+	after, ok := g.quota.Take(now, w, cost)
+	if !ok {
+		g.grants.askSoon()
+		if g.quota.IsWithinShare(w.Name) {
+			g.metrics.refusedWithinLimit.Inc()
+		}
+	}
+	return after, ok
+}
+
 // takeQuota takes from the zone's share of a limit, or from this host's own share when there is no
-// relay.
+// relay. If the relay does not answer, it takes from the share of the relay that it would use next.
 func (g *Gateway) takeQuota(now time.Time, w *catalog.Workspace, cost float64) (time.Duration, bool) {
 	if w.Limit.PerSecond <= 0 {
 		return 0, true
 	}
+	relay := g.quotaRelay(now)
 	var reply takeQuotaReply
-	if g.callPeer(g.quotaRelay(now), methodTakeQuota, takeQuotaTimeout, takeQuotaRequest{g.opts.Host, w.Name, cost}, &reply) == nil && !reply.Unknown {
+	if g.callPeer(relay, methodTakeQuota, takeQuotaTimeout, takeQuotaRequest{g.opts.Host, w.Name, cost}, &reply) == nil && !reply.Unknown {
 		return reply.RetryAfter, reply.Taken
 	}
-	return g.quota.Take(now, w, cost)
+	if relay.Host != "" {
+		next := g.nextRelay(now, []string{relay.Host}, peerHost{})
+		if g.callPeer(next, methodTakeQuota, takeQuotaTimeout, takeQuotaRequest{g.opts.Host, w.Name, cost}, &reply) == nil && !reply.Unknown {
+			return reply.RetryAfter, reply.Taken
+		}
+	}
+	g.awaitFirstShare(g.context(), now)
+	return g.takeHere(time.Now(), w, cost)
 }
 
 // returnQuota returns what a request that did not run had taken.
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -6,6 +6,7 @@
 
 	"github.com/cicadanotch/cicadanotch/adapter/jsonhttp"
 	"github.com/cicadanotch/cicadanotch/fleet"
+	"github.com/cicadanotch/cicadanotch/grant"
 	"github.com/cicadanotch/cicadanotch/placement"
 	"github.com/cicadanotch/cicadanotch/presence"
 	"github.com/cicadanotch/cicadanotch/quarantine"
@@ -23,6 +24,7 @@
 	Endpoints    []fleet.View             `json:"endpoints"`
 	Placement    []placement.Row          `json:"placement"`
 	Quota        []quota.WorkspaceState   `json:"quota"`
+	Grants       *grant.State             `json:"grants,omitempty"`
 	Hosts        []presence.Report        `json:"hosts"`
 	FencingToken int64                    `json:"duty_fence"`
 	Suspected    []quarantine.Row         `json:"suspected"`
@@ -35,7 +37,7 @@
 	s := State{
 		Host: g.opts.Host, Ready: g.Ready(), Leaving: g.Leaving(), InProgress: g.calls.len(),
 		StoreAge:  g.storeAge(now),
-		Endpoints: g.fleet.All(), Placement: g.placement.State(), Quota: g.quota.State(),
+		Endpoints: g.fleet.All(), Placement: g.placement.State(), Quota: g.quota.State(), Grants: g.grantsState(now),
 		Hosts: g.presence.Live(), FencingToken: g.leader.fencingToken(now),
 		Suspected: g.quarantine.table.State(now), Deaths: g.quarantine.table.Deaths(now),
 		LethalParts: g.quarantine.table.LethalParts(now),
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -66,8 +66,13 @@
 	Token    int64            `json:"f"`
 	Sequence int64            `json:"q"`
 	Shares   map[string]Parts `json:"v,omitempty"`
+	// Busy names the workspaces whose demand at all holders has exceeded BusyRatio of their limit of late.
+	Busy []string `json:"b,omitempty"`
 }
 
+// BusyRatio is the fraction of a limit above which the demand of a workspace makes it busy.
+const BusyRatio = 0.8
+
 // Holding is the shares that a process holds.
 type Holding struct {
 	host     string
--- a/grant/ledger.go
+++ b/grant/ledger.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// baseRatio is the fraction of a limit that is divided equally among its holders, whatever their
+	// baseRatio is the least fraction of a limit that is divided equally among its holders, whatever their
 	// demand: otherwise the first requests at a holder would be refused until the next reply.
 	baseRatio = 0.2
 	// silentTimeout is how long a holder may go without a call before its shares are left as they are:
@@ -16,6 +16,8 @@
 	// slackRatio is the fraction of a target by which a holder may exceed it before it has to give the
 	// rest up, so that random changes of demand do not keep parts on the way between holders.
 	slackRatio = 0.08
+	// busyMemory is how long a workspace counts as busy after it was: the window of the limits.
+	busyMemory = 8 * time.Second
 )
 
 // holder is what the grantor knows of a host.
@@ -40,6 +42,9 @@
 	// known is what the callers held when they first called, by workspace. While hosts are awaited, no
 	// more than that is granted.
 	known map[string]Parts
+	// demandBefore is the demand before the takeover, busyAt when a workspace was last busy.
+	demandBefore map[string]float64
+	busyAt       map[string]time.Time
 	// changes are the changes to report since TakeChanges.
 	changes []Change
 }
@@ -72,12 +77,22 @@
 	ReasonTime       = "time"
 )
 
-// NewLedger returns the ledger of a grantor that took over at now under a fencing token. awaited are
-// the hosts that may hold shares of earlier grantors: those whose processes were known within
-// ReservationTTL. It is empty if no process of before can be alive.
-func NewLedger(now time.Time, token int64, awaited []string) *Ledger {
-	l := &Ledger{token: token, since: now, holders: map[string]holder{}, awaited: map[string]bool{}, known: map[string]Parts{}}
-	for _, host := range awaited {
+// Before is what a grantor knows of the time before it took over, from the reports of hosts.
+type Before struct {
+	// Hosts may hold shares of earlier grantors: those of which a process was known within ReservationTTL.
+	// It is empty if no process of before can be alive.
+	Hosts []string
+	// Demand is the units per second that were requested last, by workspace.
+	Demand map[string]float64
+}
+
+// NewLedger returns the ledger of a grantor that took over at now under a fencing token.
+func NewLedger(now time.Time, token int64, before Before) *Ledger {
+	l := &Ledger{
+		token: token, since: now, holders: map[string]holder{}, awaited: map[string]bool{}, known: map[string]Parts{},
+		demandBefore: before.Demand, busyAt: map[string]time.Time{},
+	}
+	for _, host := range before.Hosts {
 		l.awaited[host] = true
 	}
 	return l
@@ -86,9 +101,9 @@
 // Token returns the fencing token.
 func (l *Ledger) Token() int64 { return l.token }
 
-// Answer records a call and returns the reply to it. workspaces are those with a limit. The caller must
-// check that it still is the grantor right before it sends the reply.
-func (l *Ledger) Answer(now time.Time, c Call, workspaces []string) (Reply, error) {
+// Answer records a call and returns the reply to it. limits holds the limit of each workspace that has one, in
+// units per second. The caller must check that it still is the grantor right before it sends the reply.
+func (l *Ledger) Answer(now time.Time, c Call, limits map[string]float64) (Reply, error) {
 	if c.Token != l.token {
 		return Reply{}, ErrOtherGrantor
 	}
@@ -107,7 +122,37 @@
 	}
 	l.holders[c.Host] = holder{start: c.Start, sequence: c.Sequence, heardAt: now, holds: c.Holds, bounds: maps.Clone(c.Held), demand: c.Demand}
 	l.stopAwaiting(c.Host, ReasonAllCalled)
-	return Reply{Token: l.token, Sequence: c.Sequence, Shares: l.grant(now, c.Host, workspaces)}, nil
+	reply := Reply{Token: l.token, Sequence: c.Sequence, Shares: l.grant(now, c.Host, limits)}
+	for w := range reply.Shares {
+		if l.isBusy(now, w, limits[w]) {
+			reply.Busy = append(reply.Busy, w)
+		}
+	}
+	slices.Sort(reply.Busy)
+	return reply, nil
+}
+
+// isBusy reports whether the workspace was busy within busyMemory.
+func (l *Ledger) isBusy(now time.Time, w string, limit float64) bool {
+	if _, ok := l.busyAt[w]; !ok && l.demandBefore[w] > BusyRatio*limit {
+		l.busyAt[w] = l.since
+	}
+	if l.demand(w) > BusyRatio*limit {
+		l.busyAt[w] = now
+	}
+	at, ok := l.busyAt[w]
+	return ok && now.Sub(at) < busyMemory
+}
+
+// demand returns the units per second that the holders request of a workspace's limit.
+func (l *Ledger) demand(w string) float64 {
+	sum := 0.0
+	for _, h := range l.holders {
+		if h.holds {
+			sum += h.demand[w]
+		}
+	}
+	return sum
 }
 
 // expire frees the shares of holders that have been silent for ReservationTTL, and ends the time in which
@@ -138,15 +183,15 @@
 }
 
 // grant decides the shares of a host and records them.
-func (l *Ledger) grant(now time.Time, host string, workspaces []string) map[string]Parts {
+func (l *Ledger) grant(now time.Time, host string, limits map[string]float64) map[string]Parts {
 	h := l.holders[host]
 	if !h.holds {
 		return nil
 	}
 	shares, bounds := map[string]Parts{}, map[string]Parts{}
-	for _, w := range workspaces {
+	for w := range limits {
 		held := h.bounds[w]
-		target := l.target(now, w, host)
+		target := l.target(now, w, host, limits[w])
 		share := min(held, target+Parts(slackRatio*float64(target)))
 		if held < target {
 			share = max(min(target, held+l.free(w)), 0)
@@ -191,9 +236,9 @@
 	return sum
 }
 
-// target returns the share that a host is to hold: a part of an equal share, and the rest by demand. What
-// silent hosts hold is not divided.
-func (l *Ledger) target(now time.Time, w, host string) Parts {
+// target returns the share that a host is to hold: what it is asked for, and an equal part of what nobody asks
+// for, which is at least baseRatio. What silent hosts hold is not divided.
+func (l *Ledger) target(now time.Time, w, host string, limit float64) Parts {
 	left, total := l.usable(w), 0.0
 	var live []string
 	for name, h := range l.holders {
@@ -208,11 +253,12 @@
 		total += l.holders[name].demand[w]
 	}
 	left = max(left, 0)
+	base := max(baseRatio, 1-total/(limit*left.Fraction()))
 	weight, before, found := 0.0, 0.0, false
 	for _, name := range live {
 		own := 1 / float64(len(live))
 		if total > 0 {
-			own = baseRatio*own + (1-baseRatio)*l.holders[name].demand[w]/total
+			own = base*own + (1-base)*l.holders[name].demand[w]/total
 		}
 		if found = name == host; found {
 			weight = own
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -87,8 +87,8 @@
 	Placer string `json:"o,omitempty"`
 	// Paces is how fast the endpoints of each service start answers, as far as the host knows.
 	Paces map[string]placement.Pace `json:"r,omitempty"`
-	// Shares is the fraction of each workspace's limit that the host grants, for
-	// those of which it has had requests. Relayed means that a relay grants it.
+	// Shares is the fraction of each workspace's limit that the host holds. Relayed means that it takes
+	// from the share of a relay instead.
 	Shares  map[string]float64 `json:"v,omitempty"`
 	Relayed bool               `json:"y,omitempty"`
 	// Limits holds the limits that endpoints have named to this host, by id.
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -2,9 +2,8 @@
 //
 // Load pattern: a workspace sends many times its usual load, which must not affect the
 // others, while hosts fail, freeze or cannot reach the store. So each host grants its
-// share of the limit from a local token bucket. Shares follow the demand that the hosts
-// report and do not change while no reports arrive, so that all shares add up to the
-// limit without a remote call per request.
+// share of the limit from a local token bucket, without a remote call per request. Shares are
+// set by SetShares; package grant decides them so that they add up to at most one.
 //
 // The package does no I/O and reads no clock. Table has one lock; no other lock is
 // acquired while it is held.
@@ -12,36 +11,39 @@
 
 import (
 	"math"
+	"slices"
 	"sync"
 	"time"
 
 	"github.com/cicadanotch/cicadanotch/catalog"
+	"github.com/cicadanotch/cicadanotch/grant"
 )
 
 const (
-	// demandWindow is the time over which demand is averaged. It covers a few
-	// reports between hosts.
+	// demandWindow is the time over which demand is averaged.
 	demandWindow = 4 * time.Second
-	// minShareRatio is the fraction of an equal share that a host has even without demand:
-	// otherwise its first requests would be refused until the next report.
-	minShareRatio = 0.2
-	// usableToleranceRatio is the fraction of the platform's tolerance that is granted.
-	// The rest covers shares that change while reports are in transit.
-	usableToleranceRatio = 0.45
-	// peakLimitRatio and peakShareFactor define a peak; see recordDemand. The former is a
-	// fraction of a limit, the latter a number of equal shares of it.
-	peakLimitRatio  = 0.9
-	peakShareFactor = 2.5
-	// overdraftSeconds is the overdraft that a host grants if there was no peak for a
-	// whole window, in seconds of its share of the limit or of an equal share, whichever
-	// is larger. An overdraft is allowed because callers are spread over the hosts at random and
-	// prompts differ a hundredfold in length. The overdraft is repaid before anything
-	// else is granted, so no window exceeds the limit as long as the overdraft is below
-	// half a window.
-	overdraftSeconds = 2.0
+
+	// The tolerance of a window covers, as fractions of it: depthRatio in the depth of the buckets; startRatio
+	// in what they hold when a process starts, as its previous process may have granted the window's share;
+	// debtRatio twice, as the processes before a restart may have ended in debt, too; ungrantedRatio twice, for
+	// the depth and the refill of hosts without a share. They add up to one.
+	depthRatio     = 0.1
+	startRatio     = 0.5
+	debtRatio      = 0.15
+	ungrantedRatio = 0.05
+
+	// loanSeconds is the debt that a host accepts while the workspace has not been busy for a window, in
+	// seconds of its share of the limit. A window that ends in debt has been calm until a peak began, so less
+	// than grant.BusyRatio of its limit was granted before: the loan is what that left, but for busyDelay,
+	// in which the peak becomes known.
+	loanSeconds = (1 - grant.BusyRatio) * (8 - busyDelay)
+	busyDelay   = 1.0 // seconds
+	// maxGateRatio is the largest gate, as a fraction of the bucket's capacity; see gate.
+	maxGateRatio = 0.5
 	// minRetryAfter is the least delay returned to refused callers, so that they do not
-	// retry immediately.
+	// retry immediately; maxRetryAfter the largest, as shares change within less.
 	minRetryAfter = 100 * time.Millisecond
+	maxRetryAfter = 2 * time.Second
 )
 
 // Tolerance is the amount by which the platform allows a limit to be exceeded in any
@@ -54,62 +56,46 @@
 	Slack  float64
 }
 
+// allowance returns the units by which a limit may be exceeded in a window.
+func (t Tolerance) allowance(l catalog.Limit) float64 {
+	return (l.PerSecond*t.Window.Seconds()+l.Burst)*t.Ratio + t.Slack
+}
+
 // bucket is the token bucket of one workspace. Its units are those of the limit: tokens or
 // requests.
 type bucket struct {
 	limit catalog.Limit
 	// share is the fraction of the limit that this host grants.
 	share float64
-	// level is the units available as of updatedAt; negative until an overdraft or a
-	// charged retry is repaid.
+	// level is the units available as of updatedAt; negative until a debt or a charged retry is
+	// repaid.
 	level     float64
 	updatedAt time.Time
-	// demand is the mean rate requested on this host, othersDemand the rate that the
-	// other hosts reported, both in units per second.
-	demand       float64
-	othersDemand float64
-	// reported is the demand in this host's last report, previousReported the one in the
-	// report before. Shares are computed from previousReported, because the others'
-	// values are up to one report old: while demand rises, shares computed from this
-	// host's newest value would add up to more than the limit.
-	reported, previousReported float64
-	// reports counts the reports since the bucket was created; see minReports.
-	reports int
-	// lastPeak is when demand was last seen to be a peak; no overdraft is granted for a
-	// window after it. It is also set to withhold overdrafts without a peak: by Reset for a
-	// whole window, in a new bucket until startupOverdraftDelay after the start.
+	// started is set once the bucket has had its first share.
+	started bool
+	// demand is the mean rate requested on this host, in units per second.
+	demand float64
+	// largest is the largest cost requested; it falls to zero within demandWindow.
+	largest float64
+	// lastPeak is when the workspace was last known to be busy.
 	lastPeak time.Time
 }
 
 // Table holds the buckets of one host. It is safe for concurrent use.
 type Table struct {
 	tolerance Tolerance
-	started   time.Time
 
-	mu             sync.Mutex
-	equalShare     float64
-	activeFraction float64
-	buckets        map[string]*bucket
+	mu      sync.Mutex
+	hosts   int
+	shares  map[string]float64
+	until   time.Time
+	buckets map[string]*bucket
 }
 
-// initialLevelRatio is the fraction of a bucket that is available when a process starts.
-// The previous process may already have granted this window's share; the initial levels
-// of all hosts together are below the tolerance of one window.
-const initialLevelRatio = 0.5
-
-// minReports is the number of reports from which on a bucket's demand is known, because
-// shares are computed from the report before the last. Until then the host grants at least
-// an equal share.
-const minReports = 2
-
-// startupOverdraftDelay is how long a process observes the demand after its start before
-// it grants an overdraft. After a peak it waits a whole window.
-const startupOverdraftDelay = time.Second
-
-// NewTable returns the table of a process that starts at now. Until shares are set, the
-// host has an equal share among the given number of hosts.
-func NewTable(now time.Time, hosts int, tolerance Tolerance) *Table {
-	return &Table{started: now, tolerance: tolerance, equalShare: 1 / float64(max(hosts, 1)), activeFraction: 1, buckets: map[string]*bucket{}}
+// NewTable returns the table of a process that has no shares yet. hosts is the number of hosts among
+// which the small part is divided that hosts grant without a share.
+func NewTable(hosts int, tolerance Tolerance) *Table {
+	return &Table{tolerance: tolerance, hosts: max(hosts, 1), buckets: map[string]*bucket{}}
 }
 
 // Cost returns the units that a request counts against a limit. tokens is negative if
@@ -124,24 +110,53 @@
 	return float64(tokens)
 }
 
-// Reset empties the buckets, but leaves levels that are negative as they are, and withholds
-// overdrafts for a window. It is called when this table takes over a share that another
-// table has granted until now, and may still be granting.
-func (t *Table) Reset(now time.Time) {
+// SetHosts sets the number of hosts among which the small part is divided that hosts grant without a
+// share.
+func (t *Table) SetHosts(hosts int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.started = now
-	for _, b := range t.buckets {
-		b.level, b.updatedAt, b.lastPeak = min(b.level, 0), now, now
-	}
+	t.hosts = max(hosts, 1)
 }
 
-// SetActiveFraction limits this table to a fraction of its shares, because other hosts now
-// grant the rest.
-func (t *Table) SetActiveFraction(fraction float64) {
+// SetShares puts shares in force, by workspace, until a time. Workspaces that are not named have none. busy are
+// the workspaces whose demand at all hosts is near their limit.
+func (t *Table) SetShares(now time.Time, workspaces []*catalog.Workspace, shares map[string]float64, busy []string, until time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.activeFraction = fraction
+	for _, b := range t.buckets {
+		t.advance(now, b) // by the shares in force until now
+	}
+	t.shares, t.until = shares, until
+	for _, w := range workspaces {
+		if w.Limit.PerSecond > 0 {
+			t.bucket(now, w)
+		}
+	}
+	for name, b := range t.buckets {
+		t.setShare(now, name, b)
+		if slices.Contains(busy, name) {
+			b.lastPeak = now
+		}
+	}
+}
+
+// shareInForce returns the share of a workspace's limit that this host grants now.
+func (t *Table) shareInForce(now time.Time, workspace string) float64 {
+	if !now.Before(t.until) {
+		return 0
+	}
+	return t.shares[workspace]
+}
+
+// setShare sets the share of a bucket. One that falls cuts the level; one that rises leaves it, but for
+// the first share of a process.
+func (t *Table) setShare(now time.Time, name string, b *bucket) {
+	b.share = t.shareInForce(now, name)
+	if b.share > 0 && !b.started {
+		b.started = true
+		b.level = min(b.level, 0) + startRatio*t.tolerance.allowance(b.limit)*b.share
+	}
+	b.level = min(b.level, t.capacity(b))
 }
 
 // Take charges the cost of a request to the workspace. If the workspace has used up this
@@ -153,16 +168,25 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.bucket(now, w)
-	b.recordDemand(now, cost, t.equalShare)
-	if minLevel := t.minLevel(now, b, cost); b.level < minLevel {
-		missing := minLevel - b.level
-		wait := time.Duration(missing / (b.limit.PerSecond * b.share * t.activeFraction) * float64(time.Second))
-		return max(wait, minRetryAfter), false
+	b.recordDemand(now, cost)
+	if gate := t.gate(now, b, cost); b.level < gate {
+		return RetryAfter(gate-b.level, t.refill(b), b.demand), false
 	}
 	b.level -= cost
 	return 0, true
 }
 
+// RetryAfter returns when a refused request is worth another try: once what is missing was refilled. If
+// more is requested than is refilled, of the requests that return at that time only some find room, and
+// the wait is longer by as much. refill and demand are units per second.
+func RetryAfter(missing, refill, demand float64) time.Duration {
+	if refill <= 0 {
+		return maxRetryAfter
+	}
+	wait := missing / refill * max(1, demand/refill)
+	return min(max(time.Duration(min(wait, maxRetryAfter.Seconds())*float64(time.Second)), minRetryAfter), maxRetryAfter)
+}
+
 // Charge charges a retry of a request that was accepted before. It does so at any level,
 // because the endpoint runs the request again in any case.
 func (t *Table) Charge(now time.Time, w *catalog.Workspace, cost float64) {
@@ -188,102 +212,111 @@
 func (t *Table) bucket(now time.Time, w *catalog.Workspace) *bucket {
 	b, ok := t.buckets[w.Name]
 	if !ok {
-		b = &bucket{limit: w.Limit, share: t.equalShare, updatedAt: t.started, lastPeak: t.started.Add(startupOverdraftDelay - t.tolerance.Window)}
-		b.level = initialLevelRatio * t.capacity(b)
+		b = &bucket{limit: w.Limit, updatedAt: now}
 		t.buckets[w.Name] = b
+		t.setShare(now, w.Name, b)
+		if b.share == 0 {
+			b.level = t.capacity(b)
+		}
 	}
 	b.limit = w.Limit
+	t.advance(now, b)
+	if b.share != t.shareInForce(now, w.Name) {
+		t.setShare(now, w.Name, b)
+	}
+	return b
+}
+
+// advance refills a bucket and lets its demand fade.
+func (t *Table) advance(now time.Time, b *bucket) {
 	elapsed := max(now.Sub(b.updatedAt).Seconds(), 0)
 	b.updatedAt = now
-	b.level = min(b.level+elapsed*b.limit.PerSecond*b.share*t.activeFraction, t.capacity(b))
-	b.demand *= max(0, 1-elapsed/demandWindow.Seconds())
-	return b
+	b.level = min(b.level+elapsed*t.refill(b), t.capacity(b))
+	fade := max(0, 1-elapsed/demandWindow.Seconds())
+	b.demand *= fade
+	b.largest *= fade
 }
 
-// recordDemand adds the cost of a request to the demand. The demand is a peak if it exceeds
-// peakLimitRatio of the limit on all hosts together, or peakShareFactor equal shares of the
-// limit on this host: the reports of the other hosts arrive later.
-func (b *bucket) recordDemand(now time.Time, cost, equalShare float64) {
+// recordDemand adds the cost of a request to the demand. This host's alone may make the workspace busy, before
+// the grantor knows.
+func (b *bucket) recordDemand(now time.Time, cost float64) {
 	b.demand += cost / demandWindow.Seconds()
-	if b.demand+b.othersDemand > peakLimitRatio*b.limit.PerSecond || b.demand > peakShareFactor*equalShare*b.limit.PerSecond {
+	b.largest = max(b.largest, cost)
+	if b.demand > grant.BusyRatio*b.limit.PerSecond {
 		b.lastPeak = now
 	}
 }
 
-// minLevel is the lowest level at which a request is accepted: its cost, capped at the
-// capacity so that a full bucket accepts any request, or a lower one if an overdraft is
-// allowed because there was no recent peak.
-func (t *Table) minLevel(now time.Time, b *bucket, cost float64) float64 {
+// gate is the level from which on a request is accepted. A request may leave the bucket in debt, so that
+// it does not matter how long it is; the debt is repaid before anything else is accepted.
+//
+// In a peak the gate is one for all requests, as deep as the largest of them needs: if short ones had a
+// lower one, they would keep the level below that of the long ones for ever. Otherwise each has its own,
+// and a full bucket accepts any request.
+func (t *Table) gate(now time.Time, b *bucket, cost float64) float64 {
+	if b.share == 0 {
+		return cost // parts without a share are not consented to: no debt
+	}
+	debt := debtRatio * t.tolerance.allowance(b.limit) * b.share
 	if now.Sub(b.lastPeak) < t.tolerance.Window {
-		return min(cost, t.capacity(b))
+		return min(max(b.largest-debt, 0), maxGateRatio*t.capacity(b))
 	}
-	return cost - overdraftSeconds*b.limit.PerSecond*max(b.share, t.equalShare)*t.activeFraction
+	return min(cost-debt-loanSeconds*t.refill(b), t.capacity(b))
 }
 
-// capacity is this host's share of what may be granted at once: the burst and the usable
-// tolerance of one window.
+// capacity is what this host may grant at once: its share of the burst and of part of the tolerance, or
+// without a share a small part of the tolerance.
 func (t *Table) capacity(b *bucket) float64 {
-	window := b.limit.PerSecond*t.tolerance.Window.Seconds() + b.limit.Burst
-	return (b.limit.Burst + usableToleranceRatio*(window*t.tolerance.Ratio+t.tolerance.Slack)) * b.share * t.activeFraction
+	allowance := t.tolerance.allowance(b.limit)
+	if b.share == 0 {
+		return ungrantedRatio * allowance / float64(t.hosts)
+	}
+	return (b.limit.Burst + depthRatio*allowance) * b.share
+}
+
+// refill is the units per second by which the level rises.
+func (t *Table) refill(b *bucket) float64 {
+	if b.share == 0 {
+		return t.capacity(b) / t.tolerance.Window.Seconds()
+	}
+	return b.limit.PerSecond * b.share
 }
 
 // Demand returns the rate that each workspace requests on this host, in units per second.
-// It must be called once for each report to the other hosts.
 func (t *Table) Demand(now time.Time) map[string]float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	out := map[string]float64{}
 	for name, b := range t.buckets {
-		rate := b.demand * max(0, 1-now.Sub(b.updatedAt).Seconds()/demandWindow.Seconds())
-		b.reported, b.previousReported = rate, b.reported
-		b.reports++
-		if rate > 0 {
-			out[name] = rate
+		const precision = 1 // unit per second, keeps calls short
+		if rate := b.demand * max(0, 1-now.Sub(b.updatedAt).Seconds()/demandWindow.Seconds()); rate >= precision {
+			out[name] = math.Round(rate/precision) * precision
 		}
 	}
 	return out
 }
 
-// Shares returns the share of each limit that this host grants, for the report to the
-// other hosts.
-func (t *Table) Shares() map[string]float64 {
+// IsWithinShare reports whether the demand of a workspace on this host is below the part of the limit that
+// the host has a share of.
+func (t *Table) IsWithinShare(workspace string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	out := map[string]float64{}
-	for name, b := range t.buckets {
-		const precision = 1000 // keeps reports short
-		out[name] = math.Ceil(b.share*precision) / precision
-	}
-	return out
+	b, ok := t.buckets[workspace]
+	return ok && b.demand <= b.limit.PerSecond*b.share
 }
 
-// SetShares sets this host's shares. The shares of unresponsive hosts stay reserved for
-// them, because they may still be serving; the rest is divided by the demand of the live
-// hosts. granters is the number of hosts that grant shares, this one included. others is
-// the demand reported by the other live hosts, reservedShares the sum of the shares of the
-// unresponsive hosts, both by workspace.
-func (t *Table) SetShares(granters int, others, reservedShares map[string]float64) {
+// Shares returns the shares in force, by workspace.
+func (t *Table) Shares(now time.Time) map[string]float64 {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.equalShare = 1 / float64(max(granters, 1))
-	for name, b := range t.buckets {
-		share := computeShare(b.previousReported, others[name], t.equalShare)
-		if b.reports < minReports {
-			share = max(share, t.equalShare)
+	out := map[string]float64{}
+	for name := range t.shares {
+		if share := t.shareInForce(now, name); share > 0 {
+			const precision = 1000 // keeps reports short
+			out[name] = math.Round(share*precision) / precision
 		}
-		b.share = share * max(1-reservedShares[name], 0)
-		b.othersDemand = others[name]
 	}
-}
-
-// computeShare returns a host's share of the limit: minShareRatio of an equal share, and of
-// the rest a part in proportion to its own demand; an equal share if there is no demand.
-func computeShare(own, others, equalShare float64) float64 {
-	minShare := equalShare * minShareRatio
-	if own+others <= 0 {
-		return equalShare
-	}
-	return minShare + (1-minShareRatio)*own/(own+others)
+	return out
 }
 
 // WorkspaceState is the debug view of one workspace.
