--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -13,6 +13,7 @@
 	"github.com/cicadanotch/cicadanotch/catalog"
 	"github.com/cicadanotch/cicadanotch/grant"
 	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/presence"
 )
 
 // Shares of limits are granted by the leader to the hosts that keep buckets: the relays of zones, and hosts
@@ -105,6 +106,14 @@
 
 // followGrants keeps the shares of this host up to date.
 func (g *Gateway) followGrants() error {
+	for _, started := range []chan struct{}{g.hostsRead, g.configured} {
+		select {
+		case <-started:
+		case <-g.tomb.Dying():
+			return nil
+		}
+	}
+	g.inheritShares(time.Now(), limited(g.catalog.Current()))
 	for {
 		interval := noLimitsInterval
 		if workspaces := limited(g.catalog.Current()); len(workspaces) > 0 {
@@ -178,23 +187,45 @@
 	if !s.holding.Accept(now, reply) {
 		return interval
 	}
+	g.putSharesInForce(now, workspaces, reply.Shares, reply.Busy)
+	s.mu.Lock()
+	s.settled = !holds
+	s.mu.Unlock()
+	if holds && len(reply.Shares) < len(workspaces) {
+		return minGrantInterval // the grantor waits for other hosts, or they have not given up theirs yet
+	}
+	return interval
+}
+
+// inheritShares puts in force what the host's previous process last reported to hold, until a grantor answers.
+func (g *Gateway) inheritShares(now time.Time, workspaces []*catalog.Workspace) {
+	var last presence.Report
+	for _, r := range g.presence.All() {
+		if r.Host == g.opts.Host && r.Incarnation != g.opts.Incarnation && r.Wall >= last.Wall {
+			last = r
+		}
+	}
+	age := g.clock.Wall(now).Sub(time.UnixMilli(last.Wall))
+	if len(last.Shares) == 0 || age.Abs() > grant.InheritedTTL {
+		return
+	}
+	g.grants.holding.Inherit(now, last.Shares)
+	g.putSharesInForce(now, workspaces, g.grants.holding.Shares(now), nil)
+	g.log.Info().Str("event", "limits").Str("change", "inherited").Dur("age", age).Int("workspaces", len(last.Shares)).Msg("")
+}
+
+// putSharesInForce passes shares on to the buckets.
+func (g *Gateway) putSharesInForce(now time.Time, workspaces []*catalog.Workspace, parts map[string]grant.Parts, busy []string) {
 	shares, sum := map[string]float64{}, 0.0
-	for w, p := range reply.Shares {
+	for w, p := range parts {
 		shares[w] = p.Fraction()
 		sum += shares[w]
 	}
-	g.quota.SetShares(now, workspaces, shares, reply.Busy, s.holding.Until())
+	g.quota.SetShares(now, workspaces, shares, busy, g.grants.holding.Until())
 	g.metrics.limitShares.Set(sum)
 	if sum > 0 {
-		s.firstOnce.Do(func() { close(s.first) })
+		g.grants.firstOnce.Do(func() { close(g.grants.first) })
 	}
-	s.mu.Lock()
-	s.settled = !holds
-	s.mu.Unlock()
-	if holds && len(shares) < len(workspaces) {
-		return minGrantInterval // the grantor waits for other hosts, or they have not given up theirs yet
-	}
-	return interval
 }
 
 // keepsBuckets reports whether this host grants from buckets of its own.
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -89,6 +89,30 @@
 // NewHolding returns the holding of a process that holds nothing. start orders the processes of a host.
 func NewHolding(host string, start int64) *Holding { return &Holding{host: host, start: start} }
 
+const (
+	// InheritedRatio is the part of its previous process's last reported shares that a process may use until a
+	// grantor answers: after a restart of all hosts there is none for seconds. Reports of hosts have different
+	// ages, so that what they state adds up to more than one by some hundredths.
+	InheritedRatio = 0.9
+	// InheritedTTL is how long it may, and the largest age of the report: together well below ReservationTTL, for
+	// which the grantor keeps them for it.
+	InheritedTTL = 8 * time.Second
+)
+
+// Inherit puts in force what the previous process of the host, which has ended, last reported to hold. It has no
+// effect after the first call.
+func (h *Holding) Inherit(now time.Time, reported map[string]float64) {
+	if h.sequence > 0 {
+		return
+	}
+	h.shares, h.until = map[string]Parts{}, now.Add(InheritedTTL)
+	for w, share := range reported {
+		if p := Parts(InheritedRatio * share * float64(Whole)); p > 0 {
+			h.shares[w] = p
+		}
+	}
+}
+
 // Ask returns the next call to the grantor with the given fencing token; ok is false if a grantor with
 // a higher one was addressed before. Replies to earlier calls are no longer accepted.
 func (h *Holding) Ask(now time.Time, token int64, holds bool, demand map[string]float64) (call Call, ok bool) {
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -40,10 +40,14 @@
 	busyDelay   = 1.0 // seconds
 	// maxGateRatio is the largest gate, as a fraction of the bucket's capacity; see gate.
 	maxGateRatio = 0.5
+	// maxOvertaking is how long short requests go first while long ones are refused, turnDuration how long the
+	// turn of the long ones is.
+	maxOvertaking = 2 * time.Second
+	turnDuration  = time.Second
 	// minRetryAfter is the least delay returned to refused callers, so that they do not
 	// retry immediately; maxRetryAfter the largest, as shares change within less.
 	minRetryAfter = 100 * time.Millisecond
-	maxRetryAfter = 2 * time.Second
+	maxRetryAfter = 4 * time.Second
 )
 
 // Tolerance is the amount by which the platform allows a limit to be exceeded in any
@@ -77,6 +81,11 @@
 	demand float64
 	// largest is the largest cost requested; it falls to zero within demandWindow.
 	largest float64
+	// promised is what the refused requests need that were told to return and have yet to find room.
+	promised float64
+	// overtakenAt is when a request was first refused because of its length, since a long one was accepted;
+	// zero if none was.
+	overtakenAt time.Time
 	// lastPeak is when the workspace was last known to be busy.
 	lastPeak time.Time
 }
@@ -170,21 +179,29 @@
 	b := t.bucket(now, w)
 	b.recordDemand(now, cost)
 	if gate := t.gate(now, b, cost); b.level < gate {
-		return RetryAfter(gate-b.level, t.refill(b), b.demand), false
+		if b.level >= 0 && b.overtakenAt.IsZero() {
+			b.overtakenAt = now
+		}
+		refill := t.refill(b)
+		after := RetryAfter(gate-b.level, b.promised, refill)
+		b.promised = min(b.promised+cost, maxRetryAfter.Seconds()*refill)
+		return after, false
 	}
 	b.level -= cost
+	if cost >= b.largest/2 {
+		b.overtakenAt = time.Time{}
+	}
 	return 0, true
 }
 
-// RetryAfter returns when a refused request is worth another try: once what is missing was refilled. If
-// more is requested than is refilled, of the requests that return at that time only some find room, and
-// the wait is longer by as much. refill and demand are units per second.
-func RetryAfter(missing, refill, demand float64) time.Duration {
+// RetryAfter returns when there is room for a refused request: once what is missing was refilled, and what the
+// requests before it need that were told to return. refill is units per second.
+func RetryAfter(missing, promised, refill float64) time.Duration {
 	if refill <= 0 {
 		return maxRetryAfter
 	}
-	wait := missing / refill * max(1, demand/refill)
-	return min(max(time.Duration(min(wait, maxRetryAfter.Seconds())*float64(time.Second)), minRetryAfter), maxRetryAfter)
+	wait := min((missing+promised)/refill, maxRetryAfter.Seconds())
+	return max(time.Duration(wait*float64(time.Second)), minRetryAfter)
 }
 
 // Charge charges a retry of a request that was accepted before. It does so at any level,
@@ -232,6 +249,7 @@
 	elapsed := max(now.Sub(b.updatedAt).Seconds(), 0)
 	b.updatedAt = now
 	b.level = min(b.level+elapsed*t.refill(b), t.capacity(b))
+	b.promised = max(b.promised-elapsed*t.refill(b), 0)
 	fade := max(0, 1-elapsed/demandWindow.Seconds())
 	b.demand *= fade
 	b.largest *= fade
@@ -247,21 +265,38 @@
 	}
 }
 
-// gate is the level from which on a request is accepted. A request may leave the bucket in debt, so that
-// it does not matter how long it is; the debt is repaid before anything else is accepted.
+// gate is the level from which on a request is accepted. A request may leave the bucket in debt, which is
+// repaid before anything else is accepted. A full bucket accepts any request.
 //
-// In a peak the gate is one for all requests, as deep as the largest of them needs: if short ones had a
-// lower one, they would keep the level below that of the long ones for ever. Otherwise each has its own,
-// and a full bucket accepts any request.
+// Over the limit short requests go first: more callers are served by the same number of tokens. Where they
+// keep the level below what a long one needs, the long ones get a turn: until one of them is accepted, short
+// ones must leave room for it.
 func (t *Table) gate(now time.Time, b *bucket, cost float64) float64 {
 	if b.share == 0 {
-		return cost // parts without a share are not consented to: no debt
+		return cost // no debt without a share
 	}
 	debt := debtRatio * t.tolerance.allowance(b.limit) * b.share
-	if now.Sub(b.lastPeak) < t.tolerance.Window {
-		return min(max(b.largest-debt, 0), maxGateRatio*t.capacity(b))
+	if now.Sub(b.lastPeak) >= t.tolerance.Window {
+		return min(cost-debt-loanSeconds*t.refill(b), t.capacity(b))
+	}
+	gateFor := func(cost float64) float64 { return min(max(cost-debt, 0), maxGateRatio*t.capacity(b)) }
+	if gate := gateFor(b.largest); cost < b.largest/2 && b.isTurnOfLong(now) {
+		return 2 * gate // at most the capacity
+	}
+	return gateFor(cost)
+}
+
+// isTurnOfLong reports whether a long request has waited for maxOvertaking while shorter ones were accepted.
+func (b *bucket) isTurnOfLong(now time.Time) bool {
+	waited := now.Sub(b.overtakenAt)
+	if b.overtakenAt.IsZero() || waited < maxOvertaking {
+		return false
+	}
+	if waited >= maxOvertaking+turnDuration {
+		b.overtakenAt = time.Time{}
+		return false
 	}
-	return min(cost-debt-loanSeconds*t.refill(b), t.capacity(b))
+	return true
 }
 
 // capacity is what this host may grant at once: its share of the burst and of part of the tolerance, or
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -330,3 +330,95 @@
 	is.Equal(sim.refused, 0.0) // the workspace is well below its limit
 	is.True(sim.maxPerWindow() <= (limit*window.Seconds()+limit)*(1+ratio)+slack)
 }
+
+// TestNoLengthIsStarved sends four times the limit, in tokens one half of it in requests of 1,000 tokens and the
+// other in requests of 40,000, to one host with a share of a ninth, for 60 s. Both are served.
+func TestNoLengthIsStarved(t *testing.T) {
+	const (
+		share   = 1.0 / 9
+		times   = 4
+		length  = 60 * time.Second
+		step    = 10 * time.Millisecond
+		shorter = 1_000.0
+		longer  = 40_000.0
+	)
+	is := is.New(t)
+	rng := rand.New(rand.NewPCG(5, 6))
+	w, start := limitedWorkspace(limitPerSecond), time.Unix(1_800_000_000, 0)
+	h := NewTable(9, tolerance)
+	h.SetShares(start, []*catalog.Workspace{w}, map[string]float64{w.Name: share}, []string{w.Name}, start.Add(2*length))
+	served, sent := map[float64]float64{}, map[float64]float64{}
+	for at := time.Duration(0); at < length; at += step {
+		if at%time.Second == 0 {
+			h.SetShares(start.Add(at), []*catalog.Workspace{w}, map[string]float64{w.Name: share}, []string{w.Name}, start.Add(2*length))
+		}
+		for _, cost := range []float64{shorter, longer} {
+			expected := times / 2 * limitPerSecond * share * step.Seconds() / cost
+			for n := int(expected + rng.Float64()); n > 0; n-- {
+				sent[cost]++
+				if _, ok := h.Take(start.Add(at), w, cost); ok {
+					served[cost]++
+				}
+			}
+		}
+	}
+	total := served[shorter]*shorter + served[longer]*longer
+	t.Logf("served %.3f of the short and %.3f of the long, %.2f of the limit", served[shorter]/sent[shorter], served[longer]/sent[longer], total/(limitPerSecond*share*length.Seconds()))
+	is.True(served[longer]/sent[longer] >= 0.05)                     // long ones are served
+	is.True(served[shorter]/sent[shorter] >= 0.25)                   // as are short ones
+	is.True(total >= 0.95*limitPerSecond*share*length.Seconds())     // all of the share is used
+	is.True(total <= limitPerSecond*share*(length+window).Seconds()) // and no more
+}
+
+// TestRetryAfter: four times the limit is requested of one host, by callers who return when they are told to.
+// Most find room when they come or return for the first time.
+func TestRetryAfter(t *testing.T) {
+	const (
+		cost   = 10_000.0
+		times  = 4
+		length = 30 * time.Second
+		step   = 10 * time.Millisecond
+	)
+	is := is.New(t)
+	is.Equal(RetryAfter(50_000, 0, 100_000), 500*time.Millisecond) // as long as the refill takes
+	is.Equal(RetryAfter(50_000, 50_000, 100_000), time.Second)     // after those that were refused before
+	is.Equal(RetryAfter(1, 0, 100_000), minRetryAfter)
+	is.Equal(RetryAfter(1e9, 0, 1), maxRetryAfter)
+	is.Equal(RetryAfter(1, 0, 0), maxRetryAfter)
+	rng := rand.New(rand.NewPCG(8, 9))
+	w, start := limitedWorkspace(limitPerSecond), time.Unix(1_800_000_000, 0)
+	h := NewTable(1, tolerance)
+	h.SetShares(start, []*catalog.Workspace{w}, map[string]float64{w.Name: 1}, []string{w.Name}, start.Add(2*length))
+	// The load is four times the limit for two seconds, then half of it.
+	returning := map[time.Duration][]int{}
+	tries, sent := map[int]int{}, 0
+	try := func(at time.Duration, n int) {
+		after, ok := h.Take(start.Add(at), w, cost)
+		if ok {
+			tries[n]++
+			return
+		}
+		next := (at + after).Truncate(step) + step
+		returning[next] = append(returning[next], n+1)
+	}
+	for at := time.Duration(0); at < length; at += step {
+		rate := 0.5
+		if at < 2*time.Second {
+			rate = times
+		}
+		for n := int(rate*limitPerSecond*step.Seconds()/cost + rng.Float64()); n > 0; n-- {
+			sent++
+			try(at, 1)
+		}
+		for _, n := range returning[at] {
+			try(at, n)
+		}
+	}
+	served := 0
+	for _, n := range tries {
+		served += n
+	}
+	t.Logf("%d sent, served by try: %v", sent, tries)
+	is.Equal(served, sent) // all return and are served once there is room
+	is.True(tries[1]+tries[2] >= sent*8/10)
+}
