--- a/grant/ledger.go
+++ b/grant/ledger.go
@@ -9,7 +9,7 @@
 const (
 	// baseRatio is the least fraction of a limit that is divided equally among its holders, whatever their
 	// demand: otherwise the first requests at a holder would be refused until the next reply.
-	baseRatio = 0.2
+	baseRatio = 0.05
 	// silentTimeout is how long a holder may go without a call before its shares are left as they are:
 	// targets that it does not know would keep parts from the others. Some polls and one slow reply.
 	silentTimeout = 1500 * time.Millisecond
