--- a/quota/quota.go
+++ b/quota/quota.go
@@ -27,8 +27,8 @@
 	// in what they hold when a process starts, as its previous process may have granted the window's share;
 	// debtRatio twice, as the processes before a restart may have ended in debt, too; ungrantedRatio twice, for
 	// the depth and the refill of hosts without a share. They add up to one.
-	depthRatio     = 0.1
-	startRatio     = 0.5
+	depthRatio     = 0.3
+	startRatio     = 0.3
 	debtRatio      = 0.15
 	ungrantedRatio = 0.05
 
