--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -153,7 +153,7 @@
 // runLeaderTasks takes the leadership when no host holds it, and runs the leader's tasks while this
 // host holds it.
 func (g *Gateway) runLeaderTasks(now time.Time) {
-	if g.opts.UsageWindow <= 0 && !g.opts.OrdersCapacity && !g.rollsOut() {
+	if g.opts.UsageWindow <= 0 && !g.opts.OrdersCapacity && !g.rollsOut() && !g.hasLimits() {
 		return
 	}
 	if g.leaving.Load() {
