Tell an order from the one before with the same content

A host that read a repeated order before the leader did was answered with the end of the order before, took it for that of the new one and asked no more, so that the order never ended.

Hosts and leader compare the place of the record within an era.

--- a/gateway/rollout_leader.go
+++ b/gateway/rollout_leader.go
@@ -54,7 +54,7 @@
 
 // receive takes in the report of a host. It reports whether that has ended the order.
 func (l *ledRollout) receive(now time.Time, host string, r rolloutReport) bool {
-	if r.Known != nil && r.Known.Order.SameContent(l.machine.Record().Order) && r.Known.Further(l.machine.Record()) {
+	if r.Known != nil && r.Known.Order.Is(l.machine.Record().Order) && r.Known.Further(l.machine.Record()) {
 		l.machine.Adopt(*r.Known)
 	}
 	news := r.Evidence.Since(l.hosts[host].evidence)
--- a/gateway/rollout_peers.go
+++ b/gateway/rollout_peers.go
@@ -255,7 +255,7 @@
 	var news []rollout.Record
 	for service, p := range reply.Orders {
 		h := s.held[service]
-		if h == nil || !p.Record.Order.SameContent(h.order) || !h.order.SameContent(asked[service].Order) || h.record.State.Ended() {
+		if h == nil || !p.Record.Order.Is(h.order) || !h.order.Is(asked[service].Order) || h.record.State.Ended() {
 			continue // another order has come since, or this one has ended
 		}
 		if h.record.State != p.Record.State || !maps.Equal(h.record.Fractions, p.Record.Fractions) {
@@ -305,7 +305,7 @@
 	s.mu.Lock()
 	for service, report := range req.Orders {
 		led, h := s.led[service], s.held[service]
-		if led == nil || h == nil || !h.order.SameContent(report.Order) {
+		if led == nil || h == nil || !h.order.Is(report.Order) {
 			continue // this host has not begun to lead it
 		}
 		if led.receive(now, req.Host+"/"+req.Incarnation, report) {
--- a/rollout/order.go
+++ b/rollout/order.go
@@ -55,6 +55,11 @@
 	return o.Service == other.Service && o.Target == other.Target && o.Duration == other.Duration
 }
 
+// Is reports whether two hosts speak of the same order: of the same record, or of the same content in different eras.
+func (o Order) Is(other Order) bool {
+	return o.SameContent(other) && (o.Era != other.Era || o.Offset == other.Offset)
+}
+
 // Repeats reports whether the order is the same as one that is known. The same content in another era is the
 // same order, because the operator writes its records again when the store was restored. In one era it is the
 // same while the known one has not ended, and a new one if it was written after that.
