Learn what each endpoint takes well: pace, knee and the stated time of work

Cause: placement has one pace a service; the first token came after 0.89 to 2.09 times the expected time by endpoint, so one pace is wrong by a factor of two at some. A load of four figures was dropped whole. Calls without engines knew nothing of speed: a constant of 30 ms.

Change: decodeLoad takes the fourth figure; one that cannot be used counts as not stated, is counted (cicadanotch_gateway_header_faults_total) and logged, and the other three hold. Package speed learns by endpoint the pace, against the other endpoints at the same load and time, and the knee. The placer learns from first tokens, hosts from calls; hosts tell observations with their reports (key sp), a placer only those of endpoints that differ, and its successor begins with these. Placement takes pace, knee and the learnt time of a call in place of slowdown, slots and 30 ms. A slow endpoint is tried again about once a second by a request with slack.

--- a/arch/arch_test.go
+++ b/arch/arch_test.go
@@ -21,7 +21,7 @@
 // domain lists the packages that make the decisions.
 var domain = []string{
 	"address", "admit", "answer", "attempt", "capacity", "catalog", "claim", "config", "drain", "fleet", "fold", "hostlist", "lease", "lineage",
-	"member", "placement", "prefix", "presence", "problem", "quarantine", "quota", "record", "request", "route", "scaling", "usage",
+	"member", "placement", "prefix", "presence", "problem", "quarantine", "quota", "record", "request", "route", "scaling", "speed", "usage",
 }
 
 // forbiddenImports lists the imports that domain packages must not have. A path that ends in a
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -115,6 +115,10 @@
 	flags := flag.NewFlagSet("cicadanotchd", flag.ContinueOnError)
 	flags.SetOutput(stderr)
 	path := flags.String("config", "", "settings `file`, JSON with comments (required)")
+	var platformFlags PlatformFlags
+	platformSet := flag.NewFlagSet("cicadanotchd platform", flag.ContinueOnError)
+	platformSet.SetOutput(stderr)
+	platformFlags.register(platformSet)
 	root := &ffcli.Command{
 		Name:       "cicadanotchd",
 		ShortUsage: "cicadanotchd --config FILE",
@@ -123,9 +127,10 @@
 		Exec:       func(ctx context.Context, _ []string) error { return run(ctx, *path) },
 		Subcommands: []*ffcli.Command{{
 			Name:       "platform",
-			ShortUsage: "cicadanotchd platform",
+			ShortUsage: "cicadanotchd platform [--endpoint-speed auto|on|off]",
 			ShortHelp:  "Run one host with the settings that the platform gives.",
-			Exec:       func(ctx context.Context, _ []string) error { return RunPlatform(ctx, os.Stdout) },
+			FlagSet:    platformSet,
+			Exec:       func(ctx context.Context, _ []string) error { return runPlatform(ctx, os.Stdout, platformFlags) },
 		}},
 	}
 	err := root.ParseAndRun(context.Background(), args)
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"flag"
 	"io"
 	stdlog "log"
 	"net"
@@ -22,6 +23,7 @@
 	"github.com/cicadanotch/cicadanotch/gateway"
 	"github.com/cicadanotch/cicadanotch/platform"
 	"github.com/cicadanotch/cicadanotch/record"
+	"github.com/cicadanotch/cicadanotch/speed"
 )
 
 const (
@@ -49,6 +51,34 @@
 // environment variable platform.SettingsVariable names the settings file. Each
 // function in wrap may replace ports, for example to wrap them.
 func RunPlatform(ctx context.Context, stdout io.Writer, wrap ...func(*gateway.Ports)) error {
+	return runPlatform(ctx, stdout, PlatformFlags{}, wrap...)
+}
+
+// PlatformFlags are the flags of a host on the platform.
+type PlatformFlags struct {
+	// EndpointSpeed is a name of a speed.Mode; empty for the default.
+	EndpointSpeed string
+}
+
+func (f *PlatformFlags) register(flags *flag.FlagSet) {
+	flags.StringVar(&f.EndpointSpeed, "endpoint-speed", string(speed.ModeAuto),
+		"learn what each endpoint takes well: `mode` auto (services whose endpoints state how long work takes), on or off")
+}
+
+// apply checks the flags and sets the options that they name. Its errors are a platform.ErrSettings.
+func (f *PlatformFlags) apply(o *gateway.Options) error {
+	if f.EndpointSpeed == "" {
+		return nil
+	}
+	mode, ok := speed.ParseMode(f.EndpointSpeed)
+	if !ok {
+		return errors.Wrapf(platform.ErrSettings, "flag --endpoint-speed is %q, expected auto, on or off", f.EndpointSpeed)
+	}
+	o.EndpointSpeed = mode
+	return nil
+}
+
+func runPlatform(ctx context.Context, stdout io.Writer, flags PlatformFlags, wrap ...func(*gateway.Ports)) error {
 	path := os.Getenv(platform.SettingsVariable)
 	if path == "" {
 		return errors.Wrapf(platform.ErrSettings, "the environment variable %s is missing", platform.SettingsVariable)
@@ -57,6 +87,9 @@
 	if err != nil {
 		return err
 	}
+	if err := flags.apply(&settings.Gateway); err != nil {
+		return err
+	}
 	settings.Gateway.Incarnation = record.NewID()[:8]
 	settings.MetricsAddress = net.JoinHostPort(settings.IP, metricsPort)
 	debug.SetGCPercent(gcPercent)
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -246,6 +246,7 @@
 	}
 	if o == outcomeComplete && !reply.Stream {
 		c.g.answerTime(c.service.Name).Observe(time.Since(a.startedAt))
+		c.observeCall(a, reply)
 	}
 	c.g.fleet.Answered(time.Now(), a.view.ID, o == outcomeFailed)
 	return o, err
@@ -374,6 +375,7 @@
 // wants no requests for some time.
 func (c *call) recordAnnouncements(now time.Time, a *endpointAttempt, reply *port.Reply) {
 	if reply.HeaderFault != "" {
+		c.g.metrics.headerFaults.Inc()
 		c.g.log.Warn().Str("event", "endpoint_header").Str("request", c.req.ID).Str("endpoint", a.view.ID).Str("fault", reply.HeaderFault).Msg("")
 	}
 	if reply.Leaving {
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -411,6 +411,9 @@
 			e.Str("source", read.source).Dur("read", read.at.Sub(read.began))
 		}
 		e.Msg("")
+		if c.Added || c.Removed {
+			g.speeds.Remove(c.Endpoint.Service, c.Endpoint.ID)
+		}
 		if c.Added {
 			g.tellHolders(time.Now(), c.Endpoint.Service)
 		}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -28,6 +28,7 @@
 	"github.com/cicadanotch/cicadanotch/presence"
 	"github.com/cicadanotch/cicadanotch/quota"
 	"github.com/cicadanotch/cicadanotch/scaling"
+	"github.com/cicadanotch/cicadanotch/speed"
 	"github.com/cicadanotch/cicadanotch/usage"
 )
 
@@ -69,6 +70,9 @@
 	QuotaTolerance quota.Tolerance
 	// AddressTTL is the TTL of an address answer as stated to callers.
 	AddressTTL time.Duration
+	// EndpointSpeed states for which services it is learnt what each endpoint takes well; empty for
+	// speed.ModeAuto.
+	EndpointSpeed speed.Mode
 }
 
 // Ports are the external systems.
@@ -103,7 +107,10 @@
 	usage     *usage.Counter
 	clock     *usage.Clock
 	demand    *scaling.Meter
+	speeds    *speed.Table
 	metrics   *metrics
+	// speedsLoggedAt and statementsLoggedAt are used by exchangeLoads only, see logSpeeds.
+	speedsLoggedAt, statementsLoggedAt time.Time
 
 	budgets      sync.Map // service name to *attempt.WindowBudget
 	answerTimes  sync.Map // service name to *attempt.ResponseTimeEstimator
@@ -164,11 +171,13 @@
 		usage:        usage.NewCounter(max(opts.UsageWindow, time.Second)),
 		clock:        usage.NewClock(now),
 		demand:       scaling.NewMeter(),
+		speeds:       speed.NewTable(),
 		metrics:      newMetrics(),
 		startedAt:    now,
 		leaveStarted: make(chan struct{}), configured: make(chan struct{}), hostsRead: make(chan struct{}),
 	}
 	g.metrics.watchFeeds(g)
+	g.metrics.registry.MustRegister(speedCollector{g})
 	g.hostCount.Store(assumedHosts)
 	g.calls.calls = map[*call]struct{}{}
 	g.relays = newRelayState()
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -49,6 +49,7 @@
 	r.QuotaDemand, r.Shares = g.quota.Demand(now), g.quota.Shares()
 	r.Relayed = g.quotaRelay(now).Peer != ""
 	r.Usage = g.usage.Recent()
+	r.Speeds = g.reportedSpeeds(now)
 	r.Limits, r.Software = g.reportedLimits(now), g.reportedSoftware(now)
 	if r.FencingToken = g.leader.fencingToken(now); r.FencingToken != 0 {
 		r.Targets = g.leader.targetCounts()
@@ -259,6 +260,7 @@
 	granters := g.quotaGranters(live)
 	reserved := g.reservedShares(unresponsive, granters)
 	g.placement.SetPeers(loads)
+	g.receiveSpeeds(now, live)
 	paces := medianPaces(live)
 	g.placement.SetPeerPaces(paces)
 	g.placer.table.SetPeerPaces(paces)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -37,8 +37,21 @@
 	endless       prometheus.Counter
 	probes        *prometheus.CounterVec
 	deaths        prometheus.Counter
+	headerFaults  prometheus.Counter
 }
 
+// Descriptions of the metrics of speedCollector.
+var (
+	endpointPaceDesc = prometheus.NewDesc("cicadanotch_gateway_endpoint_pace",
+		"Time of work at an endpoint as a factor of its service's, as learnt.", []string{"service", "endpoint"}, nil)
+	endpointKneeDesc = prometheus.NewDesc("cicadanotch_gateway_endpoint_knee",
+		"Fraction of an endpoint's slots that it takes without notable slowing, as learnt.", []string{"service", "endpoint"}, nil)
+	statementsDesc = prometheus.NewDesc("cicadanotch_gateway_statement_pairs",
+		"Endpoints' statements of their time of work that were compared with the next request's time, by their age below a bound in seconds.", []string{"service", "below"}, nil)
+	statementCorrelationDesc = prometheus.NewDesc("cicadanotch_gateway_statement_correlation",
+		"Correlation of endpoints' statements of their time of work with the next request's time, by their age below a bound in seconds.", []string{"service", "below"}, nil)
+)
+
 func newMetrics() *metrics {
 	m := &metrics{
 		registry: prometheus.NewRegistry(),
@@ -115,7 +128,11 @@
 		Name: "cicadanotch_gateway_endpoint_deaths_total",
 		Help: "Records of this host that an endpoint ended while it had requests there, two for each endpoint at the most.",
 	})
-	m.registry.MustRegister(m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
+	m.headerFaults = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_header_faults_total",
+		Help: "Answers of endpoints with a header that could not be used as sent.",
+	})
+	m.registry.MustRegister(m.headerFaults, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
 		m.feedReads, m.version, m.hosts, m.fencingToken, m.leaderCalls, m.moves, collectors.NewGoCollector())
 	return m
 }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -108,6 +108,9 @@
 // query describes the request to the placement.
 func (c *call) query() *placement.Query {
 	q := &placement.Query{Service: c.service.Name, Zone: c.g.opts.Zone, Region: c.g.opts.Region, Excluded: c.tried}
+	if c.sent == 0 {
+		q.SlackMS = float64(c.route.Target.Microseconds()) / 1000
+	}
 	if !c.req.HasTokens {
 		return q
 	}
@@ -143,11 +146,12 @@
 // candidates converts views into placement candidates.
 func (g *Gateway) candidates(now time.Time, views []fleet.View, engine bool, service catalog.Service) []placement.Candidate {
 	out := make([]placement.Candidate, 0, len(views))
+	speedOf := g.speedsOf(now, service.Name)
 	for _, v := range views {
 		c := placement.Candidate{
 			ID: v.ID, Zone: v.Zone, Region: g.opts.Regions[v.Zone], Slots: v.Slots,
 			Suspect: now.Before(v.SuspectUntil), FailureShare: g.fleet.FailureShare(now, v.ID),
-			Cold: now.Before(v.WarmAt),
+			Cold: now.Before(v.WarmAt), Speed: speedOf(v.ID),
 		}
 		if engine {
 			c.CacheTokens = service.Engine.CacheTokens
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -76,6 +76,7 @@
 // regionPlacement is a placement in progress.
 type regionPlacement struct {
 	choice    placement.Choice
+	service   string
 	expiresAt time.Time
 }
 
@@ -92,44 +93,6 @@
 	}
 }
 
-type placeRequest struct {
-	Service  string           `json:"service"`
-	Zone     string           `json:"zone"`
-	Key      string           `json:"key,omitempty"`
-	Prompt   int              `json:"prompt"`
-	Answer   int              `json:"answer"`
-	Parts    []placement.Part `json:"parts,omitempty"`
-	Priority int              `json:"priority,omitempty"`
-	// Software is the only software version that may be chosen; nil for any.
-	Software *string `json:"software,omitempty"`
-	// Excluded must not be chosen, Suspect only if there is no other.
-	Excluded []string `json:"excluded,omitempty"`
-	Suspect  []string `json:"suspect,omitempty"`
-	// Remaining is the time until the request ends.
-	Remaining time.Duration `json:"remaining_ns"`
-}
-
-type placeReply struct {
-	// Endpoint is empty if none may be chosen.
-	Endpoint string          `json:"endpoint,omitempty"`
-	Ticket   int64           `json:"ticket,omitempty"`
-	Terms    placement.Terms `json:"terms"`
-	Cached   int             `json:"cached,omitempty"`
-}
-
-// settlement is news of a placement: its first token has come, or its attempt has ended.
-type settlement struct {
-	Ticket       int64         `json:"t"`
-	Started      time.Duration `json:"s,omitempty"`
-	Ended        bool          `json:"e,omitempty"`
-	NotPrefilled bool          `json:"n,omitempty"`
-}
-
-type loadsRequest struct {
-	Host  string                    `json:"host"`
-	Loads map[string]placement.Load `json:"loads,omitempty"`
-}
-
 // choosePlacers chooses the placer of each region: the serving host with the most cores, among equals
 // the one with the highest rendezvous score. Hosts with the same view choose the same placers.
 func (g *Gateway) choosePlacers(now time.Time, live []presence.Report) {
@@ -156,6 +119,9 @@
 	chosen := s.chosen.Host
 	s.mu.Unlock()
 	if chosen != previous {
+		if chosen == g.opts.Host {
+			g.inheritSpeeds(now, previous)
+		}
 		g.metrics.stateChanges.WithLabelValues("placer").Inc()
 		g.log.Info().Str("event", "placer").Str("placer", chosen).Str("before", previous).Msg("")
 	}
@@ -180,7 +146,7 @@
 	}
 	req := placeRequest{
 		Service: q.Service, Zone: q.Zone, Key: q.Key, Prompt: q.PromptTokens, Answer: q.MaxAnswerTokens, Parts: q.Parts,
-		Priority: q.Priority, Software: c.streamSoftware(), Remaining: c.deadline.Sub(now),
+		Priority: q.Priority, Software: c.streamSoftware(), Remaining: c.deadline.Sub(now), SlackMS: q.SlackMS,
 	}
 	for id := range q.Excluded {
 		req.Excluded = append(req.Excluded, id)
@@ -251,7 +217,7 @@
 	}
 	q := &placement.Query{
 		Service: req.Service, Key: req.Key, PromptTokens: req.Prompt, MaxAnswerTokens: req.Answer, Parts: req.Parts, Priority: req.Priority,
-		Zone: req.Zone, Region: g.opts.Region, Excluded: map[string]bool{},
+		Zone: req.Zone, Region: g.opts.Region, Excluded: map[string]bool{}, SlackMS: req.SlackMS,
 	}
 	for _, id := range req.Excluded {
 		q.Excluded[id] = true
@@ -274,7 +240,7 @@
 	s.mu.Lock()
 	s.lastTicket++
 	ticket := s.lastTicket
-	s.placements[ticket] = &regionPlacement{choice, now.Add(max(req.Remaining, time.Second))}
+	s.placements[ticket] = &regionPlacement{choice, service.Name, now.Add(max(req.Remaining, time.Second))}
 	s.mu.Unlock()
 	return placeReply{Endpoint: choice.ID, Ticket: ticket, Terms: choice.Terms, Cached: choice.CachedTokens}, nil
 }
@@ -293,7 +259,8 @@
 			continue // it has expired, or this process was not the placer then
 		}
 		if n.Started > 0 {
-			s.table.Started(&p.choice, n.Started)
+			sample, ok := s.table.Started(&p.choice, n.Started)
+			g.observeSpeed(time.Now(), p.service, p.choice.ID, sample, ok, n.StatedPercent)
 		}
 		if n.Ended {
 			s.table.Release(&p.choice, n.NotPrefilled)
@@ -398,6 +365,7 @@
 		case now := <-tick.C:
 			g.placer.sweepPlacements(now)
 			g.sendLoads(now)
+			g.logSpeeds(now)
 		}
 	}
 }
--- a/gateway/state.go
+++ b/gateway/state.go
@@ -10,6 +10,7 @@
 	"github.com/cicadanotch/cicadanotch/presence"
 	"github.com/cicadanotch/cicadanotch/quarantine"
 	"github.com/cicadanotch/cicadanotch/quota"
+	"github.com/cicadanotch/cicadanotch/speed"
 )
 
 // State is a snapshot of a process's state, for debugging.
@@ -22,6 +23,8 @@
 	StoreAge     time.Duration            `json:"store_age_ns"`
 	Endpoints    []fleet.View             `json:"endpoints"`
 	Placement    []placement.Row          `json:"placement"`
+	Speeds       []speed.Row              `json:"speeds"`
+	Statements   map[string][]speed.Age   `json:"statements"`
 	Quota        []quota.WorkspaceState   `json:"quota"`
 	Hosts        []presence.Report        `json:"hosts"`
 	FencingToken int64                    `json:"duty_fence"`
@@ -35,7 +38,7 @@
 	s := State{
 		Host: g.opts.Host, Ready: g.Ready(), Leaving: g.Leaving(), InProgress: g.calls.len(),
 		StoreAge:  g.storeAge(now),
-		Endpoints: g.fleet.All(), Placement: g.placement.State(), Quota: g.quota.State(),
+		Endpoints: g.fleet.All(), Placement: g.placement.State(), Speeds: g.speeds.Rows(now), Statements: g.speeds.Ages(), Quota: g.quota.State(),
 		Hosts: g.presence.Live(), FencingToken: g.leader.fencingToken(now),
 		Suspected: g.quarantine.table.State(now), Deaths: g.quarantine.table.Deaths(now),
 		LethalParts: g.quarantine.table.LethalParts(now),
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -181,8 +181,12 @@
 	now := time.Now()
 	if !a.answered {
 		a.answered = true
-		c.g.placement.Started(&a.choice, now.Sub(a.startedAt))
-		c.g.settle(c.placer, settlement{Ticket: c.ticket, Started: now.Sub(a.startedAt)})
+		sample, ok := c.g.placement.Started(&a.choice, now.Sub(a.startedAt))
+		stated := statedPercent(reply)
+		if c.placer.Host != c.g.opts.Host || c.ticket == 0 {
+			c.g.observeSpeed(now, c.service.Name, a.view.ID, sample, ok, stated)
+		}
+		c.g.settle(c.placer, settlement{Ticket: c.ticket, Started: now.Sub(a.startedAt), StatedPercent: stated})
 	}
 	c.recordSoftware(a)
 	c.recordAnswering(now, a)
--- a/placement/affinity.go
+++ b/placement/affinity.go
@@ -1,6 +1,9 @@
 package placement
 
 import (
+	"slices"
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/cicadanotch/cicadanotch/rendezvous"
@@ -71,3 +74,39 @@
 	}
 	return sum
 }
+
+// addCached adds a prompt's parts to those assumed to be cached at the endpoint.
+func (r *row) addCached(now time.Time, c *Choice) {
+	if c.CacheTokens == 0 {
+		return
+	}
+	for i, h := range c.chain {
+		if _, ok := r.cached[h]; !ok {
+			r.cachedTokens += c.tokens[i]
+		}
+		r.cached[h] = cachedPart{c.tokens[i], now}
+	}
+	if limit := int(maxRetainedShare * float64(c.CacheTokens)); r.cachedTokens > limit {
+		r.evict(limit * 9 / 10)
+	}
+}
+
+// evict removes the least recently used parts until at most limit tokens remain.
+func (r *row) evict(limit int) {
+	type hashedPart struct {
+		hash uint64
+		cachedPart
+	}
+	parts := make([]hashedPart, 0, len(r.cached))
+	for h, p := range r.cached {
+		parts = append(parts, hashedPart{h, p})
+	}
+	slices.SortFunc(parts, func(a, b hashedPart) int { return a.usedAt.Compare(b.usedAt) })
+	for _, p := range parts {
+		if r.cachedTokens <= limit {
+			return
+		}
+		delete(r.cached, p.hash)
+		r.cachedTokens -= p.tokens
+	}
+}
--- a/placement/placement.go
+++ b/placement/placement.go
@@ -14,14 +14,13 @@
 package placement
 
 import (
-	"cmp"
 	"math"
-	"slices"
 	"strconv"
 	"sync"
 	"time"
 
 	"github.com/cicadanotch/cicadanotch/rendezvous"
+	"github.com/cicadanotch/cicadanotch/speed"
 )
 
 // Part is a section of a prompt that may be cached: its id and its length in tokens.
@@ -30,21 +29,6 @@
 	Tokens int
 }
 
-// Load is the work in progress at an endpoint.
-type Load struct {
-	// Requests is the number of requests running or waiting, Prefill the prefill
-	// work still to be done (see prefillWork), Context the tokens that occupy the KV
-	// cache.
-	Requests int `json:"n"`
-	Prefill  int `json:"p"`
-	Context  int `json:"c"`
-}
-
-// Plus returns the sum of two loads.
-func (l Load) Plus(o Load) Load {
-	return Load{l.Requests + o.Requests, l.Prefill + o.Prefill, l.Context + o.Context}
-}
-
 // Candidate is an endpoint that Choose may choose.
 type Candidate struct {
 	ID     string
@@ -61,6 +45,9 @@
 	FailureShare float64
 	// Cold endpoints have just started and do not yet run at full speed.
 	Cold bool
+	// Speed is what the endpoint takes well, zero where that is not learnt; the table's own estimate of
+	// its slowdown then applies.
+	Speed speed.Estimate
 }
 
 // Query describes a request for which an endpoint is to be chosen.
@@ -85,56 +72,14 @@
 	Region string
 	// Excluded holds the ids of endpoints that must not be chosen.
 	Excluded map[string]bool
-}
-
-// attentionParityTokens is the position in a prompt at which the attention of a token
-// takes as long as the rest of the token's prefill. The rest is the same for all tokens;
-// attention grows with the number of tokens before, so it is quadratic in the prompt
-// length. The engines of the deployments take 0.17 to 0.28 ms for the attention of a
-// million token pairs.
-const attentionParityTokens = 100_000
-
-// prefillWork returns the prefill time of a prompt as a number of tokens: those of a short
-// prompt, without notable attention, that takes as long. The first cached tokens of the
-// prompt need no prefill; the mean position of the others is (prompt+cached)/2.
-func prefillWork(prompt, cached int) int {
-	uncached := float64(max(prompt-cached, 0))
-	return int(uncached * (1 + float64(prompt+cached)/2/attentionParityTokens))
+	// SlackMS is the time to the first token at which the request still meets its objective, in
+	// milliseconds. Only requests with slack are used to try slow endpoints again.
+	SlackMS float64
 }
 
 // LowestPriority is the least urgent priority.
 const LowestPriority = 9
 
-// Terms are the terms of an endpoint's score, in milliseconds.
-type Terms struct {
-	// Queue is the wait for the prompts queued ahead, Slot the wait for a slot in
-	// the batch, Prefill the prefill of the request's own prompt, Network the
-	// network round trip. At a cold endpoint Prefill includes coldPenaltyMS, also for
-	// a service without engines.
-	Queue   float64
-	Slot    float64
-	Prefill float64
-	Network float64
-	// Transfer is the cost of the network transfer, Failure the expected cost of
-	// failures and of a suspect endpoint. These costs and the following are expressed
-	// as delay.
-	Transfer float64
-	Failure  float64
-	// Overflow is the cost of a request that does not fit into the KV cache.
-	Overflow float64
-	// Recompute is the cost of recomputing shared parts that the endpoint is not
-	// expected to have cached.
-	Recompute float64
-}
-
-// FirstToken returns the expected time to the first token, in milliseconds.
-func (t Terms) FirstToken() float64 { return t.Queue + t.Slot + t.Prefill + t.Network }
-
-// Score returns the sum of all terms; the endpoint with the lowest score is chosen.
-func (t Terms) Score() float64 {
-	return t.FirstToken() + t.Transfer + t.Failure + t.Overflow + t.Recompute
-}
-
 // Choice is the endpoint chosen for a request. The request's load is booked: it counts
 // as load of the endpoint until Release.
 type Choice struct {
@@ -151,6 +96,8 @@
 	ahead    int
 	adopted  bool // another host has made the choice
 	priority int
+	// inProgress is the number of other requests there.
+	inProgress int
 	// share is the fraction of the engine's time that more urgent requests take (see
 	// row.urgentShare).
 	share float64
@@ -159,6 +106,10 @@
 	tokens []int
 }
 
+// InProgress returns the number of other requests at the endpoint when it was chosen, as far as they are
+// known.
+func (c *Choice) InProgress() int { return c.inProgress }
+
 const (
 	// tokenMS is the time per generated token in a batch that also prefills: a step
 	// of 3 to 4 ms, plus a chunk of 1,024 prompt tokens at 85 tokens per millisecond
@@ -259,6 +210,8 @@
 	// package predict. Started updates it from the ratio of actual to expected times to
 	// the first token, with smoothing, and keeps it between 0.5 and maxSlowdown.
 	slowdown float64
+	// retriedAt is when it was last tried again by retry.
+	retriedAt time.Time
 	// removed is set when the endpoint is gone; the row is deleted once no load is booked.
 	removed bool
 }
@@ -322,6 +275,9 @@
 	if !found {
 		return Choice{}, false
 	}
+	if c, ok := t.retry(now, q, candidates, chain, tokens); ok {
+		best = c
+	}
 	t.book(now, q, &best)
 	return best, true
 }
@@ -352,40 +308,6 @@
 	return choice
 }
 
-// decayArrivals brings the arrival rates up to now.
-func (r *row) decayArrivals(now time.Time) {
-	if !r.arrivedAt.IsZero() {
-		weight := math.Exp(-float64(now.Sub(r.arrivedAt)) / float64(arrivalWindow))
-		for i := range r.arrivals {
-			r.arrivals[i] *= weight
-		}
-	}
-	r.arrivedAt = now
-}
-
-// urgentShare returns the fraction of the engine's time that the arrivals of more urgent requests take.
-// The engine serves those first, also if they come later, so that a request gets only the rest of its
-// time (Cobham's formula for priorities).
-func (r *row) urgentShare(now time.Time, priority int, tokenMS float64) float64 {
-	if r.arrivedAt.IsZero() {
-		return 0
-	}
-	rate := 0.0
-	for i := range min(priority, len(r.arrivals)) {
-		rate += r.arrivals[i]
-	}
-	return min(rate*math.Exp(-float64(now.Sub(r.arrivedAt))/float64(arrivalWindow))*tokenMS, maxUrgentShare)
-}
-
-// prefillAhead returns the prefill work that the engine serves before a request of a priority.
-func (r *row) prefillAhead(priority int) int {
-	sum := r.peers.Prefill
-	for i := range min(priority, LowestPriority) + 1 {
-		sum += r.prefill[i]
-	}
-	return sum
-}
-
 // findBest returns the candidate with the lowest score among those in sampled and the
 // two preferred endpoints of the query's key. If sampled is nil it considers all
 // candidates, of all regions.
@@ -410,7 +332,7 @@
 		terms, share := r.terms(now, q, c, cached, t)
 		terms.Recompute = recomputeMS * float64(max(shared-cached, 0)) / 1000
 		if !found || terms.Score() < best.Terms.Score() {
-			best = Choice{Candidate: *c, Terms: terms, CachedTokens: cached, service: q.Service, ahead: r.prefillAhead(q.Priority), share: share, chain: chain, tokens: tokens}
+			best = t.choice(q, c, terms, share, cached, chain, tokens)
 			found = true
 		}
 	}
@@ -448,123 +370,6 @@
 	return sampled
 }
 
-// terms returns the terms of an endpoint's score for a query, except Recompute. cached is
-// the number of prompt tokens expected to be cached. It also returns the urgentShare.
-func (r *row) terms(now time.Time, q *Query, c *Candidate, cached int, table *Table) (terms Terms, share float64) {
-	load := r.own.Plus(r.peers)
-	if q.PromptTokens > 0 {
-		pace := table.pace(q.Service)
-		share = r.urgentShare(now, q.Priority, pace.TokenMS*r.slowdown)
-		workMS := pace.TokenMS * r.slowdown / (1 - share)
-		terms.Queue = float64(r.prefillAhead(q.Priority)) * workMS
-		terms.Prefill = pace.FirstMS + float64(prefillWork(q.PromptTokens, cached))*workMS
-		if c.Slots > 0 && load.Requests >= c.Slots {
-			terms.Slot = float64(load.Requests-c.Slots+1) / float64(c.Slots) * table.meanAnswerTokens * tokenMS
-		}
-		if over := float64(load.Context+q.PromptTokens+q.MaxAnswerTokens) - maxCacheFill*float64(c.CacheTokens); c.CacheTokens > 0 && over > 0 {
-			terms.Overflow = overflowMS * (1 + over/float64(c.CacheTokens))
-		}
-	} else {
-		slots := max(c.Slots, 1)
-		terms.Slot = callSlotMS * r.slowdown * float64(max(load.Requests-slots+1, 0)) / float64(slots)
-		terms.Queue = callSlotMS / 4 * r.slowdown * float64(load.Requests) / float64(slots)
-	}
-	if c.Cold {
-		terms.Prefill += coldPenaltyMS
-	}
-	switch {
-	case c.Region != q.Region:
-		terms.Network, terms.Transfer = regionRTTMS, regionTransferMS
-	case c.Zone != q.Zone:
-		terms.Network, terms.Transfer = zoneRTTMS, zoneTransferMS
-	}
-	terms.Failure = failureMS * c.FailureShare
-	if c.Suspect {
-		terms.Failure += suspectPenaltyMS
-	}
-	return terms, share
-}
-
-// addCached adds a prompt's parts to those assumed to be cached at the endpoint.
-func (r *row) addCached(now time.Time, c *Choice) {
-	if c.CacheTokens == 0 {
-		return
-	}
-	for i, h := range c.chain {
-		if _, ok := r.cached[h]; !ok {
-			r.cachedTokens += c.tokens[i]
-		}
-		r.cached[h] = cachedPart{c.tokens[i], now}
-	}
-	if limit := int(maxRetainedShare * float64(c.CacheTokens)); r.cachedTokens > limit {
-		r.evict(limit * 9 / 10)
-	}
-}
-
-// evict removes the least recently used parts until at most limit tokens remain.
-func (r *row) evict(limit int) {
-	type hashedPart struct {
-		hash uint64
-		cachedPart
-	}
-	parts := make([]hashedPart, 0, len(r.cached))
-	for h, p := range r.cached {
-		parts = append(parts, hashedPart{h, p})
-	}
-	slices.SortFunc(parts, func(a, b hashedPart) int { return a.usedAt.Compare(b.usedAt) })
-	for _, p := range parts {
-		if r.cachedTokens <= limit {
-			return
-		}
-		delete(r.cached, p.hash)
-		r.cachedTokens -= p.tokens
-	}
-}
-
-// Started records the first token of the request that c was chosen for: its prefill is
-// done. waited is the time since the request was sent.
-func (t *Table) Started(c *Choice, waited time.Duration) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	r := t.row(c.ID)
-	if c.showsPace() {
-		t.paceOf(c.service).observe(float64(c.ahead+c.booked.Prefill), (float64(waited.Microseconds())/1000-c.Terms.Network)*(1-c.share))
-	}
-	r.prefilled(c)
-	expected := c.Terms.FirstToken()
-	// offset is added to both times, in milliseconds, because the ratio of two short times is not
-	// significant.
-	const offset = 20
-	ratio := min(max(float64(waited.Milliseconds())+offset, 0)/(expected+offset), maxSlowdown)
-	// The expected time contains the present slowdown, so the slowdown grows if the ratio is above 1.
-	r.slowdown = min(max(r.slowdown+slowdownWeight*(ratio-1)*min(r.slowdown, 1.5), 0.5), maxSlowdown)
-}
-
-// prefilled removes the booked prefill work of a choice.
-func (r *row) prefilled(c *Choice) {
-	r.own.Prefill -= c.booked.Prefill
-	r.prefill[c.priority] -= c.booked.Prefill
-	c.booked.Prefill = 0
-}
-
-// showsPace reports whether the time to the first token of a choice shows the pace of the endpoint: little
-// work was ahead of the request, and few requests have passed it. In an overload no choice does, so that
-// the pace does not seem slower than it is.
-func (c *Choice) showsPace() bool {
-	const maxAheadShare, maxPassedShare = 0.5, 0.3
-	return !c.adopted && c.booked.Prefill > 0 && float64(c.ahead) <= maxAheadShare*float64(c.booked.Prefill) &&
-		c.share <= maxPassedShare && c.Terms.Slot == 0 && !c.Cold && !c.Suspect
-}
-
-func (t *Table) paceOf(service string) *paceEstimate {
-	e, ok := t.paces[service]
-	if !ok {
-		e = &paceEstimate{}
-		t.paces[service] = e
-	}
-	return e
-}
-
 // Release removes the booked load of a choice. If notPrefilled is set, the endpoint did not
 // prefill the prompt, and the request's own part is no longer assumed to be cached.
 // Release is idempotent.
@@ -633,25 +438,3 @@
 	}
 	return out
 }
-
-// Row is one endpoint in the state dump. Own is the load booked by this host, Peers the load
-// reported by the other hosts.
-type Row struct {
-	ID           string  `json:"endpoint"`
-	Own          Load    `json:"mine"`
-	Peers        Load    `json:"peers"`
-	Slowdown     float64 `json:"slow"`
-	CachedTokens int     `json:"cached_tokens"`
-}
-
-// State returns the state dump, ordered by endpoint id.
-func (t *Table) State() []Row {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	out := make([]Row, 0, len(t.rows))
-	for id, r := range t.rows {
-		out = append(out, Row{id, r.own, r.peers, r.slowdown, r.cachedTokens})
-	}
-	slices.SortFunc(out, func(a, b Row) int { return cmp.Compare(a.ID, b.ID) })
-	return out
-}
--- a/port/forward.go
+++ b/port/forward.go
@@ -96,6 +96,9 @@
 // EndpointLoad is the load that an endpoint states in a response.
 type EndpointLoad struct {
 	Running, Waiting, Slots int
+	// WorkPercent is how long work takes there at this moment, in per cent of the usual; zero if it is not
+	// stated.
+	WorkPercent float64
 }
 
 // Framing is how a response marks the end of its body.
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -16,6 +16,7 @@
 	"github.com/cicadanotch/cicadanotch/placement"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/rendezvous"
+	"github.com/cicadanotch/cicadanotch/speed"
 	"github.com/cicadanotch/cicadanotch/usage"
 )
 
@@ -96,6 +97,8 @@
 	// Software is how many milliseconds ago each software version was last listed, for the services that
 	// have had several of late.
 	Software map[string]map[string]int64 `json:"j,omitempty"`
+	// Speeds is what the host has observed of the time that endpoints take; absent where that is not learnt.
+	Speeds speed.Observations `json:"sp,omitempty"`
 	// Usage counts the requests that started to run, by window.
 	Usage map[int64]usage.Counts `json:"n,omitempty"`
 	// Decided is the usage that the leader has decided to report, by window.
