--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -31,6 +31,7 @@
 	"github.com/cicadanotch/cicadanotch/quota"
 	"github.com/cicadanotch/cicadanotch/rollout"
 	"github.com/cicadanotch/cicadanotch/scaling"
+	"github.com/cicadanotch/cicadanotch/speed"
 	"github.com/cicadanotch/cicadanotch/usage"
 )
 
@@ -77,6 +78,9 @@
 	ExposureShare float64
 	// RollbackTime is the time after a version's bad answers within which it gets no more requests.
 	RollbackTime time.Duration
+	// EndpointSpeed states for which services it is learnt what each endpoint takes well; empty for
+	// speed.ModeAuto.
+	EndpointSpeed speed.Mode
 }
 
 // Ports are the external systems.
@@ -116,7 +120,10 @@
 	usage     *usage.Counter
 	clock     *usage.Clock
 	demand    *scaling.Meter
+	speeds    *speed.Table
 	metrics   *metrics
+	// speedsLoggedAt and statementsLoggedAt are used by exchangeLoads only, see logSpeeds.
+	speedsLoggedAt, statementsLoggedAt time.Time
 
 	budgets      sync.Map // service name to *attempt.WindowBudget
 	answerTimes  sync.Map // service name to *attempt.ResponseTimeEstimator
@@ -180,11 +187,13 @@
 		usage:        usage.NewCounter(max(opts.UsageWindow, time.Second)),
 		clock:        usage.NewClock(now),
 		demand:       scaling.NewMeter(),
+		speeds:       speed.NewTable(),
 		metrics:      newMetrics(),
 		startedAt:    now,
 		leaveStarted: make(chan struct{}), configured: make(chan struct{}), hostsRead: make(chan struct{}),
 	}
 	g.metrics.watchFeeds(g)
+	g.metrics.registry.MustRegister(speedCollector{g})
 	g.hostCount.Store(assumedHosts)
 	g.calls.calls = map[*call]struct{}{}
 	g.relays = newRelayState()
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -48,6 +48,7 @@
 	r.QuotaDemand, r.Shares = g.quota.Demand(now), g.quota.Shares(now)
 	r.Relayed = g.quotaRelay(now).Peer != ""
 	r.Usage = g.usage.Recent()
+	r.Speeds = g.reportedSpeeds(now)
 	r.Limits, r.Software = g.reportedLimits(now), g.reportedSoftware(now)
 	if r.FencingToken = g.leader.fencingToken(now); r.FencingToken != 0 {
 		r.Targets = g.leader.targetCounts()
@@ -253,6 +254,7 @@
 		addLoads(loads, r.Loads)
 	}
 	g.placement.SetPeers(loads)
+	g.receiveSpeeds(now, live)
 	paces := medianPaces(live)
 	g.placement.SetPeerPaces(paces)
 	g.placer.table.SetPeerPaces(paces)
