Tell callers over a limit to return within their objective

Cause: with shares of limits that are granted, a refused caller is told when there is room after those refused before it, up to 4 s.

The bound depends on the route, not on the limit.

Change: the delay is at most the route's objective (overload.WithinObjective).

--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cicadanotch/cicadanotch/catalog"
+	"github.com/cicadanotch/cicadanotch/overload"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/problem"
 	"github.com/cicadanotch/cicadanotch/quarantine"
@@ -165,7 +166,7 @@
 	}
 	c.cost = quota.Cost(c.workspace.Limit, tokens)
 	if after, ok := c.g.takeQuota(c.arrived, c.workspace, c.cost); !ok {
-		return c.notRun(http.StatusTooManyRequests, problem.TypeLimit, "the workspace is over its limit").WithRetryAfter(after)
+		return c.notRun(http.StatusTooManyRequests, problem.TypeLimit, "the workspace is over its limit").WithRetryAfter(overload.WithinObjective(after, c.route.Target))
 	}
 	return nil
 }
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -90,3 +90,15 @@
 	r.last = at
 	return at.Sub(now)
 }
+
+// WithinObjective bounds the delay that a caller is told who is refused over a limit, when objective is that of its
+// route, zero for none.
+//
+// Load: a workspace sends a multiple of its limit for seconds. A caller who returns after its objective gets a late
+// answer, and takes the room of one whose answer would have been in time.
+func WithinObjective(room, objective time.Duration) time.Duration {
+	if objective <= 0 {
+		return room
+	}
+	return min(room, max(objective, MinRetryAfter))
+}
--- a/overload/overload_test.go
+++ b/overload/overload_test.go
@@ -71,3 +71,17 @@
 		is.True(r.Next(start, 0, turn) <= overload.MaxRetryAfter)
 	}
 }
+
+// TestWithinObjective: a workspace over its limit, with routes of several objectives.
+func TestWithinObjective(t *testing.T) {
+	for name, tc := range map[string]struct{ room, objective, want time.Duration }{
+		"room comes within the objective": {300 * time.Millisecond, time.Second, 300 * time.Millisecond},
+		"room comes after it":             {4 * time.Second, time.Second, time.Second},
+		"a very short objective":          {4 * time.Second, 10 * time.Millisecond, overload.MinRetryAfter},
+		"no objective":                    {4 * time.Second, 0, 4 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is.New(t).Equal(overload.WithinObjective(tc.room, tc.objective), tc.want)
+		})
+	}
+}
