review: case 1, a planned stop cuts requests that it has accepted

Looked for: requests that a stopping host accepts through cached addresses and cannot finish within its grace period. Seen: orders of 4.5 s and on-time streams of 22 events at 250 ms, sent 3.6 to 4.15 s after SIGTERM, are accepted, passed on, and cut 7.95 s after it.

--- /dev/null
+++ b/review/platform/casekit/casekit.go
@@ -0,0 +1,214 @@
+// Package casekit holds what the scripts of the review share: hosts that run as processes of their own, workers, and a
+// record of what was sent, answered and run. The store and the cloud are those of package platformtest.
+package casekit
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cicadanotch/cicadanotch/platform"
+	"github.com/cicadanotch/cicadanotch/platform/platformtest"
+)
+
+// Exit codes of a script.
+const (
+	Held   = 0
+	Broken = 1
+	CannotRun = 2
+)
+
+// Record is the record of a run. Safe for concurrent use.
+type Record struct {
+	mu    sync.Mutex
+	file  *os.File
+	began time.Time
+}
+
+// NewRecord creates the file of a record.
+func NewRecord(path string) (*Record, error) {
+	f, err := os.Create(path)
+	if err != nil {
+		return nil, err
+	}
+	return &Record{file: f, began: time.Now()}, nil
+}
+
+// Add writes a line with the time since the start.
+func (r *Record) Add(format string, args ...any) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	_, _ = fmt.Fprintf(r.file, "%8.3f  %s\n", time.Since(r.began).Seconds(), fmt.Sprintf(format, args...)) // read by people only
+}
+
+// Close closes the file.
+func (r *Record) Close() { _ = r.file.Close() }
+
+// Host is one host, with the process that runs there.
+type Host struct {
+	Name, IP, Zone, Region    string
+	Front, Ready, Directory   string
+	settings, logPath, binary string
+
+	mu    sync.Mutex
+	cmd   *exec.Cmd
+	ended chan struct{}
+}
+
+// settingsText is a settings file as the platform writes it, with the bounds of its first sites.
+const settingsText = `node_name=%[1]s
+role=entry
+machine_class=front
+serves=front,directory
+ip=%[2]s
+zone=%[3]s
+region=%[4]s
+zones.jos-a=plateau
+zones.jos-b=plateau
+zones.kad-a=kaduna
+listen.front=%[5]s
+listen.ready=%[6]s
+listen.directory=%[7]s
+internal_ports=%[8]s
+bootstrap=true
+limits.cpu_share=0.4
+limits.cpu_cores=1
+limits.memory_mb=284
+limits.max_fds=4100
+contracts=base,drain,config,cost,retry,recover,engine,stream,tenants,quota,leader,platform
+bounds.drain_ms=3000
+bounds.grace_s=8
+bounds.retry_budget_ratio=0.2
+bounds.budget_window_s=10
+bounds.budget_slack=58
+bounds.quota_window_s=8
+bounds.quota_overage=0.1
+bounds.quota_slack=140000
+bounds.require_fence=true
+bounds.lease_ms=3000
+bounds.usage_window_s=5
+bounds.usage_late_s=10
+bounds.ttl_max_s=5
+provider.address=%[9]s
+provider.form=log
+cloud.address=%[10]s
+cloud.duties=usage_report
+`
+
+// Dir holds the settings and logs of the hosts.
+func Dir() (string, error) { return os.MkdirTemp("", "review") }
+
+// freePort returns a port that is free at an address.
+func freePort(ip string) (string, error) {
+	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+	if err != nil {
+		return "", err
+	}
+	defer l.Close()
+	_, port, err := net.SplitHostPort(l.Addr().String())
+	return port, err
+}
+
+// NewHosts writes the settings of hosts, each at a loopback address of its own. zones names the zone of each.
+func NewHosts(dir, binary, store, cloud string, zones ...string) ([]*Host, error) {
+	a, b := 64+rand.IntN(120), rand.IntN(250)
+	var hosts []*Host
+	for n, zone := range zones {
+		ip := fmt.Sprintf("127.%d.%d.%d", a, b, n+1)
+		var ports [4]string
+		for i := range ports {
+			port, err := freePort(ip)
+			if err != nil {
+				return nil, err
+			}
+			ports[i] = port
+		}
+		region := "plateau"
+		if strings.HasPrefix(zone, "kad") {
+			region = "kaduna"
+		}
+		h := &Host{
+			Name: fmt.Sprintf("front-%s-%d", zone, n+1), IP: ip, Zone: zone, Region: region, binary: binary,
+			Front: net.JoinHostPort(ip, ports[0]), Ready: net.JoinHostPort(ip, ports[1]), Directory: net.JoinHostPort(ip, ports[2]),
+		}
+		h.settings, h.logPath = filepath.Join(dir, h.Name+".conf"), filepath.Join(dir, h.Name+".log")
+		text := fmt.Sprintf(settingsText, h.Name, ip, zone, region, h.Front, h.Ready, h.Directory, ports[3]+","+ports[3], store, cloud)
+		if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
+			return nil, err
+		}
+		hosts = append(hosts, h)
+	}
+	return hosts, nil
+}
+
+// Start starts the process of the host with the command of the deploy file.
+func (h *Host) Start() error {
+	out, err := os.OpenFile(h.logPath, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	defer out.Close()
+	cmd := exec.Command(h.binary, "platform")
+	cmd.Env = []string{platform.SettingsVariable + "=" + h.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
+	cmd.Stdout, cmd.Stderr = out, out
+	if err := cmd.Start(); err != nil {
+		return err
+	}
+	ended := make(chan struct{})
+	h.mu.Lock()
+	h.cmd, h.ended = cmd, ended
+	h.mu.Unlock()
+	go func() {
+		_ = cmd.Wait() // ended by a signal of the script
+		close(ended)
+	}()
+	return nil
+}
+
+// Signal sends a signal to the process.
+func (h *Host) Signal(s syscall.Signal) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	_ = h.cmd.Process.Signal(s) // fails if it has ended
+}
+
+// Ended is closed when the process has ended.
+func (h *Host) Ended() <-chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.ended
+}
+
+// Stop ends the process.
+func (h *Host) Stop() {
+	h.mu.Lock()
+	cmd, ended := h.cmd, h.ended
+	h.mu.Unlock()
+	if cmd == nil {
+		return
+	}
+	_ = cmd.Process.Signal(syscall.SIGCONT)
+	_ = cmd.Process.Kill()
+	<-ended
+}
+
+// AwaitReady waits until all hosts say that they are ready.
+func AwaitReady(hosts []*Host, timeout time.Duration) bool {
+	deadline := time.Now().Add(timeout)
+	for _, h := range hosts {
+		for !platformtest.IsReady(contextUntil(deadline), h.Ready) {
+			if time.Now().After(deadline) {
+				return false
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+	}
+	return true
+}
