review: case 1, endless bytes of one leaving worker end the hosts

Looked for: replies of workers in trouble that are read without a bound that fits the memory of a host. Seen: replies to the command that copies a run are held up to 64 MiB each, two at a time for each leaving worker. One worker of seven that drains and answers it without end takes two or three of three hosts over 284 MB; orders in progress at sound workers are lost with them.

--- a/review/platform/casekit/casekit.go
+++ b/review/platform/casekit/casekit.go
@@ -20,8 +20,8 @@
 
 // Exit codes of a script.
 const (
-	Held   = 0
-	Broken = 1
+	Held      = 0
+	Broken    = 1
 	CannotRun = 2
 )
 
@@ -212,3 +212,21 @@
 	}
 	return true
 }
+
+// PeakMemory returns the largest resident size of the process so far in bytes; false if the process has ended.
+func (h *Host) PeakMemory() (int64, bool) {
+	h.mu.Lock()
+	pid := h.cmd.Process.Pid
+	h.mu.Unlock()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		return 0, false
+	}
+	for line := range strings.Lines(string(text)) {
+		var kilobytes int64
+		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); n == 1 {
+			return kilobytes << 10, true
+		}
+	}
+	return 0, false
+}
--- a/review/platform/casekit/worker.go
+++ b/review/platform/casekit/worker.go
@@ -28,7 +28,9 @@
 	// the tokens in one event.
 	Work, Gap time.Duration
 	Stride    int
-	Record    *Record
+	// Move answers a call to copy a run to another worker; nil for a worker without such calls.
+	Move   http.HandlerFunc
+	Record *Record
 
 	server *http.Server
 	listen net.Listener
@@ -97,6 +99,11 @@
 }
 
 func (w *Worker) serve(rw http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == "/v1/kv-move" && w.Move != nil {
+		w.Record.Add("worker %s is asked to copy a run", w.ID)
+		w.Move(rw, r)
+		return
+	}
 	attempt := r.Header.Get("Attempt-Id")
 	if attempt == "" { // a health check
 		rw.Header().Set("Instance-Id", w.ID)
