review: case 3, streams are joined from two versions after restarts in an outage

Looked for: streams that go on at an endpoint whose process is not the one that the registry tells of. Seen: endpoints that start again under their ids with a newer software version while the store is down are taken for ones of the old version, and streams begun at the old one go on there.

--- a/review/platform/casekit/worker.go
+++ b/review/platform/casekit/worker.go
@@ -60,6 +60,31 @@
 	return nil
 }
 
+// Restart ends the worker's process and starts it again after a pause at the same address and under the same id, with
+// another software version. What ran there is gone.
+func (w *Worker) Restart(pause time.Duration, version string) error {
+	address := w.Address()
+	_ = w.server.Close() // closes the listener and all connections
+	time.Sleep(pause)
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	w.mu.Lock()
+	w.listen, w.born, w.Version = l, time.Now().UnixMilli(), version
+	w.mu.Unlock()
+	w.server = &http.Server{Handler: http.HandlerFunc(w.serve)}
+	go func() { _ = w.server.Serve(l) }() // returns after Stop
+	return nil
+}
+
+// version returns the software version of the present process.
+func (w *Worker) version() string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.Version
+}
+
 // Stop ends the worker.
 func (w *Worker) Stop() { _ = w.server.Close() }
 
@@ -136,11 +161,12 @@
 func (w *Worker) stream(rw http.ResponseWriter, r *http.Request, events int) bool {
 	rw.Header().Set("Content-Type", "text/event-stream")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // zero without the header
+	version := w.version()
 	for i := after + 1; i <= events; i++ {
 		if !sleep(r.Context(), w.Gap) {
 			return false
 		}
-		if _, err := io.WriteString(rw, Event(i, w.Version)); err != nil {
+		if _, err := io.WriteString(rw, Event(i, version)); err != nil {
 			return false
 		}
 		rw.(http.Flusher).Flush()
