--- a/review/platform/casekit/casekit.go
+++ b/review/platform/casekit/casekit.go
@@ -158,6 +158,7 @@
 	cmd := exec.Command(h.binary, "platform")
 	cmd.Env = []string{platform.SettingsVariable + "=" + h.settings, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME")}
 	cmd.Stdout, cmd.Stderr = out, out
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it must not outlive the script
 	if err := cmd.Start(); err != nil {
 		return err
 	}
