review: case 4, sound streams are cut for a pause while their host stops

Looked for: streams that end early although their endpoint is sound. Seen: an endpoint preempts three streams for 1.9 s; the host gives them up there after 1.2 s, the other endpoints are full and turn them away, and the host cuts them, 1.1 to 1.2 s after its SIGTERM.

--- a/review/platform/casekit/worker.go
+++ b/review/platform/casekit/worker.go
@@ -38,6 +38,45 @@
 
 	mu   sync.Mutex
 	runs []Run
+	// full is set while it turns requests away. preempted holds the runs that make no progress until a time.
+	full      bool
+	preempted map[int]time.Time
+}
+
+// SetFull makes the worker turn new requests away, as one that is full does.
+func (w *Worker) SetFull() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.full = true
+}
+
+// Preempt stops the newest streams that run, as for want of memory, and lets them go on after a pause. It returns their
+// attempts.
+func (w *Worker) Preempt(count int, pause time.Duration) []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.preempted = map[int]time.Time{}
+	var attempts []string
+	for n := len(w.runs) - 1; n >= 0 && len(attempts) < count; n-- {
+		if w.runs[n].Ended.IsZero() {
+			w.preempted[n] = time.Now().Add(pause)
+			attempts = append(attempts, w.runs[n].Attempt)
+		}
+	}
+	return attempts
+}
+
+// untilProgress returns how long a run makes no progress yet.
+func (w *Worker) untilProgress(n int) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Until(w.preempted[n])
+}
+
+func (w *Worker) isFull() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.full
 }
 
 // Run is a request that a worker ran. Whole is set once it ran to its end.
@@ -142,11 +181,17 @@
 	if _, err := io.Copy(io.Discard, r.Body); err != nil {
 		return
 	}
+	if w.isFull() {
+		w.Record.Add("worker %s is full and turns %s away", w.ID, attempt)
+		rw.Header().Set("Not-Executed", "1")
+		rw.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
 	n := w.begin(attempt)
 	rw.Header().Set("Response-Seal", w.ID+"."+attempt)
 	if _, answer, ok := strings.Cut(r.Header.Get("Token-Usage"), ","); ok {
 		tokens, _ := strconv.Atoi(answer) // the clients of the scripts send a number
-		w.end(n, w.stream(rw, r, tokens/max(w.Stride, 1)))
+		w.end(n, w.stream(rw, r, n, tokens/max(w.Stride, 1)))
 		return
 	}
 	if !sleep(r.Context(), w.Work) {
@@ -157,13 +202,13 @@
 	w.end(n, err == nil)
 }
 
-// stream writes the events of a stream after the one that the request names. It reports whether it wrote all.
-func (w *Worker) stream(rw http.ResponseWriter, r *http.Request, events int) bool {
+// stream writes the events of a run after the one that the request names. It reports whether it wrote all.
+func (w *Worker) stream(rw http.ResponseWriter, r *http.Request, run, events int) bool {
 	rw.Header().Set("Content-Type", "text/event-stream")
 	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id")) // zero without the header
 	version := w.version()
 	for i := after + 1; i <= events; i++ {
-		if !sleep(r.Context(), w.Gap) {
+		if !sleep(r.Context(), w.Gap) || !sleep(r.Context(), w.untilProgress(run)) {
 			return false
 		}
 		if _, err := io.WriteString(rw, Event(i, version)); err != nil {
