--- a/review/platform/casekit/casekit.go
+++ b/review/platform/casekit/casekit.go
@@ -73,6 +73,9 @@
 zones.jos-a=plateau
 zones.jos-b=plateau
 zones.kad-a=kaduna
+zones.recife-a=recife
+zones.recife-b=recife
+zones.fortaleza-a=fortaleza
 listen.front=%[5]s
 listen.ready=%[6]s
 listen.directory=%[7]s
@@ -116,8 +119,19 @@
 	return port, err
 }
 
+// regions maps the zones of the settings to their regions.
+var regions = map[string]string{
+	"jos-a": "plateau", "jos-b": "plateau", "kad-a": "kaduna",
+	"recife-a": "recife", "recife-b": "recife", "fortaleza-a": "fortaleza",
+}
+
 // NewHosts writes the settings of hosts, each at a loopback address of its own. zones names the zone of each.
 func NewHosts(dir, binary, store, cloud string, zones ...string) ([]*Host, error) {
+	return NewHostsBehind(dir, binary, func(int) string { return store }, cloud, zones...)
+}
+
+// NewHostsBehind is NewHosts for hosts that reach the store at addresses of their own; store returns that of the n-th.
+func NewHostsBehind(dir, binary string, store func(n int) string, cloud string, zones ...string) ([]*Host, error) {
 	a, b := 64+rand.IntN(120), rand.IntN(250)
 	var hosts []*Host
 	for n, zone := range zones {
@@ -130,16 +144,13 @@
 			}
 			ports[i] = port
 		}
-		region := "plateau"
-		if strings.HasPrefix(zone, "kad") {
-			region = "kaduna"
-		}
+		region := regions[zone]
 		h := &Host{
 			Name: fmt.Sprintf("front-%s-%d", zone, n+1), IP: ip, Zone: zone, Region: region, binary: binary,
 			Front: net.JoinHostPort(ip, ports[0]), Ready: net.JoinHostPort(ip, ports[1]), Directory: net.JoinHostPort(ip, ports[2]),
 		}
 		h.settings, h.logPath = filepath.Join(dir, h.Name+".conf"), filepath.Join(dir, h.Name+".log")
-		text := fmt.Sprintf(settingsText, h.Name, ip, zone, region, h.Front, h.Ready, h.Directory, ports[3]+","+ports[3], store, cloud)
+		text := fmt.Sprintf(settingsText, h.Name, ip, zone, region, h.Front, h.Ready, h.Directory, ports[3]+","+ports[3], store(n), cloud)
 		if err := os.WriteFile(h.settings, []byte(text), 0o600); err != nil {
 			return nil, err
 		}
