--- a/review/platform/casekit/casekit.go
+++ b/review/platform/casekit/casekit.go
@@ -211,6 +211,16 @@
 	<-ended
 }
 
+// LogTail returns the end of what the process has logged.
+func (h *Host) LogTail() string {
+	const most = 600
+	text, err := os.ReadFile(h.logPath)
+	if err != nil {
+		return err.Error()
+	}
+	return string(text[max(len(text)-most, 0):])
+}
+
 // AwaitReady waits until all hosts say that they are ready.
 func AwaitReady(hosts []*Host, timeout time.Duration) bool {
 	deadline := time.Now().Add(timeout)
--- a/review/platform/joincase/main.go
+++ b/review/platform/joincase/main.go
@@ -29,6 +29,7 @@
 	// interval is the time between two new streams of the zone.
 	interval = 28 * time.Millisecond
 
+	readyTimeout = 15 * time.Second
 	// warmUp is the time with one version, cutBefore how long before the newer version's registration the host is
 	// partitioned, crashAfter how long after it the worker crashes, cutFor the length of the partition.
 	warmUp     = 6 * time.Second
@@ -110,7 +111,10 @@
 			return casekit.CannotRun, err
 		}
 	}
-	if !casekit.AwaitReady(hosts, 15*time.Second) {
+	if !casekit.AwaitReady(hosts, readyTimeout) {
+		for _, h := range hosts {
+			record.Add("%s: %s", h.Name, h.LogTail())
+		}
 		return casekit.CannotRun, fmt.Errorf("a host is not ready")
 	}
 	z := zone{whole: hosts[6], cut: hosts[5]}
