--- a/review/platform/casekit/casekit.go
+++ b/review/platform/casekit/casekit.go
@@ -211,6 +211,9 @@
 	<-ended
 }
 
+// SettingsPath returns the path of the host's settings file.
+func (h *Host) SettingsPath() string { return h.settings }
+
 // LogTail returns the end of what the process has logged.
 func (h *Host) LogTail() string {
 	const most = 600
