--- a/review/platform/casekit/casekit.go
+++ b/review/platform/casekit/casekit.go
@@ -108,15 +108,22 @@
 // Dir holds the settings and logs of the hosts.
 func Dir() (string, error) { return os.MkdirTemp("", "review") }
 
-// freePort returns a port that is free at an address.
-func freePort(ip string) (string, error) {
-	l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
+// freePorts returns n different ports that are free at an address.
+func freePorts(ip string, n int) ([]string, error) {
+	var ports []string
+	for range n {
+		l, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
+		if err != nil {
+			return nil, err
+		}
+		defer l.Close() // held until all are chosen, so that none is chosen twice
+		_, port, err := net.SplitHostPort(l.Addr().String())
+		if err != nil {
+			return nil, err
+		}
+		ports = append(ports, port)
 	}
-	defer l.Close()
-	_, port, err := net.SplitHostPort(l.Addr().String())
-	return port, err
+	return ports, nil
 }
 
 // regions maps the zones of the settings to their regions.
@@ -136,13 +143,9 @@
 	var hosts []*Host
 	for n, zone := range zones {
 		ip := fmt.Sprintf("127.%d.%d.%d", a, b, n+1)
-		var ports [4]string
-		for i := range ports {
-			port, err := freePort(ip)
-			if err != nil {
-				return nil, err
-			}
-			ports[i] = port
+		ports, err := freePorts(ip, 4)
+		if err != nil {
+			return nil, err
 		}
 		region := regions[zone]
 		h := &Host{
