--- a/review/platform/casekit/casekit.go
+++ b/review/platform/casekit/casekit.go
@@ -73,9 +73,6 @@
 zones.jos-a=plateau
 zones.jos-b=plateau
 zones.kad-a=kaduna
-zones.recife-a=recife
-zones.recife-b=recife
-zones.fortaleza-a=fortaleza
 listen.front=%[5]s
 listen.ready=%[6]s
 listen.directory=%[7]s
@@ -129,7 +126,6 @@
 // regions maps the zones of the settings to their regions.
 var regions = map[string]string{
 	"jos-a": "plateau", "jos-b": "plateau", "kad-a": "kaduna",
-	"recife-a": "recife", "recife-b": "recife", "fortaleza-a": "fortaleza",
 }
 
 // NewHosts writes the settings of hosts, each at a loopback address of its own. zones names the zone of each.
--- a/review/platform/joincase/main.go
+++ b/review/platform/joincase/main.go
@@ -22,10 +22,10 @@
 	key    = "secret"
 	path   = "/stream/"
 
-	stride   = 5
+	stride   = 6
 	events   = 20
 	eventGap = 100 * time.Millisecond
-	deadline = 15 * time.Second
+	deadline = 12 * time.Second
 	// interval is the time between two new streams of the zone.
 	interval = 28 * time.Millisecond
 
@@ -41,8 +41,8 @@
 )
 
 const configuration = `{"version":1,"routes":[
- {"name":"stream","hostname":"x.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":15000,"target_latency_ms":500,"target_gap_ms":250,"service":"llm","max_attempts":2,"resumable":true,"session_affinity":true}],
- "services":[{"name":"llm","health_path":"/health","max_connections":300,"engine":{"slots":48,"kv_cache_tokens":753350,"stride":5,"moves":true}}],
+ {"name":"stream","hostname":"x.example","path_prefix":"/stream/","kind":"streaming","timeout_ms":12000,"target_latency_ms":500,"target_gap_ms":300,"service":"llm","max_attempts":2,"resumable":true,"session_affinity":true}],
+ "services":[{"name":"llm","health_path":"/health","max_connections":370,"engine":{"slots":64,"kv_cache_tokens":685000,"stride":6,"moves":true}}],
  "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
  "tenants":[{"name":"w","api_keys":["secret"],"priority":0}]}`
 
@@ -84,14 +84,14 @@
 	defer cloud.Close()
 	store.Put("keyed.op", "config", []byte(configuration))
 	for n := range 5 {
-		w, err := startWorker(fmt.Sprintf("i-old-%d", n+1), []string{"recife-a", "recife-b", "fortaleza-a"}[n%3], "v1", record)
+		w, err := startWorker(fmt.Sprintf("i-old-%d", n+1), []string{"jos-a", "jos-b", "kad-a"}[n%3], "v1", record)
 		if err != nil {
 			return casekit.CannotRun, err
 		}
 		defer w.Stop()
 		store.Register(w.ID, w.Entry("ready", 1))
 	}
-	zones := []string{"recife-a", "recife-a", "recife-a", "recife-b", "recife-b", "fortaleza-a", "fortaleza-a"}
+	zones := []string{"jos-a", "jos-a", "jos-a", "jos-b", "jos-b", "kad-a", "kad-a"}
 	var proxies []*casekit.Proxy
 	for range zones {
 		p, err := casekit.NewProxy(store.Address())
@@ -144,7 +144,7 @@
 		proxies[5].SetDown(true)
 	}
 	time.Sleep(cutBefore)
-	newer, err := startWorker("i-new-1", "fortaleza-a", "v2", record)
+	newer, err := startWorker("i-new-1", "kad-a", "v2", record)
 	if err != nil {
 		return casekit.CannotRun, err
 	}
@@ -168,7 +168,7 @@
 }
 
 func startWorker(id, zone, version string, record *casekit.Record) (*casekit.Worker, error) {
-	w := &casekit.Worker{ID: id, Service: "llm", Zone: zone, Version: version, Slots: 48, Gap: eventGap, Stride: stride, Record: record}
+	w := &casekit.Worker{ID: id, Service: "llm", Zone: zone, Version: version, Slots: 64, Gap: eventGap, Stride: stride, Record: record}
 	return w, w.Start()
 }
 
