review: a planned stop cuts requests whose body took seconds

Looked for requests that a leaving host accepts and cannot finish.

Seen: a host takes the time that is left at the arrival of the head. Of 6 requests whose body took 2.6 s it cuts 5 while sound workers answer them, 7.95 s after the SIGTERM; of 6 with the body at once it cuts none.

--- a/review/platform/casekit/casekit.go
+++ b/review/platform/casekit/casekit.go
@@ -254,3 +254,11 @@
 	}
 	return 0, false
 }
+
+// ReportConfiguration has one route, of streams that may not be taken up again, with the figures of the longest requests
+// of the data sheet.
+const ReportConfiguration = `{"version":1,"routes":[
+ {"name":"report","hostname":"x.example","path_prefix":"/report/","kind":"streaming","timeout_ms":15000,"target_latency_ms":1000,"target_gap_ms":300,"service":"llm","max_attempts":1,"resumable":false,"session_affinity":true}],
+ "services":[{"name":"llm","health_path":"/health","max_connections":370,"engine":{"slots":64,"kv_cache_tokens":685000,"stride":1}}],
+ "limits":{"max_header_bytes":16384,"max_body_bytes":4194304,"header_timeout_ms":3000,"idle_timeout_ms":15000},
+ "tenants":[{"name":"w","api_keys":["secret"],"priority":0}]}`
