gateway: read a led order for the log before others can change it

Cause: beginToLead put the machine of an order into the table of led orders and then, without the lock, formatted its record and deadline for the log line. A host's report that arrives in between changes the record under the lock (answerRollout, Machine.Adopt and Machine.end). Change: the figures of the log line are taken before the machine is in the table. The other places that log a machine take the lock (logRolloutDecision, RolloutState); they were looked through.

--- a/gateway/rollout_failure_test.go
+++ b/gateway/rollout_failure_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/phuslu/log"
 
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/rollout"
@@ -403,3 +404,40 @@
 		})
 	})
 }
+
+// slowLog is the output of a host whose log is slow.
+type slowLog struct{}
+
+func (slowLog) Write(p []byte) (int, error) {
+	time.Sleep(20 * time.Millisecond)
+	return len(p), nil
+}
+
+// TestBeginToLeadBesideReports guards against a data race: a host's report changes the state of an order while the
+// leader that has just begun to lead it writes that state to the log.
+func TestBeginToLeadBesideReports(t *testing.T) {
+	is := is.New(t)
+	opts := hostOptions("h1")
+	opts.ExposureShare = 0.1
+	g := New(opts, Ports{
+		Store: &hostStore{memoryStore: newMemoryStore()}, DecodeRollout: decodeTestRollout, EncodeRolloutStatus: encodeTestStatus,
+		Logger: &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: slowLog{}}},
+	})
+	order := rollout.Order{Service: "api", Target: "v2", Duration: orderDuration}
+	g.rollouts.held["api"] = &heldRollout{order: order, evidence: rollout.Evidence{}}
+	g.leader.tenure.Acquired(time.Now(), 7)
+	rolledBack := rollout.Record{Order: order, State: rollout.StateRolledBack}
+	var reported sync.WaitGroup
+	reported.Go(func() {
+		for {
+			reply, err := g.answerRollout(time.Now(), rolloutRequest{Host: "h2", Incarnation: "1", Orders: map[string]rolloutReport{"api": {Order: order, Known: &rolledBack}}})
+			if err != nil || len(reply.Orders) > 0 {
+				return
+			}
+		}
+	})
+	led := g.beginToLead(time.Now(), order, nil, 7)
+	reported.Wait()
+	is.True(led != nil)
+	is.Equal(led.machine.Record().State, rollout.StateRolledBack)
+}
--- a/gateway/rollout_leader.go
+++ b/gateway/rollout_leader.go
@@ -187,6 +187,8 @@
 	if isRecorded {
 		led.recorded = machine.Record()
 	}
+	// Once led is in the table, the machine is used under the lock only.
+	fractions, left := formatFractions(machine.Record().Fractions), machine.Deadline().Sub(now)
 	s.mu.Lock()
 	s.led[order.Service] = led
 	s.mu.Unlock()
@@ -195,7 +197,7 @@
 		g.announceLead(token)
 	}
 	g.log.Info().Str("event", "rollout_led").Str("service", order.Service).Str("target", order.Target).Str("state", string(record.State)).
-		Str("source", source).Str("fractions", formatFractions(machine.Record().Fractions)).Dur("left", machine.Deadline().Sub(now)).Int64("fence", token).Msg(record.Why)
+		Str("source", source).Str("fractions", fractions).Dur("left", left).Int64("fence", token).Msg(record.Why)
 	return led
 }
 
