gateway: the takeover of a leader records which usage windows may be decided without a record

Cause: that windows may have been decided whose records are lost was kept in the memory of the first leader of an era. Its takeover is a record of the era, so the next leader took the topic for complete. A leader that went on over the drill told its successor nothing either, until its next report. Excluded: fencing (the second report has the higher token), and the counts of the reports of hosts (they are as old as the window). With one kill, or without the drill, the case holds. Change: the first takeover of an era holds the time until which windows may be decided without a record, and the counts of the due windows that the new leader knows, in the same append. Every record of the era repeats the time. A leader that led when the era began is exempt itself, its successors are not. The log line duty_taken names the time and whether the host led the era before.

--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -179,6 +180,180 @@
 	})
 }
 
+// lastTakeover returns the host of the last takeover in the leader topic, and how many takeovers there are. The caller
+// holds the store's lock.
+func (s *memoryStore) lastTakeover() (host string, count int) {
+	for _, r := range s.topic(port.TopicLeader).records {
+		var record leaderRecord
+		if json.Unmarshal(r.Value, &record) == nil && record.Leader != "" {
+			host = record.Leader
+			count++
+		}
+	}
+	return host, count
+}
+
+// awaitTakeover waits until a further host takes the leadership and returns it.
+func (tp *testPlatform) awaitTakeover(t *testing.T, act func()) *Gateway {
+	t.Helper()
+	count := func() (string, int) {
+		tp.store.mu.Lock()
+		defer tp.store.mu.Unlock()
+		return tp.store.lastTakeover()
+	}
+	act()
+	_, before := count()
+	for range 2000 {
+		if host, n := count(); n > before {
+			return tp.hostNamed(host)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+	t.Fatal("no host took the leadership")
+	return nil
+}
+
+// endAtTakeover ends each of the next hosts that take the leadership with the append that takes it, whose reply is lost.
+// The first one that is spared loses only the reply.
+func (tp *testPlatform) endAtTakeover(ended int) {
+	_, before := tp.store.lastTakeover()
+	tp.store.loseReply = func(topic port.Topic) bool {
+		if topic != port.TopicLeader {
+			return false
+		}
+		host, n := tp.store.lastTakeover()
+		if n <= before || ended < 0 {
+			return false
+		}
+		before = n
+		if ended--; ended >= 0 {
+			tp.hostNamed(host).tomb.Kill(nil)
+		}
+		return true
+	}
+}
+
+// TestLeadersOfAnEraKnowWhatIsLost guards against a second, different report of a window (ONE, incident 0010): the store
+// returns from a copy without the record of a report, and the leaders that follow end one after the other. Only the
+// first of them can see that records are missing.
+func TestLeadersOfAnEraKnowWhatIsLost(t *testing.T) {
+	const (
+		age = 2 * time.Second // of the copy
+		// usageDue leaves time for three leaders before the report of the window is due.
+		usageDue = 18 * time.Second
+	)
+	restore := func(tp *testPlatform) func() { return func() { tp.store.restore(age) } }
+	kill := func(g *Gateway) {
+		g.tomb.Kill(nil)
+		_ = g.tomb.Wait()
+	}
+	endNext := func(tp *testPlatform, n int) func() {
+		return func() {
+			tp.store.restore(age)
+			tp.store.mu.Lock()
+			defer tp.store.mu.Unlock()
+			tp.endAtTakeover(n)
+		}
+	}
+	for name, play := range map[string]func(t *testing.T, tp *testPlatform, first *Gateway){
+		"the second ends before its first report": func(t *testing.T, tp *testPlatform, first *Gateway) {
+			kill(first)
+			second := tp.awaitTakeover(t, restore(tp))
+			time.Sleep(200 * time.Millisecond)
+			kill(second)
+		},
+		"the second ends after its first report": func(t *testing.T, tp *testPlatform, first *Gateway) {
+			kill(first)
+			second := tp.awaitTakeover(t, restore(tp))
+			time.Sleep(1500 * time.Millisecond)
+			kill(second)
+		},
+		"the second ends with the append that takes it": func(t *testing.T, tp *testPlatform, first *Gateway) {
+			kill(first)
+			endNext(tp, 1)()
+		},
+		"the second and the third end with the append": func(t *testing.T, tp *testPlatform, first *Gateway) {
+			kill(first)
+			endNext(tp, 2)()
+		},
+		"the reply to the second is lost, then it ends": func(t *testing.T, tp *testPlatform, first *Gateway) {
+			kill(first)
+			second := tp.awaitTakeover(t, endNext(tp, 0))
+			time.Sleep(1500 * time.Millisecond)
+			kill(second)
+		},
+		"the first goes on and ends with the append": func(t *testing.T, tp *testPlatform, first *Gateway) {
+			endNext(tp, 1)()
+		},
+		"the first goes on and ends before its first report": func(t *testing.T, tp *testPlatform, first *Gateway) {
+			again := tp.awaitTakeover(t, restore(tp))
+			is.New(t).Equal(again.opts.Host, first.opts.Host)
+			kill(again)
+		},
+		"a second drill, then the second ends": func(t *testing.T, tp *testPlatform, first *Gateway) {
+			kill(first)
+			second := tp.awaitTakeover(t, restore(tp))
+			time.Sleep(300 * time.Millisecond)
+			tp.awaitTakeover(t, func() { tp.store.restore(time.Second) })
+			kill(second)
+		},
+		"a second drill, and the host of the second goes on as the third": func(t *testing.T, tp *testPlatform, first *Gateway) {
+			kill(first)
+			tp.awaitTakeover(t, restore(tp))
+			time.Sleep(300 * time.Millisecond)
+			tp.store.restore(100 * time.Millisecond)
+		},
+		"the first is cut off over the drill and comes back": func(t *testing.T, tp *testPlatform, first *Gateway) {
+			first.ports.Store.(*hostStore).unreachable.Store(true)
+			second := tp.awaitTakeover(t, restore(tp))
+			time.Sleep(200 * time.Millisecond)
+			kill(second)
+			first.ports.Store.(*hostStore).unreachable.Store(false)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				tp := newTestPlatform()
+				tp.publish(endpoint("1", "api"))
+				tp.endpoints.respond = func(_ context.Context, f *port.Forward, _ int) (*port.Reply, error) {
+					return completeReply(f, 200, "ok"), nil
+				}
+				for i := range 4 {
+					opts := hostOptions(fmt.Sprintf("h%d", i))
+					opts.UsageDue = usageDue
+					tp.startHost(t, opts)
+				}
+				time.Sleep(8 * time.Second)
+				first := tp.hostNamed(tp.leaders(time.Now())[0])
+				for n := len(tp.leaderAPI.reported()); len(tp.leaderAPI.reported()) == n; time.Sleep(20 * time.Millisecond) {
+					for j, g := range tp.hosts {
+						sendRequest(t.Context(), g, fmt.Sprintf("r%d-%d", time.Now().UnixNano(), j), "order")
+					}
+				}
+				window := tp.leaderAPI.reported()[0].window
+				play(t, tp, first)
+				for _, g := range tp.hosts { // as if further counts of the window had come since
+					g.usage.Count(time.Unix(0, window*5e9), "w")
+				}
+				for range 200 {
+					for j, g := range tp.hosts {
+						if g.tomb.Alive() {
+							sendRequest(t.Context(), g, fmt.Sprintf("r%d-%d", time.Now().UnixNano(), j), "order")
+						}
+					}
+					time.Sleep(150 * time.Millisecond)
+				}
+				is.Equal(len(tp.leaders(time.Now())), 1)
+				counts := tp.checkReports(t)
+				skipped := strings.Count(tp.log(), "usage_skipped")
+				t.Log("windows reported", len(counts), "skipped", skipped)
+				is.True(len(counts) >= 5) // of the windows after the drill
+			})
+		})
+	}
+}
+
 // TestRestoredEndpoints: the older copy of the registry lists endpoints that have left since, and does
 // not list one that has come. Neither makes a host send to an endpoint that is gone, nor forget one
 // that serves.
--- a/gateway/leader.go
+++ b/gateway/leader.go
@@ -36,6 +36,11 @@
 	Usage *decidedUsage `json:"usage,omitempty"`
 	// Rollout is the state of an order to move a service to another version.
 	Rollout *rollout.Record `json:"rollout,omitempty"`
+	// UnknownUntil is the end, in Unix milliseconds, of the time in which windows may have been decided whose records
+	// are lost with an earlier era. Every record has it, as each may be the only one left of its era.
+	UnknownUntil int64 `json:"unknown_until,omitempty"`
+	// Decided holds, in the first takeover of an era, the counts of windows that the new leader knows from before.
+	Decided map[int64]usage.Counts `json:"decided,omitempty"`
 }
 
 // eraShift is the number of bits of a fencing token that hold the offset; the era is above them.
@@ -103,15 +108,18 @@
 	takenByOther bool     // the last takeover read was by another host
 	takenAtWall  time.Time
 	writtenInEra port.Era // era in which the last record read was written; noEra before the first one
-	ledLastEra   bool     // this host was the leader when the store changed its era
+	// ledLastEra is set if this host was the leader when the store changed its era: it knows of all windows that
+	// had been decided.
+	ledLastEra bool
 	// decided holds the counts of a window as they were first decided, also if the record of that
 	// was lost with an era of the store; recorded the windows that have one in this era.
 	decided  map[int64]usage.Counts
 	recorded map[int64]bool
-	// unknownUntil is the end of the time in which another leader may have decided windows whose
-	// records are lost. Those windows are not reported: a second report must not differ.
-	unknownUntil time.Time
-	reported     map[int64]bool // windows whose usage report was accepted or had no counts
+	// unknownUntil is the end of the time in which another leader may have decided windows whose records are lost.
+	// Those windows are not reported: a second report must not differ. recordedUnknown is the latest UnknownUntil of
+	// the records, also of windows that this host knows.
+	unknownUntil, recordedUnknown time.Time
+	reported                      map[int64]bool // windows whose usage report was accepted or had no counts
 	// vacantSince is the time from which the leadership counts as vacant, zero if it does not.
 	// takeLeadership sets it to a future time when another host has just taken over.
 	vacantSince time.Time
@@ -277,8 +285,14 @@
 	s.mu.Lock()
 	s.suspendedBefore = s.suspended()
 	s.mu.Unlock()
-	firstInEra := s.writtenInEra != s.era
-	position, err := g.appendLeaderRecord(leaderRecord{Leader: g.opts.Host, Wall: g.clock.Wall(now).UnixMilli()})
+	s.adoptDecisions(g.presence.All())
+	takeover := leaderRecord{Leader: g.opts.Host, Wall: g.clock.Wall(now).UnixMilli()}
+	if s.writtenInEra != s.era {
+		// The next leader must know this too, also if this host ends with the append.
+		takeover.UnknownUntil = takeover.Wall
+		takeover.Decided = g.decisionsDue(now)
+	}
+	position, err := g.appendLeaderRecord(takeover)
 	if err != nil {
 		return false // logged by appendLeaderRecord
 	}
@@ -287,18 +301,37 @@
 	s.tenure.Acquired(now, token)
 	s.mu.Unlock()
 	s.vacantSince = time.Time{}
-	s.adoptDecisions(g.presence.All())
-	if firstInEra && !s.ledLastEra {
-		s.unknownUntil = g.clock.Wall(now)
-	}
-	s.ledLastEra = false
 	g.metrics.fencingToken.Set(float64(token))
 	s.planners, s.inherited = map[string]*scaling.Planner{}, lastTargetCounts(g.presence.All())
 	s.ordered = map[port.CapacityOrder]time.Time{}
-	g.log.Info().Str("event", "duty_taken").Int64("fence", token).Int64("era", int64(s.era)).Msg("")
+	g.log.Info().Str("event", "duty_taken").Int64("fence", token).Int64("era", int64(s.era)).
+		Int64("unknown_until", millis(s.unknownUntil)).Bool("led_last_era", s.ledLastEra).Msg("")
 	return true
 }
 
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// millis returns a time in Unix milliseconds, zero for the zero time.
+func millis(t time.Time) int64 {
+	if t.IsZero() {
+		return 0
+	}
+	return t.UnixMilli()
+}
+
+// decisionsDue returns the decided counts of the windows whose reports may still be due.
+func (g *Gateway) decisionsDue(now time.Time) map[int64]usage.Counts {
+	if g.opts.UsageWindow <= 0 {
+		return nil
+	}
+	return g.leader.recentDecisions(usage.WindowIndex(g.clock.Wall(now).Add(-g.opts.UsageDue), g.opts.UsageWindow))
+}
+
 // adoptDecisions adds the decisions that earlier leaders have reported to the other hosts.
 func (s *leaderState) adoptDecisions(reports []presence.Report) {
 	for _, r := range reports {
@@ -373,10 +406,21 @@
 	}
 	s := g.leader
 	s.writtenInEra = record.Era
+	for window, counts := range record.Decided {
+		s.decide(window, counts)
+		s.recorded[window] = true
+	}
 	if record.Leader != "" {
 		s.takenByOther, s.takenAtWall = record.Leader != g.opts.Host, time.UnixMilli(record.Wall)
 		s.ledLastEra = s.ledLastEra && (!s.takenByOther || record.Era != s.era)
 	}
+	if record.UnknownUntil != 0 {
+		until := time.UnixMilli(record.UnknownUntil)
+		s.recordedUnknown = later(s.recordedUnknown, until)
+		if !s.ledLastEra {
+			s.unknownUntil = later(s.unknownUntil, until)
+		}
+	}
 	if record.Usage != nil {
 		s.decide(record.Usage.Window, record.Usage.Counts)
 		s.recorded[record.Usage.Window] = true
@@ -391,6 +435,7 @@
 func (g *Gateway) appendLeaderRecord(record leaderRecord) (port.Position, error) {
 	s := g.leader
 	record.Era = s.era
+	record.UnknownUntil = max(record.UnknownUntil, millis(s.recordedUnknown))
 	raw, err := json.Marshal(record)
 	if err != nil {
 		return port.Position{}, errors.Wrap(err, "encode leader record")
