gateway: streams without a record go on after a check of the registry only

Cause: a host without a record took the only version in its view of the registry, which might be 1.5 s old, for the only one that can have begun the stream, before it asked the hosts that hold the record. Another host may have read a new version since, begun the stream there and ended. Excluded: the records themselves (the holders had them and were not asked), and the choice among endpoints (v1 was what the host had concluded). Change: a host that knows one version reads the rest of the registry in a call that begins after the caller's request. A stream began before its caller continues it, so its version is among those. Checks share calls, at most 20 a second, and relays check for their hosts. If that fails or takes 0.1 s, the holders are asked; what nobody knows is refused, not run. Evidence: TestHostOutOfStepJoinsNoStreams, 5 of 9 ways of being out of step joined streams before, none after; also with the race detector.

--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -211,6 +211,9 @@
 	f.hasSnapshot, f.everRead, f.era, f.offset = true, true, page.Era, page.End
 	f.source, f.reads = read.source, read.reads
 	f.g.feedAsOf(f.topic).Store(f.asOf.UnixNano())
+	if f.topic == port.TopicEndpoints {
+		f.g.notePosition(now, page.Era, page.End)
+	}
 	f.logAge(now, read.source)
 	return nil
 }
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -136,6 +136,7 @@
 	quarantine   *quarantineState
 	overload     *overloadState
 	lineage      *lineageState
+	checks       *registryChecks
 	era          eraState
 	leader       *leaderState
 	rollouts     *rolloutState
@@ -200,6 +201,7 @@
 	g.placer = newPlacerState(opts.Host)
 	g.overload = newOverloadState()
 	g.lineage = newLineageState(now)
+	g.checks = newRegistryChecks(g)
 	g.quarantine = newQuarantineState()
 	g.rollouts = newRolloutState()
 	g.grants = newGrantState(opts.Host, now)
--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -12,7 +12,6 @@
 
 	"github.com/cicadanotch/cicadanotch/catalog"
 	"github.com/cicadanotch/cicadanotch/lineage"
-	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/presence"
 	"github.com/cicadanotch/cicadanotch/problem"
 	"github.com/cicadanotch/cicadanotch/rendezvous"
@@ -38,8 +37,9 @@
 	// maxHostsAsked bounds the hosts that are asked if the holders do not know. On small deployments these are
 	// all, the host that began the stream included.
 	maxHostsAsked = 16
-	// maxSoftwareAge is the age of the registry up to which a version that is not in it counts as not served.
-	maxSoftwareAge = 1500 * time.Millisecond
+	// checkLead is how long a check of the registry may take before other hosts are asked too: while a service has one
+	// version, the check is enough.
+	checkLead = 100 * time.Millisecond
 	// unknownOriginRetryAfter is the delay after which a caller asks again: hosts may have been told of the
 	// stream by then, or be reachable again.
 	unknownOriginRetryAfter = 500 * time.Millisecond
@@ -208,10 +208,7 @@
 	}
 	software, known := c.g.lineage.table.Lookup(c.req.Origin)
 	if !known {
-		software, known = c.g.knowledge(time.Now(), c.service.Name).Only()
-	}
-	if !known && c.req.Origin != "" {
-		software, known = c.g.askOrigin(ctx, c.req.Origin)
+		software, known = c.g.findOrigin(ctx, c.service.Name, c.req.Origin)
 	}
 	if !known {
 		c.g.metrics.continuations.WithLabelValues("request", "unknown").Inc()
@@ -227,12 +224,55 @@
 	return nil
 }
 
-// knowledge returns which software versions may have begun a stream that is still continued.
-func (g *Gateway) knowledge(now time.Time, service string) lineage.Knowledge {
-	asOf := g.feedAsOf(port.TopicEndpoints).Load()
+// findOrigin finds out at which software version a stream began of which this host has no record: by the versions that
+// can have begun it, and by the hosts that have a record. stream is empty if the caller does not name it.
+func (g *Gateway) findOrigin(ctx context.Context, service, stream string) (software string, known bool) {
+	ctx, cancel := context.WithTimeout(ctx, registryCheckTimeout)
+	defer cancel()
+	replies := make(chan originReply, 2)
+	pending := 0
+	if len(g.fleet.SoftwareVersions(time.Now(), service, lineage.RecordTTL)) < 2 {
+		pending++
+		go func() {
+			err := g.checkRegistry(ctx)
+			software, known := g.knowledge(time.Now(), service, err == nil).Only()
+			replies <- originReply{software, known}
+		}()
+		select {
+		case r := <-replies:
+			if r.Known {
+				return r.Software, true
+			}
+			pending--
+		case <-time.After(checkLead):
+		}
+	}
+	if stream != "" {
+		pending++
+		go func() {
+			software, known := g.askOrigin(ctx, stream)
+			replies <- originReply{software, known}
+		}()
+	}
+	for ; pending > 0; pending-- {
+		select {
+		case r := <-replies:
+			if r.Known {
+				return r.Software, true
+			}
+		case <-ctx.Done():
+			return "", false
+		}
+	}
+	return "", false
+}
+
+// knowledge returns which software versions may have begun a stream that is still continued. checked reports that the
+// registry was checked since the caller asked to continue the stream.
+func (g *Gateway) knowledge(now time.Time, service string, checked bool) lineage.Knowledge {
 	return lineage.Knowledge{
 		Served:  g.fleet.SoftwareVersions(now, service, lineage.RecordTTL),
-		Current: asOf != 0 && now.Sub(time.Unix(0, asOf)) <= maxSoftwareAge && g.lineage.hostsRead.Load(),
+		Current: checked && g.lineage.hostsRead.Load(),
 	}
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -225,7 +225,7 @@
 	handlers := map[string]port.PeerHandler{
 		methodRead: g.serveRead, methodReport: g.serveReport, methodTakeQuota: g.serveTakeQuota,
 		methodPlace: g.servePlace, methodSettle: g.serveSettle, methodLoads: g.serveLoads,
-		methodStreamsBegan: g.serveStreamsBegan, methodStreamOrigin: g.serveStreamOrigin, methodDeaths: g.serveDeaths,
+		methodStreamsBegan: g.serveStreamsBegan, methodStreamOrigin: g.serveStreamOrigin, methodCheckRegistry: g.serveCheckRegistry, methodDeaths: g.serveDeaths,
 		methodRollout: g.serveRollout, methodRolloutLed: g.serveRolloutLed,
 	}
 	maps.Copy(handlers, g.grantHandlers())
--- a/port/store.go
+++ b/port/store.go
@@ -72,6 +72,8 @@
 	// offset; Read sets it with ErrStoreExpired too.
 	End   int64
 	First int64
+	// More reports that Read has found records from End on which are not in the page.
+	More bool
 }
 
 // Unconditional is the value of the parameter at of Store.Append for an append
