endpointhttp: a statement that a request did not run counts only with its id

Seen: callers of orders were answered 503, not run, while the endpoint ran the order, when a faulty endpoint wrote an earlier refusal once more (report of another operator). Cause: an answer without an id was accepted as the first one on a new connection, where no earlier request can be meant; an endpoint that writes the copy of a refusal from another connection there was believed. Excluded: copies with the id (skipped), copies on the connection of the refusal (it is closed and carries nothing more). Change: an answer that states that the request did not run must bear its id. Without it the outcome is unknown.

--- a/adapter/endpointhttp/endpointhttp.go
+++ b/adapter/endpointhttp/endpointhttp.go
@@ -8,7 +8,8 @@
 // by further bytes. The checks see only bytes that have arrived, so a late response to
 // an earlier request may still come after them. It is recognized by its request id
 // and skipped. A request that is sent again bears the same id, so it is not sent on a
-// connection that has carried it before.
+// connection that has carried it before. A response that states that the request did not
+// run must bear its id, also on a new connection: callers repeat what did not run.
 package endpointhttp
 
 import (
@@ -370,12 +371,13 @@
 		if err != nil {
 			return nil, err
 		}
-		if echoed == f.ID || (echoed == "" && !ex.conn.wasPooled) {
+		promise := reply.Declined || reply.Misdirected
+		if echoed == f.ID || (echoed == "" && !ex.conn.wasPooled && !promise) {
 			reply.Body = &responseBody{exchange: ex, ReadCloser: reply.Body}
 			return reply, nil
 		}
 		if echoed == "" {
-			return nil, errors.New("response without a request id on a reused connection")
+			return nil, errors.Errorf("response without a request id, reused connection %t, not run %t", ex.conn.wasPooled, promise)
 		}
 		// A stale response: it answers an earlier request on this connection.
 		ex.conn.pool.updateStats(func(s *Stats) { s.StaleResponses++ })
