gateway: while the store does not answer, streams of unknown version are refused soon

Cause: a check of the registry waited 0.8 s for a store that had just failed to answer, before the caller was refused. Change: while the last read of the registry has failed, a check gets 150 ms, and the hosts that may hold the record are asked at the same time; the search ends after the time of two rounds of questions. Evidence: TestRefusedSoonWhileTheStoreIsSilent failed before (0.8 s), and holds 0.5 s now.

--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -213,6 +213,7 @@
 	f.g.feedAsOf(f.topic).Store(f.asOf.UnixNano())
 	if f.topic == port.TopicEndpoints {
 		f.g.notePosition(now, page.Era, page.End)
+		f.g.checks.lost.Store(false)
 	}
 	f.logAge(now, read.source)
 	return nil
@@ -255,6 +256,9 @@
 // recordStoreFailure records that a call to the store failed. Only the first failure since the last
 // answer is logged.
 func (f *follower) recordStoreFailure(now time.Time, err error) {
+	if f.topic == port.TopicEndpoints {
+		f.g.checks.lost.Store(true)
+	}
 	if f.lostAt.IsZero() && f.g.tomb.Alive() {
 		f.lostAt = now
 		f.g.log.Warn().Str("event", "dependency_lost").Str("dependency", "store/"+string(f.topic)).Err(err).Msg("")
--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -40,6 +40,9 @@
 	// checkLead is how long a check of the registry may take before other hosts are asked too: while a service has one
 	// version, the check is enough.
 	checkLead = 100 * time.Millisecond
+	// lostOriginTimeout bounds the search for the version of a stream while the store does not answer: two rounds of
+	// questions to other hosts.
+	lostOriginTimeout = 2*askTimeout + tellDelay
 	// unknownOriginRetryAfter is the delay after which a caller asks again: hosts may have been told of the
 	// stream by then, or be reachable again.
 	unknownOriginRetryAfter = 500 * time.Millisecond
@@ -227,7 +230,11 @@
 // findOrigin finds out at which software version a stream began of which this host has no record: by the versions that
 // can have begun it, and by the hosts that have a record. stream is empty if the caller does not name it.
 func (g *Gateway) findOrigin(ctx context.Context, service, stream string) (software string, known bool) {
-	ctx, cancel := context.WithTimeout(ctx, registryCheckTimeout)
+	timeout, lead := registryCheckTimeout, checkLead
+	if g.checks.lost.Load() {
+		timeout, lead = lostOriginTimeout, 0
+	}
+	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
 	replies := make(chan originReply, 2)
 	pending := 0
@@ -244,7 +251,7 @@
 				return r.Software, true
 			}
 			pending--
-		case <-time.After(checkLead):
+		case <-time.After(lead):
 		}
 	}
 	if stream != "" {
--- a/gateway/registrycheck.go
+++ b/gateway/registrycheck.go
@@ -30,6 +30,9 @@
 	registryCheckTimeout = 800 * time.Millisecond
 	// relayCheckTimeout bounds the call to the relay, which leaves time for a read by this host.
 	relayCheckTimeout = 300 * time.Millisecond
+	// lostCheckTimeout bounds a read of the store that has not answered the last read of the registry: a caller is
+	// refused soon if nobody knows.
+	lostCheckTimeout = 150 * time.Millisecond
 	// registryCheckInterval is the least time between the starts of two checks: each is a call to the store.
 	registryCheckInterval = 50 * time.Millisecond
 	// maxCheckPages bounds the pages of a check. A host that is further behind cannot check.
@@ -106,6 +109,8 @@
 // registryChecks is this host's state of checks.
 type registryChecks struct {
 	position atomic.Pointer[registryPosition] // nil before the first read
+	// lost is set while the last read of the registry has failed.
+	lost atomic.Bool
 	// own serves this host; direct, which reads the store, also other hosts.
 	own, direct checkQueue
 }
@@ -184,6 +189,11 @@
 	if time.Now().Before(at.settledAt) {
 		return errors.New("the registry is not complete yet in the store's new era")
 	}
+	if g.checks.lost.Load() {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, lostCheckTimeout)
+		defer cancel()
+	}
 	offset := at.offset
 	for range maxCheckPages {
 		began := time.Now()
--- a/gateway/registrycheck_test.go
+++ b/gateway/registrycheck_test.go
@@ -133,3 +133,31 @@
 		})
 	}
 }
+
+// TestRefusedSoonWhileTheStoreIsSilent answers callers who continue streams of a host that is gone while the store does not
+// answer: what nobody can know is refused within half a second.
+func TestRefusedSoonWhileTheStoreIsSilent(t *testing.T) {
+	for _, hosts := range []int{2, 5} {
+		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				c := startContinuation(t, hosts, "11", "12")
+				ids := c.begin(t.Context(), c.hosts[0], 8)
+				for _, g := range c.hosts {
+					g.ports.Store.(*hostStore).stalled.Store(port.TopicEndpoints, true)
+				}
+				time.Sleep(3 * time.Second)
+				c.fail(t, c.hosts[0])
+				time.Sleep(time.Second)
+				for _, id := range ids {
+					began := time.Now()
+					wentOn, refused := c.resume(t, c.hosts[1], []string{id})
+					is.Equal(wentOn, 0)
+					is.Equal(refused[0].Run, problem.RunNot)
+					is.True(refused[0].RetryAfter > 0)
+					is.True(time.Since(began) <= 500*time.Millisecond)
+				}
+			})
+		})
+	}
+}
