lease: a release is repeated if a renewal was accepted before it

Seen: TestLeaseRelease failed in 9 of some 3,600 runs: the host that had released its lease held it again. Cause: a renewal that is being appended when the lease is released may be accepted first. The release names the record before it and is refused, and the accepted renewal makes the member hold the lease again. A fault of the product. Change: from Release on, Held reports false and Next releases again until the lease is seen to be free. Evidence: TestReleaseBesideRenewal failed before.

--- a/lease/lease_test.go
+++ b/lease/lease_test.go
@@ -200,3 +200,34 @@
 		t.Fatal("no sequence of steps led to a takeover; the depth is too small")
 	}
 }
+
+// TestReleaseBesideRenewal guards against a released lease that its holder holds again: a renewal that was being appended
+// is accepted before the release, which is then refused.
+func TestReleaseBesideRenewal(t *testing.T) {
+	is := is.New(t)
+	m := lease.NewMember("l", "self", lease.DefaultOptions())
+	start := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	m.Observe(start, lease.Lease{})
+	m.Appending(start, "take")
+	m.Observe(start, lease.Lease{Holder: "self", FencingToken: 1, Last: at(1), RecordID: "take"})
+	now := start.Add(4 * time.Second)
+	renewal := m.Next(now, now)
+	is.Equal(renewal.Verb, lease.VerbRenew)
+	m.Appending(now, "renewal")
+	release := m.Release()
+	is.Equal(release.Verb, lease.VerbRelease)
+	current := lease.Lease{Holder: "self", FencingToken: 1, Last: at(1), RecordID: "take"}
+	current, ok := lease.Apply(current, renewal.Change, at(2), "renewal")
+	is.True(ok)
+	_, ok = lease.Apply(current, release.Change, at(3), "release")
+	is.True(!ok)
+	m.Observe(now, current)
+	_, held := m.Held(now)
+	is.True(!held)
+	again := m.Next(now, now)
+	is.Equal(again.Verb, lease.VerbRelease) // the lease must not last to the end of its TTL
+	current, ok = lease.Apply(current, again.Change, at(4), "again")
+	is.True(ok)
+	m.Observe(now, current)
+	is.Equal(m.Next(now, now).Verb, lease.VerbTake) // it is free for all, this process too
+}
--- a/lease/member.go
+++ b/lease/member.go
@@ -48,6 +48,8 @@
 	validUntil time.Time
 	// acquiredAt is when this process observed that it had taken the lease.
 	acquiredAt time.Time
+	// releasing is set from Release until the lease is seen not to be held by this process.
+	releasing bool
 }
 
 // NewMember returns the view that the process self has of the lease name. The value
@@ -67,14 +69,14 @@
 	taken := l.FencingToken != m.current.FencingToken
 	m.current, m.seenAt = l, now
 	if l.Holder != m.self {
-		m.validUntil = time.Time{}
+		m.validUntil, m.releasing = time.Time{}, false
 		m.appendStarted = map[string]time.Time{}
 		return
 	}
 	if taken {
 		m.acquiredAt = now
 	}
-	if started, ok := m.appendStarted[l.RecordID]; ok {
+	if started, ok := m.appendStarted[l.RecordID]; ok && !m.releasing {
 		m.validUntil = started.Add(m.opts.TTL - m.opts.Margin)
 	}
 }
@@ -95,6 +97,9 @@
 // to its end after the lease expired and had no newer record on it.
 func (m *Member) Next(now, caughtUpAt time.Time) Action {
 	switch {
+	case m.current.Holder == m.self && m.releasing:
+		// The first release is refused if a renewal that was being appended was accepted before it.
+		return m.action(VerbRelease)
 	case m.current.Holder == m.self && m.renewalDue(now):
 		return m.action(VerbRenew)
 	case m.current.Holder == m.self && !m.expired(caughtUpAt):
@@ -128,12 +133,13 @@
 }
 
 // Release returns the record that releases the lease, if the process holds it.
-// From then on Held reports false, whether or not the record is appended.
+// From then on Held reports false, whether or not the record is appended, and Next
+// releases the lease until it is seen to be free.
 func (m *Member) Release() Action {
 	if m.current.Holder != m.self {
 		return Action{}
 	}
-	m.validUntil = time.Time{}
+	m.validUntil, m.releasing = time.Time{}, true
 	return m.action(VerbRelease)
 }
 
