gateway: events are checked before they are forwarded

Callers got pieces that no run made: an endpoint in trouble sent bytes that are no event, and where a blank line was among them, the host took what stood before it for an event. An id was looked for only to drop repetitions; none was taken as new.

The splitter now checks each line as it comes (a field, a comment, text in UTF-8 without NUL) and each event at its end (one id, a decimal number). Sound events before the first fault are forwarded, also those of the same read; the attempt then ends as broken with port.ErrGarbage, and the endpoint is suspect as "garbage", with a counter. A route that may resume goes on elsewhere behind the last sound id. Nothing of what the host remembers of a stream is written before an event is sound. A byte order mark is not forwarded into the middle of a resumed answer. Routes for calls promise no events: an answer of theirs in that content type is now forwarded as any other answer.

Tests changed. FuzzFirstEventLen tested a function that is gone; FuzzEventsInOneRead asserts the same on the splitter, and the ids as well.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -48,7 +48,7 @@
 	sent, unsent int
 	headSent     bool // the head of an answer was sent to the caller
 	events       int
-	lastID       string
+	lastID       []byte // of the last event forwarded
 	firstAt      time.Time
 	status       int
 	failure      *bufferedReply // an endpoint's error answer, buffered while others are tried
@@ -306,7 +306,7 @@
 func (c *call) newForward(a *endpointAttempt, tracker *sendTracker) *port.Forward {
 	f := &port.Forward{
 		Request: c.req, Address: a.view.Address, Endpoint: a.view.ID,
-		Deadline: c.deadline, Priority: c.priority(), After: c.lastID, Copy: a.kvCopy, FetchFrom: c.fetchFrom(&a.choice),
+		Deadline: c.deadline, Priority: c.priority(), After: string(c.lastID), Copy: a.kvCopy, FetchFrom: c.fetchFrom(&a.choice),
 		MaxConnections: c.g.connectionLimit(c.service.MaxConnections),
 		Sending:        tracker.begin,
 	}
@@ -360,10 +360,18 @@
 		}
 		return outcomeUnsent, err
 	}
+	garbage := errors.Is(err, port.ErrGarbage)
+	if garbage {
+		c.g.metrics.garbage.Inc()
+		c.markSuspect(now, a, "garbage")
+	}
 	if c.awaitMove() {
 		return outcomeMoved, err
 	}
 	c.tried[a.view.ID] = true
+	if garbage {
+		return outcomeBroken, err
+	}
 	if errors.Is(err, port.ErrEndless) {
 		c.g.metrics.endless.Inc()
 		c.markSuspect(now, a, "endless")
--- a/gateway/decide_test.go
+++ b/gateway/decide_test.go
@@ -5,6 +5,9 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/port"
 )
 
 func TestDecide(t *testing.T) {
@@ -77,24 +80,35 @@
 		lastKnown string
 		out       string
 		last      string
+		garbage   bool
 	}{
-		"complete events":               {two, len(two), "", two, "2"},
-		"half an event":                 {two + "id: 3\nda", len(two), "", two, "2"},
-		"half the first":                {"id: 1\nda", 0, "", "", ""},
-		"carriage returns":              {"id: 1\r\ndata: a\r\n\r\n", 18, "", "id: 1\r\ndata: a\r\n\r\n", "1"},
-		"one line of an event with LF":  {"id: 1\r\ndata: a\n\r\n", 17, "", "id: 1\r\ndata: a\n\r\n", "1"},
-		"an event already forwarded":    {two, len(two), "1", "id: 2\ndata: b\n\n", "2"},
-		"only events already forwarded": {two, len(two), "7", "", "7"},
-		"ids are numbers, not text":     {"id: 10\ndata: a\n\n", 16, "9", "id: 10\ndata: a\n\n", "10"},
-		"no ids":                        {"data: a\n\n", 9, "", "data: a\n\n", ""},
+		"complete events":               {two, len(two), "", two, "2", false},
+		"half an event":                 {two + "id: 3\nda", len(two), "", two, "2", false},
+		"half the first":                {"id: 1\nda", 0, "", "", "", false},
+		"carriage returns":              {"id: 1\r\ndata: a\r\n\r\n", 18, "", "id: 1\r\ndata: a\r\n\r\n", "1", false},
+		"one line of an event with LF":  {"id: 1\r\ndata: a\n\r\n", 17, "", "id: 1\r\ndata: a\n\r\n", "1", false},
+		"an event already forwarded":    {two, len(two), "1", "id: 2\ndata: b\n\n", "2", false},
+		"only events already forwarded": {two, len(two), "7", "", "7", false},
+		"one among others":              {two + "id: 1\ndata: a\n\n: x\nid: 3\ndata: c\n\n", len(two) + 34, "", two + ": x\nid: 3\ndata: c\n\n", "3", false},
+		"ids are numbers, not text":     {"id: 10\ndata: a\n\n", 16, "9", "id: 10\ndata: a\n\n", "10", false},
+		"ids of any length":             {"id: 18446744073709551616\n\n", 26, "18446744073709551615", "id: 18446744073709551616\n\n", "18446744073709551616", false},
+		"zeros before an id":            {"id: 010\n\nid: 09\n\n", 17, "0009", "id: 010\n\n", "010", false},
+		"zero again":                    {"id: 0\n\n", 7, "0", "", "0", false},
+		"no ids":                        {"data: a\n\n", 0, "", "", "", true},
+		"an event, then one without id": {two + "data: a\n\n", len(two), "", two, "2", true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			var splitter eventSplitter
-			is.Equal(len(splitter.add([]byte(tc.in))), tc.complete)
-			c := &call{lastID: tc.lastKnown}
-			is.Equal(string(c.dropDuplicates([]byte(tc.in)[:tc.complete])), tc.out)
-			is.Equal(c.lastID, tc.last)
+			found, err := splitter.add([]byte(tc.in))
+			is.Equal(err != nil, tc.garbage)
+			is.True(err == nil || errors.Is(err, port.ErrGarbage) && errors.Is(err, port.ErrBroken))
+			is.Equal(len(joinEvents(found)), tc.complete)
+			c := &call{lastID: []byte(tc.lastKnown)}
+			if len(found) > 0 {
+				is.Equal(string(c.dropDuplicates(found)), tc.out)
+			}
+			is.Equal(string(c.lastID), tc.last)
 		})
 	}
 }
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -13,23 +14,36 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cicadanotch/cicadanotch/catalog"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/problem"
 )
 
 // endlessBody repeats a text until it is closed, or until stop bytes were read if that is set. It counts what was
-// read, and calls stopped before it fails.
+// read, and calls stopped before it fails. If numbered is set, each repetition follows a line with an id, counted from 1.
 type endlessBody struct {
-	text    string
-	read    int
-	stop    int
-	stopped func()
+	text     string
+	numbered bool
+	read     int
+	stop     int
+	stopped  func()
+
+	rest        string // of the present repetition
+	repetitions int
 }
 
 func (b *endlessBody) Read(p []byte) (int, error) {
 	n := 0
 	for n < len(p) {
-		n += copy(p[n:], b.text[(b.read+n)%len(b.text):])
+		if b.rest == "" {
+			b.rest = b.text
+			if b.repetitions++; b.numbered {
+				b.rest = "id: " + strconv.Itoa(b.repetitions) + "\n" + b.text
+			}
+		}
+		copied := copy(p[n:], b.rest)
+		b.rest = b.rest[copied:]
+		n += copied
 	}
 	if b.read += n; b.stop > 0 && b.read > b.stop {
 		b.stopped()
@@ -81,7 +95,7 @@
 				tp.publish(endpoint("1", "api"), endpoint("2", "api"), endpoint("3", "llm"), endpoint("4", "llm"))
 				var bodies []*endlessBody
 				tp.endpoints.respond = func(_ context.Context, f *port.Forward, _ int) (*port.Reply, error) {
-					body := &endlessBody{text: tc.text}
+					body := &endlessBody{text: tc.text, numbered: strings.HasPrefix(tc.text, "data: ")}
 					bodies = append(bodies, body)
 					return endlessReply(f, body, f.HasTokens), nil
 				}
@@ -128,7 +142,7 @@
 				all.Go(func() {
 					waiting := sync.OnceFunc(filled.Done)
 					defer waiting() // answers that are given up earlier hold nothing
-					c := &call{g: g, req: &port.Request{}, out: &countingResponder{}, usageCounted: true}
+					c := &call{g: g, req: &port.Request{}, route: &catalog.Route{Kind: catalog.KindStreaming}, out: &countingResponder{}, usageCounted: true}
 					body := &endlessBody{text: text, stop: maxEventBytes / 2, stopped: func() { waiting(); <-release }}
 					reply := endlessReply(&port.Forward{Sending: func() error { return nil }}, body, name == "events")
 					a := &endpointAttempt{}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -2,109 +2,168 @@
 
 import (
 	"bytes"
-	"strconv"
+	"unicode/utf8"
+
+	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/port"
 )
 
-// eventSplitter splits a stream of server-sent events into complete events. An event ends with a blank line;
-// lines end with LF or CRLF. A comment is returned with the event after it: an endpoint that has stalled may go on to
-// send comments.
+// maxIDDigits bounds the id of an event, which is sent to the endpoint that continues the stream.
+const maxIDDigits = 32
+
+// byteOrderMark may precede the first line of a stream.
+var byteOrderMark = []byte("\xef\xbb\xbf")
+
+// event is a complete event of a stream, with the blank lines and comments before it.
+type event struct {
+	bytes []byte
+	id    []byte
+}
+
+// eventSplitter splits a stream of server-sent events into complete events and checks them. An event ends with a blank
+// line; lines end with LF or CRLF. Each event has one id, a decimal number; what follows anything else is not
+// read. A comment is returned with the event after it: an endpoint that has stalled may go on to send comments.
 type eventSplitter struct {
+	// continues is set if the caller has the beginning of the stream, so that a byte order mark is dropped.
+	continues bool
+
 	pending []byte
+	events  []event
 	// returned is the length of the events at the start of pending that add has returned, scanned that of
 	// the lines that were looked at.
 	returned, scanned int
-	// begun is set if the scanned lines after the returned events begin a further one.
-	begun bool
+	lines             int
+	// The scanned lines after the returned events: hasFields and hasRetry are set if they have fields, where a time to
+	// retry after, which may also stand alone, counts as hasRetry only. idStart and idEnd are where their id is, from
+	// the end of the returned events.
+	hasFields, hasRetry bool
+	idStart, idEnd      int
 }
 
 // add appends the bytes that were read next and returns the events that are complete by now. They are valid
-// until the next call.
-func (s *eventSplitter) add(p []byte) []byte {
+// until the next call. It returns a port.ErrGarbage if no event follows them; the splitter is then of no further use.
+func (s *eventSplitter) add(p []byte) ([]event, error) {
 	kept := copy(s.pending, s.pending[s.returned:])
 	s.pending = append(s.pending[:kept], p...)
 	s.scanned -= s.returned
 	s.returned = 0
+	s.events = s.events[:0]
 	for {
 		n := bytes.IndexByte(s.pending[s.scanned:], '\n')
 		if n < 0 {
-			return s.pending[:s.returned]
+			return s.events, nil
 		}
-		line := s.pending[s.scanned : s.scanned+n]
+		start := s.scanned
 		s.scanned += n + 1
-		switch {
-		case isBlankLine(line) && s.begun:
-			s.returned, s.begun = s.scanned, false
-		case !isBlankLine(line) && !isComment(line):
-			s.begun = true
+		line := bytes.TrimSuffix(s.pending[start:start+n], []byte("\r"))
+		if s.lines++; s.lines == 1 && bytes.HasPrefix(line, byteOrderMark) {
+			line = line[len(byteOrderMark):]
+			if s.continues {
+				s.returned = len(byteOrderMark)
+			}
+		}
+		var err error
+		if len(line) == 0 {
+			err = s.endEvent()
+		} else {
+			err = s.addLine(line, start+n)
+		}
+		if err != nil {
+			return s.events, err
 		}
 	}
 }
 
-// rest returns what follows the complete events.
-func (s *eventSplitter) rest() []byte { return s.pending[s.returned:] }
-
-// isBlankLine reports whether a line without its LF is blank.
-func isBlankLine(line []byte) bool {
-	return len(line) == 0 || (len(line) == 1 && line[0] == '\r')
+// endEvent handles a blank line.
+func (s *eventSplitter) endEvent() error {
+	switch {
+	case s.hasFields && s.idEnd == 0:
+		return errors.Wrap(port.ErrGarbage, "event of a stream without an id")
+	case s.hasFields:
+		id := s.pending[s.returned+s.idStart : s.returned+s.idEnd]
+		s.events = append(s.events, event{s.pending[s.returned:s.scanned], id})
+		s.returned = s.scanned
+	}
+	s.hasFields, s.hasRetry, s.idStart, s.idEnd = false, false, 0, 0
+	return nil
 }
 
-// isComment reports whether a line is a comment.
-func isComment(line []byte) bool { return bytes.HasPrefix(line, []byte(":")) }
-
-// endsInsideEvent reports whether the bytes after the last complete event of a stream begin a further one.
-// Blank lines and comments do not.
-func endsInsideEvent(rest []byte) bool {
-	for len(rest) > 0 {
-		line, after, terminated := bytes.Cut(rest, []byte("\n"))
-		comment := terminated && isComment(line)
-		if !isBlankLine(line) && !comment {
-			return true
+// addLine checks a line that is not blank. end is where it ends in pending, before its LF.
+func (s *eventSplitter) addLine(line []byte, end int) error {
+	if bytes.IndexByte(line, 0) >= 0 || bytes.IndexByte(line, '\r') >= 0 || !utf8.Valid(line) {
+		return errors.Wrap(port.ErrGarbage, "line of a stream is no text")
+	}
+	name, value, found := bytes.Cut(line, []byte(":"))
+	if found && len(name) == 0 {
+		return nil // a comment
+	}
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		if s.idEnd != 0 {
+			return errors.Wrap(port.ErrGarbage, "event of a stream with two ids")
+		}
+		if len(value) > maxIDDigits || !isDecimal(value) {
+			return errors.Wrap(port.ErrGarbage, "id of an event is no number")
+		}
+		if s.pending[end-1] == '\r' {
+			end--
+		}
+		s.idStart, s.idEnd = end-len(value)-s.returned, end-s.returned
+	case "retry":
+		if isDecimal(value) {
+			s.hasRetry = true
+			return nil
+		}
+	case "data", "event":
+	default:
+		if !found || !isToken(name) {
+			return errors.Wrap(port.ErrGarbage, "line of a stream is no field")
 		}
-		rest = after
 	}
-	return false
+	s.hasFields = true
+	return nil
 }
 
-// firstEventLen returns the length of the first event in b, with the blank lines before it; the length of b
-// if that event is not complete.
-func firstEventLen(b []byte) int {
-	begun := false
-	for read := 0; ; {
-		n := bytes.IndexByte(b[read:], '\n')
-		if n < 0 {
-			return len(b)
-		}
-		line := b[read : read+n]
-		read += n + 1
-		if isBlankLine(line) && begun {
-			return read
+// rest returns what follows the complete events.
+func (s *eventSplitter) rest() []byte { return s.pending[s.returned:] }
+
+// insideEvent reports whether the rest begins a further event. Blank lines and comments do not.
+func (s *eventSplitter) insideEvent() bool {
+	unread := s.pending[s.scanned:]
+	return s.hasFields || s.hasRetry || len(bytes.TrimSuffix(unread, []byte("\r"))) > 0
+}
+
+// isDecimal reports whether a text consists of digits.
+func isDecimal(text []byte) bool {
+	for _, b := range text {
+		if b < '0' || b > '9' {
+			return false
 		}
-		begun = begun || !isBlankLine(line) && !isComment(line)
 	}
+	return len(text) > 0
 }
 
-// eventID returns the id of an event, or an empty string if it has none.
-func eventID(event []byte) string {
-	for len(event) > 0 {
-		line, rest, _ := bytes.Cut(event, []byte("\n"))
-		event = rest
-		if id, ok := bytes.CutPrefix(bytes.TrimRight(line, "\r"), []byte("id:")); ok {
-			return string(bytes.TrimSpace(id))
+// isToken reports whether a text is a token as in RFC 9110.
+func isToken(text []byte) bool {
+	for _, b := range text {
+		alphanumeric := b >= '0' && b <= '9' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z'
+		if !alphanumeric && bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), b) < 0 {
+			return false
 		}
 	}
-	return ""
+	return len(text) > 0
 }
 
-// isLaterID reports whether an event id comes after another one. Ids that are not numbers count as
-// later when they differ.
-func isLaterID(id, last string) bool {
-	if last == "" {
+// isLaterID reports whether the id of an event comes after another one; it comes after none.
+func isLaterID(id, last []byte) bool {
+	if len(last) == 0 {
 		return true
 	}
-	a, errA := strconv.ParseInt(id, 10, 64)
-	b, errB := strconv.ParseInt(last, 10, 64)
-	if errA != nil || errB != nil {
-		return id != last
+	id, last = bytes.TrimLeft(id, "0"), bytes.TrimLeft(last, "0")
+	if len(id) != len(last) {
+		return len(id) > len(last)
 	}
-	return a > b
+	return bytes.Compare(id, last) > 0
 }
--- a/gateway/garbage_test.go
+++ b/gateway/garbage_test.go
@@ -149,7 +149,7 @@
 				g := tp.startHost(t, testOptions("h1"))
 				time.Sleep(settleTime)
 				r := sendRequest(t.Context(), g, "req", tc.route)
-				if got := r.body.String(); got != tc.body && got != ": x\n\n"+tc.body {
+				if got := r.body.String(); got != tc.body {
 					t.Errorf("%s: caller got %.200q, want %q", name, got, tc.body)
 				}
 				if n := strings.Count(tp.log(), `"why":"garbage"`); n != 1 {
@@ -217,3 +217,24 @@
 		}
 	}
 }
+
+// TestCallInTheFormOfAStream: only streaming routes promise events with ids, so an answer to a call is forwarded as it is.
+func TestCallInTheFormOfAStream(t *testing.T) {
+	for _, route := range []string{"get", "order"} {
+		t.Run(route, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				tp := newTestPlatform()
+				tp.publish(endpoint("1", "api"))
+				tp.endpoints.respond = func(ctx context.Context, f *port.Forward, _ int) (*port.Reply, error) {
+					return streamReply(ctx, f, io.EOF, time.Millisecond, "data: x\n\n", "no event\n"), nil
+				}
+				g := tp.startHost(t, testOptions("h1"))
+				time.Sleep(settleTime)
+				r := sendRequest(t.Context(), g, "req", route)
+				is.Equal(r.body.String(), "data: x\n\nno event\n")
+				is.Equal(r.status, 200)
+			})
+		})
+	}
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -36,6 +36,7 @@
 	answerEndings *prometheus.CounterVec
 	continuations *prometheus.CounterVec
 	endless       prometheus.Counter
+	garbage       prometheus.Counter
 	probes        *prometheus.CounterVec
 	deaths        prometheus.Counter
 
@@ -129,6 +130,10 @@
 		Name: "cicadanotch_gateway_endless_answers_total",
 		Help: "Answers of endpoints that were given up because they exceeded what an answer may have.",
 	})
+	m.garbage = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_garbage_answers_total",
+		Help: "Answers of endpoints that were given up because of bytes in them that are no answer.",
+	})
 	m.probes = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cicadanotch_gateway_probes_total",
 		Help: "Probes of endpoints after a connection broke, by result (listening, refused: the process has ended, unknown).",
@@ -173,7 +178,7 @@
 		Name: "cicadanotch_gateway_header_faults_total",
 		Help: "Answers of endpoints with a header that could not be used as sent.",
 	})
-	m.registry.MustRegister(m.headerFaults, m.limitShares, m.limitsGranted, m.refusedWithinLimit, m.overloads, m.rolloutChanges, m.rolloutAnswers, m.rolloutWithheld, m.rolloutWaits, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
+	m.registry.MustRegister(m.headerFaults, m.limitShares, m.limitsGranted, m.refusedWithinLimit, m.overloads, m.rolloutChanges, m.rolloutAnswers, m.rolloutWithheld, m.rolloutWaits, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.garbage, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
 		m.feedReads, m.version, m.hosts, m.fencingToken, m.leaderCalls, m.moves, collectors.NewGoCollector())
 	return m
 }
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cicadanotch/cicadanotch/catalog"
 	"github.com/cicadanotch/cicadanotch/port"
 )
 
@@ -33,7 +34,7 @@
 
 // forwardReply forwards an endpoint's answer to the caller.
 func (c *call) forwardReply(ctx context.Context, a *endpointAttempt, reply *port.Reply, wd *watchdog) (outcome, error) {
-	if reply.Stream && reply.Status == http.StatusOK {
+	if reply.Stream && reply.Status == http.StatusOK && c.route.Kind == catalog.KindStreaming {
 		return c.forwardStream(a, reply, wd)
 	}
 	if c.headSent {
@@ -146,7 +147,7 @@
 // forwardStream forwards complete events as they arrive.
 func (c *call) forwardStream(a *endpointAttempt, reply *port.Reply, wd *watchdog) (outcome, error) {
 	var (
-		splitter eventSplitter
+		splitter = eventSplitter{continues: c.headSent}
 		held     heldBytes
 		received int
 	)
@@ -155,7 +156,8 @@
 	for {
 		n, err := reply.Body.Read(buf)
 		received += n
-		if events := splitter.add(buf[:n]); len(events) > 0 {
+		events, garbage := splitter.add(buf[:n])
+		if len(events) > 0 {
 			first, before := !a.answered, c.events
 			if writeErr := c.forwardEvents(a, reply, events); writeErr != nil {
 				return outcomeCanceled, writeErr
@@ -166,6 +168,8 @@
 		}
 		rest := splitter.rest()
 		switch {
+		case garbage != nil:
+			return outcomeBroken, garbage
 		case len(rest) > maxEventBytes:
 			return outcomeBroken, errors.Wrapf(port.ErrEndless, "event of a stream exceeds %d bytes", maxEventBytes)
 		case reply.Length < 0 && received > maxUnstatedBytes:
@@ -173,7 +177,7 @@
 		case !held.grow(c.g, len(rest)):
 			return outcomeBroken, errors.Errorf("more than %d bytes are held of unfinished events and answers", maxHeldBytes)
 		case err == io.EOF:
-			return c.endStream(a, reply, rest)
+			return c.endStream(a, reply, &splitter)
 		case err != nil:
 			return outcomeBroken, err
 		}
@@ -181,7 +185,7 @@
 }
 
 // forwardEvents forwards complete events.
-func (c *call) forwardEvents(a *endpointAttempt, reply *port.Reply, events []byte) error {
+func (c *call) forwardEvents(a *endpointAttempt, reply *port.Reply, events []event) error {
 	now := time.Now()
 	if !a.answered {
 		a.answered, a.firstEventAt = true, now
@@ -200,15 +204,15 @@
 		c.countUsage()
 		c.g.metrics.firstEvent.WithLabelValues(string(c.route.Kind)).Observe(now.Sub(c.arrived).Seconds())
 	}
-	events = c.dropDuplicates(events)
+	unseen := c.dropDuplicates(events)
 	c.updateProgress(now)
-	if len(events) == 0 {
+	if len(unseen) == 0 {
 		return nil
 	}
 	if err := c.beginStream(reply); err != nil {
 		return err
 	}
-	return c.out.Write(events)
+	return c.out.Write(unseen)
 }
 
 // updateProgress publishes the stream's progress to other goroutines.
@@ -232,9 +236,10 @@
 // endStream finishes a stream whose body ended without an error. The framing states where the body ends, not
 // that the stream is complete: an endpoint may break off inside an event, and a body that ends with its
 // connection also ends when the endpoint fails.
-func (c *call) endStream(a *endpointAttempt, reply *port.Reply, rest []byte) (outcome, error) {
+func (c *call) endStream(a *endpointAttempt, reply *port.Reply, splitter *eventSplitter) (outcome, error) {
+	rest := splitter.rest()
 	switch {
-	case endsInsideEvent(rest):
+	case splitter.insideEvent():
 		c.ending.kind, c.ending.unfinished = endingInEvent, len(rest)
 		return outcomeBroken, errors.Errorf("stream ended inside an event, after %d bytes of it", len(rest))
 	case !a.answered && reply.Framing == port.FramingConnection:
@@ -256,35 +261,19 @@
 	return outcomeComplete, nil
 }
 
-// dropDuplicates records the ids of events and drops those that the caller already has: an endpoint
-// that resumes a stream may repeat the last event.
-func (c *call) dropDuplicates(events []byte) []byte {
-	out := events[:0:0]
-	copied := false
-	for rest := events; len(rest) > 0; {
-		n := firstEventLen(rest)
-		event := rest[:n]
-		rest = rest[n:]
-		id := eventID(event)
-		if id != "" && !isLaterID(id, c.lastID) {
-			if !copied {
-				out = append(out, events[:len(events)-len(rest)-n]...)
-				copied = true
-			}
+// dropDuplicates records the ids of consecutive events and returns them without those that the caller already has: an
+// endpoint that resumes a stream may repeat the last event. It moves the bytes of the events.
+func (c *call) dropDuplicates(events []event) []byte {
+	unseen := events[0].bytes[:0]
+	for _, e := range events {
+		if !isLaterID(e.id, c.lastID) {
 			continue
 		}
-		if id != "" {
-			c.lastID = id
-		}
+		c.lastID = append(c.lastID[:0], e.id...)
 		c.events++
-		if copied {
-			out = append(out, event...)
-		}
-	}
-	if copied {
-		return out
+		unseen = append(unseen, e.bytes...)
 	}
-	return events
+	return unseen
 }
 
 // countUsage counts the request once in the workspace's usage, when its answer begins.
--- a/port/forward.go
+++ b/port/forward.go
@@ -20,6 +20,8 @@
 	ErrBroken = errors.New("connection broken")
 	// ErrEndless is an ErrBroken: the endpoint sent more than an answer may have.
 	ErrEndless = fmt.Errorf("answer without end: %w", ErrBroken)
+	// ErrGarbage is an ErrBroken: the endpoint sent bytes that are no part of an answer.
+	ErrGarbage = fmt.Errorf("bytes that are no answer: %w", ErrBroken)
 	// ErrTooManyConnections means that this host uses all of its share of connections
 	// to the endpoint. Nothing was sent.
 	ErrTooManyConnections = errors.New("share of connections in use")
