--- a/adapter/endpointhttp/endpointhttp_test.go
+++ b/adapter/endpointhttp/endpointhttp_test.go
@@ -61,6 +61,13 @@
 	return req.Header.Get("Id")
 }
 
+// chunkedResponse answers a request with a chunked body, as sent on the wire.
+func chunkedResponse(wire string) func(r *bufio.Reader, w net.Conn) {
+	return func(r *bufio.Reader, w net.Conn) {
+		_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nSeal: s\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n%s", request(r), wire)
+	}
+}
+
 func response(id, body string) string {
 	return fmt.Sprintf("HTTP/1.1 200 OK\r\nSeal: s\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
 }
@@ -117,6 +124,27 @@
 		"chunked, without the last chunk": {func(r *bufio.Reader, w net.Conn) {
 			_, _ = fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n", request(r))
 		}, "", port.ErrBroken},
+		"chunked, garbage for the length of a chunk":        {chunkedResponse("5\r\nhello\r\nno chunk\r\n\r\n"), "", port.ErrBroken},
+		"chunked, an event for the length of a chunk":       {chunkedResponse("5\r\nhello\r\nid: 1\r\n\r\n0\r\n\r\n"), "", port.ErrBroken},
+		"chunked, the length of a chunk below zero":         {chunkedResponse("5\r\nhello\r\n-5\r\nhello\r\n0\r\n\r\n"), "", port.ErrBroken},
+		"chunked, the length of a chunk beyond all numbers": {chunkedResponse("5\r\nhello\r\nffffffffffffffffff\r\nhello\r\n0\r\n\r\n"), "", port.ErrBroken},
+		"chunked, the length of a chunk without an end":     {chunkedResponse("5\r\nhello\r\n" + strings.Repeat("0", 64<<10)), "", port.ErrBroken},
+		"chunked, a chunk longer than stated":               {chunkedResponse("5\r\nhello, you\r\n0\r\n\r\n"), "", port.ErrBroken},
+		"chunked, a blank line for the length of a chunk":   {chunkedResponse("5\r\nhello\r\n\r\n0\r\n\r\n"), "", port.ErrBroken},
+		"chunked, garbage for trailers":                     {chunkedResponse("5\r\nhello\r\n0\r\nno trailer\r\n\r\n"), "", port.ErrBroken},
+		"chunked, a head of a response for trailers":        {chunkedResponse("5\r\nhello\r\n0\r\nHTTP/1.1 200 OK\r\nId: me\r\n\r\n"), "", port.ErrBroken},
+		"chunked, trailers without an end":                  {chunkedResponse("5\r\nhello\r\n0\r\n" + strings.Repeat("X-Trailer: x\r\n", 64<<10)), "", port.ErrBroken},
+		"chunked, trailers":                                 {chunkedResponse("5\r\nhello\r\n0\r\nX-Trailer: x\r\n\r\n"), "hello", nil},
+		"chunked, an extension of a chunk":                  {chunkedResponse("5;x=y\r\nhello\r\n0\r\n\r\n"), "hello", nil},
+		"a length that is no number": {func(r *bufio.Reader, w net.Conn) {
+			_, _ = io.WriteString(w, strings.Replace(response(request(r), "hello"), "Content-Length: 5", "Content-Length: five", 1))
+		}, "", port.ErrBroken},
+		"two lengths": {func(r *bufio.Reader, w net.Conn) {
+			_, _ = io.WriteString(w, strings.Replace(response(request(r), "hello"), "Content-Length: 5", "Content-Length: 5\r\nContent-Length: 4", 1))
+		}, "", port.ErrBroken},
+		"a stated length, more behind it": {func(r *bufio.Reader, w net.Conn) {
+			_, _ = io.WriteString(w, response(request(r), "hello")+"no answer\n\n")
+		}, "hello", nil},
 		"long": {func(r *bufio.Reader, w net.Conn) { _, _ = io.WriteString(w, response(request(r), long)) }, long, nil},
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -141,8 +169,12 @@
 		first  func(r *bufio.Reader, w net.Conn)
 		reused bool
 	}{
-		"complete":       {func(r *bufio.Reader, w net.Conn) { _, _ = io.WriteString(w, response(request(r), "a")) }, true},
-		"bytes after it": {func(r *bufio.Reader, w net.Conn) { _, _ = io.WriteString(w, response(request(r), "a")+"junk") }, false},
+		"complete":                    {func(r *bufio.Reader, w net.Conn) { _, _ = io.WriteString(w, response(request(r), "a")) }, true},
+		"chunked":                     {chunkedResponse("1\r\na\r\n0\r\n\r\n"), true},
+		"chunked, bytes after it":     {chunkedResponse("1\r\na\r\n0\r\n\r\njunk"), false},
+		"chunked, an event after it":  {chunkedResponse("1\r\na\r\n0\r\n\r\nid: 1\ndata: x\n\n"), false},
+		"chunked, a blank line after": {chunkedResponse("1\r\na\r\n0\r\n\r\n\r\n"), false},
+		"bytes after it":              {func(r *bufio.Reader, w net.Conn) { _, _ = io.WriteString(w, response(request(r), "a")+"junk") }, false},
 		"a second response": {func(r *bufio.Reader, w net.Conn) {
 			id := request(r)
 			_, _ = io.WriteString(w, response(id, "a")+response(id, "b"))
