adapter/peerrpc: opening and accepting connections with keys can be used by other adapters

Dialer opens a connection with or without mutual TLS, Keys.Accept performs the handshake of a listener. Client and Server use them; nothing else changes. go test -race ./adapter/peerrpc passes.

--- a/adapter/peerrpc/client.go
+++ b/adapter/peerrpc/client.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"net"
 	"sync"
 	"time"
@@ -33,14 +32,12 @@
 // WithKeys makes the client use mutual TLS. hostAt returns the id of the host
 // that is listed at an address; the client does not connect to an unlisted address.
 func WithKeys(keys *Keys, hostAt func(address string) (host string, ok bool)) ClientOption {
-	return func(c *Client) { c.keys, c.hostAt = keys, hostAt }
+	return func(c *Client) { c.dialer.Keys, c.dialer.HostAt = keys, hostAt }
 }
 
 // Client calls peers over one shared connection to each. Safe for concurrent use.
 type Client struct {
-	dial   jsonhttp.DialFunc
-	keys   *Keys
-	hostAt func(address string) (string, bool)
+	dialer Dialer
 
 	mu    sync.Mutex
 	conns map[string]*connection
@@ -64,7 +61,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
-	c := &Client{dial: dial, conns: map[string]*connection{}}
+	c := &Client{dialer: Dialer{Dial: dial}, conns: map[string]*connection{}}
 	for _, opt := range opts {
 		opt(c)
 	}
@@ -100,43 +97,13 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	raw, err := c.open(ctx, address)
+	raw, err := c.dialer.Open(ctx, address)
 	if err != nil {
 		return nil, err
 	}
 	return c.add(address, raw), nil
 }
 
-// open dials and, with keys, performs the mutual TLS handshake.
-func (c *Client) open(ctx context.Context, address string) (net.Conn, error) {
-	config, err := c.tlsConfig(address)
-	if err != nil {
-		return nil, err
-	}
-	raw, err := c.dial(ctx, "tcp", address)
-	if err != nil || config == nil {
-		return raw, err
-	}
-	tlsConn := tls.Client(raw, config)
-	if err := tlsConn.HandshakeContext(ctx); err != nil {
-		_ = raw.Close() // no call was sent on it
-		return nil, errors.Wrap(err, "handshake")
-	}
-	return tlsConn, nil
-}
-
-// tlsConfig returns nil when the client has no keys.
-func (c *Client) tlsConfig(address string) (*tls.Config, error) {
-	if c.keys == nil {
-		return nil, nil
-	}
-	host, ok := c.hostAt(address)
-	if !ok {
-		return nil, errors.Errorf("no host is listed at %s", address)
-	}
-	return c.keys.clientConfig(host), nil
-}
-
 // acquire returns the connection to an address and counts one call in progress on
 // it; nil when there is no connection.
 func (c *Client) acquire(address string) *connection {
--- a/adapter/peerrpc/keys.go
+++ b/adapter/peerrpc/keys.go
@@ -1,13 +1,21 @@
 package peerrpc
 
 import (
+	"context"
 	"crypto/tls"
 	"crypto/x509"
+	"net"
 	"os"
+	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/adapter/jsonhttp"
 )
 
+// handshakeTimeout bounds the TLS handshake with a calling peer.
+const handshakeTimeout = 5 * time.Second
+
 // ErrInvalidKeys is returned for key files that cannot be read or do not fit the
 // host.
 var ErrInvalidKeys = errors.New("keys of the peer connections cannot be used")
@@ -61,3 +69,56 @@
 		ServerName:   host,
 	}
 }
+
+// Accept performs the TLS handshake with a caller. It closes the connection if the
+// handshake fails.
+func (k *Keys) Accept(ctx context.Context, conn net.Conn) (*tls.Conn, error) {
+	tlsConn := tls.Server(conn, k.serverConfig())
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	if err := tlsConn.HandshakeContext(ctx); err != nil {
+		_ = conn.Close() // nothing was received on it
+		return nil, errors.Wrap(err, "handshake")
+	}
+	return tlsConn, nil
+}
+
+// Dialer opens connections to hosts.
+type Dialer struct {
+	Dial jsonhttp.DialFunc
+	// Keys make the connections use mutual TLS; nil for connections without it.
+	Keys *Keys
+	// HostAt returns the id of the host that is listed at an address. With Keys, no
+	// connection is opened to an unlisted address.
+	HostAt func(address string) (host string, ok bool)
+}
+
+// Open dials and, with keys, performs the mutual TLS handshake.
+func (d Dialer) Open(ctx context.Context, address string) (net.Conn, error) {
+	config, err := d.tlsConfig(address)
+	if err != nil {
+		return nil, err
+	}
+	raw, err := d.Dial(ctx, "tcp", address)
+	if err != nil || config == nil {
+		return raw, err
+	}
+	tlsConn := tls.Client(raw, config)
+	if err := tlsConn.HandshakeContext(ctx); err != nil {
+		_ = raw.Close() // nothing was sent on it
+		return nil, errors.Wrap(err, "handshake")
+	}
+	return tlsConn, nil
+}
+
+// tlsConfig returns nil when there are no keys.
+func (d Dialer) tlsConfig(address string) (*tls.Config, error) {
+	if d.Keys == nil {
+		return nil, nil
+	}
+	host, ok := d.HostAt(address)
+	if !ok {
+		return nil, errors.Errorf("no host is listed at %s", address)
+	}
+	return d.Keys.clientConfig(host), nil
+}
--- a/adapter/peerrpc/peerrpc.go
+++ b/adapter/peerrpc/peerrpc.go
@@ -7,13 +7,11 @@
 
 import (
 	"context"
-	"crypto/tls"
 	"encoding/json"
 	"io"
 	"log"
 	"net"
 	"sync"
-	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -24,9 +22,6 @@
 // methodHeartbeat is answered by every server.
 const methodHeartbeat = "peer.heartbeat"
 
-// handshakeTimeout bounds the TLS handshake with a calling peer.
-const handshakeTimeout = 5 * time.Second
-
 // discardLog keeps package jsonrpc2 from writing to the standard logger: errors are
 // returned to the calling code, and the end of a connection is not worth a log line.
 var discardLog = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
@@ -79,12 +74,9 @@
 // serveTLS performs the TLS handshake and then serves the peer under the names in
 // its certificate.
 func (s *Server) serveTLS(ctx context.Context, conn net.Conn) {
-	tlsConn := tls.Server(conn, s.keys.serverConfig())
-	handshake, cancel := context.WithTimeout(ctx, handshakeTimeout)
-	defer cancel()
-	if err := tlsConn.HandshakeContext(handshake); err != nil {
-		_ = conn.Close() // no call was received on it
-		return
+	tlsConn, err := s.keys.Accept(ctx, conn)
+	if err != nil {
+		return // no call was received on it
 	}
 	s.serve(port.WithPeerNames(ctx, tlsConn.ConnectionState().PeerCertificates[0].DNSNames), tlsConn)
 }
