--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -245,7 +245,7 @@
 func TestLogEvents(t *testing.T) {
 	is := is.New(t)
 	code := map[string]bool{}
-	for _, pattern := range []string{"../gateway/*.go", "../daemon/*.go", "../eventlog/*.go", "../platform/*.go"} {
+	for _, pattern := range []string{"../gateway/*.go", "../daemon/*.go", "../eventlog/*.go", "../platform/*.go", "../adapter/*/*.go"} {
 		files, err := filepath.Glob(pattern)
 		is.NoErr(err)
 		for _, file := range files {
