--- a/adapter/peerrpc/keys_test.go
+++ b/adapter/peerrpc/keys_test.go
@@ -3,19 +3,11 @@
 import (
 	"bytes"
 	"context"
-	"crypto/ecdsa"
-	"crypto/elliptic"
-	"crypto/rand"
-	"crypto/x509"
-	"crypto/x509/pkix"
 	"encoding/json"
-	"encoding/pem"
 	"fmt"
 	"io"
-	"math/big"
 	"net"
 	"os"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -23,67 +15,10 @@
 	"github.com/pkg/errors"
 
 	"github.com/cicadanotch/cicadanotch/adapter/peerrpc"
+	"github.com/cicadanotch/cicadanotch/adapter/peerrpc/keystest"
 	"github.com/cicadanotch/cicadanotch/port"
 )
 
-// testCA is a certificate authority that signs certificates for hosts.
-type testCA struct {
-	is   *is.I
-	dir  string
-	cert *x509.Certificate
-	key  *ecdsa.PrivateKey
-}
-
-func newTestCA(t *testing.T) *testCA {
-	a := &testCA{is: is.New(t), dir: t.TempDir()}
-	a.key = a.newKey()
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "authority"}, IsCA: true,
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		KeyUsage: x509.KeyUsageCertSign, BasicConstraintsValid: true,
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, template, &a.key.PublicKey, a.key)
-	a.is.NoErr(err)
-	a.cert, err = x509.ParseCertificate(der)
-	a.is.NoErr(err)
-	a.write("ca.pem", "CERTIFICATE", der)
-	return a
-}
-
-func (a *testCA) newKey() *ecdsa.PrivateKey {
-	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
-	a.is.NoErr(err)
-	return key
-}
-
-func (a *testCA) write(name, kind string, der []byte) string {
-	path := filepath.Join(a.dir, name)
-	a.is.NoErr(os.WriteFile(path, pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: der}), 0o600))
-	return path
-}
-
-// writeKeyPair writes the key pair of a host and returns the paths of the files.
-func (a *testCA) writeKeyPair(host string) (cert, key, ca string) {
-	k := a.newKey()
-	template := &x509.Certificate{
-		SerialNumber: big.NewInt(2), DNSNames: []string{host},
-		NotBefore: time.Now().Add(-time.Hour), NotAfter: time.Now().Add(time.Hour),
-		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
-	}
-	der, err := x509.CreateCertificate(rand.Reader, template, a.cert, &k.PublicKey, a.key)
-	a.is.NoErr(err)
-	keyDER, err := x509.MarshalPKCS8PrivateKey(k)
-	a.is.NoErr(err)
-	return a.write(host+".pem", "CERTIFICATE", der), a.write(host+".key", "PRIVATE KEY", keyDER), filepath.Join(a.dir, "ca.pem")
-}
-
-func (a *testCA) keys(host string) *peerrpc.Keys {
-	cert, key, ca := a.writeKeyPair(host)
-	keys, err := peerrpc.LoadKeys(cert, key, ca, host)
-	a.is.NoErr(err)
-	return keys
-}
-
 // serve starts a server and returns its address. Its method "whoami" reports whether
 // the caller is authorized to act as host jos-a-1; its method "wait" never answers.
 func serve(t *testing.T, keys *peerrpc.Keys) string {
@@ -110,7 +45,7 @@
 }
 
 func TestMutualTLS(t *testing.T) {
-	own, other := newTestCA(t), newTestCA(t)
+	own, other := keystest.NewAuthority(t), keystest.NewAuthority(t)
 	listed := func(name string) func(string) (string, bool) {
 		return func(string) (string, bool) { return name, name != "" }
 	}
@@ -120,16 +55,16 @@
 		err     error
 		allowed bool
 	}{
-		"peer":                  {own.keys("jos-a-1"), listed("jos-a-2"), nil, true},
-		"peer, another name":    {own.keys("jos-a-3"), listed("jos-a-2"), nil, false},
-		"wrong host at address": {own.keys("jos-a-1"), listed("jos-b-9"), port.ErrPeerUnreachable, false},
-		"unlisted address":      {own.keys("jos-a-1"), listed(""), port.ErrPeerUnreachable, false},
-		"other authority":       {other.keys("jos-a-1"), listed("jos-a-2"), port.ErrPeerUnreachable, false},
+		"peer":                  {own.Keys("jos-a-1"), listed("jos-a-2"), nil, true},
+		"peer, another name":    {own.Keys("jos-a-3"), listed("jos-a-2"), nil, false},
+		"wrong host at address": {own.Keys("jos-a-1"), listed("jos-b-9"), port.ErrPeerUnreachable, false},
+		"unlisted address":      {own.Keys("jos-a-1"), listed(""), port.ErrPeerUnreachable, false},
+		"other authority":       {other.Keys("jos-a-1"), listed("jos-a-2"), port.ErrPeerUnreachable, false},
 		"no keys":               {nil, nil, port.ErrPeerBroken, false},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			address := serve(t, own.keys("jos-a-2"))
+			address := serve(t, own.Keys("jos-a-2"))
 			var opts []peerrpc.ClientOption
 			if tc.client != nil {
 				opts = append(opts, peerrpc.WithKeys(tc.client, tc.hostAt))
@@ -146,7 +81,7 @@
 
 func TestKeysMustCarryTheHostsName(t *testing.T) {
 	is := is.New(t)
-	cert, key, ca := newTestCA(t).writeKeyPair("jos-a-1")
+	cert, key, ca := keystest.NewAuthority(t).WriteKeyPair("jos-a-1")
 	_, err := peerrpc.LoadKeys(cert, key, ca, "jos-a-2")
 	is.True(errors.Is(err, peerrpc.ErrInvalidKeys))
 	_, err = peerrpc.LoadKeys(cert, key, key, "jos-a-1") // the file holds no certificate
