--- a/adapter/tunnel/passage.go
+++ b/adapter/tunnel/passage.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"net"
+	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -31,9 +33,14 @@
 	// reason is why the Gate refused the second time; set before the state becomes nonePassed.
 	reason      Reason
 	inboundDone chan struct{}
-	// toEndpoint counts the bytes passed on to the endpoint, fromEndpoint those from it.
-	toEndpoint   atomic.Int64
+	// fromEndpoint counts the bytes passed on from the endpoint.
 	fromEndpoint int64
+
+	// mu is held while bytes are written to the endpoint.
+	mu sync.Mutex
+	// toEndpoint counts the bytes passed on to the endpoint, writeErr is why no more were.
+	toEndpoint int64
+	writeErr   error
 }
 
 // run opens the connection to the endpoint and passes bytes on until one side has ended.
@@ -79,16 +86,24 @@
 		if p.state.Load() != somePassed && !p.beginToPass() {
 			return
 		}
-		n, err := p.endpoint.Write(b)
-		p.toEndpoint.Add(int64(n))
-		if err != nil {
+		if p.write(b) != nil {
 			return
 		}
-		p.link.done(n)
+		p.link.done(len(b))
 		spare = b
 	}
 }
 
+// write writes bytes to the endpoint.
+func (p *passage) write(b []byte) error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n, err := p.endpoint.Write(b)
+	p.toEndpoint += int64(n)
+	p.writeErr = err
+	return err
+}
+
 // beginToPass asks the Gate once more before the first byte is passed on.
 func (p *passage) beginToPass() bool {
 	if p.reason = p.server.ask(p.target); p.reason != "" {
@@ -128,6 +143,9 @@
 		return
 	}
 	last, event := frame(frameEnd, nil), EventEnded
+	if err == io.EOF {
+		err = p.cleanEnd()
+	}
 	reason := p.refusedReason(err)
 	switch {
 	case reason != "":
@@ -146,12 +164,29 @@
 	<-p.inboundDone
 }
 
+// cleanEnd returns io.EOF if the endpoint has ended the connection, and the error if it
+// broke: the kernel reports an error once, so a read returns io.EOF after a write that
+// failed. EPIPE is the error of a write after a clean end.
+func (p *passage) cleanEnd() error {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.writeErr == nil || errors.Is(p.writeErr, syscall.EPIPE) || errors.Is(p.writeErr, net.ErrClosed) {
+		return io.EOF
+	}
+	return p.writeErr
+}
+
 // refusedReason returns why no byte was passed on, if none was and none will be.
 func (p *passage) refusedReason(err error) Reason {
-	switch {
-	case p.state.Load() == nonePassed:
+	if p.state.Load() == nonePassed {
 		return p.reason
-	case err != io.EOF && p.state.CompareAndSwap(nothingPassed, nonePassed):
+	}
+	if err == io.EOF || p.fromEndpoint > 0 {
+		return ""
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.state.CompareAndSwap(nothingPassed, nonePassed) || (p.writeErr != nil && p.toEndpoint == 0) {
 		return ReasonUnreachable
 	}
 	return ""
@@ -185,7 +220,10 @@
 func (p *passage) report(event string, err error) {
 	s := p.server
 	s.opts.Event(event)
+	p.mu.Lock()
+	sent := p.toEndpoint
+	p.mu.Unlock()
 	s.opts.Logger.Info().Str("event", "tunnel").Str("from", p.link.raw.RemoteAddr().String()).Str("endpoint", p.target.Endpoint).
-		Str("address", p.target.Address).Str("result", event).Int64("sent", p.toEndpoint.Load()).Int64("received", p.fromEndpoint).
+		Str("address", p.target.Address).Str("result", event).Int64("sent", sent).Int64("received", p.fromEndpoint).
 		Dur("after", time.Since(p.start)).Err(err).Msg("")
 }
--- a/adapter/tunnel/server.go
+++ b/adapter/tunnel/server.go
@@ -117,8 +117,8 @@
 				s.serve(ctx, conn)
 			}()
 		default:
-			_ = conn.Close() // nothing was received on it
 			s.unusable(conn, errors.Errorf("more than %d connections", s.opts.MaxTunnels+spareConns))
+			_ = conn.Close() // nothing was received on it
 		}
 	}
 }
