gateway, daemon: hosts carry connections of other hosts to endpoints

A host that has lost its own paths to the endpoints needs another one's. Each host now accepts tunnels at the second of its internal ports, and opens in them connections to endpoints that it may use itself: listed at that address, not leaving, and without a wish for time. port.Forward.Via names the host that an attempt goes through; the request, its deadline, its ids and its budgets stay where it was accepted. Errors tell whose fault it is: ErrHelper and its kinds state that nothing was sent, ErrHelperBroken that the path ended and not the endpoint's connection. A leaving host waits for what it carries.

Nothing uses Via yet.

--- a/adapter/endpointhttp/body.go
+++ b/adapter/endpointhttp/body.go
@@ -24,7 +24,9 @@
 		b.finish()
 	case err != nil:
 		b.closeConn()
-		err = errors.Wrap(port.ErrBroken, err.Error())
+		if !errors.Is(err, port.ErrHelperBroken) {
+			err = errors.Wrap(port.ErrBroken, err.Error())
+		}
 	}
 	return n, err
 }
--- a/adapter/endpointhttp/endpointhttp.go
+++ b/adapter/endpointhttp/endpointhttp.go
@@ -78,10 +78,17 @@
 	sweepInterval = time.Second
 )
 
+// DialViaFunc opens a connection to an endpoint through another host, whose address is via. Its errors are a
+// port.ErrNotSent. Reads and writes of the connection return a port.ErrHelperBroken if the path has ended.
+type DialViaFunc func(ctx context.Context, via, endpoint, address string) (net.Conn, error)
+
 // Pool holds the connections to all endpoints. Safe for concurrent use.
 type Pool struct {
 	codec Codec
 	dial  jsonhttp.DialFunc
+	// DialVia opens the connections of requests that go through another host. Set it before the first request; without
+	// it such requests are not sent.
+	DialVia DialViaFunc
 
 	mu        sync.Mutex
 	byAddress map[string]*addressConns
@@ -131,6 +138,8 @@
 	// idleDeadline is the time from which the idle connection must not be used,
 	// because the endpoint may close it.
 	idleDeadline time.Time
+	// viaHost is set if the connection goes through another host. It carries one request.
+	viaHost bool
 	// wasPooled is set when the connection is returned to the pool for the first time;
 	// each request after that reuses the connection.
 	wasPooled bool
@@ -169,7 +178,7 @@
 // get returns a reusable idle connection or opens a new one.
 func (p *Pool) get(ctx context.Context, f *port.Forward) (*conn, error) {
 	p.sweep()
-	for {
+	for f.Via == "" {
 		c := p.takeIdle(f.Address)
 		if c == nil {
 			break
@@ -184,18 +193,33 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
-	raw, err := p.dial(ctx, "tcp", f.Address)
+	raw, err := p.open(ctx, f)
 	if err != nil {
 		p.unreserve(f.Address)
-		return nil, errors.Wrapf(port.ErrNotSent, "dial %s: %v", f.Address, err)
+		return nil, err
 	}
 	received := &boundedReader{Reader: raw}
 	return &conn{
-		Conn: raw, pool: p, address: f.Address, received: received,
+		Conn: raw, pool: p, address: f.Address, received: received, viaHost: f.Via != "",
 		reader: bufio.NewReaderSize(received, readBufferBytes), writer: bufio.NewWriterSize(raw, writeBufferBytes),
 	}, nil
 }
 
+// open opens a connection for a request. Its errors are a port.ErrNotSent.
+func (p *Pool) open(ctx context.Context, f *port.Forward) (net.Conn, error) {
+	switch {
+	case f.Via == "":
+		raw, err := p.dial(ctx, "tcp", f.Address)
+		if err != nil {
+			return nil, errors.Wrapf(port.ErrNotSent, "dial %s: %v", f.Address, err)
+		}
+		return raw, nil
+	case p.DialVia == nil:
+		return nil, errors.Wrapf(port.ErrHelper, "dial %s through %s: this host opens no such connections", f.Address, f.Via)
+	}
+	return p.DialVia(ctx, f.Via, f.Endpoint, f.Address)
+}
+
 // takeIdle removes the last used idle connection from the pool and returns it; nil if
 // there is none that has not expired. The connection may still be unusable.
 func (p *Pool) takeIdle(address string) *conn {
@@ -245,7 +269,7 @@
 // closes the connection instead if idleTime is not positive or if bytes follow the
 // response.
 func (p *Pool) put(c *conn, idleTime time.Duration) {
-	if idleTime <= 0 || c.reader.Buffered() > 0 {
+	if idleTime <= 0 || c.viaHost || c.reader.Buffered() > 0 {
 		if c.reader.Buffered() > 0 {
 			p.updateStats(func(s *Stats) { s.UnexpectedBytes++ })
 		}
@@ -329,6 +353,9 @@
 		if errors.Is(err, port.ErrEndless) {
 			return nil, errors.Wrapf(port.ErrEndless, "%s: more than %d bytes of head", f.Address, maxHeadBytes)
 		}
+		if errors.Is(err, port.ErrHelperBroken) || errors.Is(err, port.ErrNotSent) {
+			return nil, errors.Wrapf(err, "%s through %s", f.Address, f.Via)
+		}
 		return nil, errors.Wrapf(port.ErrBroken, "%s: %v", f.Address, err)
 	}
 	return reply, nil
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -20,6 +20,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/cicadanotch/cicadanotch/adapter/peerrpc"
+	"github.com/cicadanotch/cicadanotch/adapter/tunnel"
 	"github.com/cicadanotch/cicadanotch/eventlog"
 	"github.com/cicadanotch/cicadanotch/gateway"
 	"github.com/cicadanotch/cicadanotch/platform"
@@ -121,7 +122,10 @@
 	peers   *peerrpc.Server
 	// peerListener is nil if the settings have no address for peers.
 	peerListener net.Listener
-	group        errgroup.Group
+	// tunnels and tunnelListener are nil if the settings have no address for tunnels.
+	tunnels        *tunnel.Server
+	tunnelListener net.Listener
+	group          errgroup.Group
 	// failed receives a value when a server fails.
 	failed chan struct{}
 	logger *log.Logger
@@ -134,6 +138,7 @@
 
 func startHost(s platform.Settings, logger *log.Logger, open listenFunc, wrap ...func(*gateway.Ports)) (*host, error) {
 	endpoints := platform.NewEndpoints(nil)
+	endpoints.DialVia = tunnel.NewClient(nil).DialEndpoint
 	ports := gateway.Ports{
 		Store: platform.NewStore(s.StoreAddress, nil, logger), Endpoints: endpoints, IdleConnections: endpoints,
 		LeaderAPI: platform.NewCloud(s.CloudAddress, nil), Peers: peerrpc.NewClient(nil),
@@ -167,6 +172,9 @@
 	if err := h.servePeers(s.Gateway.Peer, open); err != nil {
 		return nil, err
 	}
+	if err := h.serveTunnels(s.Gateway.Tunnel, open); err != nil {
+		return nil, err
+	}
 	g.Start()
 	return h, nil
 }
@@ -239,6 +247,7 @@
 		_ = h.peerListener.Close() // calls of peers in progress may be dropped
 		h.peers.Close()
 	}
+	h.closeTunnels()
 	err := h.group.Wait()
 	if stopErr := h.gateway.Stop(); err == nil {
 		err = stopErr
--- /dev/null
+++ b/daemon/tunnels.go
@@ -0,0 +1,37 @@
+package daemon
+
+import (
+	"context"
+	"net"
+
+	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/adapter/tunnel"
+)
+
+// serveTunnels carries connections of hosts that are cut off from endpoints. It does nothing if address is empty.
+func (h *host) serveTunnels(address string, open listenFunc) error {
+	if address == "" {
+		return nil
+	}
+	listener, err := open(address)
+	if err != nil {
+		return errors.Wrap(err, "listen")
+	}
+	g := h.gateway
+	gate := func(t tunnel.Target) tunnel.Reason { return tunnel.Reason(g.RefuseTunnel(t.Endpoint, t.Address)) }
+	h.tunnels = tunnel.NewServer((&net.Dialer{}).DialContext, gate, tunnel.Options{Logger: h.logger, Event: g.RecordTunnel})
+	g.WatchTunnels(h.tunnels.Tunnels)
+	h.tunnelListener = listener
+	h.group.Go(func() error { return h.tunnels.Serve(context.Background(), listener) })
+	return nil
+}
+
+// closeTunnels ends the connections that are carried for other hosts.
+func (h *host) closeTunnels() {
+	if h.tunnels == nil {
+		return
+	}
+	_ = h.tunnelListener.Close() // no further ones are opened
+	h.tunnels.Close()
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -226,6 +226,9 @@
 	tracker := &sendTracker{c: c, endpointAttempt: a, moved: a.kvCopy != nil}
 	reply, err := c.g.ports.Endpoints.Forward(ctx, c.newForward(a, tracker))
 	if err != nil {
+		if errors.Is(err, port.ErrNotSent) {
+			tracker.declined()
+		}
 		return c.classifyFailure(ctx, a, err)
 	}
 	defer reply.Body.Close()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -48,7 +48,9 @@
 	// CPU capacity in cores.
 	Address string
 	Peer    string
-	Cores   float64
+	// Tunnel is where the host carries connections of other hosts, as ip:port; empty if it does not.
+	Tunnel string
+	Cores  float64
 	// DrainPeriod is how long an endpoint continues to serve after it is listed as draining.
 	DrainPeriod time.Duration
 	// GracePeriod is the grace period between the request to stop and the end of the process.
@@ -125,18 +127,20 @@
 	// speedsLoggedAt and statementsLoggedAt are used by exchangeLoads only, see logSpeeds.
 	speedsLoggedAt, statementsLoggedAt time.Time
 
-	budgets      sync.Map // service name to *attempt.WindowBudget
-	answerTimes  sync.Map // service name to *attempt.ResponseTimeEstimator
-	hostCount    atomic.Int64
-	heldBytes    atomic.Int64             // of answers that are not forwarded yet, see heldBytes
-	limitHosts   atomic.Pointer[[]string] // hosts among which the limits of endpoints are divided
-	calls        callTable
-	relays       *relayState
-	placer       *placerState
-	quarantine   *quarantineState
-	overload     *overloadState
-	lineage      *lineageState
-	checks       *registryChecks
+	budgets     sync.Map // service name to *attempt.WindowBudget
+	answerTimes sync.Map // service name to *attempt.ResponseTimeEstimator
+	hostCount   atomic.Int64
+	heldBytes   atomic.Int64             // of answers that are not forwarded yet, see heldBytes
+	limitHosts  atomic.Pointer[[]string] // hosts among which the limits of endpoints are divided
+	calls       callTable
+	relays      *relayState
+	placer      *placerState
+	quarantine  *quarantineState
+	overload    *overloadState
+	lineage     *lineageState
+	checks      *registryChecks
+	// carried returns the number of connections that this host carries for others.
+	carried      func() int
 	era          eraState
 	leader       *leaderState
 	rollouts     *rolloutState
@@ -202,6 +206,7 @@
 	g.overload = newOverloadState()
 	g.lineage = newLineageState(now)
 	g.checks = newRegistryChecks(g)
+	g.carried = func() int { return 0 }
 	g.quarantine = newQuarantineState()
 	g.rollouts = newRolloutState()
 	g.grants = newGrantState(opts.Host, now)
@@ -313,7 +318,7 @@
 		g.calls.close()
 		return true
 	}
-	if g.calls.len() > 0 || now.Sub(began) < addressTTLFactor*g.opts.AddressTTL {
+	if g.calls.len() > 0 || g.carried() > 0 || now.Sub(began) < addressTTLFactor*g.opts.AddressTTL {
 		return false
 	}
 	return now.Sub(g.calls.lastArrival()) >= leaveIdleTime && g.calls.closeIfIdle()
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -39,6 +39,7 @@
 	garbage       prometheus.Counter
 	probes        *prometheus.CounterVec
 	deaths        prometheus.Counter
+	tunnels       *prometheus.CounterVec
 
 	rolloutChanges     *prometheus.CounterVec
 	rolloutAnswers     *prometheus.CounterVec
@@ -142,6 +143,10 @@
 		Name: "cicadanotch_gateway_endpoint_deaths_total",
 		Help: "Records of this host that an endpoint ended while it had requests there, two for each endpoint at the most.",
 	})
+	m.tunnels = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_tunnels_total",
+		Help: "Connections to endpoints that this host carries for others, by event (opened, ended, left, broke, unusable, refused-REASON), and those that another host failed to carry for it (failed).",
+	}, []string{"event"})
 	m.rolloutChanges = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cicadanotch_gateway_rollout_changes_total",
 		Help: "Changes of roll-outs that this host decided as the leader, by state.",
@@ -178,7 +183,7 @@
 		Name: "cicadanotch_gateway_header_faults_total",
 		Help: "Answers of endpoints with a header that could not be used as sent.",
 	})
-	m.registry.MustRegister(m.headerFaults, m.limitShares, m.limitsGranted, m.refusedWithinLimit, m.overloads, m.rolloutChanges, m.rolloutAnswers, m.rolloutWithheld, m.rolloutWaits, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.garbage, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
+	m.registry.MustRegister(m.headerFaults, m.tunnels, m.limitShares, m.limitsGranted, m.refusedWithinLimit, m.overloads, m.rolloutChanges, m.rolloutAnswers, m.rolloutWithheld, m.rolloutWaits, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.garbage, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
 		m.feedReads, m.version, m.hosts, m.fencingToken, m.leaderCalls, m.moves, collectors.NewGoCollector())
 	return m
 }
--- a/port/forward.go
+++ b/port/forward.go
@@ -25,6 +25,14 @@
 	// ErrTooManyConnections means that this host uses all of its share of connections
 	// to the endpoint. Nothing was sent.
 	ErrTooManyConnections = errors.New("share of connections in use")
+	// ErrHelper is an ErrNotSent: the host that was to carry the request could not be reached, or has refused.
+	// ErrHelperCutOff is an ErrHelper: that host is cut off from the endpoints itself; ErrHelperFull: it carries as many
+	// requests as it may.
+	ErrHelper       = fmt.Errorf("another host does not carry the request: %w", ErrNotSent)
+	ErrHelperCutOff = fmt.Errorf("it is cut off: %w", ErrHelper)
+	ErrHelperFull   = fmt.Errorf("it is full: %w", ErrHelper)
+	// ErrHelperBroken is an ErrBroken: the path through another host ended, which tells nothing of the endpoint.
+	ErrHelperBroken = fmt.Errorf("path through another host: %w", ErrBroken)
 	// ErrNotListening means that no process listens at the endpoint's address: the connection was refused.
 	ErrNotListening = errors.New("no process listens at the address")
 )
@@ -84,6 +92,8 @@
 	// FetchFrom is the address of an engine from which cached parts of the prompt are fetched before the prefill;
 	// empty for none.
 	FetchFrom string
+	// Via is the address of another host that carries the request to the endpoint; empty for none.
+	Via string
 	// MaxConnections is this host's share of the endpoint's connections.
 	MaxConnections int
 	// Sending is called once a connection is open, immediately before the first byte may
@@ -150,6 +160,18 @@
 	Body        io.ReadCloser
 }
 
+// TunnelRefusal is why a host does not carry a connection of another host; empty if it does.
+type TunnelRefusal string
+
+// Reasons of refusals.
+const (
+	TunnelCutOff          TunnelRefusal = "cut-off"
+	TunnelLeaving         TunnelRefusal = "leaving"
+	TunnelUnknownEndpoint TunnelRefusal = "unknown-endpoint"
+	// TunnelPaused means that the endpoint takes no requests from the helping host now: it leaves, or has asked for time.
+	TunnelPaused TunnelRefusal = "paused"
+)
+
 // StreamMove is a command to an engine to copy a running request to another engine.
 type StreamMove struct {
 	RequestID string
