gateway, drain: a stopping host accepts only what it can show to end in time

What callers saw: requests that came later than 3 s after the SIGTERM of their host were passed on and cut without an answer at the end of the grace period, among them requests that may not be sent again (LOST).

Cause: the time that a request needs was a constant of 1 s for calls, and for streams 60 ms for each event after 1.5 s; the time that was left was taken when the head of the request had come, not when it was whole.

Change: drain.Durations keeps how long the latest requests of each route took on this host, also the time to the first event and between events. A leaving host accepts a request, once it has been read completely, if its deadline or the timeout of its route passes before the process ends, or if one and a half times what all but two in a hundred of the latest took (for a stream: for its stated size, and with a pause of a second) still fits. Without enough requests to tell, or if it does not fit, it answers 503, not run, with Retry-After. The same holds before a further attempt of a request that no endpoint has run. Refused requests, too, count as arrivals that keep a leaving host up for a moment: it left while callers still sent to it.

TestLeaving: the row "a call, late" expected a call to be accepted 6 s after the signal on a host that had served none, because of the constant. It has 20 calls before now, and rows without any expect the refusal; six rows are new in all, none is gone.

--- /dev/null
+++ b/drain/acceptance_test.go
@@ -0,0 +1,74 @@
+package drain
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// TestAcceptanceWhileStopping guards against a stopping host that accepts requests which it can't finish: it replays
+// the latest requests of a route, and then the stop.
+func TestAcceptanceWhileStopping(t *testing.T) {
+	const (
+		grace = 8 * time.Second
+		ms    = time.Millisecond
+	)
+	stop := time.Unix(1_000_000, 0)
+	repeat := func(n int, s Duration) []Duration {
+		out := make([]Duration, 0, n)
+		for i := range n {
+			s.EndedAt = stop.Add(-time.Duration(n-i) * 100 * ms)
+			out = append(out, s)
+		}
+		return out
+	}
+	stream := func(first, interval time.Duration) Duration {
+		return Duration{Total: first + 20*interval, FirstEvent: first, Interval: interval}
+	}
+	for name, tc := range map[string]struct {
+		before   []Duration
+		events   int
+		deadline time.Duration // of the request, from when it was whole
+		// last is when, after the stop began, a request is accepted for the last time; negative for never.
+		last time.Duration
+	}{
+		"steady calls":                        {repeat(100, Duration{Total: 200 * ms}), 0, 9 * time.Second, 7700 * ms},
+		"calls that take seconds":             {repeat(100, Duration{Total: 4500 * ms}), 0, 9 * time.Second, 1250 * ms},
+		"calls that take too long":            {repeat(100, Duration{Total: 6 * time.Second}), 0, 10 * time.Second, -1},
+		"no calls before":                     {nil, 0, 9 * time.Second, -1},
+		"no calls before, they surely end":    {nil, 0, 2 * time.Second, 6 * time.Second},
+		"too few calls before":                {repeat(minSamples-1, Duration{Total: 10 * ms}), 0, 9 * time.Second, -1},
+		"calls of long ago":                   {repeat(2000, Duration{Total: 200 * ms})[:500], 0, 9 * time.Second, -1},
+		"one long call among few":             {append(repeat(9, Duration{Total: 100 * ms}), Duration{EndedAt: stop, Total: 2 * time.Second}), 0, 9 * time.Second, 5 * time.Second},
+		"one long call among many":            {append(repeat(120, Duration{Total: 100 * ms}), Duration{EndedAt: stop, Total: 2 * time.Second}), 0, 9 * time.Second, 7850 * ms},
+		"a surge, calls three times as slow":  {append(repeat(100, Duration{Total: 200 * ms}), repeat(12, Duration{Total: 600 * ms})...), 0, 9 * time.Second, 7100 * ms},
+		"calls that got fast again":           {append(repeat(100, Duration{Total: 3 * time.Second}), repeat(maxSamples, Duration{Total: 200 * ms})...), 0, 9 * time.Second, 7700 * ms},
+		"short streams":                       {repeat(100, stream(200*ms, 50*ms)), 11, 15 * time.Second, 6200 * ms},
+		"a long stream after short ones":      {repeat(100, stream(200*ms, 50*ms)), 101, 15 * time.Second, 1700 * ms},
+		"a stream that never fits":            {repeat(100, stream(200*ms, 50*ms)), 201, 15 * time.Second, -1},
+		"slow on-time streams":                {repeat(100, stream(250*ms, 250*ms)), 22, 12 * time.Second, 1375 * ms},
+		"streams without a stated size":       {repeat(100, stream(200*ms, 50*ms)), 0, 15 * time.Second, 6200 * ms},
+		"streams of one event say little":     {repeat(100, Duration{Total: 100 * ms, FirstEvent: 100 * ms}), 50, 15 * time.Second, -1},
+		"a long stream with a short deadline": {repeat(100, stream(200*ms, 50*ms)), 201, 3 * time.Second, 5 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			var d Durations
+			for _, s := range tc.before {
+				d.Record(s)
+			}
+			ends := stop.Add(grace)
+			last := time.Duration(-1)
+			for at := time.Duration(0); at <= grace; at += 25 * ms {
+				now := stop.Add(at)
+				needs, known := d.Estimate(now, tc.events)
+				a := Arrival{Deadline: now.Add(tc.deadline), Needs: needs, Known: known}
+				if !now.After(a.LastAcceptance(ends)) {
+					last = at
+				}
+			}
+			is.Equal(last, tc.last)
+		})
+	}
+}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -29,7 +29,8 @@
 	g       *Gateway
 	req     *port.Request
 	out     Responder
-	arrived time.Time
+	arrived time.Time // when the head was read
+	wholeAt time.Time // when the body was read too
 
 	version   int64
 	route     *catalog.Route
@@ -150,6 +151,10 @@
 		}
 		switch next {
 		case stepRetry, stepResume:
+			if p := c.refuseLateRetry(time.Now()); p != nil {
+				c.giveUp(p)
+				return
+			}
 			continue
 		case stepDone:
 			c.recordGenerationTime()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -12,7 +12,6 @@
 
 import (
 	"context"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,7 +26,6 @@
 	"github.com/cicadanotch/cicadanotch/placement"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/presence"
-	"github.com/cicadanotch/cicadanotch/problem"
 	"github.com/cicadanotch/cicadanotch/quota"
 	"github.com/cicadanotch/cicadanotch/rollout"
 	"github.com/cicadanotch/cicadanotch/scaling"
@@ -127,6 +125,7 @@
 
 	budgets      sync.Map // service name to *attempt.WindowBudget
 	answerTimes  sync.Map // service name to *attempt.ResponseTimeEstimator
+	durations    durationTable
 	hostCount    atomic.Int64
 	heldBytes    atomic.Int64             // of answers that are not forwarded yet, see heldBytes
 	limitHosts   atomic.Pointer[[]string] // hosts among which the limits of endpoints are divided
@@ -142,8 +141,9 @@
 	rollouts     *rolloutState
 	grants       *grantState
 	leaving      atomic.Bool
-	endsAt       atomic.Int64 // deadline for the end of a leaving process, Unix nanoseconds
-	leaveStarted chan struct{}
+	endsAt       atomic.Int64    // deadline for the end of a leaving process, Unix nanoseconds
+	leaveContext context.Context // ends when the host begins to leave
+	startLeaving context.CancelFunc
 
 	startedAt       time.Time
 	configured      chan struct{} // closed when a configuration is in force
@@ -179,6 +179,7 @@
 // New returns a gateway that is not started.
 func New(opts Options, ports Ports) *Gateway {
 	now := time.Now()
+	leaveContext, startLeaving := context.WithCancel(context.Background())
 	g := &Gateway{
 		opts: opts, ports: ports, log: ports.Logger, tomb: &tomb.Tomb{},
 		fleet:        fleet.NewTable(registryRecoveryTime),
@@ -191,7 +192,7 @@
 		speeds:       speed.NewTable(),
 		metrics:      newMetrics(),
 		startedAt:    now,
-		leaveStarted: make(chan struct{}), configured: make(chan struct{}), hostsRead: make(chan struct{}),
+		leaveContext: leaveContext, startLeaving: startLeaving, configured: make(chan struct{}), hostsRead: make(chan struct{}),
 	}
 	g.metrics.watchFeeds(g)
 	g.metrics.registry.MustRegister(speedCollector{g})
@@ -273,7 +274,7 @@
 	began := time.Now()
 	g.endsAt.Store(began.Add(g.opts.GracePeriod - leaveMargin).UnixNano())
 	g.log.Info().Str("event", "stop").Int("in_progress", g.calls.len()).Msg("removing the host from the address answers")
-	close(g.leaveStarted)
+	g.startLeaving()
 	tick := time.NewTicker(leaveCheckInterval)
 	defer tick.Stop()
 	for {
@@ -302,12 +303,6 @@
 	addressTTLFactor = 3
 )
 
-// timeLeft returns how long a leaving process continues to run.
-func (g *Gateway) timeLeft(now time.Time) (time.Duration, bool) {
-	at := g.endsAt.Load()
-	return time.Unix(0, at).Sub(now), at != 0
-}
-
 func (g *Gateway) canExit(now, began time.Time) bool {
 	if now.Sub(began) >= g.opts.GracePeriod-leaveMargin {
 		g.calls.close()
@@ -326,12 +321,6 @@
 // EndRequest records the end of a request that BeginRequest has recorded.
 func (g *Gateway) EndRequest() { g.calls.done() }
 
-// StoppingProblem is the refusal of a request that has come too late for a process that is about to end.
-func StoppingProblem() *problem.Problem {
-	proof, _ := (&problem.Guard{}).ProveNotRun()
-	return problem.NotRun(proof, http.StatusServiceUnavailable, problem.TypeStopping, "the host is stopping").WithRetryAfter(stoppingRetryAfter)
-}
-
 // Stop ends the feeds and the leader tasks.
 func (g *Gateway) Stop() error {
 	g.tomb.Kill(nil)
@@ -356,6 +345,7 @@
 		return false
 	}
 	t.opened++
+	t.lastArrivedAt = time.Now()
 	return true
 }
 
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -87,7 +87,7 @@
 	}
 	tick := time.NewTicker(reportInterval / 2)
 	defer tick.Stop()
-	leaveStarted := g.leaveStarted
+	leaveStarted := g.leaveContext.Done()
 	for between, first := false, true; ; first = false {
 		// The first report is sent an interval after the start. After an error other than ErrStoreRefused the
 		// read is tried all the same; the next tick sends a new report.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -10,6 +10,7 @@
 // logEnd logs and counts the end of a request, in one line with what decided it.
 func (c *call) logEnd(result string) {
 	now := time.Now()
+	c.recordDuration(now)
 	kind := catalog.Kind("none")
 	if c.route != nil {
 		kind = c.route.Kind
--- a/gateway/rollout_call.go
+++ b/gateway/rollout_call.go
@@ -16,6 +16,9 @@
 	expectedCall = 20 * time.Millisecond
 	// expectedFirstEvent is the time expected to the first event of a stream, without its prompt.
 	expectedFirstEvent = 30 * time.Millisecond
+	// maxCallDuration is the time after which a call of a service without engines that has not ended counts as one
+	// that does not answer.
+	maxCallDuration = time.Second
 	// minPacedEvents is the number of events of a stream from which its pace counts.
 	minPacedEvents = 4
 	// maxRolloutBounds is the number of endpoints that a request to the placer names at most.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -35,14 +35,6 @@
 	// noEndpointRetryAfter is the delay after which a caller retries if a service has no endpoint:
 	// about the time until one is listed again.
 	noEndpointRetryAfter = 700 * time.Millisecond
-	// stoppingRetryAfter is the delay after which the caller of a leaving host retries on another
-	// host: the least that clients apply.
-	stoppingRetryAfter = 20 * time.Millisecond
-	// maxCallDuration bounds a call of a service without an engine: the sites' data sheets state
-	// 220 ms of work, and there may be a queue before it.
-	maxCallDuration = time.Second
-	// maxFirstEventDuration is the time allowed for the first event of an accepted stream.
-	maxFirstEventDuration = 1500 * time.Millisecond
 	// defaultRequestTimeout applies when neither the caller nor the route states a timeout.
 	defaultRequestTimeout = time.Minute
 )
@@ -50,7 +42,7 @@
 // Serve answers one request. It returns when the answer has been sent or the caller has
 // disconnected. ctx ends when the caller closes the connection.
 func (g *Gateway) Serve(ctx context.Context, arrived time.Time, req *port.Request, out Responder) {
-	c := &call{g: g, req: req, out: out, arrived: arrived}
+	c := &call{g: g, req: req, out: out, arrived: arrived, wholeAt: time.Now()}
 	g.awaitConfiguration(ctx)
 	if p := c.plan(g.catalog.Current()); p != nil {
 		c.refuse(p)
@@ -62,7 +54,7 @@
 		c.logEnd("refused")
 		return
 	}
-	if p := c.refuseIfStopping(); p != nil {
+	if p := c.refuseIfStopping(time.Now()); p != nil {
 		c.refuse(p)
 		c.logEnd("refused")
 		return
@@ -134,27 +126,6 @@
 	return nil
 }
 
-// refuseIfStopping refuses, on a leaving host, requests that would not end before the process does;
-// another host serves them at once. Callers that use a cached address answer keep arriving for some
-// seconds, and their shorter requests are still served.
-func (c *call) refuseIfStopping() *problem.Problem {
-	left, leaving := c.g.timeLeft(c.arrived)
-	if !leaving || left > c.maxDuration() {
-		return nil
-	}
-	return c.notRun(http.StatusServiceUnavailable, problem.TypeStopping, "the host is stopping").WithRetryAfter(stoppingRetryAfter)
-}
-
-// maxDuration estimates how long the request may take, from its stated size.
-func (c *call) maxDuration() time.Duration {
-	maxDuration := maxCallDuration
-	if c.req.HasTokens && c.service.Engine != nil {
-		events := c.req.AnswerTokens / max(c.service.Engine.TokensPerEvent, 1)
-		maxDuration = maxFirstEventDuration + time.Duration(events)*defaultEventInterval
-	}
-	return min(maxDuration, c.deadline.Sub(c.arrived))
-}
-
 // admit enforces the workspace's limit.
 func (c *call) admit() *problem.Problem {
 	if c.workspace == nil {
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -328,11 +328,18 @@
 		route  string
 		tokens int
 		status int
+		before int // requests before the stop
 	}{
-		"a call, late":          {6 * time.Second, "get", 0, 200},
-		"a call, at the end":    {7 * time.Second, "get", 0, 503},
-		"a short stream, early": {time.Second, "stream", 60, 200},
-		"a long stream, late":   {5 * time.Second, "stream", 600, 503},
+		"a call, late":                      {6 * time.Second, "get", 0, 200, 20},
+		"a call, late, none before":         {6 * time.Second, "get", 0, 503, 0},
+		"a call, early, none before":        {3 * time.Second, "get", 0, 200, 0},
+		"a call, at the end":                {7 * time.Second, "get", 0, 503, 0},
+		"a call, after the end":             {7800 * time.Millisecond, "get", 0, 503, 20},
+		"a short stream, early":             {time.Second, "stream", 60, 200, 0},
+		"a short stream, late":              {6 * time.Second, "stream", 60, 200, 20},
+		"a short stream, late, none before": {6 * time.Second, "stream", 60, 503, 0},
+		"a long stream, late":               {5 * time.Second, "stream", 600, 503, 0},
+		"a long stream, late, short before": {5 * time.Second, "stream", 60_000, 503, 20},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -349,6 +356,9 @@
 				time.Sleep(settleTime)
 				ctx, cancel := context.WithCancel(t.Context())
 				defer cancel()
+				for n := range tc.before {
+					is.Equal(sendRequest(ctx, g, fmt.Sprint("before", n), tc.route).status, 200)
+				}
 				go g.Leave(ctx)
 				time.Sleep(tc.after)
 				r := &recorder{}
--- /dev/null
+++ b/gateway/stopping_test.go
@@ -0,0 +1,137 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadanotch/cicadanotch/fleet"
+	"github.com/cicadanotch/cicadanotch/port"
+	"github.com/cicadanotch/cicadanotch/problem"
+)
+
+// TestStoppingHostEndsWhatItAccepts guards against a stopping host that accepts requests which it can't finish: it cuts
+// them at the end of the grace period without an answer, also those that may not be sent again.
+func TestStoppingHostEndsWhatItAccepts(t *testing.T) {
+	const (
+		ms       = time.Millisecond
+		excused  = 3 * time.Second // after the signal
+		interval = 50 * ms
+	)
+	for name, tc := range map[string]struct {
+		route  string
+		takes  time.Duration // of a call, or the pause before each event of a stream
+		before int           // requests before the stop
+		slower time.Duration // added to takes when the stop begins
+		upload time.Duration // time between the head and the end of the body
+		// servedUntil is when after the signal a request must still be served; zero for no such time.
+		servedUntil time.Duration
+	}{
+		"orders of seconds, none before":          {"order", 4500 * ms, 0, 0, 0, 0},
+		"orders of seconds":                       {"order", 4500 * ms, 20, 0, 0, 500 * ms},
+		"short orders":                            {"order", 200 * ms, 20, 0, 0, 7 * time.Second},
+		"short orders that get slow":              {"order", 400 * ms, 20, 150 * ms, 0, 6 * time.Second},
+		"on-time streams of seconds, none before": {"stream", 250 * ms, 0, 0, 0, 0},
+		"on-time streams of seconds":              {"stream", 250 * ms, 20, 0, 0, 0},
+		"short streams":                           {"stream", 40 * ms, 20, 0, 0, 5 * time.Second},
+		"streams that may resume":                 {"resume", 250 * ms, 20, 0, 0, 0},
+		"bodies of seconds":                       {"order", 500 * ms, 20, 0, 2600 * ms, 3 * time.Second},
+		"bodies of seconds before streams":        {"stream", 80 * ms, 20, 0, 2600 * ms, 2 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				tp := newTestPlatform()
+				tp.publish(withSlots(endpoint("1", "api"), 200), withSlots(endpoint("2", "llm"), 200))
+				slow := configuration(2)
+				for i := range slow.Routes {
+					slow.Routes[i].Timeout = 15 * time.Second
+				}
+				tp.store.put(port.TopicConfiguration, configurationKey, slow)
+				takes := tc.takes
+				tp.endpoints.respond = func(ctx context.Context, f *port.Forward, _ int) (*port.Reply, error) {
+					if f.HasTokens {
+						return streamReply(ctx, f, io.EOF, takes, events(1, 15)...), nil
+					}
+					_ = f.Sending()
+					select {
+					case <-time.After(takes):
+						return completeReply(f, 200, "done"), nil
+					case <-ctx.Done():
+						return nil, context.Cause(ctx)
+					}
+				}
+				g := tp.startHost(t, testOptions("h1"))
+				time.Sleep(settleTime)
+				process, end := context.WithCancel(t.Context())
+				var all sync.WaitGroup
+				send := func(id string, judge func(r *recorder)) {
+					arrived := time.Now()
+					all.Go(func() {
+						is.True(g.BeginRequest())
+						defer g.EndRequest()
+						time.Sleep(tc.upload)
+						if process.Err() != nil {
+							return // the request is never read
+						}
+						req := &port.Request{ID: id, Method: "POST", Host: "x", Path: "/" + tc.route + "/1", Key: "key", CallerTimeout: 14 * time.Second}
+						if tc.route != "order" {
+							req.HasTokens, req.PromptTokens, req.AnswerTokens = true, 800, 90
+						}
+						r := &recorder{}
+						g.Serve(process, arrived, req, r)
+						judge(r)
+					})
+				}
+				for n := range tc.before {
+					send(fmt.Sprint("before", n), func(r *recorder) { is.Equal(r.status, 200) })
+					time.Sleep(interval)
+				}
+				all.Wait()
+				takes += tc.slower
+				began := time.Now()
+				go func() {
+					g.Leave(context.Background())
+					is.True(time.Since(began) < g.opts.GracePeriod)
+					end() // connections are closed
+				}()
+				synctest.Wait()
+				var mu sync.Mutex
+				lost := 0
+				var served time.Duration
+				for at := time.Duration(0); at < 7500*ms; at += interval {
+					send(fmt.Sprint("late", at), func(r *recorder) {
+						mu.Lock()
+						defer mu.Unlock()
+						switch {
+						case r.problem != nil && r.problem.Run == problem.RunNot && process.Err() == nil:
+							is.Equal(r.problem.Status, 503)
+							is.Equal(r.problem.Type, problem.TypeStopping)
+							is.True(r.problem.RetryAfter > 0)
+						case r.status == 200 && !r.aborted && process.Err() == nil:
+							served = max(served, at)
+						case at > excused:
+							lost++
+						}
+					})
+					time.Sleep(interval)
+				}
+				all.Wait()
+				<-process.Done()
+				is.Equal(lost, 0)
+				is.True(served >= tc.servedUntil)
+			})
+		})
+	}
+}
+
+func withSlots(e fleet.Endpoint, slots int) fleet.Endpoint {
+	e.Slots = slots
+	return e
+}
