adapter/endpointhttp: a response that a reset broke off while the request's body was being sent is no complete one

Callers got a response without a length, cut short by a reset, as complete. Cause: the kernel reports the error of a connection once. While a body above 8 KiB is written beside the response, the write may get ECONNRESET, and the read returns io.EOF as after a clean end. The end of such a response now counts once the write has ended without such an error; EPIPE and the close at this end are no breaks, so an endpoint may still answer and end before it has read the body. The tunnel uses the same rule.

--- a/adapter/endpointhttp/body.go
+++ b/adapter/endpointhttp/body.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cicadanotch/cicadanotch/adapter/jsonhttp"
 	"github.com/cicadanotch/cicadanotch/port"
 )
 
@@ -19,6 +20,9 @@
 
 func (b *responseBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	if err == io.EOF && b.exchange.untilEnd {
+		err = b.end()
+	}
 	switch {
 	case err == io.EOF:
 		b.finish()
@@ -29,6 +33,21 @@
 	return n, err
 }
 
+// end returns io.EOF if the connection has ended, or why it broke: a body that was still
+// being written may have got the error.
+func (b *responseBody) end() error {
+	ex := b.exchange
+	if b.done || ex.written == nil {
+		return io.EOF
+	}
+	ex.conn.close() // ends the write
+	<-ex.written
+	if jsonhttp.WriteBroke(ex.writeErr) {
+		return ex.writeErr
+	}
+	return io.EOF
+}
+
 // finish returns the connection to the pool if the request was written completely
 // and its context was not canceled. Otherwise it closes the connection.
 func (b *responseBody) finish() {
--- a/adapter/endpointhttp/endpointhttp.go
+++ b/adapter/endpointhttp/endpointhttp.go
@@ -359,6 +359,8 @@
 	writeErr error
 	idleTime time.Duration
 	method   string
+	// untilEnd is set if the response ends with the connection.
+	untilEnd bool
 }
 
 func (ex *exchange) roundTrip(f *port.Forward) (*port.Reply, error) {
@@ -433,6 +435,7 @@
 		reply, echoed := ex.conn.pool.codec.ReadHead(resp.StatusCode, resp.Header, resp.ContentLength)
 		ex.idleTime = allowedIdleTime(resp)
 		reply.Body, reply.Framing = resp.Body, framing(resp)
+		ex.untilEnd = reply.Framing == port.FramingConnection
 		return reply, echoed, nil
 	}
 }
--- a/adapter/jsonhttp/jsonhttp.go
+++ b/adapter/jsonhttp/jsonhttp.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -23,6 +24,14 @@
 // DialFunc opens a connection; net.Dialer.DialContext is one.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
 
+// WriteBroke reports whether the error of a write states that the connection broke. The
+// kernel reports the error of a connection once: if a write gets it, a read returns io.EOF
+// as after a clean end. EPIPE is the error of a write after a clean end.
+func WriteBroke(err error) bool {
+	var errno syscall.Errno
+	return errors.As(err, &errno) && errno != syscall.EPIPE
+}
+
 // Timeouts of connections to other systems.
 const (
 	dialTimeout     = 2 * time.Second
--- a/adapter/tunnel/passage.go
+++ b/adapter/tunnel/passage.go
@@ -6,10 +6,11 @@
 	"net"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"github.com/cicadanotch/cicadanotch/adapter/jsonhttp"
 )
 
 // State of the bytes that go to the endpoint.
@@ -164,16 +165,15 @@
 	<-p.inboundDone
 }
 
-// cleanEnd returns io.EOF if the endpoint has ended the connection, and the error if it
-// broke: the kernel reports an error once, so a read returns io.EOF after a write that
-// failed. EPIPE is the error of a write after a clean end.
+// cleanEnd returns io.EOF if the endpoint has ended the connection, and the error if it broke
+// and a write got the error.
 func (p *passage) cleanEnd() error {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.writeErr == nil || errors.Is(p.writeErr, syscall.EPIPE) || errors.Is(p.writeErr, net.ErrClosed) {
-		return io.EOF
+	if jsonhttp.WriteBroke(p.writeErr) {
+		return p.writeErr
 	}
-	return p.writeErr
+	return io.EOF
 }
 
 // refusedReason returns why no byte was passed on, if none was and none will be.
