adapter/endpointhttp: a connection through another host is for one request, and its refusal is a request not sent

A connection with a method Tunnel that returns true is closed where others are pooled, and an error with NothingSent means port.ErrNotSent, also after the connection was opened.

--- a/adapter/endpointhttp/endpointhttp.go
+++ b/adapter/endpointhttp/endpointhttp.go
@@ -242,10 +242,10 @@
 }
 
 // put returns a connection to the pool for up to idleTime, but at most maxIdleTime. It
-// closes the connection instead if idleTime is not positive or if bytes follow the
-// response.
+// closes the connection instead if idleTime is not positive, if bytes follow the response
+// or if the connection goes through another host.
 func (p *Pool) put(c *conn, idleTime time.Duration) {
-	if idleTime <= 0 || c.reader.Buffered() > 0 {
+	if idleTime <= 0 || c.reader.Buffered() > 0 || c.isTunnel() {
 		if c.reader.Buffered() > 0 {
 			p.updateStats(func(s *Stats) { s.UnexpectedBytes++ })
 		}
@@ -329,6 +329,9 @@
 		if errors.Is(err, port.ErrEndless) {
 			return nil, errors.Wrapf(port.ErrEndless, "%s: more than %d bytes of head", f.Address, maxHeadBytes)
 		}
+		if provesNothingSent(err) {
+			return nil, errors.Wrapf(port.ErrNotSent, "%s: %v", f.Address, err)
+		}
 		return nil, errors.Wrapf(port.ErrBroken, "%s: %v", f.Address, err)
 	}
 	return reply, nil
--- a/adapter/endpointhttp/idle.go
+++ b/adapter/endpointhttp/idle.go
@@ -6,6 +6,8 @@
 	"strings"
 	"syscall"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // allowedIdleTime returns how long a connection may stay idle after a response. The
@@ -28,6 +30,20 @@
 	return unstatedIdleTime
 }
 
+// isTunnel reports whether the connection goes through another host. It is for one request:
+// the direct way is tried again for the next one.
+func (c *conn) isTunnel() bool {
+	t, ok := c.Conn.(interface{ Tunnel() bool })
+	return ok && t.Tunnel()
+}
+
+// provesNothingSent reports whether an error of a connection states that the endpoint
+// received no byte of what was written.
+func provesNothingSent(err error) bool {
+	var e interface{ NothingSent() bool }
+	return errors.As(err, &e) && e.NothingSent()
+}
+
 // reusable reports whether an idle connection has neither ended nor received bytes.
 // Bytes received while it is idle belong to no request.
 func (c *conn) reusable() bool {
--- a/adapter/tunnel/keys_test.go
+++ b/adapter/tunnel/keys_test.go
@@ -1,10 +1,13 @@
 package tunnel
 
 import (
+	"context"
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
@@ -58,8 +61,21 @@
 	}
 }
 
+// stalledConn is a connection whose writes block, once it is stalled, until it is closed.
+type stalledConn struct {
+	*stuckConn
+	stalled atomic.Bool
+}
+
+func (c *stalledConn) Write(p []byte) (int, error) {
+	if c.stalled.Load() {
+		return c.stuckConn.Write(p)
+	}
+	return c.Conn.Write(p)
+}
+
 // TestLeavingWithKeysWaits guards against a Close that waits to send the alert that ends a TLS connection, while the path takes
-// no bytes.
+// no bytes: the endpoint would stay at work meanwhile.
 func TestLeavingWithKeysWaits(t *testing.T) {
 	is := is.New(t)
 	authority := keystest.NewAuthority(t)
@@ -69,13 +85,21 @@
 		close(ended)
 	})
 	b := newBed(t, bedConfig{timing: neverTicks, opts: Options{Keys: authority.Keys("jos-a-2")}})
-	c := NewClient(nil, WithKeys(authority.Keys("jos-a-1"), func(string) (string, bool) { return "jos-a-2", true }))
+	var raw *stalledConn
+	c := NewClient(func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := direct(ctx, network, address)
+		is.NoErr(err)
+		raw = &stalledConn{stuckConn: newStuckConn(conn)}
+		return raw, nil
+	}, WithKeys(authority.Keys("jos-a-1"), func(string) (string, bool) { return "jos-a-2", true }))
 	c.timing = neverTicks
 	conn, err := c.Dial(t.Context(), b.address, Target{"e-1", endpoint})
 	is.NoErr(err)
-	l := conn.(*Conn).link
-	l.writeMu.Lock() // a write in progress
-	is.NoErr(conn.Close())
-	<-ended
-	l.writeMu.Unlock()
+	raw.stalled.Store(true)
+	go conn.Close()
+	select {
+	case <-ended:
+	case <-time.After(patience):
+		t.Fatal("the endpoint's connection is still open")
+	}
 }
--- a/adapter/tunnel/tunnel.go
+++ b/adapter/tunnel/tunnel.go
@@ -113,6 +113,9 @@
 // Is implements the interface of package errors.
 func (e *refusedError) Is(target error) bool { return target == ErrRefused }
 
+// NothingSent reports that no byte was passed on to the endpoint.
+func (e *refusedError) NothingSent() bool { return true }
+
 // ReasonOf returns the reason of an error that wraps ErrRefused, and false for others.
 func ReasonOf(err error) (Reason, bool) {
 	var refused *refusedError
