--- a/adapter/endpointhttp/endpointhttp.go
+++ b/adapter/endpointhttp/endpointhttp.go
@@ -79,7 +79,7 @@
 )
 
 // DialViaFunc opens a connection to an endpoint through another host, whose address is via. Its errors are a
-// port.ErrNotSent. Reads and writes of the connection return a port.ErrHelperBroken if the path has ended.
+// port.ErrNotSent. The connection has a method Tunnel that returns true, and is not pooled. Reads and writes of the connection return a port.ErrHelperBroken if the path has ended.
 type DialViaFunc func(ctx context.Context, via, endpoint, address string) (net.Conn, error)
 
 // Pool holds the connections to all endpoints. Safe for concurrent use.
@@ -138,8 +138,6 @@
 	// idleDeadline is the time from which the idle connection must not be used,
 	// because the endpoint may close it.
 	idleDeadline time.Time
-	// viaHost is set if the connection goes through another host. It carries one request.
-	viaHost bool
 	// wasPooled is set when the connection is returned to the pool for the first time;
 	// each request after that reuses the connection.
 	wasPooled bool
@@ -200,7 +198,7 @@
 	}
 	received := &boundedReader{Reader: raw}
 	return &conn{
-		Conn: raw, pool: p, address: f.Address, received: received, viaHost: f.Via != "",
+		Conn: raw, pool: p, address: f.Address, received: received,
 		reader: bufio.NewReaderSize(received, readBufferBytes), writer: bufio.NewWriterSize(raw, writeBufferBytes),
 	}, nil
 }
@@ -266,10 +264,10 @@
 }
 
 // put returns a connection to the pool for up to idleTime, but at most maxIdleTime. It
-// closes the connection instead if idleTime is not positive or if bytes follow the
-// response.
+// closes the connection instead if idleTime is not positive, if bytes follow the response
+// or if the connection goes through another host.
 func (p *Pool) put(c *conn, idleTime time.Duration) {
-	if idleTime <= 0 || c.viaHost || c.reader.Buffered() > 0 {
+	if idleTime <= 0 || c.reader.Buffered() > 0 || c.isTunnel() {
 		if c.reader.Buffered() > 0 {
 			p.updateStats(func(s *Stats) { s.UnexpectedBytes++ })
 		}
@@ -356,6 +354,9 @@
 		if errors.Is(err, port.ErrHelperBroken) || errors.Is(err, port.ErrNotSent) {
 			return nil, errors.Wrapf(err, "%s through %s", f.Address, f.Via)
 		}
+		if provesNothingSent(err) {
+			return nil, errors.Wrapf(port.ErrNotSent, "%s: %v", f.Address, err)
+		}
 		return nil, errors.Wrapf(port.ErrBroken, "%s: %v", f.Address, err)
 	}
 	return reply, nil
@@ -386,6 +387,8 @@
 	writeErr error
 	idleTime time.Duration
 	method   string
+	// untilEnd is set if the response ends with the connection.
+	untilEnd bool
 }
 
 func (ex *exchange) roundTrip(f *port.Forward) (*port.Reply, error) {
@@ -460,6 +463,7 @@
 		reply, echoed := ex.conn.pool.codec.ReadHead(resp.StatusCode, resp.Header, resp.ContentLength)
 		ex.idleTime = allowedIdleTime(resp)
 		reply.Body, reply.Framing = resp.Body, framing(resp)
+		ex.untilEnd = reply.Framing == port.FramingConnection
 		return reply, echoed, nil
 	}
 }
--- a/adapter/endpointhttp/via_test.go
+++ b/adapter/endpointhttp/via_test.go
@@ -37,7 +37,8 @@
 		is.Equal(via, "10.0.0.9:3")
 		is.Equal(endpoint, "e1")
 		vias.Add(1)
-		return (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
+		return carriedConn{conn}, err
 	}
 	send := func(id, via string) {
 		f := forward(address, id)
@@ -85,6 +86,11 @@
 	is.True(errors.Is(err, port.ErrHelper)) // no such connections
 }
 
+// carriedConn is a connection that another host carries.
+type carriedConn struct{ net.Conn }
+
+func (carriedConn) Tunnel() bool { return true }
+
 // failingConn accepts writes and fails to read.
 type failingConn struct {
 	net.Conn
--- a/adapter/tunnel/endpoints.go
+++ b/adapter/tunnel/endpoints.go
@@ -45,6 +45,9 @@
 // endpointConn is a connection of DialEndpoint.
 type endpointConn struct{ net.Conn }
 
+// Tunnel reports that the connection goes through another host: it is for one request.
+func (c *endpointConn) Tunnel() bool { return true }
+
 // Read implements net.Conn.
 func (c *endpointConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
