--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -498,6 +498,8 @@
 	hosts     []*Gateway
 	hostsMu   sync.Mutex   // of hosts, while some are started
 	peers     *memoryPeers // nil if hosts cannot reach each other
+	// wrapEndpoints, if set, returns the endpoints as a host reaches them.
+	wrapEndpoints func(host string) port.Endpoints
 	// wrapPeers, if set, returns what a host calls the others through.
 	wrapPeers func(host string, peers port.Peers) port.Peers
 }
@@ -553,8 +555,12 @@
 	if tp.wrapPeers != nil {
 		peers = tp.wrapPeers(opts.Host, peers)
 	}
+	var endpoints port.Endpoints = tp.endpoints
+	if tp.wrapEndpoints != nil {
+		endpoints = tp.wrapEndpoints(opts.Host)
+	}
 	g := New(opts, Ports{
-		Peers: peers, Store: store, Endpoints: tp.endpoints, IdleConnections: tp.endpoints, LeaderAPI: leaderAPI,
+		Peers: peers, Store: store, Endpoints: endpoints, IdleConnections: tp.endpoints, LeaderAPI: leaderAPI,
 		DecodeConfiguration: func(raw []byte) (*catalog.Snapshot, error) {
 			var s catalog.Snapshot
 			if err := json.Unmarshal(raw, &s); err != nil {
