gateway, reach: hosts that are cut off from endpoints go through others

Cause: what a host believed of endpoints was about each of them alone. Nothing told that its own paths were lost, and there was no other way to an endpoint, so each attempt waited for what could not come, until the retries or the deadline were used up.

Change: package reach decides whether the host is cut off from a service. Failures at two endpoints within a second start a round of probes in different availability zones; if at most one in four opens a connection, the host counts as cut off, until two rounds in a row open at least half. One hop: a host that is cut off refuses to carry. The distances that placement reckons with begin at the helping host. Deadline, ids, budgets, limits, quota and usage stay where the request was accepted. A path that breaks before the first byte proves that nothing was sent; one that breaks later proves nothing. Attempts that wait for a connection of the host's own are begun anew when the cut is known, idle connections are closed, and what was believed of the endpoints is forgotten.

Reports carry the address for tunnels, and the services that a host is cut off from. New: log event reach, metrics cut_off and reach_rounds_total.

--- a/daemon/tunnels.go
+++ b/daemon/tunnels.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cicadanotch/cicadanotch/adapter/tunnel"
+	"github.com/cicadanotch/cicadanotch/gateway"
 )
 
 // serveTunnels carries connections of hosts that are cut off from endpoints. It does nothing if address is empty.
@@ -20,13 +21,26 @@
 	}
 	g := h.gateway
 	gate := func(t tunnel.Target) tunnel.Reason { return tunnel.Reason(g.RefuseTunnel(t.Endpoint, t.Address)) }
-	h.tunnels = tunnel.NewServer((&net.Dialer{}).DialContext, gate, tunnel.Options{Logger: h.logger, Event: g.RecordTunnel})
+	h.tunnels = tunnel.NewServer(dialForOthers(g), gate, tunnel.Options{Logger: h.logger, Event: g.RecordTunnel})
 	g.WatchTunnels(h.tunnels.Tunnels)
 	h.tunnelListener = listener
 	h.group.Go(func() error { return h.tunnels.Serve(context.Background(), listener) })
 	return nil
 }
 
+// dialForOthers returns a function that opens connections to endpoints for other hosts, and records those that this
+// host cannot open.
+func dialForOthers(g *gateway.Gateway) func(context.Context, string, string) (net.Conn, error) {
+	dial := (&net.Dialer{}).DialContext
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		conn, err := dial(ctx, network, address)
+		if err != nil && ctx.Err() != context.Canceled {
+			g.RecordUnreached(address)
+		}
+		return conn, err
+	}
+}
+
 // closeTunnels ends the connections that are carried for other hosts.
 func (h *host) closeTunnels() {
 	if h.tunnels == nil {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -16,12 +16,14 @@
 	"github.com/cicadanotch/cicadanotch/presence"
 	"github.com/cicadanotch/cicadanotch/problem"
 	"github.com/cicadanotch/cicadanotch/quarantine"
+	"github.com/cicadanotch/cicadanotch/reach"
 )
 
 // Causes with which an attempt is cancelled.
 var (
 	errUnresponsive = errors.New("no data from the endpoint within the timeout")
 	errMoved        = errors.New("stream moved to another endpoint")
+	errCutOff       = errors.New("the host is cut off from the endpoints")
 )
 
 // call is one request in progress.
@@ -55,8 +57,10 @@
 	failure      *bufferedReply // an endpoint's error answer, buffered while others are tried
 	usageCounted bool
 	// placer has chosen the present attempt's endpoint under ticket; without one the ticket is zero.
-	placer      presence.Report
-	ticket      int64
+	placer presence.Report
+	ticket int64
+	// via is the host that the present attempt goes through; without a name if it goes to the endpoint itself.
+	via         reach.Peer
 	finalDetail string // detail of the final problem, for the log
 	ending      answerEnding
 	lastAttempt *endpointAttempt
@@ -114,6 +118,9 @@
 	// firstEventAt is when the first event of a stream came. died is set if the endpoint's process has ended.
 	firstEventAt time.Time
 	died         bool
+	// via is as in call. phase is one of the phases of an attempt.
+	via   reach.Peer
+	phase atomic.Int32
 }
 
 func (c *call) endpointID() string {
@@ -136,12 +143,16 @@
 	c.g.budget(c.service.Name).RecordRequest(time.Now())
 	c.tried = map[string]bool{}
 	for {
+		c.chooseVia(time.Now())
 		a, p := c.place(time.Now())
 		if p != nil {
+			c.releaseVia()
 			c.giveUp(p)
 			return
 		}
+		a.via = c.via
 		o, err := c.attempt(ctx, a)
+		c.releaseVia()
 		c.recordForRollout(a, o)
 		c.g.metrics.attempts.WithLabelValues(string(o)).Inc()
 		s := c.requestState()
@@ -226,9 +237,13 @@
 	defer func() { c.release(&a.choice, !a.answered) }()
 	defer func() { c.endInFlight(a, false) }()
 
-	wd := startWatchdog(cancel, c.headTimeout(a), c.reserveRetry)
+	limit := c.headTimeout(a)
+	if a.via.Host != "" {
+		limit = 0 // it begins once the path is open, which has a timeout of its own
+	}
+	wd := startWatchdog(cancel, limit, c.reserveRetry)
 	defer wd.stop()
-	tracker := &sendTracker{c: c, endpointAttempt: a, moved: a.kvCopy != nil}
+	tracker := &sendTracker{c: c, endpointAttempt: a, moved: a.kvCopy != nil, wd: wd}
 	reply, err := c.g.ports.Endpoints.Forward(ctx, c.newForward(a, tracker))
 	if err != nil {
 		if errors.Is(err, port.ErrNotSent) {
@@ -270,7 +285,7 @@
 func (c *call) newForward(a *endpointAttempt, tracker *sendTracker) *port.Forward {
 	f := &port.Forward{
 		Request: c.req, Address: a.view.Address, Endpoint: a.view.ID,
-		Deadline: c.deadline, Priority: c.priority(), After: string(c.lastID), Copy: a.kvCopy, FetchFrom: c.fetchFrom(&a.choice),
+		Via: a.via.Address, Deadline: c.deadline, Priority: c.priority(), After: string(c.lastID), Copy: a.kvCopy, FetchFrom: c.fetchFrom(&a.choice),
 		MaxConnections: c.g.connectionLimit(c.service.MaxConnections),
 		Sending:        tracker.begin,
 	}
@@ -304,7 +319,11 @@
 	switch {
 	case errors.Is(cause, errMoved):
 		return outcomeMoved, err
+	case errors.Is(cause, errCutOff):
+		c.unsent++
+		return outcomeUnsent, err
 	case errors.Is(cause, errUnresponsive):
+		c.recordReach(now, a, err)
 		c.tried[a.view.ID] = true
 		c.markSuspect(now, a, "silent")
 		return outcomeUnresponsive, err
@@ -316,7 +335,12 @@
 		c.unsent++
 		c.tried[a.view.ID] = true
 		return outcomeUnsent, err
+	case errors.Is(err, port.ErrHelper):
+		c.recordReach(now, a, err)
+		c.unsent++
+		return outcomeUnsent, err
 	case errors.Is(err, port.ErrNotSent):
+		c.recordReach(now, a, err)
 		c.unsent++
 		c.tried[a.view.ID] = true
 		if c.g.mayUse(now, a.view.Service, a.view.Version) == nil && !c.g.fleet.Paused(now, a.view.ID) && c.evaluate(now).Verdict != quarantine.VerdictQuarantine {
@@ -332,6 +356,10 @@
 	if c.awaitMove() {
 		return outcomeMoved, err
 	}
+	if errors.Is(err, port.ErrHelperBroken) {
+		c.recordReach(now, a, err)
+		return outcomeBroken, err
+	}
 	c.tried[a.view.ID] = true
 	if garbage {
 		return outcomeBroken, err
@@ -341,6 +369,7 @@
 		c.markSuspect(now, a, "endless")
 		return outcomeBroken, err
 	}
+	c.recordReach(now, a, err)
 	c.markSuspect(now, a, "broken")
 	c.examineBreak(ctx, a)
 	return outcomeBroken, err
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -138,6 +138,7 @@
 	overload    *overloadState
 	lineage     *lineageState
 	checks      *registryChecks
+	reach       *reachState
 	// carried returns the number of connections that this host carries for others.
 	carried      func() int
 	era          eraState
@@ -207,6 +208,7 @@
 	g.overload = newOverloadState()
 	g.lineage = newLineageState(now)
 	g.checks = newRegistryChecks(g)
+	g.reach = newReachState()
 	g.carried = func() int { return 0 }
 	g.quarantine = newQuarantineState()
 	g.rollouts = newRolloutState()
@@ -224,6 +226,7 @@
 		g.tomb.Go(g.followEndpoints)
 		g.tomb.Go(g.followHosts)
 		g.tomb.Go(g.exchangeLoads)
+		g.tomb.Go(g.watchReach)
 		if g.rollsOut() {
 			g.tomb.Go(g.followRollouts)
 		}
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -352,6 +352,19 @@
 	return out
 }
 
+// runs returns how often each request below a path was sent, by id.
+func (e *fakeEndpoints) runs(path string) map[string]int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	out := map[string]int{}
+	for _, f := range e.sent {
+		if strings.HasPrefix(f.Path, path) {
+			out[f.ID]++
+		}
+	}
+	return out
+}
+
 // completeReply answers with a body.
 func completeReply(f *port.Forward, status int, body string) *port.Reply {
 	_ = f.Sending()
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -25,7 +25,7 @@
 	}
 	r := presence.Report{
 		Era: g.latestEra(), Host: g.opts.Host, Incarnation: g.opts.Incarnation, Sequence: g.sequence.Load(),
-		Address: g.opts.Address, Peer: g.opts.Peer, Tunnel: g.opts.Tunnel, Cores: g.opts.Cores,
+		Address: g.opts.Address, Peer: g.opts.Peer, Tunnel: g.opts.Tunnel, CutOff: g.reach.table.Lost(), Cores: g.opts.Cores,
 		Zone: g.opts.Zone, Region: g.opts.Region, State: state,
 		Wall: g.clock.Wall(now).UnixMilli(),
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -40,6 +40,8 @@
 	probes        *prometheus.CounterVec
 	deaths        prometheus.Counter
 	tunnels       *prometheus.CounterVec
+	cutOff        prometheus.Gauge
+	reachRounds   *prometheus.CounterVec
 
 	rolloutChanges     *prometheus.CounterVec
 	rolloutAnswers     *prometheus.CounterVec
@@ -143,6 +145,14 @@
 		Name: "cicadanotch_gateway_endpoint_deaths_total",
 		Help: "Records of this host that an endpoint ended while it had requests there, two for each endpoint at the most.",
 	})
+	m.cutOff = prometheus.NewGauge(prometheus.GaugeOpts{
+		Name: "cicadanotch_gateway_cut_off",
+		Help: "Services from whose endpoints the host counts as cut off.",
+	})
+	m.reachRounds = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_reach_rounds_total",
+		Help: "Rounds of probes that tell whether the host is cut off from a service, by result (opened: at least one connection, none).",
+	}, []string{"result"})
 	m.tunnels = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cicadanotch_gateway_tunnels_total",
 		Help: "Connections to endpoints that this host carries for others, by event (opened, ended, left, broke, unusable, refused-REASON), and those that another host failed to carry for it (failed).",
@@ -183,7 +193,7 @@
 		Name: "cicadanotch_gateway_header_faults_total",
 		Help: "Answers of endpoints with a header that could not be used as sent.",
 	})
-	m.registry.MustRegister(m.headerFaults, m.tunnels, m.limitShares, m.limitsGranted, m.refusedWithinLimit, m.overloads, m.rolloutChanges, m.rolloutAnswers, m.rolloutWithheld, m.rolloutWaits, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.garbage, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
+	m.registry.MustRegister(m.headerFaults, m.tunnels, m.cutOff, m.reachRounds, m.limitShares, m.limitsGranted, m.refusedWithinLimit, m.overloads, m.rolloutChanges, m.rolloutAnswers, m.rolloutWithheld, m.rolloutWaits, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.garbage, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
 		m.feedReads, m.version, m.hosts, m.fencingToken, m.leaderCalls, m.moves, collectors.NewGoCollector())
 	return m
 }
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -109,6 +109,9 @@
 // query describes the request to the placement.
 func (c *call) query() *placement.Query {
 	q := &placement.Query{Service: c.service.Name, Zone: c.g.opts.Zone, Region: c.g.opts.Region, Excluded: c.tried}
+	if c.via.Host != "" { // the distances that count begin there
+		q.Zone, q.Region = c.via.Zone, c.via.Region
+	}
 	if c.sent == 0 {
 		q.SlackMS = float64(c.route.Target.Microseconds()) / 1000
 	}
--- a/gateway/reach_test.go
+++ b/gateway/reach_test.go
@@ -29,6 +29,8 @@
 	cutHangs  cutForm = "hangs"
 	cutResets cutForm = "resets"
 	cutNew    cutForm = "new ones hang"
+	// cutEnded means that the host has ended.
+	cutEnded cutForm = "ended"
 )
 
 // cutNetwork carries the requests of hosts to endpoints, and cuts hosts off.
@@ -64,6 +66,15 @@
 	}
 }
 
+// end makes a host carry no requests any more; what it carries breaks.
+func (n *cutNetwork) end(g *Gateway) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.tunnels, g.opts.Tunnel)
+	n.form[g.opts.Host] = cutEnded
+	close(n.channel(g.opts.Host))
+}
+
 // channel returns the channel that is closed when a host is cut off. The caller holds the lock.
 func (n *cutNetwork) channel(host string) chan struct{} {
 	if n.cut[host] == nil {
@@ -161,6 +172,8 @@
 		switch form, _ := b.network.state(b.host); form {
 		case cutResets:
 			return 0, errors.Wrap(port.ErrBroken, "reset")
+		case cutEnded:
+			return 0, errors.Wrap(port.ErrHelperBroken, "the host has ended")
 		case cutHangs:
 			<-b.reply.ctx.Done()
 			return 0, errors.Wrap(port.ErrBroken, "closed")
@@ -270,6 +283,53 @@
 	}
 }
 
+// TestCutOffHostsBesideOtherTrouble replays cuts beside what else may happen. An order reaches one endpoint at most, also
+// if the host that carries it ends.
+func TestCutOffHostsBesideOtherTrouble(t *testing.T) {
+	zones := []string{"a", "a", "a", "b", "b"}
+	for _, tt := range []struct {
+		name    string
+		trouble func(tp *testPlatform, network *cutNetwork, hosts []*Gateway)
+	}{
+		{"a host that helps ends", func(_ *testPlatform, network *cutNetwork, hosts []*Gateway) { network.end(hosts[1]) }},
+		{"a host that helps is cut off too", func(_ *testPlatform, network *cutNetwork, _ []*Gateway) { network.set(cutHangs, "h1") }},
+		{"a host that helps leaves", func(_ *testPlatform, _ *cutNetwork, hosts []*Gateway) { go hosts[1].Leave(context.Background()) }},
+		{"the store is away", func(tp *testPlatform, _ *cutNetwork, _ []*Gateway) {
+			tp.store.setFail(func(string, port.Topic) error { return port.ErrStoreUnavailable })
+		}},
+		{"endpoints are replaced", func(tp *testPlatform, _ *cutNetwork, _ []*Gateway) {
+			for i := range 4 {
+				e := endpoint(fmt.Sprintf("a-llm-%d", i), "llm")
+				e.Address, e.Slots, e.State = fmt.Sprintf("10.0.1.1:%d", 100+i), 64, fleet.StateDraining
+				tp.store.put(port.TopicEndpoints, e.ID, e)
+			}
+		}},
+		{"it ends and begins again", func(_ *testPlatform, network *cutNetwork, _ []*Gateway) {
+			network.set(cutNone, "h0")
+			time.AfterFunc(3*time.Second, func() { network.set(cutResets, "h0") })
+		}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				tp, network, hosts := startCutHosts(t, zones...)
+				network.set(cutHangs, "h0")
+				sendFor(hosts[0], "before", contactTime)
+				tt.trouble(tp, network, hosts)
+				served, all := sendFor(hosts[0], "cut", 8*time.Second)
+				t.Logf("served %d of %d", served, all)
+				is.True(all >= 150)
+				is.True(all-served <= 10+all/50)
+				for id, n := range tp.endpoints.runs("/order/") {
+					if n > 1 {
+						t.Errorf("order %s reached endpoints %d times", id, n)
+					}
+				}
+			})
+		})
+	}
+}
+
 // serveDuringCut cuts hosts off, sends them requests all the while, and returns how many were served of those that were
 // sent later than delay after the cut.
 func serveDuringCut(t *testing.T, delay time.Duration, zones []string, cut []int, form cutForm) (served, all int64) {
--- a/gateway/sending.go
+++ b/gateway/sending.go
@@ -14,6 +14,7 @@
 	c *call
 	*endpointAttempt
 	moved   bool // the attempt continues a stream that was moved
+	wd      *watchdog
 	attempt *problem.SentAttempt
 }
 
@@ -33,6 +34,12 @@
 		s.c.g.metrics.rolloutWithheld.Inc()
 		return err
 	}
+	if !s.phase.CompareAndSwap(phaseOpening, phaseSent) {
+		return errCutOff
+	}
+	if s.via.Host != "" {
+		s.wd.reset(s.c.headTimeout(s.endpointAttempt))
+	}
 	s.c.beginInFlight(s.endpointAttempt)
 	s.attempt = s.c.guard.RecordSend()
 	if !s.moved {
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -66,11 +66,13 @@
 	// processor cores that it has.
 	Peer  string  `json:"p,omitempty"`
 	Cores float64 `json:"w,omitempty"`
-	// Tunnel is the address at which it carries connections of hosts that are cut off; empty if it does not.
-	Tunnel string `json:"tu,omitempty"`
-	Zone   string `json:"z"`
-	Region string `json:"g"`
-	State  State  `json:"s"`
+	// Tunnel is the address at which it carries connections of hosts that are cut off; empty if it does not. CutOff
+	// names the services from whose endpoints it is cut off itself.
+	Tunnel string   `json:"tu,omitempty"`
+	CutOff []string `json:"co,omitempty"`
+	Zone   string   `json:"z"`
+	Region string   `json:"g"`
+	State  State    `json:"s"`
 	// Wall is the host's wall-clock time in Unix milliseconds.
 	Wall int64 `json:"t"`
 	// Era is the latest era of the store that the host knows.
