gateway: a host that is cut off takes no endpoint for ended

A connection that breaks is followed by a probe, and a refused probe tells that the endpoint's process has ended: the host records the requests that it had there, and the others refuse those that ended several endpoints. A host whose connections to all endpoints are reset and refused so recorded the end of each of them, with sound requests. A refused probe now counts only if the host can open a connection to some other endpoint, of any service; otherwise the result is unknown.

TestCutHostTakesNoEndpointForEnded failed before.

--- a/gateway/quarantine.go
+++ b/gateway/quarantine.go
@@ -148,6 +148,9 @@
 func (c *call) examineBreak(ctx context.Context, a *endpointAttempt) {
 	c.endInFlight(a, true)
 	result := c.g.probe(a.view.Address)
+	if result == probeRefused && !c.g.reachesOthers(a.view) {
+		result = probeUnknown // what refuses connections may stand on the way
+	}
 	c.logProbe(a, result)
 	if result != probeRefused {
 		return
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -128,6 +128,14 @@
 	}
 }
 
+// reachesOthers reports whether this host can open a connection to an endpoint of any service other than v. It is true
+// if there is no other.
+func (g *Gateway) reachesOthers(v fleet.View) bool {
+	others := slices.DeleteFunc(g.reachCandidates(), func(c reach.Candidate) bool { return c.ID == v.ID })
+	probes := g.reach.table.Sample(others)
+	return len(probes) == 0 || g.probeAll(probes, probeTimeout) > 0
+}
+
 // probeAll opens connections to endpoints, all at once, and returns how many were opened within the timeout.
 func (g *Gateway) probeAll(probes []reach.Candidate, timeout time.Duration) int {
 	ctx, cancel := context.WithTimeout(g.context(), timeout)
--- a/gateway/reach_test.go
+++ b/gateway/reach_test.go
@@ -356,3 +356,22 @@
 	wg.Wait()
 	return ok.Load(), sent.Load()
 }
+
+// TestCutHostTakesNoEndpointForEnded guards against a host whose connections to all endpoints are reset and refused
+// recording that each of them has ended with the requests that it had there: others would refuse those requests as
+// lethal.
+func TestCutHostTakesNoEndpointForEnded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tp, network, hosts := startCutHosts(t, "a", "a", "b")
+		var streams sync.WaitGroup
+		for i := range 12 {
+			streams.Go(func() { sendRequest(t.Context(), hosts[0], fmt.Sprintf("s-%d", i), "resume") })
+		}
+		time.Sleep(60 * time.Millisecond)
+		network.set(cutResets, hosts[0].opts.Host)
+		streams.Wait()
+		is.True(strings.Contains(tp.log(), `"event":"endpoint_probed"`))
+		is.True(!strings.Contains(tp.log(), `"event":"endpoint_died"`))
+	})
+}
--- a/reach/reach.go
+++ b/reach/reach.go
@@ -166,6 +166,13 @@
 	return false
 }
 
+// Sample returns endpoints at which a request may check whether the host reaches any, of different availability zones.
+func (t *Table) Sample(all []Candidate) []Candidate {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return spread(t.rng, all, nil, probesPerRound)
+}
+
 // due reports whether a round is due for a service with a number of endpoints.
 func (s *state) due(now time.Time, endpoints int) bool {
 	sinceRound := now.Sub(s.endedAt)
