--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -213,3 +213,6 @@
 		c.g.reach.helpers.Done(c.via.Host)
 	}
 }
+
+// Lost returns the services from whose endpoints this host counts as cut off.
+func (g *Gateway) Lost() []string { return g.reach.table.Lost() }
