gateway: an answer with success on a streaming route is checked as a stream, whatever its type

An endpoint that answers a stream with a page of its own, or with bytes of no type, had them passed on as a complete answer of status 200: the type in its head decided whether events were looked for. A stream without the type is forwarded as events as they come (before: held until its end, and never accepted as the rest of a resumed stream) and logged as endpoint_header.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -251,7 +251,7 @@
 	if o == outcomeBroken || o == outcomeUnresponsive {
 		return c.classifyFailure(ctx, a, err)
 	}
-	if o == outcomeComplete && !reply.Stream {
+	if o == outcomeComplete && !c.isStream(reply) {
 		c.g.answerTime(c.service.Name).Observe(time.Since(a.startedAt))
 		c.observeCall(a, reply)
 	}
@@ -394,8 +394,7 @@
 // wants no requests for some time.
 func (c *call) recordAnnouncements(now time.Time, a *endpointAttempt, reply *port.Reply) {
 	if reply.HeaderFault != "" {
-		c.g.metrics.headerFaults.Inc()
-		c.g.log.Warn().Str("event", "endpoint_header").Str("request", c.req.ID).Str("endpoint", a.view.ID).Str("fault", reply.HeaderFault).Msg("")
+		c.recordHeaderFault(a, reply.HeaderFault)
 	}
 	if reply.Leaving {
 		c.g.handleEndpointChanges(feedRead{at: now}, c.g.fleet.Leaving(now, a.view.ID))
@@ -408,6 +407,12 @@
 	}
 }
 
+// recordHeaderFault records that a header of an endpoint's answer could not be used as sent.
+func (c *call) recordHeaderFault(a *endpointAttempt, fault string) {
+	c.g.metrics.headerFaults.Inc()
+	c.g.log.Warn().Str("event", "endpoint_header").Str("request", c.req.ID).Str("endpoint", a.view.ID).Str("fault", fault).Msg("")
+}
+
 // recordDecline marks the endpoint suspect if another one has its address.
 func (c *call) recordDecline(now time.Time, a *endpointAttempt, reply *port.Reply) {
 	if reply.Misdirected {
--- a/gateway/garbage_test.go
+++ b/gateway/garbage_test.go
@@ -238,3 +238,61 @@
 		})
 	}
 }
+
+// TestAnswerInsteadOfAStream guards against an answer with success on a streaming route that is no event stream and reaches
+// the caller, such as a page of another service. A stream that states another type, or none, is one nevertheless.
+func TestAnswerInsteadOfAStream(t *testing.T) {
+	const page = "<html>\nit works\n</html>\n"
+	stream := strings.Join(events(1, 6), "")
+	for name, tc := range map[string]struct {
+		route   string
+		answer  string
+		code    int
+		at      int // the attempt that brings the answer
+		before  int // sound events before it
+		status  int
+		body    string
+		suspect string
+	}{
+		"not resumable":                  {"stream", page, 200, 1, 0, 502, "", "garbage"},
+		"not resumable, another success": {"stream", page, 201, 1, 0, 502, "", "garbage"},
+		"not resumable, a line":          {"stream", "it works", 200, 1, 0, 502, "", "broken"},
+		"resumable":                      {"resume", page, 200, 1, 0, 200, stream, "garbage"},
+		"resumable, at a second attempt": {"resume", page, 200, 2, 0, 502, "", "garbage"},
+		"resumable, in place of its end": {"resume", page, 200, 2, 3, 200, strings.Join(events(1, 3), ""), "garbage"},
+		"a stream of another type":       {"stream", stream, 200, 1, 0, 200, stream, ""},
+		"the end of one of another type": {"resume", stream, 200, 2, 3, 200, stream, ""},
+		"a failure":                      {"stream", page, 500, 1, 0, 500, page, ""},
+		"a refusal of the endpoint":      {"resume", page, 404, 1, 0, 404, page, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				tp := newTestPlatform()
+				tp.publish(endpoint("3", "llm"), endpoint("4", "llm"), endpoint("5", "llm"))
+				tp.endpoints.respond = func(ctx context.Context, f *port.Forward, n int) (*port.Reply, error) {
+					switch {
+					case n == tc.at:
+						return completeReply(f, tc.code, tc.answer), nil
+					case n < tc.at:
+						return streamReply(ctx, f, port.ErrBroken, time.Millisecond, events(1, tc.before)...), nil
+					}
+					return streamReply(ctx, f, io.EOF, time.Millisecond, events(1, 6)...), nil
+				}
+				g := tp.startHost(t, testOptions("h1"))
+				time.Sleep(settleTime)
+				r := sendRequest(t.Context(), g, "req", tc.route)
+				is.Equal(r.status, tc.status)
+				is.Equal(r.body.String(), tc.body)
+				is.Equal(r.aborted, tc.suspect != "" && tc.before > 0)
+				if r.problem != nil {
+					is.Equal(r.problem.Run, problem.RunUnknown)
+				}
+				if tc.suspect != "" {
+					is.Equal(strings.Count(tp.log(), fmt.Sprintf(`"why":%q`, tc.suspect)), 1)
+				}
+				is.Equal(strings.Contains(tp.log(), `"endpoint_header"`), tc.code < 300)
+			})
+		})
+	}
+}
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -34,11 +34,14 @@
 
 // forwardReply forwards an endpoint's answer to the caller.
 func (c *call) forwardReply(ctx context.Context, a *endpointAttempt, reply *port.Reply, wd *watchdog) (outcome, error) {
-	if reply.Stream && reply.Status == http.StatusOK && c.route.Kind == catalog.KindStreaming {
+	if c.isStream(reply) {
+		if !reply.Stream {
+			c.recordHeaderFault(a, "the content type of a stream is not that of event streams")
+		}
 		return c.forwardStream(a, reply, wd)
 	}
 	if c.headSent {
-		return outcomeBroken, errors.Errorf("resumed stream: got status %d, want an event stream with status 200", reply.Status)
+		return outcomeBroken, errors.Errorf("resumed stream: got status %d, want an event stream", reply.Status)
 	}
 	var held heldBytes
 	defer func() { held.release(c.g) }()
@@ -60,6 +63,12 @@
 	return outcomeComplete, nil
 }
 
+// isStream reports whether an answer is to be a series of events: each one with success on a streaming route,
+// whatever type it states.
+func (c *call) isStream(reply *port.Reply) bool {
+	return c.route.Kind == catalog.KindStreaming && reply.Status < http.StatusMultipleChoices
+}
+
 // bufferReply reads an answer. complete is false if it is too long to buffer, or too much is held of others; body
 // is then its beginning.
 func (c *call) bufferReply(reply *port.Reply, held *heldBytes) (body []byte, complete bool, err error) {
--- a/port/forward.go
+++ b/port/forward.go
@@ -133,7 +133,7 @@
 	// Length is the length of the body; negative if unknown.
 	Length  int64
 	Framing Framing
-	// Stream reports whether the body is a stream of events.
+	// Stream reports whether the endpoint states that the body is a stream of events.
 	Stream bool
 	Load   *EndpointLoad
 	// RetryAfter is how long the endpoint asks this host to send it nothing; zero for no
