gateway: a caller that continues a stream gets no event twice

The id from which a caller continues a stream was passed on to the endpoint but not remembered, so events of an endpoint that repeats the last one, or begins the stream again, were taken as new. They are dropped now, as in a stream that the host itself resumes.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -48,7 +48,7 @@
 	sent, unsent int
 	headSent     bool // the head of an answer was sent to the caller
 	events       int
-	lastID       []byte // of the last event forwarded
+	lastID       []byte // of the last event that the caller has
 	firstAt      time.Time
 	status       int
 	failure      *bufferedReply // an endpoint's error answer, buffered while others are tried
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -104,7 +104,7 @@
 		if s.idEnd != 0 {
 			return errors.Wrap(port.ErrGarbage, "event of a stream with two ids")
 		}
-		if len(value) > maxIDDigits || !isDecimal(value) {
+		if !isEventID(value) {
 			return errors.Wrap(port.ErrGarbage, "id of an event is no number")
 		}
 		if s.pending[end-1] == '\r' {
@@ -135,6 +135,9 @@
 	return s.hasFields || s.hasRetry || len(bytes.TrimSuffix(unread, []byte("\r"))) > 0
 }
 
+// isEventID reports whether a text is the id of an event.
+func isEventID(text []byte) bool { return len(text) <= maxIDDigits && isDecimal(text) }
+
 // isDecimal reports whether a text consists of digits.
 func isDecimal(text []byte) bool {
 	for _, b := range text {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -116,6 +116,9 @@
 	if c.workspace != nil {
 		workspace = c.workspace.Name
 	}
+	if id := []byte(c.req.ResumeAfter); c.route.Resumable && isEventID(id) {
+		c.lastID = id
+	}
 	c.fingerprint = quarantine.Fingerprint(c.req.Host, workspace, c.req.Method, c.req.Target, c.req.Body)
 	c.partKeys = quarantine.PartKeys(c.sharedParts())
 	name := c.route.Service(c.req.ID)
