enginehttp: bytes of an engine's stream that are no event break it off

Lines that are no field were skipped, and JSON without a chunk in it ("null", an object with an error) counted as a chunk without text: the piece that it stood for was missing in the answer, and the stream went on behind it. Such a stream is broken now and resumes behind its last chunk. Text that is no UTF-8 was replaced silently; it breaks the stream too. A byte order mark at the start is accepted.

--- a/adapter/enginehttp/shape.go
+++ b/adapter/enginehttp/shape.go
@@ -60,9 +60,11 @@
 // textOnly reports whether an event carries the text of one choice and nothing
 // else.
 func (e *event) textOnly() bool {
-	return e.Usage == nil && len(e.Choices) == 1 && e.Choices[0].FinishReason == ""
+	return e.Usage == nil && !e.hasError() && len(e.Choices) == 1 && e.Choices[0].FinishReason == ""
 }
 
+func (e *event) hasError() bool { return len(e.Error) > 0 && string(e.Error) != "null" }
+
 func (e *event) text() string {
 	if len(e.Choices) == 0 {
 		return ""
--- a/adapter/enginehttp/stream.go
+++ b/adapter/enginehttp/stream.go
@@ -8,6 +8,7 @@
 	"io"
 	"strconv"
 	"time"
+	"unicode/utf8"
 
 	"github.com/pkg/errors"
 
@@ -31,7 +32,9 @@
 	attempt  string
 	event    event
 	template eventTemplate
-	done     bool
+	// begun is set once the first line was read.
+	begun bool
+	done  bool
 }
 
 func newStream(body io.ReadCloser, cancel context.CancelFunc) *stream {
@@ -44,6 +47,8 @@
 type event struct {
 	Choices []eventChoice `json:"choices"`
 	Usage   *eventUsage   `json:"usage"`
+	// Error is set in an event that states a failure in place of a chunk.
+	Error json.RawMessage `json:"error"`
 }
 
 type eventChoice struct {
@@ -66,6 +71,8 @@
 	fieldID    = []byte("id:")
 	fieldData  = []byte("data:")
 	doneMarker = []byte("[DONE]")
+	// byteOrderMark may precede the first line.
+	byteOrderMark = []byte("\xef\xbb\xbf")
 )
 
 // Recv implements port.Stream.
@@ -76,6 +83,9 @@
 	index := -1
 	for s.lines.Scan() {
 		line := s.lines.Bytes()
+		if !s.begun {
+			s.begun, line = true, bytes.TrimPrefix(line, byteOrderMark)
+		}
 		switch {
 		case bytes.HasPrefix(line, fieldID):
 			var err error
@@ -84,6 +94,8 @@
 			}
 		case bytes.HasPrefix(line, fieldData):
 			return s.parseChunk(index, bytes.TrimSpace(line[len(fieldData):]))
+		case !isField(line):
+			return port.Chunk{}, errors.Wrap(port.ErrEndpointBroken, "line of a stream is no field")
 		}
 	}
 	if err := s.lines.Err(); err != nil {
@@ -92,6 +104,20 @@
 	return port.Chunk{}, errors.Wrap(port.ErrEndpointBroken, "stream truncated")
 }
 
+// isField reports whether a line may be part of an event stream: it is blank, a comment, or a field with a name.
+func isField(line []byte) bool {
+	if !utf8.Valid(line) || bytes.IndexByte(line, 0) >= 0 {
+		return false
+	}
+	name, _, found := bytes.Cut(line, []byte(":"))
+	for _, c := range name {
+		if c <= ' ' || c >= utf8.RuneSelf || bytes.IndexByte([]byte(`"(),/;<=>?@[\]{}`), c) >= 0 {
+			return false
+		}
+	}
+	return found || len(name) == 0
+}
+
 // parseID parses "attempt/index" and returns the index. The attempt id is stored and
 // reused, so that events of one attempt do not allocate it again.
 func (s *stream) parseID(id []byte) (int, error) {
@@ -144,6 +170,9 @@
 	if err := json.Unmarshal(data, &s.event); err != nil {
 		return errors.Wrap(port.ErrEndpointBroken, err.Error())
 	}
+	if !utf8.Valid(data) || !bytes.HasPrefix(data, []byte("{")) || s.event.hasError() {
+		return errors.Wrap(port.ErrEndpointBroken, "event without a chunk")
+	}
 	return nil
 }
 
