daemon: requests that have arrived when the process ends its connections are answered

What callers saw: at the end of a process a kept connection was closed without an answer although a request had reached the host, or had been read.

Cause: http.Server.Shutdown closes idle connections at once, also those on which a request waits to be read, and net/http drops a request that it reads while the server is shutting down.

Change: the process closes its listeners, stops the reading on connections that await a request and ends without Shutdown: what has arrived is read and refused as not run (503, Connection: close), then the end of the input closes the connection.

A try that ended idle connections like this but then called Shutdown still failed in some of the runs, as the server dropped what it had read.

What remains: a request that is still under way when the process closes its side is closed unread, which callers may send again.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -11,7 +11,6 @@
 	"os/signal"
 	"runtime/debug"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -118,7 +117,10 @@
 type host struct {
 	gateway *gateway.Gateway
 	servers []*http.Server
-	peers   *peerrpc.Server
+	// listeners are those of servers.
+	listeners   []net.Listener
+	connections connections
+	peers       *peerrpc.Server
 	// peerListener is nil if the settings have no address for peers.
 	peerListener net.Listener
 	group        errgroup.Group
@@ -200,12 +202,12 @@
 func (h *host) serve(l net.Listener, handler http.Handler) {
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-		ErrorLog: stdlog.New(serverLog{h.logger}, "", 0),
+		ErrorLog: stdlog.New(serverLog{h.logger}, "", 0), ConnState: h.connections.track,
 	}
-	h.servers = append(h.servers, server)
+	h.servers, h.listeners = append(h.servers, server), append(h.listeners, l)
 	h.group.Go(func() error {
 		err := server.Serve(l)
-		if errors.Is(err, http.ErrServerClosed) {
+		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
 		select {
@@ -248,18 +250,15 @@
 
 // closeServers closes the listeners and, after closeTimeout, the connections on which an answer is still being written.
 func (h *host) closeServers() {
-	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
-	defer cancel()
-	var closing sync.WaitGroup
+	for _, l := range h.listeners {
+		_ = l.Close() // it may be closed after a failure
+	}
+	if !h.connections.end(closeTimeout) {
+		h.logger.Warn().Str("event", "http").Msg("connections are closed that are not idle")
+	}
 	for _, s := range h.servers {
-		closing.Go(func() {
-			if err := s.Shutdown(ctx); err != nil {
-				h.logger.Warn().Str("event", "http").Err(err).Msg("connections are closed that are not idle")
-				_ = s.Close() // requests on them have run out of time
-			}
-		})
+		_ = s.Close() // requests on its connections have run out of time
 	}
-	closing.Wait()
 }
 
 // watchSettings logs changes of the settings file. It does not apply them: a change
