gateway, fleet: a sound pause does not end a stream

What callers saw: streams whose endpoint paused for 1.2 s or more, as one does that preempts them for others or falls silent for a second or so, were given up for endpoints that had no room, and cut (LOST beside a planned stop).

Cause: a stream that may resume counted as unresponsive after four times its route's longest pause (1.2 s there, 0.4 s where that is 100 ms), whatever the endpoint did for others, although callers wait for 2 s, four times the objective or eight times that pause.

Change: no stream is given up before a silence of 1.5 s. A stream that is silent alone, while its endpoint has gone on with others of this host, has been preempted: it is given up 0.3 s before callers leave, so that one which is stuck for good still goes on elsewhere. Repeated events are no progress.

What remains: an endpoint that is silent on all streams for 1.5 s to 2 s, while the others have no room, still loses those that may resume: the first attempt is ended before another endpoint has taken the stream.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -91,6 +91,7 @@
 	// countedAt; they decay over failureWindow.
 	successes, failures float64
 	countedAt           time.Time
+	progressedAt        time.Time // see Table.Progressed
 }
 
 // removal is an entry that was removed.
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -200,8 +200,12 @@
 		c.countUsage()
 		c.g.metrics.firstEvent.WithLabelValues(string(c.route.Kind)).Observe(now.Sub(c.arrived).Seconds())
 	}
+	before := c.events
 	events = c.dropDuplicates(events)
-	c.updateProgress(now)
+	if c.events > before { // an endpoint that has stalled may repeat its last event
+		c.updateProgress(now)
+		c.g.fleet.Progressed(now, a.view.ID)
+	}
 	if len(events) == 0 {
 		return nil
 	}
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -15,8 +15,17 @@
 	firstEventMargin = 900 * time.Millisecond
 	firstEventFactor = 3
 	// gapFactor is the multiple of the route's longest pause between events after which a stream
-	// counts as unresponsive. Callers disconnect after eight times that pause.
-	gapFactor = 4
+	// counts as unresponsive, but not before soundSilence: a sound endpoint may fall silent for a second or so.
+	gapFactor    = 4
+	soundSilence = 1500 * time.Millisecond
+	// Callers disconnect after a pause of minCallerGap, or of callerTargetFactor times the objective or callerGapFactor
+	// times the route's longest pause where that is longer.
+	minCallerGap       = 2 * time.Second
+	callerTargetFactor = 4
+	callerGapFactor    = 8
+	// takeUpTime is how long before callers disconnect a stream must go on at another endpoint, so that its next event
+	// still comes in time.
+	takeUpTime = 300 * time.Millisecond
 	// callTargetShare is the fraction of a call's objective after which another endpoint is tried,
 	// so that the second attempt can still answer in time.
 	callTargetShare = 0.6
@@ -98,14 +107,33 @@
 	if !c.route.Resumable || c.sent >= max(c.route.MaxAttempts, 1) {
 		return 0
 	}
-	return gapFactor * c.route.MaxGap
+	return max(gapFactor*c.route.MaxGap, soundSilence)
+}
+
+// callerGap returns the pause between events after which callers disconnect.
+func (c *call) callerGap() time.Duration {
+	return max(minCallerGap, callerTargetFactor*c.route.Target, callerGapFactor*c.route.MaxGap)
+}
+
+// isPreempted reports whether the endpoint is silent on this stream only, and has gone on with others of this host: it
+// has taken the stream's memory for them. That lasts longer than a silence of the endpoint, but callers wait for
+// callerGap at most.
+func (c *call) isPreempted(now time.Time) bool {
+	c.mu.Lock()
+	lastAt := c.progress.lastAt
+	c.mu.Unlock()
+	if now.Sub(lastAt) >= c.callerGap()-takeUpTime {
+		return false
+	}
+	others := c.g.fleet.ProgressedAt(c.endpointID())
+	return others.After(lastAt.Add(c.route.MaxGap)) && now.Sub(others) < soundSilence
 }
 
 // reserveRetry takes the next retry from the budget when an unresponsive attempt is about to be
 // abandoned. Without a retry, or without another endpoint for the rest of a stream, the attempt continues to
-// wait.
+// wait, and so does a stream that its endpoint has preempted.
 func (c *call) reserveRetry() bool {
-	if c.streamSoftware() != nil && !c.canContinueElsewhere(time.Now()) {
+	if now := time.Now(); c.streamSoftware() != nil && (!c.canContinueElsewhere(now) || c.isPreempted(now)) {
 		return false
 	}
 	if !c.g.budget(c.service.Name).AllowRetry(time.Now()) {
