gateway: answers that are cut leave their line in the log

What operators saw: no "request" line for a request whose answer had begun and was cut, neither why nor when; its metrics were not counted either.

Cause: the connection of such a caller is closed by a panic, as net/http wants it, and the line came after that. The responders of the tests do not panic.

Change: the line is written first.

Before: TestAbortedAnswersAreLogged failed in both of its rows, as the log had no line. After: passed.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -186,14 +186,20 @@
 	}
 }
 
-// giveUp sends the caller its final answer: an endpoint's error answer that was buffered takes
-// precedence over p.
+// giveUp sends the caller its final answer, or aborts one that has begun: an endpoint's error answer that was buffered
+// takes precedence over p.
 func (c *call) giveUp(p *problem.Problem) {
 	if c.failure != nil && !c.headSent {
 		c.writeFailure()
 		c.logEnd("endpoint-failed")
 		return
 	}
+	if c.headSent {
+		c.finalDetail, c.status = p.Detail, 0
+		c.logEnd(string(p.Type))
+		c.out.Abort()
+		return
+	}
 	c.refuse(p)
 	if c.workspace != nil && p.Run == problem.RunNot {
 		c.g.returnQuota(time.Now(), c.workspace, c.cost)
@@ -201,14 +207,9 @@
 	c.logEnd(string(p.Type))
 }
 
-// refuse sends a problem to the caller, or aborts an answer that has begun.
+// refuse sends a problem to the caller, as the only answer.
 func (c *call) refuse(p *problem.Problem) {
 	c.finalDetail = p.Detail
-	if c.headSent {
-		c.status = 0
-		c.out.Abort()
-		return
-	}
 	c.status = p.Status
 	c.g.metrics.refusals.WithLabelValues(string(p.Type)).Inc()
 	p.RequestID = c.req.ID
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -21,7 +21,8 @@
 	Write(p []byte) error
 	// Refuse sends an answer of the host itself, as the only answer.
 	Refuse(p *problem.Problem)
-	// Abort closes the connection, so that a partial answer does not look complete.
+	// Abort closes the connection, so that a partial answer does not look complete. It may end by a panic, as
+	// net/http wants it.
 	Abort()
 }
 
