gateway: an answer is not framed as complete when its caller seems to have left

What callers saw: one that closes its side of the connection after its request, and still reads, got the beginning of a stream with the end of a complete answer (18 of 144 bytes in the test), or 200 with an empty body for a call.

Cause: net/http cancels a request when it reads the end of the connection's input, which says only that no more is sent. The handler then returned without an error, so the answer was ended in order.

Change: the connection is closed without the end of the answer.

--- a/gateway/abort_test.go
+++ b/gateway/abort_test.go
@@ -31,8 +31,10 @@
 		leaves time.Duration
 		result string
 	}{
-		"a stream is lost":         {"stream", port.ErrBroken, 0, "outcome-unknown"},
-		"the deadline of a stream": {"stream", nil, 0, "timeout"},
+		"a stream is lost":                     {"stream", port.ErrBroken, 0, "outcome-unknown"},
+		"the deadline of a stream":             {"stream", nil, 0, "timeout"},
+		"the caller closes its side":           {"stream", nil, time.Second, "caller-left"},
+		"the caller of a call closes its side": {"order", nil, time.Second, "caller-left"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -163,6 +163,7 @@
 			c.logEnd("served")
 		case stepStop:
 			c.logEnd("caller-left")
+			c.out.Abort() // a caller that has only closed its side of the connection still reads
 		case stepForwardFailure:
 			c.writeFailure()
 			c.logEnd("endpoint-failed")
