--- a/gateway/call.go
+++ b/gateway/call.go
@@ -163,6 +163,7 @@
 			c.logEnd("served")
 		case stepStop:
 			c.logEnd("caller-left")
+			c.out.Abort() // a caller that has only closed its side of the connection still reads
 		case stepForwardFailure:
 			c.writeFailure()
 			c.logEnd("endpoint-failed")
@@ -186,14 +187,20 @@
 	}
 }
 
-// giveUp sends the caller its final answer: an endpoint's error answer that was buffered takes
-// precedence over p.
+// giveUp sends the caller its final answer, or aborts one that has begun: an endpoint's error answer that was buffered
+// takes precedence over p.
 func (c *call) giveUp(p *problem.Problem) {
 	if c.failure != nil && !c.headSent {
 		c.writeFailure()
 		c.logEnd("endpoint-failed")
 		return
 	}
+	if c.headSent {
+		c.finalDetail, c.status = p.Detail, 0
+		c.logEnd(string(p.Type))
+		c.out.Abort()
+		return
+	}
 	c.refuse(p)
 	if c.workspace != nil && p.Run == problem.RunNot {
 		c.g.returnQuota(time.Now(), c.workspace, c.cost)
@@ -201,14 +208,9 @@
 	c.logEnd(string(p.Type))
 }
 
-// refuse sends a problem to the caller, or aborts an answer that has begun.
+// refuse sends a problem to the caller, as the only answer.
 func (c *call) refuse(p *problem.Problem) {
 	c.finalDetail = p.Detail
-	if c.headSent {
-		c.status = 0
-		c.out.Abort()
-		return
-	}
 	c.status = p.Status
 	c.g.metrics.refusals.WithLabelValues(string(p.Type)).Inc()
 	p.RequestID = c.req.ID
