gateway: an endpoint whose answer bears no signature is not asked again by the same request

Callers saw streams and calls end in 502 although other endpoints could serve them: a 2xx without the endpoint's signature was given up, but the endpoint was not counted among those that the request had tried, nor as suspect, so that the next attempt could go to it again and get the same answer.

Such an answer now goes through classifyFailure like any other that is broken off: the endpoint is tried, suspect, and its process is probed.

TestErrorOfTheNextEndpointIsNoPartOfTheStream plays the answers of an endpoint that is to continue a broken stream: 57 kinds, each with a third endpoint that goes on, one that fails in the same way, and none. Before the change three of its 171 rows failed for this cause.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -240,7 +240,7 @@
 		return outcomeDeclined, errors.Errorf("status %d", reply.Status)
 	}
 	if !reply.Authentic && reply.Status < http.StatusMultipleChoices {
-		return outcomeBroken, errors.Errorf("answer of status %d is not marked as authentic", reply.Status)
+		return c.classifyFailure(ctx, a, errors.Errorf("answer of status %d is not marked as authentic", reply.Status))
 	}
 	c.ending = answerEnding{framing: reply.Framing, kind: endingComplete}
 	o, err := c.forwardReply(ctx, a, reply, wd)
