--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -28,6 +28,7 @@
 	front     string
 	ready     string
 	directory string
+	metrics   string
 	cancel    context.CancelFunc
 	done      chan error
 }
@@ -61,6 +62,7 @@
 	}, "\n")))
 	is.New(t).NoErr(err)
 	settings.MetricsAddress = sockets.add(t)
+	d.metrics = settings.MetricsAddress
 	d.host, err = startHost(settings, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, sockets.open)
 	is.New(t).NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
