daemon: answers of the directory, the readiness address and the metrics have a deadline

A caller that takes no bytes of such an answer and keeps its connection held the handler, the connection and the answer for good: only reading had a time limit, and keep-alive probes don't end it, as the caller's kernel answers them.

The servers now bound the writing of an answer to 10 s. The front sets deadlines of its own, so its answers still may take as long as their requests (TestAnswerAfterAWait).

TestAnswerThatIsNotRead failed before.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -38,6 +38,9 @@
 	// not close one that is about to be used: callers stop using them before four
 	// fifths of the 15 s in the configurations.
 	idleTimeout = 20 * time.Second
+	// writeTimeout bounds the time to write an answer from the end of the request's head on. FrontHandler, whose
+	// answers take as long as their requests, sets deadlines of its own.
+	writeTimeout = 10 * time.Second
 	// closeTimeout is how long the last answers may take to be written when the process ends. It is shorter
 	// than what a leaving host keeps of its grace period for the end.
 	closeTimeout = 200 * time.Millisecond
@@ -199,7 +202,7 @@
 
 func (h *host) serve(l net.Listener, handler http.Handler) {
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
 		ErrorLog: stdlog.New(serverLog{h.logger}, "", 0),
 	}
 	h.servers = append(h.servers, server)
