peerrpc: a reply that a peer does not read is given up

A host that calls another one and then takes no bytes, but keeps its connection, held the handler and the reply at the other host for good: its kernel answers keep-alive probes, which are not sent at all while bytes are unacknowledged, and the server had no limit of its own.

Each write of a reply is now bounded to 10 s, after which the connection is closed.

TestPeerThatReadsNoReply failed before, by a deadlock of the bubble.

--- a/adapter/peerrpc/codec.go
+++ b/adapter/peerrpc/codec.go
@@ -89,3 +89,18 @@
 
 // readSince reports whether bytes arrived after t.
 func (c *trackedConn) readSince(t time.Time) bool { return c.lastRead.Load() > t.UnixNano() }
+
+// boundedConn closes the connection when a write is not done within replyTimeout: a part of a message has been sent by
+// then.
+type boundedConn struct{ net.Conn }
+
+func (c boundedConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(replyTimeout)); err != nil {
+		return 0, err
+	}
+	n, err := c.Conn.Write(p)
+	if err != nil {
+		_ = c.Close() // may be closed already
+	}
+	return n, err
+}
--- a/adapter/peerrpc/peerrpc.go
+++ b/adapter/peerrpc/peerrpc.go
@@ -24,8 +24,12 @@
 // methodHeartbeat is answered by every server.
 const methodHeartbeat = "peer.heartbeat"
 
-// handshakeTimeout bounds the TLS handshake with a calling peer.
-const handshakeTimeout = 5 * time.Second
+const (
+	// handshakeTimeout bounds the TLS handshake with a calling peer.
+	handshakeTimeout = 5 * time.Second
+	// replyTimeout bounds one write of a reply.
+	replyTimeout = 10 * time.Second
+)
 
 // discardLog keeps package jsonrpc2 from writing to the standard logger: errors are
 // returned to the calling code, and the end of a connection is not worth a log line.
@@ -90,7 +94,7 @@
 }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	c := jsonrpc2.NewConn(ctx, newStream(conn), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)), discardLog)
+	c := jsonrpc2.NewConn(ctx, newStream(boundedConn{conn}), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)), discardLog)
 	s.mu.Lock()
 	closed := s.closed
 	s.conns[c] = struct{}{}
