peerrpc: a call to a peer that reads nothing ends at its timeout

A call whose request did not fit into the buffers on the way waited beyond its timeout until the connection had been silent for 3 s, and with it all other calls to that host: the write of a request does not look at the call's context.

At its timeout such a call now closes the connection if nothing has arrived on it since the call began, as it did before when the request had been written.

TestCallToAPeerThatReadsNothing hung before (its bubble does not advance while writers wait for each other).

--- a/adapter/peerrpc/client.go
+++ b/adapter/peerrpc/client.go
@@ -80,6 +80,14 @@
 	}
 	defer c.release(conn)
 	start := time.Now()
+	timedOutSilent := func() bool { return errors.Is(ctx.Err(), context.DeadlineExceeded) && !conn.raw.readSince(start) }
+	// Without this a call would wait beyond ctx while its request cannot be written.
+	stop := context.AfterFunc(ctx, func() {
+		if timedOutSilent() {
+			c.remove(address, conn)
+		}
+	})
+	defer stop()
 	err = conn.rpc.Call(ctx, method, params, result)
 	var refused *jsonrpc2.Error
 	switch {
@@ -87,7 +95,7 @@
 		return nil
 	case errors.As(err, &refused):
 		return errors.Wrap(port.ErrPeerRefused, refused.Message)
-	case ctx.Err() == nil, errors.Is(ctx.Err(), context.DeadlineExceeded) && !conn.raw.readSince(start):
+	case ctx.Err() == nil, timedOutSilent():
 		c.remove(address, conn)
 	}
 	return errors.Wrap(port.ErrPeerBroken, err.Error())
--- a/adapter/peerrpc/unread_test.go
+++ b/adapter/peerrpc/unread_test.go
@@ -5,13 +5,16 @@
 	"encoding/json"
 	"io"
 	"net"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/pkg/errors"
 
 	"github.com/cicadanotch/cicadanotch/adapter/peerrpc"
+	"github.com/cicadanotch/cicadanotch/port"
 )
 
 // pipeListener accepts the connections that are sent to it.
@@ -50,3 +53,22 @@
 		is.NoErr(<-served)
 	})
 }
+
+// TestCallToAPeerThatReadsNothing guards against a call that takes longer than its timeout, because the peer reads nothing
+// and the request does not fit into the buffers on the way.
+func TestCallToAPeerThatReadsNothing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		near, far := net.Pipe()
+		defer far.Close()
+		client := peerrpc.NewClient(func(context.Context, string, string) (net.Conn, error) { return near, nil })
+		defer client.Close()
+		const timeout = 400 * time.Millisecond
+		ctx, cancel := context.WithTimeout(t.Context(), timeout)
+		defer cancel()
+		began := time.Now()
+		err := client.Call(ctx, "x", "echo", strings.Repeat("x", 1<<20), nil)
+		is.True(errors.Is(err, port.ErrPeerBroken))
+		is.Equal(time.Since(began), timeout)
+	})
+}
