--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -13,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cicadanotch/cicadanotch/catalog"
+	"github.com/cicadanotch/cicadanotch/fleet"
 	"github.com/cicadanotch/cicadanotch/port"
 )
 
@@ -188,3 +189,50 @@
 	}
 	return strings.TrimRight(out.String(), "\n") + "\n\n"
 }
+
+// TestErrorOfTheTargetOfAMove guards against the same where the endpoint that fails is the one that a stream was moved to
+// with its memory, on a route whose streams cannot be resumed.
+func TestErrorOfTheTargetOfAMove(t *testing.T) {
+	for _, target := range takeovers {
+		t.Run(target.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) { testMoveTakeover(t, target) })
+		})
+	}
+}
+
+func testMoveTakeover(t *testing.T, target takeover) {
+	const sent = 5 // events that the first endpoint sends before it is told to stop
+	is := is.New(t)
+	tp := newTestPlatform()
+	tp.publish(endpoint("3", "llm"), endpoint("4", "llm"), endpoint("5", "llm"))
+	stopped := make(chan struct{})
+	tp.endpoints.respond = func(ctx context.Context, f *port.Forward, n int) (*port.Reply, error) {
+		if n == 1 {
+			reply := streamReply(ctx, f, io.EOF, 150*time.Millisecond, events(1, sent)...)
+			reply.Framing, reply.Body = port.FramingConnection, &closedWhen{reply.Body, stopped}
+			return reply, nil
+		}
+		is.True(f.Copy != nil)
+		return target.answer(ctx, f)
+	}
+	tp.endpoints.move = func(_ string, m port.StreamMove) (string, error) {
+		if m.Last {
+			close(stopped)
+		}
+		return "h", nil
+	}
+	g := tp.startHost(t, testOptions("h1"))
+	time.Sleep(settleTime)
+	time.AfterFunc(500*time.Millisecond, func() {
+		e := endpoint(tp.endpoints.attempts("req")[0].Endpoint, "llm")
+		e.State, e.Leaving, e.Leaves = fleet.StateDraining, true, time.Second
+		tp.store.put(port.TopicEndpoints, e.ID, e)
+	})
+	r := sendRequest(t.Context(), g, "req", "stream")
+	is.Equal(r.begins, 1)
+	is.Equal(r.status, http.StatusOK)
+	is.True(r.problem == nil)
+	is.Equal(len(tp.endpoints.attempts("req")), 2)
+	is.Equal(withoutComments(r.body.String()), strings.Join(events(1, sent), ""))
+	is.Equal(r.aborted, !target.ends)
+}
