gateway: an answer of success without a body that is to continue a stream breaks it off

Callers got a stream as complete that broke off and was to go on at an endpoint that answered with success, no body and another type (200 of text, 204): since answers with success on streaming routes are checked as streams, whatever their type, an empty one ended in order. Now an answer that is no event stream is broken off if it ends before its first event.

--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -255,9 +255,9 @@
 	case splitter.insideEvent():
 		c.ending.kind, c.ending.unfinished = endingInEvent, len(rest)
 		return outcomeBroken, errors.Errorf("stream ended inside an event, after %d bytes of it", len(rest))
-	case !a.answered && reply.Framing == port.FramingConnection:
+	case !a.answered && (reply.Framing == port.FramingConnection || !reply.Stream):
 		c.ending.kind = endingNoEvent
-		return outcomeBroken, errors.New("connection closed before the first event of the stream")
+		return outcomeBroken, errors.New("answer ended before the first event of the stream")
 	case reply.Framing == port.FramingConnection && c.awaitMove():
 		return outcomeMoved, errMoved
 	case reply.Framing == port.FramingConnection && c.stoppedByMove():
