gateway: an attempt that is silent is not given up while there is no other endpoint

A repeatable call, or a resumable stream before its first event, was given up after 0.3 s or 0.9 s of silence although the service had no other endpoint, and callers got 502. The watchdog asked for another endpoint only for streams that had begun; now it does so for all attempts. An endpoint that was tried before still counts as another one.

--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -133,7 +133,7 @@
 // abandoned. Without a retry, or without another endpoint for the rest of a stream, the attempt continues to
 // wait, and so does a stream that its endpoint has preempted.
 func (c *call) reserveRetry() bool {
-	if now := time.Now(); c.streamSoftware() != nil && (!c.canContinueElsewhere(now) || c.isPreempted(now)) {
+	if now := time.Now(); !c.canContinueElsewhere(now) || c.streamSoftware() != nil && c.isPreempted(now) {
 		return false
 	}
 	if !c.g.budget(c.service.Name).AllowRetry(time.Now()) {
