--- a/adapter/peerrpc/peerrpc.go
+++ b/adapter/peerrpc/peerrpc.go
@@ -12,6 +12,7 @@
 	"log"
 	"net"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/sourcegraph/jsonrpc2"
@@ -22,6 +23,9 @@
 // methodHeartbeat is answered by every server.
 const methodHeartbeat = "peer.heartbeat"
 
+// replyTimeout bounds one write of a reply.
+const replyTimeout = 10 * time.Second
+
 // discardLog keeps package jsonrpc2 from writing to the standard logger: errors are
 // returned to the calling code, and the end of a connection is not worth a log line.
 var discardLog = jsonrpc2.SetLogger(log.New(io.Discard, "", 0))
@@ -82,7 +86,7 @@
 }
 
 func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	c := jsonrpc2.NewConn(ctx, newStream(conn), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)), discardLog)
+	c := jsonrpc2.NewConn(ctx, newStream(boundedConn{conn}), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)), discardLog)
 	s.mu.Lock()
 	closed := s.closed
 	s.conns[c] = struct{}{}
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -51,7 +51,7 @@
 	sent, unsent int
 	headSent     bool // the head of an answer was sent to the caller
 	events       int
-	lastID       []byte // of the last event forwarded
+	lastID       []byte // of the last event that the caller has
 	firstAt      time.Time
 	status       int
 	failure      *bufferedReply // an endpoint's error answer, buffered while others are tried
@@ -174,6 +174,7 @@
 			c.logEnd("served")
 		case stepStop:
 			c.logEnd("caller-left")
+			c.out.Abort() // a caller that has only closed its side of the connection still reads
 		case stepForwardFailure:
 			c.writeFailure()
 			c.logEnd("endpoint-failed")
@@ -197,14 +198,20 @@
 	}
 }
 
-// giveUp sends the caller its final answer: an endpoint's error answer that was buffered takes
-// precedence over p.
+// giveUp sends the caller its final answer, or aborts one that has begun: an endpoint's error answer that was buffered
+// takes precedence over p.
 func (c *call) giveUp(p *problem.Problem) {
 	if c.failure != nil && !c.headSent {
 		c.writeFailure()
 		c.logEnd("endpoint-failed")
 		return
 	}
+	if c.headSent {
+		c.finalDetail, c.status = p.Detail, 0
+		c.logEnd(string(p.Type))
+		c.out.Abort()
+		return
+	}
 	c.refuse(p)
 	if c.workspace != nil && p.Run == problem.RunNot {
 		c.g.returnQuota(time.Now(), c.workspace, c.cost)
@@ -212,14 +219,9 @@
 	c.logEnd(string(p.Type))
 }
 
-// refuse sends a problem to the caller, or aborts an answer that has begun.
+// refuse sends a problem to the caller, as the only answer.
 func (c *call) refuse(p *problem.Problem) {
 	c.finalDetail = p.Detail
-	if c.headSent {
-		c.status = 0
-		c.out.Abort()
-		return
-	}
 	c.status = p.Status
 	c.g.metrics.refusals.WithLabelValues(string(p.Type)).Inc()
 	p.RequestID = c.req.ID
@@ -263,7 +265,7 @@
 		return outcomeDeclined, errors.Errorf("status %d", reply.Status)
 	}
 	if !reply.Authentic && reply.Status < http.StatusMultipleChoices {
-		return outcomeBroken, errors.Errorf("answer of status %d is not marked as authentic", reply.Status)
+		return c.classifyFailure(ctx, a, errors.Errorf("answer of status %d is not marked as authentic", reply.Status))
 	}
 	c.ending = answerEnding{framing: reply.Framing, kind: endingComplete}
 	o, err := c.forwardReply(ctx, a, reply, wd)
@@ -274,7 +276,7 @@
 	if o == outcomeBroken || o == outcomeUnresponsive {
 		return c.classifyFailure(ctx, a, err)
 	}
-	if o == outcomeComplete && !reply.Stream {
+	if o == outcomeComplete && !c.isStream(reply) {
 		c.g.answerTime(c.service.Name).Observe(time.Since(a.startedAt))
 		c.observeCall(a, reply)
 	}
@@ -387,8 +389,7 @@
 // wants no requests for some time.
 func (c *call) recordAnnouncements(now time.Time, a *endpointAttempt, reply *port.Reply) {
 	if reply.HeaderFault != "" {
-		c.g.metrics.headerFaults.Inc()
-		c.g.log.Warn().Str("event", "endpoint_header").Str("request", c.req.ID).Str("endpoint", a.view.ID).Str("fault", reply.HeaderFault).Msg("")
+		c.recordHeaderFault(a, reply.HeaderFault)
 	}
 	if reply.Leaving {
 		c.g.handleEndpointChanges(feedRead{at: now}, c.g.fleet.Leaving(now, a.view.ID))
@@ -401,6 +402,12 @@
 	}
 }
 
+// recordHeaderFault records that a header of an endpoint's answer could not be used as sent.
+func (c *call) recordHeaderFault(a *endpointAttempt, fault string) {
+	c.g.metrics.headerFaults.Inc()
+	c.g.log.Warn().Str("event", "endpoint_header").Str("request", c.req.ID).Str("endpoint", a.view.ID).Str("fault", fault).Msg("")
+}
+
 // recordDecline marks the endpoint suspect if another one has its address.
 func (c *call) recordDecline(now time.Time, a *endpointAttempt, reply *port.Reply) {
 	if reply.Misdirected {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -21,7 +21,8 @@
 	Write(p []byte) error
 	// Refuse sends an answer of the host itself, as the only answer.
 	Refuse(p *problem.Problem)
-	// Abort closes the connection, so that a partial answer does not look complete.
+	// Abort closes the connection, so that a partial answer does not look complete. It may end by a panic, as
+	// net/http wants it.
 	Abort()
 }
 
@@ -108,6 +109,9 @@
 	if c.workspace != nil {
 		workspace = c.workspace.Name
 	}
+	if id := []byte(c.req.ResumeAfter); c.route.Resumable && isEventID(id) {
+		c.lastID = id
+	}
 	c.fingerprint = quarantine.Fingerprint(c.req.Host, workspace, c.req.Method, c.req.Target, c.req.Body)
 	c.partKeys = quarantine.PartKeys(c.sharedParts())
 	name := c.route.Service(c.req.ID)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -34,11 +34,14 @@
 
 // forwardReply forwards an endpoint's answer to the caller.
 func (c *call) forwardReply(ctx context.Context, a *endpointAttempt, reply *port.Reply, wd *watchdog) (outcome, error) {
-	if reply.Stream && reply.Status == http.StatusOK && c.route.Kind == catalog.KindStreaming {
+	if c.isStream(reply) {
+		if !reply.Stream {
+			c.recordHeaderFault(a, "the content type of a stream is not that of event streams")
+		}
 		return c.forwardStream(a, reply, wd)
 	}
 	if c.headSent {
-		return outcomeBroken, errors.Errorf("resumed stream: got status %d, want an event stream with status 200", reply.Status)
+		return outcomeBroken, errors.Errorf("resumed stream: got status %d, want an event stream", reply.Status)
 	}
 	var held heldBytes
 	defer func() { held.release(c.g) }()
@@ -60,6 +63,12 @@
 	return outcomeComplete, nil
 }
 
+// isStream reports whether an answer is to be a series of events: each one with success on a streaming route,
+// whatever type it states.
+func (c *call) isStream(reply *port.Reply) bool {
+	return c.route.Kind == catalog.KindStreaming && reply.Status < http.StatusMultipleChoices
+}
+
 // bufferReply reads an answer. complete is false if it is too long to buffer, or too much is held of others; body
 // is then its beginning.
 func (c *call) bufferReply(reply *port.Reply, held *heldBytes) (body []byte, complete bool, err error) {
@@ -204,8 +213,12 @@
 		c.countUsage()
 		c.g.metrics.firstEvent.WithLabelValues(string(c.route.Kind)).Observe(now.Sub(c.arrived).Seconds())
 	}
+	before := c.events
 	unseen := c.dropDuplicates(events)
-	c.updateProgress(now)
+	if c.events > before { // an endpoint that has stalled may repeat its last event
+		c.updateProgress(now)
+		c.g.fleet.Progressed(now, a.view.ID)
+	}
 	if len(unseen) == 0 {
 		return nil
 	}
@@ -242,9 +255,9 @@
 	case splitter.insideEvent():
 		c.ending.kind, c.ending.unfinished = endingInEvent, len(rest)
 		return outcomeBroken, errors.Errorf("stream ended inside an event, after %d bytes of it", len(rest))
-	case !a.answered && reply.Framing == port.FramingConnection:
+	case !a.answered && (reply.Framing == port.FramingConnection || !reply.Stream):
 		c.ending.kind = endingNoEvent
-		return outcomeBroken, errors.New("connection closed before the first event of the stream")
+		return outcomeBroken, errors.New("answer ended before the first event of the stream")
 	case reply.Framing == port.FramingConnection && c.awaitMove():
 		return outcomeMoved, errMoved
 	case reply.Framing == port.FramingConnection && c.stoppedByMove():
