--- a/adapter/tunnel/end_test.go
+++ b/adapter/tunnel/end_test.go
@@ -1,11 +1,13 @@
 package tunnel
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"net"
 	"os"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -258,3 +260,49 @@
 		})
 	}
 }
+
+// refusedWriteConn is a connection that the other end has closed with a statement: a write fails, what was sent before can be
+// read.
+type refusedWriteConn struct {
+	bytesConn
+	once   sync.Once
+	failed chan struct{}
+}
+
+func (c *refusedWriteConn) Write([]byte) (int, error) {
+	c.once.Do(func() { close(c.failed) })
+	return 0, syscall.EPIPE
+}
+
+func (c *refusedWriteConn) Read(p []byte) (int, error) {
+	<-c.failed
+	time.Sleep(20 * time.Millisecond) // the writer goes on first
+	return c.bytesConn.Read(p)
+}
+
+func (c *refusedWriteConn) SetReadDeadline(time.Time) error { return nil }
+
+// TestFailedWriteHidesStatement guards against a write that fails first and hides what the other end stated before it closed the
+// tunnel: that nothing was sent, or the end of the answer.
+func TestFailedWriteHidesStatement(t *testing.T) {
+	for name, tc := range map[string]struct {
+		stated []byte
+		want   error
+	}{
+		"refusal": {frame(frameRefused, []byte("paused")), ErrRefused},
+		"end":     {append(frame(frameData, []byte("answer")), frame(frameEnd, nil)...), nil},
+		"nothing": {nil, io.ErrUnexpectedEOF},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l := newLink(t.Context(), &refusedWriteConn{bytesConn: bytesConn{Reader: bytes.NewReader(tc.stated)}, failed: make(chan struct{})}, neverTicks, true)
+			close(l.opened)
+			l.start()
+			conn := &Conn{link: l}
+			_, err := conn.Write([]byte("GET"))
+			is.True(err != nil)
+			_, err = readAll(t, conn)
+			is.True(errors.Is(err, tc.want))
+		})
+	}
+}
--- a/adapter/tunnel/leave_test.go
+++ b/adapter/tunnel/leave_test.go
@@ -139,7 +139,11 @@
 	conn, err := b.client().Dial(ctx, b.address, Target{"e-1", "127.0.0.1:1"})
 	is.True(conn == nil)
 	is.True(errors.Is(err, context.Canceled))
-	<-gaveUp
+	select {
+	case <-gaveUp:
+	case <-time.After(patience):
+		t.Fatal("the connection is still being opened")
+	}
 	eventually(t, "the caller has left", func() bool { return b.events.count(EventLeft) == 1 })
 }
 
@@ -220,3 +224,23 @@
 	is.New(t).NoErr(err)
 	return len(entries)
 }
+
+// TestReadAfterClose guards against a connection that can still be read after Close, because the endpoint had ended it before.
+func TestReadAfterClose(t *testing.T) {
+	is := is.New(t)
+	endpoint := serveEndpoint(t, func(conn net.Conn) {
+		_, err := conn.Write([]byte("answer"))
+		is.NoErr(err)
+	})
+	b := newBed(t, bedConfig{})
+	conn := b.dial(t, endpoint)
+	<-conn.(*Conn).link.ctx.Done()
+	_, err := io.ReadFull(conn, make([]byte, 2))
+	is.NoErr(err)
+	is.NoErr(conn.Close())
+	_, err = conn.Read(make([]byte, 1))
+	is.True(errors.Is(err, net.ErrClosed))
+	_, err = conn.Write(make([]byte, 1))
+	is.True(errors.Is(err, net.ErrClosed))
+	is.NoErr(conn.Close())
+}
--- a/adapter/tunnel/pressure_test.go
+++ b/adapter/tunnel/pressure_test.go
@@ -232,6 +232,7 @@
 	close(l.opened)
 	l.start()
 	conn := &Conn{link: l}
+	defer time.AfterFunc(patience, func() { _ = far.Close() }).Stop() // ends a write that the deadline does not
 	is.NoErr(conn.SetWriteDeadline(time.Now().Add(20 * time.Millisecond)))
 	_, err := conn.Write([]byte("x"))
 	is.True(err != nil)
