--- a/port/forward.go
+++ b/port/forward.go
@@ -140,6 +140,9 @@
 	// RequestLimit is how many requests a second the endpoint takes from all hosts together; zero for
 	// no limit.
 	RequestLimit float64
+	// Rejections is how many requests the endpoint can reject in a second for lack of room without failing; nil
+	// if it names no such bound.
+	Rejections *int
 	// Leaving reports whether the endpoint states that it is about to leave.
 	Leaving bool
 	// HeaderFault describes a header that could not be used as sent; empty if there is
