headroom, gateway: endpoints that bear few rejections get only what has room in a host's share of their slots

Cause: a host learns that an endpoint is full from a rejection, and all hosts do so in the same second.

Change: package headroom divides the slots (and KV cache) of such an endpoint among the hosts, keeps an eighth back, and lets min(N-1, that) hosts use it. Statements are learnt from any answer and told in reports; they hold for endpoints of the service that have said nothing yet. A call without room waits for its host's next free slot, if that comes soon, and all else is refused at once. Nothing changes while no endpoint names a bound (TestNothingIsBrittle, TestNothingNamed).

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -60,6 +60,7 @@
 	ending      answerEnding
 	lastAttempt *endpointAttempt
 	refusal     *refusal // set when the request was refused for lack of room
+	room        room
 
 	// retryReserved is set when the next retry has already been taken from the budget.
 	retryReserved atomic.Bool
@@ -135,12 +136,13 @@
 	c.g.budget(c.service.Name).RecordRequest(time.Now())
 	c.tried = map[string]bool{}
 	for {
-		a, p := c.place(time.Now())
+		a, p := c.placeInRoom(ctx)
 		if p != nil {
 			c.giveUp(p)
 			return
 		}
 		o, err := c.attempt(ctx, a)
+		c.leaveRoom(time.Now(), o)
 		c.recordForRollout(a, o)
 		c.g.metrics.attempts.WithLabelValues(string(o)).Inc()
 		s := c.requestState()
@@ -393,6 +395,7 @@
 		c.g.handleEndpointChanges(feedRead{at: now}, c.g.fleet.Leaving(now, a.view.ID))
 	}
 	c.g.stateLimit(now, a.view.ID, fleet.LimitStatement{PerSecond: reply.RequestLimit, At: now}, "", c.req.ID)
+	c.recordRejections(now, a, reply)
 	if reply.RetryAfter > 0 {
 		c.g.fleet.Pause(now, a.view.ID, reply.RetryAfter)
 		c.g.metrics.stateChanges.WithLabelValues("endpoint_paused").Inc()
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -23,6 +23,7 @@
 	"github.com/cicadanotch/cicadanotch/attempt"
 	"github.com/cicadanotch/cicadanotch/catalog"
 	"github.com/cicadanotch/cicadanotch/fleet"
+	"github.com/cicadanotch/cicadanotch/headroom"
 	"github.com/cicadanotch/cicadanotch/lease"
 	"github.com/cicadanotch/cicadanotch/placement"
 	"github.com/cicadanotch/cicadanotch/port"
@@ -135,6 +136,8 @@
 	placer       *placerState
 	quarantine   *quarantineState
 	overload     *overloadState
+	headroom     *headroom.Table
+	roomWaits    *roomWaits
 	lineage      *lineageState
 	checks       *registryChecks
 	era          eraState
@@ -200,6 +203,7 @@
 	g.relays = newRelayState()
 	g.placer = newPlacerState(opts.Host)
 	g.overload = newOverloadState()
+	g.headroom, g.roomWaits = headroom.NewTable(opts.Host), newRoomWaits()
 	g.lineage = newLineageState(now)
 	g.checks = newRegistryChecks(g)
 	g.quarantine = newQuarantineState()
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -50,6 +50,7 @@
 	r.Usage = g.usage.Recent()
 	r.Speeds = g.reportedSpeeds(now)
 	r.Limits, r.Software = g.reportedLimits(now), g.reportedSoftware(now)
+	r.Rejections = g.reportedRejections(now)
 	if r.FencingToken = g.leader.fencingToken(now); r.FencingToken != 0 {
 		r.Targets = g.leader.targetCounts()
 		if g.opts.UsageWindow > 0 {
@@ -77,6 +78,7 @@
 	}
 	if f.poll() == nil {
 		g.chooseRelay(time.Now(), g.presence.Live())
+		g.receiveRejections(time.Now()) // before it serves
 	}
 	close(g.hostsRead)
 	select {
@@ -238,6 +240,7 @@
 	g.chooseRelay(now, live)
 	g.choosePlacers(now, live)
 	g.receiveLimits(now, live)
+	g.receiveRejections(now)
 	g.metrics.hosts.Set(float64(len(live) + 1))
 	// From here on live holds only the hosts that reported within shareTimeout.
 	live, unresponsive := g.presence.Within(shareTimeout), g.presence.Unresponsive(shareTimeout, shareTTL)
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -47,6 +47,7 @@
 	limitsGranted      prometheus.Gauge
 	refusedWithinLimit prometheus.Counter
 	headerFaults       prometheus.Counter
+	riskyRejections    prometheus.Counter
 }
 
 // Descriptions of the metrics of speedCollector.
@@ -169,11 +170,15 @@
 		Name: "cicadanotch_gateway_refused_within_share_total",
 		Help: "Requests refused by a limit though the host was asked for less than its share.",
 	})
+	m.riskyRejections = prometheus.NewCounter(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_risky_rejections_total",
+		Help: "Rejections for lack of room by endpoints that bear few of them.",
+	})
 	m.headerFaults = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "cicadanotch_gateway_header_faults_total",
 		Help: "Answers of endpoints with a header that could not be used as sent.",
 	})
-	m.registry.MustRegister(m.headerFaults, m.limitShares, m.limitsGranted, m.refusedWithinLimit, m.overloads, m.rolloutChanges, m.rolloutAnswers, m.rolloutWithheld, m.rolloutWaits, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
+	m.registry.MustRegister(m.headerFaults, m.riskyRejections, m.limitShares, m.limitsGranted, m.refusedWithinLimit, m.overloads, m.rolloutChanges, m.rolloutAnswers, m.rolloutWithheld, m.rolloutWaits, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
 		m.feedReads, m.version, m.hosts, m.fencingToken, m.leaderCalls, m.moves, collectors.NewGoCollector())
 	return m
 }
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -259,7 +259,9 @@
 // chooseMoveTarget chooses the endpoint where a stream continues.
 func (c *call) chooseMoveTarget(excluded map[string]bool) (fleet.View, bool) {
 	now := time.Now()
-	views := slices.DeleteFunc(c.usable(now), func(v fleet.View) bool { return !c.g.fleet.WithinLimit(now, v.ID) })
+	views := slices.DeleteFunc(c.usable(now), func(v fleet.View) bool {
+		return !c.g.fleet.WithinLimit(now, v.ID) || !c.g.headroom.Allows(now, c.endpointOf(v), c.workOf())
+	})
 	q := c.query()
 	q.Excluded = excluded
 	choice, ok := c.g.placement.Choose(now, q, c.g.candidates(now, views, true, c.service))
--- a/gateway/place.go
+++ b/gateway/place.go
@@ -33,6 +33,9 @@
 		return nil, c.notRun(http.StatusServiceUnavailable, problem.TypeUnavailable, "the service has no endpoint").WithRetryAfter(noEndpointRetryAfter)
 	}
 	choice, ok, limited := c.chooseWithinLimits(now, c.separated(now, views))
+	if limited && c.room.missing {
+		return nil, c.roomProblem(now, views)
+	}
 	if limited {
 		return nil, c.notRun(http.StatusServiceUnavailable, problem.TypeOverloaded, "every endpoint has named a limit that is used up").WithRetryAfter(c.g.fleet.NextWithinLimit(now, views))
 	}
@@ -42,6 +45,7 @@
 	}
 	if room, reason, over := c.overloaded(now, choice); over {
 		c.release(&choice, true)
+		c.leaveRoom(now, outcomeUnsent)
 		c.g.fleet.ReturnToLimit(now, choice.ID)
 		c.g.demand.Refused(now, c.service.Name, max(q.PromptTokens-choice.CachedTokens, 0), q.MaxAnswerTokens)
 		return nil, c.overloadProblem(now, reason, room, "no endpoint can start it in time")
@@ -56,8 +60,9 @@
 	q := c.query()
 	q.Excluded = maps.Clone(c.tried)
 	var allowed []fleet.View
+	c.room.missing = false
 	for _, v := range views {
-		if c.g.fleet.WithinLimit(now, v.ID) {
+		if c.g.fleet.WithinLimit(now, v.ID) && c.hasRoom(now, v) {
 			allowed = append(allowed, v)
 		} else {
 			q.Excluded[v.ID] = true
@@ -66,10 +71,16 @@
 	for len(allowed) > 0 {
 		c.ticket = 0
 		choice, ok = c.choose(now, q, allowed)
-		if !ok || c.g.fleet.TakeFromLimit(now, choice.ID) {
-			return choice, ok, false
+		if !ok {
+			return choice, false, false
+		}
+		if c.g.fleet.TakeFromLimit(now, choice.ID) {
+			if c.takeRoom(now, findView(views, choice.ID)) {
+				return choice, true, false
+			}
+			c.g.fleet.ReturnToLimit(now, choice.ID)
 		}
-		// Another request has used the limit up since.
+		// Another request has used the limit, or the room, up since.
 		c.release(&choice, true)
 		q.Excluded[choice.ID] = true
 		allowed = slices.DeleteFunc(allowed, func(v fleet.View) bool { return v.ID == choice.ID })
@@ -165,5 +176,6 @@
 	q := c.query()
 	q.PromptTokens = 0 // the copied KV cache contains the prompt
 	choice, _ := c.g.placement.Choose(now, q, c.g.candidates(now, []fleet.View{view}, true, c.service))
+	c.occupyRoom(view)
 	return &endpointAttempt{choice: choice, view: view, kvCopy: &port.KVCopy{Source: m.source, Handle: m.handle}}, nil
 }
--- a/overload/overload.go
+++ b/overload/overload.go
@@ -16,6 +16,8 @@
 	// ReasonObjective means that the answer is expected so long after the route's objective that it would only
 	// delay others.
 	ReasonObjective Reason = "objective"
+	// ReasonRejection means that an endpoint might have to reject it and would fail by that.
+	ReasonRejection Reason = "rejection"
 )
 
 const (
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -55,6 +55,15 @@
 	AgeMS int64 `json:"a,omitempty"`
 }
 
+// Rejections is what an endpoint has said of the rejections that it bears.
+type Rejections struct {
+	// PerSecond is how many it bears in a second. Lifted means that it names no bound any more.
+	PerSecond int  `json:"n,omitempty"`
+	Lifted    bool `json:"x,omitempty"`
+	// AgeMS is the time since the answer that said so, as of the report.
+	AgeMS int64 `json:"a,omitempty"`
+}
+
 // Report is the report of one host. The JSON keys are short because every host reads
 // every report.
 type Report struct {
@@ -94,6 +103,8 @@
 	Relayed bool               `json:"y,omitempty"`
 	// Limits holds the limits that endpoints have named to this host, by id.
 	Limits map[string]Limit `json:"k,omitempty"`
+	// Rejections holds the bounds on rejections that endpoints have named to this host, by id.
+	Rejections map[string]Rejections `json:"x,omitempty"`
 	// Software is how many milliseconds ago each software version of a service was last listed.
 	Software map[string]map[string]int64 `json:"j,omitempty"`
 	// Speeds is what the host has observed of the time that endpoints take; absent where that is not learnt.
@@ -217,6 +228,16 @@
 	return t.newest(func(r *row) bool { return t.readAt.Sub(r.receivedAt) < age })
 }
 
+// ReceivedAt returns when a report of an incarnation was last received; zero if none was.
+func (t *Table) ReceivedAt(key string) time.Time {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if r, ok := t.rows[key]; ok {
+		return r.receivedAt
+	}
+	return time.Time{}
+}
+
 // newest returns, ordered by host, the newest report of each host except this one among
 // those that match.
 func (t *Table) newest(match func(*row) bool) []Report {
