--- a/gateway/brittle_test.go
+++ b/gateway/brittle_test.go
@@ -55,6 +55,7 @@
 	service, route   string
 	work             time.Duration
 	perSecond, burst int // requests a second to all hosts, before and in the bursts
+	before           int // requests a second while they name their bound; zero for perSecond
 	during           func(t *testing.T, tp *testPlatform)
 }
 
@@ -91,8 +92,10 @@
 		if calm, calmSent := tp.sendCalls(t, d.route, d.perSecond, 3*time.Second); calm*100 < calmSent*95 {
 			t.Errorf("served %d of %d before the endpoints were brittle, expected nearly all", calm, calmSent)
 		}
+		naming := max(d.before, d.perSecond)
+		tp.sendCalls(t, d.route, naming, time.Second)
 		e.name()
-		tp.sendCalls(t, d.route, d.perSecond, 6*time.Second)
+		tp.sendCalls(t, d.route, naming, 6*time.Second)
 		if d.during != nil {
 			d.during(t, tp)
 		}
@@ -122,6 +125,30 @@
 		"call endpoints that bear none":     with(calls, func(d *brittleDay) { d.bears = 0 }),
 		"call endpoints that let none wait": with(calls, func(d *brittleDay) { d.lateQueue, d.bears = 0, 1 }),
 		"burst onto 18 engines":             engines,
+		"they name it in a burst":           with(calls, func(d *brittleDay) { d.before, d.bears = 400, 1 }),
+		"the store is away": with(calls, func(d *brittleDay) {
+			d.bears = 1
+			d.during = func(_ *testing.T, tp *testPlatform) {
+				tp.store.setFail(func(string, port.Topic) error { return port.ErrStoreUnavailable })
+				time.Sleep(4 * time.Second)
+			}
+		}),
+		"three hosts start anew": with(calls, func(d *brittleDay) {
+			d.bears = 1
+			d.during = func(t *testing.T, tp *testPlatform) {
+				tp.hostsMu.Lock()
+				old := slices.Clone(tp.hosts[:3])
+				tp.hosts = tp.hosts[3:]
+				tp.hostsMu.Unlock()
+				for _, g := range old {
+					g.tomb.Kill(nil)
+					o := g.opts
+					o.Incarnation = "2"
+					tp.startHost(t, o)
+				}
+				time.Sleep(500 * time.Millisecond)
+			}
+		}),
 		"one host does not read the reports": with(calls, func(d *brittleDay) {
 			d.during = func(_ *testing.T, tp *testPlatform) { tp.hosts[2].ports.Store.(*hostStore).unreachable.Store(true) }
 		}),
--- a/headroom/headroom.go
+++ b/headroom/headroom.go
@@ -84,9 +84,16 @@
 	heard, told Statement
 	pausedUntil time.Time
 	listedAt    time.Time
-	// ranks are the hosts' ranks at this endpoint as of view.
-	ranks map[string]int
-	view  int
+	// ranks are the hosts' ranks at this endpoint, shares this host's shares for a size and a bound, as of view.
+	ranks  map[string]int
+	shares map[shareKey]int
+	view   int
+}
+
+// shareKey is what a share depends on beside the view of the other hosts.
+type shareKey struct {
+	total, reserved int
+	tokens          bool
 }
 
 // statement returns the newest statement, zero if there is none.
--- a/headroom/headroom_test.go
+++ b/headroom/headroom_test.go
@@ -386,3 +386,19 @@
 		table.Rejected(now, e)
 	}
 }
+
+// BenchmarkAllows is the cost of one decision among 59 hosts, with a bound and without.
+func BenchmarkAllows(b *testing.B) {
+	for _, bounded := range []bool{false, true} {
+		b.Run(fmt.Sprint("bounded ", bounded), func(b *testing.B) {
+			h := newHosts(59)
+			h.exchange(start, "h0")
+			e := Endpoint{ID: "e", Service: "api", Slots: 64, CacheTokens: 685_000}
+			h.tables["h0"].State(e, Statement{bounded, 3, start})
+			now := start.Add(settleTime)
+			for b.Loop() {
+				h.tables["h0"].Allows(now, e, Work{1, 2000})
+			}
+		})
+	}
+}
--- a/headroom/share.go
+++ b/headroom/share.go
@@ -11,7 +11,7 @@
 	total := max(e.Slots, 1)
 	reserved := min(max(total/reserveFraction, 1), total-1)
 	t.rank(r, e.ID)
-	mine := t.share(r, e.ID, total-reserved, func(w Work) int { return w.Requests }, min(reserved, max(perSecond-1, 0)))
+	mine := t.share(r, e.ID, total-reserved, false, min(reserved, max(perSecond-1, 0)))
 	if now.Sub(t.viewedAt) <= maxViewAge && !now.Before(t.trustedAt) {
 		mine += extra(r.ranks[t.host], len(r.ranks), min(reserved, max(perSecond-1, 0)))
 	}
@@ -21,7 +21,7 @@
 // tokens returns how many tokens of the KV cache the requests of this host may occupy at once.
 func (t *Table) tokens(r *row, e Endpoint) int {
 	t.rank(r, e.ID)
-	return t.share(r, e.ID, e.CacheTokens-e.CacheTokens/reserveFraction, func(w Work) int { return w.Tokens }, 0)
+	return t.share(r, e.ID, e.CacheTokens-e.CacheTokens/reserveFraction, true, 0)
 }
 
 // rank ranks the hosts at an endpoint: by rendezvous, so that a host that joins or leaves changes few shares.
@@ -33,36 +33,46 @@
 	for _, p := range t.peers {
 		hosts = append(hosts, p.Host)
 	}
-	r.view, r.ranks = t.view, make(map[string]int, len(hosts)+1)
+	r.view, r.ranks, r.shares = t.view, make(map[string]int, len(hosts)+1), map[shareKey]int{}
 	for i, host := range rendezvous.Rank("headroom/"+id, append(hosts, t.host)) {
 		r.ranks[host] = i
 	}
 }
 
-// share returns this host's share of total. What other hosts have beyond theirs, such as requests that they sent
-// before the endpoint named a bound, is taken from the shares of those that have not. reserved is what may be used
-// besides.
-func (t *Table) share(r *row, id string, total int, amount func(Work) int, reserved int) int {
+// share returns this host's share of total slots or tokens. What other hosts have beyond theirs, such as requests that
+// they sent before the endpoint named a bound, is taken from the shares of those that have not. reserved is what may
+// be used besides.
+func (t *Table) share(r *row, id string, total int, tokens bool, reserved int) int {
+	key := shareKey{total, reserved, tokens}
+	if share, ok := r.shares[key]; ok {
+		return share
+	}
 	hosts := len(r.ranks)
 	beyond := 0
 	within := make([]bool, hosts) // by rank
-	within[r.ranks[t.host]] = true
+	mine := r.ranks[t.host]
+	within[mine] = true
 	for _, p := range t.peers {
+		amount := p.Work[id].Requests
+		if tokens {
+			amount = p.Work[id].Tokens
+		}
 		rank := r.ranks[p.Host]
-		over := amount(p.Work[id]) - part(rank, hosts, total) - extra(rank, hosts, reserved)
+		over := amount - part(rank, hosts, total) - extra(rank, hosts, reserved)
 		within[rank] = over <= 0
 		beyond += max(over, 0)
 	}
 	place, bearers := 0, 0
 	for rank, bears := range within {
-		if rank == r.ranks[t.host] {
+		if rank == mine {
 			place = bearers
 		}
 		if bears {
 			bearers++
 		}
 	}
-	return max(part(r.ranks[t.host], hosts, total)-part(place, bearers, beyond), 0)
+	r.shares[key] = max(part(mine, hosts, total)-part(place, bearers, beyond), 0)
+	return r.shares[key]
 }
 
 // part returns the part of total of the host with a rank: the first ones get the remainder.
