--- a/gateway/call.go
+++ b/gateway/call.go
@@ -65,6 +65,7 @@
 	ending      answerEnding
 	lastAttempt *endpointAttempt
 	refusal     *refusal // set when the request was refused for lack of room
+	room        room
 
 	// retryReserved is set when the next retry has already been taken from the budget.
 	retryReserved atomic.Bool
@@ -144,7 +145,7 @@
 	c.tried = map[string]bool{}
 	for {
 		c.chooseVia(time.Now())
-		a, p := c.place(time.Now())
+		a, p := c.placeInRoom(ctx)
 		if p != nil {
 			c.releaseVia()
 			c.giveUp(p)
@@ -153,6 +154,7 @@
 		a.via = c.via
 		o, err := c.attempt(ctx, a)
 		c.releaseVia()
+		c.leaveRoom(time.Now(), o)
 		c.recordForRollout(a, o)
 		c.g.metrics.attempts.WithLabelValues(string(o)).Inc()
 		s := c.requestState()
@@ -395,6 +397,7 @@
 		c.g.handleEndpointChanges(feedRead{at: now}, c.g.fleet.Leaving(now, a.view.ID))
 	}
 	c.g.stateLimit(now, a.view.ID, fleet.LimitStatement{PerSecond: reply.RequestLimit, At: now}, "", c.req.ID)
+	c.recordRejections(now, a, reply)
 	if reply.RetryAfter > 0 {
 		c.g.fleet.Pause(now, a.view.ID, reply.RetryAfter)
 		c.g.metrics.stateChanges.WithLabelValues("endpoint_paused").Inc()
