gateway: test of two runs in one body, KNOWN-RED

A stream of events 1 to 3 and then 1 to 5 of another run, in one body: the repeated ids are dropped as duplicates and events 4 and 5 of the other run reach the caller, which joins pieces of two runs (ORDER). Ids of one run only grow, so one that goes back, other than at the start of an attempt that continues, is garbage. The last event again is a stall (TestStalledStreamThatSendsBytes).

--- /dev/null
+++ b/gateway/garbagereview_test.go
@@ -0,0 +1,94 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadanotch/cicadanotch/port"
+)
+
+// TestRunsAreNotJoined guards against events of another run that follow those of a stream in the same body: their ids go
+// back, which those of one run never do, and only the later ones would reach the caller.
+func TestRunsAreNotJoined(t *testing.T) {
+	another := strings.ReplaceAll(strings.Join(events(1, 5), ""), "x", "another")
+	for name, tc := range map[string]struct {
+		route string
+		body  string
+	}{
+		"not resumable": {"stream", strings.Join(events(1, 3), "")},
+		"resumable":     {"resume", strings.Join(events(1, 6), "")},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			got := map[string]string{} // by how the stream arrives
+			for how, split := range map[string]func([]string, string) []string{"own read": ownRead, "one read": oneRead, "byte by byte": eachByte} {
+				synctest.Test(t, func(t *testing.T) {
+					tp := newTestPlatform()
+					tp.publish(endpoint("3", "llm"), endpoint("4", "llm"))
+					tp.endpoints.respond = func(ctx context.Context, f *port.Forward, n int) (*port.Reply, error) {
+						if n == 1 {
+							return streamReply(ctx, f, io.EOF, time.Millisecond, split(events(1, 3), another)...), nil
+						}
+						return streamReply(ctx, f, io.EOF, time.Millisecond, events(4, 6)...), nil
+					}
+					g := tp.startHost(t, testOptions("h1"))
+					time.Sleep(settleTime)
+					got[how] = sendRequest(t.Context(), g, "req", tc.route).body.String()
+				})
+			}
+			is.Equal(got, map[string]string{"own read": tc.body, "one read": tc.body, "byte by byte": tc.body})
+		})
+	}
+}
+
+// FuzzContinuedStream: what is forwarded of a stream that goes on, and what is found in it, does not depend on the reads,
+// and it holds no byte order mark.
+func FuzzContinuedStream(f *testing.F) {
+	for seed := range uint64(300) {
+		f.Add(seed)
+	}
+	pieces := []string{"\xef\xbb\xbf", "\n", "\r\n", "\r", ": c\n", ":\r\n", "id: 1\n", "id: 2\r\n", "id:3\n", "data: x\n", "data\r\n", "retry: 5\n", "event: e\n", "\x00", "oops", "\xc3", "\xa9"}
+	type result struct {
+		forwarded, rest, last string
+		garbage, inside       bool
+	}
+	f.Fuzz(func(t *testing.T, seed uint64) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		var stream []byte
+		for range 1 + rng.IntN(14) {
+			stream = append(stream, pieces[rng.IntN(len(pieces))]...)
+		}
+		split := func(size int) (r result) {
+			s, c := eventSplitter{continues: true}, &call{}
+			for i := 0; i < len(stream) && !r.garbage; i += size {
+				found, err := s.add(stream[i:min(i+size, len(stream))])
+				if len(found) > 0 {
+					r.forwarded += string(c.dropDuplicates(found))
+				}
+				r.garbage = err != nil
+			}
+			r.last = string(c.lastID)
+			if !r.garbage {
+				r.inside, r.rest = s.insideEvent(), string(s.rest())
+			}
+			return r
+		}
+		want := split(1)
+		for _, size := range []int{2, 3, 5, len(stream)} {
+			if got := split(size); got != want {
+				t.Fatalf("%q in reads of %d: got %+v, want %+v", stream, size, got, want)
+			}
+		}
+		if !want.inside && bytes.Contains([]byte(want.forwarded+want.rest), byteOrderMark) {
+			t.Fatalf("%q: forwarded %+v", stream, want)
+		}
+	})
+}
