gateway: test of events repeated to a caller that continues a stream, KNOWN-RED

An endpoint that repeats the last event, or all of them, has them forwarded to a caller that continues the stream after it: within one answer the host drops them, at the start of a continued one it knows no last id.

--- a/gateway/garbagereview_test.go
+++ b/gateway/garbagereview_test.go
@@ -49,6 +49,41 @@
 	}
 }
 
+// TestContinuedStreamRepeatsNoEvent guards against events that a caller who continues a stream has already and gets again,
+// as from an endpoint that repeats the last one. What the host does within one answer holds across answers too.
+func TestContinuedStreamRepeatsNoEvent(t *testing.T) {
+	for name, tc := range map[string]struct {
+		after string
+		parts []string
+		body  []string
+	}{
+		"none":                       {"3", events(4, 6), events(4, 6)},
+		"a byte order mark":          {"3", append([]string{"\xef\xbb\xbf"}, events(4, 6)...), append([]string{"\xef\xbb\xbf"}, events(4, 6)...)},
+		"the last one":               {"3", events(3, 6), events(4, 6)},
+		"all of them":                {"3", events(1, 6), events(4, 6)},
+		"an id that is no number":    {"x", events(1, 6), events(1, 6)},
+		"the caller has all of them": {"6", nil, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				tp := newTestPlatform()
+				tp.publish(endpoint("3", "llm"))
+				tp.endpoints.respond = func(ctx context.Context, f *port.Forward, _ int) (*port.Reply, error) {
+					return streamReply(ctx, f, io.EOF, time.Millisecond, tc.parts...), nil
+				}
+				g := tp.startHost(t, testOptions("h1"))
+				time.Sleep(settleTime)
+				req := &port.Request{ID: "req", Method: "GET", Host: "x", Path: "/resume/1", Key: "key", HasTokens: true, PromptTokens: 800, AnswerTokens: 90, ResumeAfter: tc.after, Origin: "before"}
+				r := &recorder{}
+				g.Serve(t.Context(), time.Now(), req, r)
+				is.Equal(r.status, 200)
+				is.Equal(r.body.String(), strings.Join(tc.body, ""))
+			})
+		})
+	}
+}
+
 // FuzzContinuedStream: what is forwarded of a stream that goes on, and what is found in it, does not depend on the reads,
 // and it holds no byte order mark.
 func FuzzContinuedStream(f *testing.F) {
