gateway: test of garbage inside an event, KNOWN-RED

An event that is cut, and then the head of another answer in the same body: the header lines are taken for fields, the blank line behind them ends the event, and the host resumes behind it, so that the sound event is lost.

--- a/gateway/garbagereview_test.go
+++ b/gateway/garbagereview_test.go
@@ -84,6 +84,44 @@
 	}
 }
 
+// TestGarbageInsideAnEvent guards against an event that is cut and completed by the head of another answer, as in a body
+// that ends with its connection: the lines of the head are taken for fields, and its blank line ends the event.
+func TestGarbageInsideAnEvent(t *testing.T) {
+	const head = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\noops"
+	for name, text := range map[string]string{
+		"a head behind half a line of data":   "id: 4\ndata: y" + head,
+		"a head behind a line of data":        "id: 4\ndata: y\n" + head,
+		"a head behind an id":                 "id: 4\n" + head,
+		"fields of a head behind a data line": "id: 4\ndata: y\nContent-Type: text/plain\r\n\r\noops",
+		"fields of a head before an event":    "Content-Type: text/plain\r\nid: 4\ndata: y\n\n",
+		"a body in JSON behind an id":         "id: 4\n{\"error\": \"oops\"}\n\n",
+		"text behind half an id":              "id: 4oops\ndata: y\n\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				tp := newTestPlatform()
+				tp.publish(endpoint("3", "llm"), endpoint("4", "llm"))
+				var after []string
+				tp.endpoints.respond = func(ctx context.Context, f *port.Forward, n int) (*port.Reply, error) {
+					after = append(after, f.After)
+					if n > 1 {
+						return streamReply(ctx, f, io.EOF, time.Millisecond, events(4, 6)...), nil
+					}
+					reply := streamReply(ctx, f, io.EOF, time.Millisecond, append(events(1, 3), text)...)
+					reply.Framing = port.FramingConnection
+					return reply, nil
+				}
+				g := tp.startHost(t, testOptions("h1"))
+				time.Sleep(settleTime)
+				r := sendRequest(t.Context(), g, "req", "resume")
+				if got, want := r.body.String(), strings.Join(events(1, 6), ""); got != want {
+					t.Errorf("caller got %q, want %q; resumed after %q", got, want, after)
+				}
+			})
+		})
+	}
+}
+
 // FuzzContinuedStream: what is forwarded of a stream that goes on, and what is found in it, does not depend on the reads,
 // and it holds no byte order mark.
 func FuzzContinuedStream(f *testing.F) {
