gateway: test of reports that name no host, KNOWN-RED

null, {}, [null] and [{}] are decoded as a report without a host and count as one more, so that the shares of all become smaller.

--- a/gateway/garbagereview_test.go
+++ b/gateway/garbagereview_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"encoding/json"
 	"io"
 	"math/rand/v2"
 	"strings"
@@ -122,6 +123,39 @@
 	}
 }
 
+// TestReportsThatAreNone guards against records and messages that name no host and count as one: the shares of all hosts
+// become smaller.
+func TestReportsThatAreNone(t *testing.T) {
+	var counted []string
+	for _, text := range []string{"null", "{}", "[null]", "[{}]", "[]", "7", "oops", "\x1f\x8boops"} {
+		for how, receive := range map[string]func(*testPlatform, *Gateway){
+			"from the store": func(tp *testPlatform, _ *Gateway) {
+				tp.store.mu.Lock()
+				defer tp.store.mu.Unlock()
+				tp.store.add(port.TopicHosts, port.TopicRecord{Key: "odd", Value: []byte(text)})
+			},
+			"from a host": func(_ *testPlatform, g *Gateway) {
+				_, _ = g.PeerHandlers()[methodReport](t.Context(), json.RawMessage(text)) // it may refuse
+			},
+		} {
+			synctest.Test(t, func(t *testing.T) {
+				tp := newTestPlatform()
+				tp.publish(endpoint("3", "llm"))
+				g := tp.startHost(t, testOptions("h1"))
+				time.Sleep(settleTime)
+				receive(tp, g)
+				time.Sleep(2 * time.Second)
+				if g.hostCount.Load() != 1 {
+					counted = append(counted, text+" "+how)
+				}
+			})
+		}
+	}
+	if len(counted) > 0 {
+		t.Errorf("%q count as hosts, want none", counted)
+	}
+}
+
 // FuzzContinuedStream: what is forwarded of a stream that goes on, and what is found in it, does not depend on the reads,
 // and it holds no byte order mark.
 func FuzzContinuedStream(f *testing.F) {
