gateway: events whose ids go back are garbage

Callers got a stream joined of two runs: behind events 1 to 3 of a stream an endpoint sent 1 to 5 of another run in the same body, 1 to 3 were dropped as repetitions, 4 and 5 were forwarded. dropDuplicates could not tell a repetition from another run, as it knows the last id of all attempts only.

The splitter, of which there is one for each body, now remembers its last id. An event with an id below that is garbage; the events before it are forwarded, and a stream that may be resumed goes on elsewhere. The last id again is still dropped: an endpoint that has stalled may repeat its last event. An attempt that continues a stream may still begin with events that the caller has.

Not told apart: another run whose first id equals the last one sent before it.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -22,8 +22,9 @@
 }
 
 // eventSplitter splits a stream of server-sent events into complete events and checks them. An event ends with a blank
-// line; lines end with LF or CRLF. Each event has one id, a decimal number; what follows anything else is not
-// read. A comment is returned with the event after it: an endpoint that has stalled may go on to send comments.
+// line; lines end with LF or CRLF. Each event has one id, a decimal number not below that of the event before; what
+// follows anything else is not read. A comment is returned with the event after it: an endpoint that has stalled may
+// go on to send comments.
 type eventSplitter struct {
 	// continues is set if the caller has the beginning of the stream, so that a byte order mark is dropped.
 	continues bool
@@ -39,6 +40,7 @@
 	// the end of the returned events.
 	hasFields, hasRetry bool
 	idStart, idEnd      int
+	lastID              []byte // of the event before
 }
 
 // add appends the bytes that were read next and returns the events that are complete by now. They are valid
@@ -82,6 +84,10 @@
 		return errors.Wrap(port.ErrGarbage, "event of a stream without an id")
 	case s.hasFields:
 		id := s.pending[s.returned+s.idStart : s.returned+s.idEnd]
+		if isLaterID(s.lastID, id) { // an endpoint that has stalled may repeat its last event
+			return errors.Wrapf(port.ErrGarbage, "event %s of a stream follows event %s", id, s.lastID)
+		}
+		s.lastID = append(s.lastID[:0], id...)
 		s.events = append(s.events, event{s.pending[s.returned:s.scanned], id})
 		s.returned = s.scanned
 	}
