--- a/gateway/events.go
+++ b/gateway/events.go
@@ -9,8 +9,12 @@
 	"github.com/cicadanotch/cicadanotch/port"
 )
 
-// maxIDDigits bounds the id of an event, which is sent to the endpoint that continues the stream.
-const maxIDDigits = 32
+// maxIDDigits bounds the id of an event, which is sent to the endpoint that continues the stream, and
+// maxVersionDigits a version of the weights.
+const (
+	maxIDDigits      = 32
+	maxVersionDigits = 19
+)
 
 // byteOrderMark may precede the first line of a stream.
 var byteOrderMark = []byte("\xef\xbb\xbf")
@@ -22,9 +26,9 @@
 }
 
 // eventSplitter splits a stream of server-sent events into complete events and checks them. An event ends with a blank
-// line; lines end with LF or CRLF. Each event has one id, a decimal number not below that of the event before; what
-// follows anything else is not read. A comment is returned with the event after it: an endpoint that has stalled may
-// go on to send comments.
+// line; lines end with LF or CRLF. Each event has one id, a decimal number not below that of the event before, and
+// no fields but those of the standard and, as its first line, a version of the weights; what follows anything else is
+// not read. A comment is returned with the event after it: an endpoint that has stalled may go on to send comments.
 type eventSplitter struct {
 	// continues is set if the caller has the beginning of the stream, so that a byte order mark is dropped.
 	continues bool
@@ -124,8 +128,8 @@
 		}
 	case "data", "event":
 	default:
-		if !found || !isToken(name) {
-			return errors.Wrap(port.ErrGarbage, "line of a stream is no field")
+		if !found || s.hasFields || s.hasRetry || !isVersion(name, value) {
+			return errors.Wrap(port.ErrGarbage, "line of a stream is no field of an event")
 		}
 	}
 	s.hasFields = true
@@ -151,15 +155,15 @@
 	return len(text) > 0
 }
 
-// isToken reports whether a text is a token as in RFC 9110.
-func isToken(text []byte) bool {
-	for _, b := range text {
-		alphanumeric := b >= '0' && b <= '9' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z'
-		if !alphanumeric && bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), b) < 0 {
+// isVersion reports whether a field can state the version of the weights, which the first line of an event may: a name in
+// lower case and a number.
+func isVersion(name, value []byte) bool {
+	for _, b := range name {
+		if (b < 'a' || b > 'z') && b != '-' {
 			return false
 		}
 	}
-	return len(text) > 0
+	return len(name) > 0 && len(value) <= maxVersionDigits && isDecimal(value)
 }
 
 // isLaterID reports whether the id of an event comes after another one; it comes after none.
