gateway: a caller that continues a stream gets no event again

A caller that continues a stream after event 3 got event 3, or 1 to 3, again from an endpoint that repeats them: within one answer the host drops repetitions, but it began each request without a last id, also if the caller named one.

On a route that may resume, the last id starts at the one that the caller names if that is a number. Until an event is forwarded, endpoints still get what the caller named, unchanged. The time of the first event is now that of the first one that is forwarded, so that repetitions count neither as it nor in the pace; the usage still counts a request at the first event that an endpoint sends.

go test -race -run TestContinuedStreamRepeatsNoEvent ./gateway: 2 of 6 rows failed, none does. TestContinuedStreamAsksForTheRest is new: 3 of 5 rows failed before, as the caller got repetitions.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -49,7 +49,7 @@
 	sent, unsent int
 	headSent     bool // the head of an answer was sent to the caller
 	events       int
-	lastID       []byte // of the last event forwarded
+	lastID       []byte // of the last event that the caller has
 	firstAt      time.Time
 	status       int
 	failure      *bufferedReply // an endpoint's error answer, buffered while others are tried
@@ -311,10 +311,13 @@
 func (c *call) newForward(a *endpointAttempt, tracker *sendTracker) *port.Forward {
 	f := &port.Forward{
 		Request: c.req, Address: a.view.Address, Endpoint: a.view.ID,
-		Deadline: c.deadline, Priority: c.priority(), After: string(c.lastID), Copy: a.kvCopy, FetchFrom: c.fetchFrom(&a.choice),
+		Deadline: c.deadline, Priority: c.priority(), Copy: a.kvCopy, FetchFrom: c.fetchFrom(&a.choice),
 		MaxConnections: c.g.connectionLimit(c.service.MaxConnections),
 		Sending:        tracker.begin,
 	}
+	if c.events > 0 {
+		f.After = string(c.lastID)
+	}
 	if c.workspace != nil {
 		f.Workspace = c.workspace.Name
 	}
--- a/gateway/garbagereview_test.go
+++ b/gateway/garbagereview_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"strings"
@@ -85,6 +86,49 @@
 	}
 }
 
+// TestContinuedStreamAsksForTheRest: until an event is forwarded, endpoints get the id that the caller named, then that of
+// the last event; and on a route that does not resume, what a caller names stands for nothing.
+func TestContinuedStreamAsksForTheRest(t *testing.T) {
+	for name, tc := range map[string]struct {
+		route string
+		after string
+		parts []string // of the first attempt, which breaks off
+		asked []string
+		body  []string
+	}{
+		"broken off before any event":   {"resume", "3", nil, []string{"", ""}, events(4, 6)},
+		"broken off after repetitions":  {"resume", "3", events(1, 3), []string{"", ""}, events(4, 6)},
+		"broken off after a new event":  {"resume", "3", events(2, 4), []string{"", "4"}, events(4, 6)},
+		"a number with zeros before it": {"resume", "003", events(3, 4), []string{"", "4"}, events(4, 6)},
+		"on a route without resumption": {"stream", "3", events(1, 3), []string{""}, events(1, 3)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				tp := newTestPlatform()
+				tp.publish(endpoint("3", "llm"), endpoint("4", "llm"))
+				var asked []string
+				tp.endpoints.respond = func(ctx context.Context, f *port.Forward, n int) (*port.Reply, error) {
+					asked = append(asked, f.After)
+					is.Equal(f.ResumeAfter, tc.after)
+					if n == 1 {
+						return streamReply(ctx, f, port.ErrBroken, time.Millisecond, tc.parts...), nil
+					}
+					return streamReply(ctx, f, io.EOF, time.Millisecond, events(4, 6)...), nil
+				}
+				g := tp.startHost(t, testOptions("h1"))
+				time.Sleep(settleTime)
+				req := &port.Request{ID: "req", Method: "GET", Host: "x", Path: "/" + tc.route + "/1", Key: "key", HasTokens: true, PromptTokens: 800, AnswerTokens: 90, ResumeAfter: tc.after, Origin: "before"}
+				r := &recorder{}
+				g.Serve(t.Context(), time.Now(), req, r)
+				is.Equal(asked, tc.asked)
+				is.Equal(r.body.String(), strings.Join(tc.body, ""))
+				is.True(strings.Contains(tp.log(), fmt.Sprintf(`"events":%d`, len(tc.body))))
+			})
+		})
+	}
+}
+
 // TestGarbageInsideAnEvent guards against an event that is cut and completed by the head of another answer, as in a body
 // that ends with its connection: the lines of the head are taken for fields, and its blank line ends the event.
 func TestGarbageInsideAnEvent(t *testing.T) {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -88,7 +88,8 @@
 	}
 }
 
-// plan sets the route, the workspace, the service and the deadline of a request.
+// plan sets the route, the workspace, the service and the deadline of a request, and the event after which its caller
+// continues a stream.
 func (c *call) plan(snapshot *catalog.Snapshot) *problem.Problem {
 	if snapshot == nil {
 		return c.notRun(http.StatusServiceUnavailable, problem.TypeUnavailable, "no configuration yet").WithRetryAfter(noConfigRetryAfter)
@@ -123,6 +124,9 @@
 	if timeout := c.req.CallerTimeout; timeout > 0 && c.arrived.Add(timeout).Before(c.deadline) {
 		c.deadline = c.arrived.Add(timeout)
 	}
+	if c.route.Resumable && isDecimal([]byte(c.req.ResumeAfter)) {
+		c.lastID = []byte(c.req.ResumeAfter)
+	}
 	return nil
 }
 
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -199,12 +199,12 @@
 	}
 	c.recordSoftware(a)
 	c.recordAnswering(now, a)
-	if c.events == 0 {
+	c.countUsage()
+	unseen := c.dropDuplicates(events)
+	if c.events > 0 && c.firstAt.IsZero() {
 		c.firstAt = now
-		c.countUsage()
 		c.g.metrics.firstEvent.WithLabelValues(string(c.route.Kind)).Observe(now.Sub(c.arrived).Seconds())
 	}
-	unseen := c.dropDuplicates(events)
 	c.updateProgress(now)
 	if len(unseen) == 0 {
 		return nil
@@ -220,7 +220,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.progress.events, c.progress.lastAt = c.events, now
-	if c.progress.firstAt.IsZero() {
+	if c.events > 0 && c.progress.firstAt.IsZero() {
 		c.progress.firstAt = now
 	}
 }
@@ -262,7 +262,7 @@
 }
 
 // dropDuplicates records the ids of consecutive events and returns them without those that the caller already has: an
-// endpoint that resumes a stream may repeat the last event. It moves the bytes of the events.
+// endpoint that resumes a stream may repeat the events before. It moves the bytes of the events.
 func (c *call) dropDuplicates(events []event) []byte {
 	unseen := events[0].bytes[:0]
 	for _, e := range events {
