gateway: search each byte of an unfinished line once

An event of 256 KiB that arrives byte by byte took a processor for 1.4 s: each read searched the whole unfinished line for its end again, and moved it onto itself. An endpoint in trouble can send such bytes to many callers at a time.

The search now begins at the bytes of the read, as those before were searched, and nothing is moved unless events were returned.

go test -run xxx -bench LongEvent -benchtime 2x -count=3 ./gateway, which is new: 1,345 to 1,379 ms before, 4.8 to 5.5 ms after. BenchmarkForwardEvent: 459 to 486 ns before, 435 to 452 after with one event a read, 247 to 334 and 255 to 268 with ten. go test -run xxx -fuzz FuzzSplitBytes -fuzztime 10s ./gateway finds nothing.

--- a/gateway/events.go
+++ b/gateway/events.go
@@ -50,19 +50,22 @@
 // add appends the bytes that were read next and returns the events that are complete by now. They are valid
 // until the next call. It returns a port.ErrGarbage if no event follows them; the splitter is then of no further use.
 func (s *eventSplitter) add(p []byte) ([]event, error) {
-	kept := copy(s.pending, s.pending[s.returned:])
-	s.pending = append(s.pending[:kept], p...)
-	s.scanned -= s.returned
-	s.returned = 0
+	if s.returned > 0 {
+		s.pending = s.pending[:copy(s.pending, s.pending[s.returned:])]
+		s.scanned -= s.returned
+		s.returned = 0
+	}
+	searched := len(s.pending) // the unfinished line has no LF before this
+	s.pending = append(s.pending, p...)
 	s.events = s.events[:0]
 	for {
-		n := bytes.IndexByte(s.pending[s.scanned:], '\n')
+		n := bytes.IndexByte(s.pending[searched:], '\n')
 		if n < 0 {
 			return s.events, nil
 		}
-		start := s.scanned
-		s.scanned += n + 1
-		line := bytes.TrimSuffix(s.pending[start:start+n], []byte("\r"))
+		start, end := s.scanned, searched+n
+		s.scanned, searched = end+1, end+1
+		line := bytes.TrimSuffix(s.pending[start:end], []byte("\r"))
 		if s.lines++; s.lines == 1 && bytes.HasPrefix(line, byteOrderMark) {
 			line = line[len(byteOrderMark):]
 			if s.continues {
@@ -73,7 +76,7 @@
 		if len(line) == 0 {
 			err = s.endEvent()
 		} else {
-			err = s.addLine(line, start+n)
+			err = s.addLine(line, end)
 		}
 		if err != nil {
 			return s.events, err
--- a/gateway/eventsbench_test.go
+++ b/gateway/eventsbench_test.go
@@ -54,3 +54,22 @@
 		})
 	}
 }
+
+// BenchmarkLongEvent measures what splitting an event of the greatest size costs that arrives byte by byte.
+func BenchmarkLongEvent(b *testing.B) {
+	event := []byte("id: 1\ndata: " + strings.Repeat("x", maxEventBytes-len("id: 1\ndata: \n\n")) + "\n\n")
+	for b.Loop() {
+		var splitter eventSplitter
+		found := 0
+		for i := range event {
+			events, err := splitter.add(event[i : i+1])
+			if err != nil {
+				b.Fatal(err)
+			}
+			found += len(events)
+		}
+		if found != 1 {
+			b.Fatalf("got %d events, want 1", found)
+		}
+	}
+}
