enginehttp: a reply without a document is none

A reply of status 404, 429 or 204 to a call for the load, or of status 200 without a body or with null, was taken for an idle engine without models and incarnation, whose cached blocks the host then forgot; the same replies were an empty list of cache events. A reply of status 200 without a handle was an exported cache, and the stream moved on to nothing. Only statuses from 500 on counted as failures.

Load and CacheEvents want status 200 and a document, ExportKV a handle. null stays an empty list of events, as engines may write one.

--- a/adapter/enginehttp/enginehttp.go
+++ b/adapter/enginehttp/enginehttp.go
@@ -218,19 +218,39 @@
 
 // Load implements port.Engine.
 func (e *Engine) Load(ctx context.Context, address string) (port.LoadReport, error) {
-	var report port.LoadReport
-	_, err := e.call(ctx, e.pool.Client(address), http.MethodGet, address, PathLoad, nil, &report)
-	return report, err
+	var report *port.LoadReport
+	switch err := e.get(ctx, address, PathLoad, &report); {
+	case err != nil:
+		return port.LoadReport{}, err
+	case report == nil:
+		return port.LoadReport{}, errors.Wrap(port.ErrEndpointBroken, "load: got null, want a report")
+	}
+	return *report, nil
 }
 
 // CacheEvents implements port.Engine.
 func (e *Engine) CacheEvents(ctx context.Context, address string, after int64) ([]port.CacheEvent, error) {
 	var events []port.CacheEvent
-	path := PathCacheEvents + "?after=" + strconv.FormatInt(after, 10)
-	_, err := e.call(ctx, e.pool.Client(address), http.MethodGet, address, path, nil, &events)
+	err := e.get(ctx, address, PathCacheEvents+"?after="+strconv.FormatInt(after, 10), &events)
 	return events, err
 }
 
+// get makes a call whose reply holds a document, and decodes that into out.
+func (e *Engine) get(ctx context.Context, address, path string, out any) error {
+	var raw json.RawMessage
+	status, err := e.call(ctx, e.pool.Client(address), http.MethodGet, address, path, nil, &raw)
+	switch {
+	case err != nil:
+		return err
+	case status != http.StatusOK || len(raw) == 0:
+		return errors.Wrapf(port.ErrEndpointBroken, "%s: got status %d with %d bytes, want status 200 with a document", path, status, len(raw))
+	}
+	if err := json.Unmarshal(raw, out); err != nil {
+		return errors.Wrapf(port.ErrEndpointBroken, "%s: %v", path, err)
+	}
+	return nil
+}
+
 // SendCommand implements port.Engine.
 func (e *Engine) SendCommand(ctx context.Context, address string, command port.Command) error {
 	status, err := e.call(ctx, e.pool.Client(address), http.MethodPost, address, PathCommands, command, nil)
@@ -247,10 +267,13 @@
 func (e *Engine) ExportKV(ctx context.Context, address, attemptID string) (port.KVExport, error) {
 	var export port.KVExport
 	status, err := e.call(ctx, e.pool.Client(address), http.MethodPost, address, PathExport, AttemptRequest{attemptID}, &export)
-	if err == nil && status == http.StatusOK {
-		return export, nil
+	switch {
+	case err != nil || status != http.StatusOK:
+		return export, errors.Wrapf(port.ErrKVTransfer, "export: status %d: %v", status, err)
+	case export.Handle == "":
+		return export, errors.Wrap(port.ErrKVTransfer, "export: got no handle")
 	}
-	return export, errors.Wrapf(port.ErrKVTransfer, "export: status %d: %v", status, err)
+	return export, nil
 }
 
 // ImportRequest is the body of an import call.
