servicehttp: a reply without a document is none

A reply of status 200 without a body or with null was taken for an idle service without an incarnation: only the status was checked. Load now wants a document.

go test -race -run TestLoadRepliesThatAreNone ./adapter/servicehttp: 2 of 5 replies were taken, none is. ./standin passes with the race detector.

--- a/adapter/servicehttp/servicehttp.go
+++ b/adapter/servicehttp/servicehttp.go
@@ -124,9 +124,14 @@
 
 // Load implements port.ServiceCaller.
 func (c *Client) Load(ctx context.Context, address string) (port.LoadReport, error) {
-	var report port.LoadReport
-	err := c.get(ctx, c.pool.Client(address), address, PathLoad, &report)
-	return report, err
+	var report *port.LoadReport
+	switch err := c.get(ctx, c.pool.Client(address), address, PathLoad, &report); {
+	case err != nil:
+		return port.LoadReport{}, err
+	case report == nil:
+		return port.LoadReport{}, errors.Wrap(port.ErrEndpointBroken, "load: got no document, want a report")
+	}
+	return *report, nil
 }
 
 func (c *Client) get(ctx context.Context, client *http.Client, address, path string, out any) error {
