gateway: a report that names no host is none

null and {}, alone or in a list, as a record of the store or a message to a relay, were decoded as the report of a host without a name, which counted as one more, so that the shares of limits and of connections of all hosts became smaller.

Such reports are skipped and logged as unreadable; the others of a list in the store are received. A message to a relay with one of them is refused, as one that cannot be decoded, which is now logged too.

--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -210,7 +211,10 @@
 	}
 }
 
-// decodeReports returns the reports in a record, none if it is a removal or cannot be read.
+// errNoHost means that a report names no host, as null and {} do not.
+var errNoHost = errors.New("report names no host")
+
+// decodeReports returns the reports in a record that name a host, none if it is a removal or cannot be read.
 func (g *Gateway) decodeReports(r port.TopicRecord) []presence.Report {
 	if r.Removed() {
 		return nil
@@ -224,13 +228,32 @@
 		}
 		err = json.Unmarshal(raw, target)
 	}
+	if err != nil {
+		reports = nil
+	} else if slices.ContainsFunc(reports, namesNoHost) {
+		reports, err = slices.DeleteFunc(reports, namesNoHost), errNoHost
+	}
 	if err != nil {
 		g.log.Warn().Str("event", "report_unreadable").Str("key", r.Key).Int64("offset", r.Offset).Err(err).Msg("")
-		return nil
 	}
 	return reports
 }
 
+func namesNoHost(r presence.Report) bool { return r.Host == "" }
+
+// decodeReport returns a report that another host has sent.
+func (g *Gateway) decodeReport(raw json.RawMessage) (presence.Report, error) {
+	var r presence.Report
+	err := json.Unmarshal(raw, &r)
+	if err == nil && namesNoHost(r) {
+		err = errNoHost
+	}
+	if err != nil {
+		g.log.Warn().Str("event", "report_unreadable").Err(err).Msg("")
+	}
+	return r, errors.Wrap(err, "decode report")
+}
+
 // aggregateReports elects the relay among the live hosts, and passes the sums over the reports of the
 // other hosts to the tables that depend on them.
 func (g *Gateway) aggregateReports(now time.Time) {
--- a/gateway/pack_test.go
+++ b/gateway/pack_test.go
@@ -61,3 +61,30 @@
 	}
 	is.Equal(strings.Count(tp.log(), "report_unreadable"), 3)
 }
+
+// TestReportsBesideOnesWithoutHost: in a list that a relay forwards, the reports that name no host are skipped and
+// logged, and the others are received.
+func TestReportsBesideOnesWithoutHost(t *testing.T) {
+	const sound = `{"h":"h2","i":"1","q":1}`
+	for value, tc := range map[string]struct {
+		heard, unreadable int
+	}{
+		sound:                      {1, 0},
+		"[]":                       {0, 0},
+		"[{}," + sound + "]":       {1, 1},
+		"[" + sound + ",null,{}]":  {1, 1},
+		"null":                     {0, 1},
+		`{"i":"1"}`:                {0, 1},
+		`[{"h":7},` + sound + "]":  {0, 1},
+		`[{"h":""},{"h":""},null]`: {0, 1},
+	} {
+		t.Run(value, func(t *testing.T) {
+			is := is.New(t)
+			tp := newTestPlatform()
+			g := New(testOptions("h1"), Ports{Logger: &log.Logger{Writer: &log.IOWriter{Writer: tp}}})
+			g.receiveReports(time.Now(), []port.TopicRecord{{Key: "k", Value: []byte(value)}}, false)
+			is.Equal(len(g.presence.Live()), tc.heard)
+			is.Equal(strings.Count(tp.log(), "report_unreadable"), tc.unreadable)
+		})
+	}
+}
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -437,9 +437,9 @@
 		return nil, errors.Wrap(err, "decode reports")
 	}
 	for _, raw := range raws {
-		var r presence.Report
-		if err := json.Unmarshal(raw, &r); err != nil {
-			return nil, errors.Wrap(err, "decode report")
+		r, err := g.decodeReport(raw)
+		if err != nil {
+			return nil, err
 		}
 		g.relays.receive(now, r.Key(), raw)
 	}
