--- a/gateway/call.go
+++ b/gateway/call.go
@@ -289,10 +289,13 @@
 func (c *call) newForward(a *endpointAttempt, tracker *sendTracker) *port.Forward {
 	f := &port.Forward{
 		Request: c.req, Address: a.view.Address, Endpoint: a.view.ID,
-		Via: a.via.Address, Deadline: c.deadline, Priority: c.priority(), After: string(c.lastID), Copy: a.kvCopy, FetchFrom: c.fetchFrom(&a.choice),
+		Via: a.via.Address, Deadline: c.deadline, Priority: c.priority(), Copy: a.kvCopy, FetchFrom: c.fetchFrom(&a.choice),
 		MaxConnections: c.g.connectionLimit(c.service.MaxConnections),
 		Sending:        tracker.begin,
 	}
+	if c.events > 0 {
+		f.After = string(c.lastID)
+	}
 	if c.workspace != nil {
 		f.Workspace = c.workspace.Name
 	}
--- a/gateway/events.go
+++ b/gateway/events.go
@@ -9,8 +9,12 @@
 	"github.com/cicadanotch/cicadanotch/port"
 )
 
-// maxIDDigits bounds the id of an event, which is sent to the endpoint that continues the stream.
-const maxIDDigits = 32
+// maxIDDigits bounds the id of an event, which is sent to the endpoint that continues the stream, and
+// maxVersionDigits a version of the weights.
+const (
+	maxIDDigits      = 32
+	maxVersionDigits = 19
+)
 
 // byteOrderMark may precede the first line of a stream.
 var byteOrderMark = []byte("\xef\xbb\xbf")
@@ -22,8 +26,9 @@
 }
 
 // eventSplitter splits a stream of server-sent events into complete events and checks them. An event ends with a blank
-// line; lines end with LF or CRLF. Each event has one id, a decimal number; what follows anything else is not
-// read. A comment is returned with the event after it: an endpoint that has stalled may go on to send comments.
+// line; lines end with LF or CRLF. Each event has one id, a decimal number not below that of the event before, and
+// no fields but those of the standard and, as its first line, a version of the weights; what follows anything else is
+// not read. A comment is returned with the event after it: an endpoint that has stalled may go on to send comments.
 type eventSplitter struct {
 	// continues is set if the caller has the beginning of the stream, so that a byte order mark is dropped.
 	continues bool
@@ -39,24 +44,28 @@
 	// the end of the returned events.
 	hasFields, hasRetry bool
 	idStart, idEnd      int
+	lastID              []byte // of the event before
 }
 
 // add appends the bytes that were read next and returns the events that are complete by now. They are valid
 // until the next call. It returns a port.ErrGarbage if no event follows them; the splitter is then of no further use.
 func (s *eventSplitter) add(p []byte) ([]event, error) {
-	kept := copy(s.pending, s.pending[s.returned:])
-	s.pending = append(s.pending[:kept], p...)
-	s.scanned -= s.returned
-	s.returned = 0
+	if s.returned > 0 {
+		s.pending = s.pending[:copy(s.pending, s.pending[s.returned:])]
+		s.scanned -= s.returned
+		s.returned = 0
+	}
+	searched := len(s.pending) // the unfinished line has no LF before this
+	s.pending = append(s.pending, p...)
 	s.events = s.events[:0]
 	for {
-		n := bytes.IndexByte(s.pending[s.scanned:], '\n')
+		n := bytes.IndexByte(s.pending[searched:], '\n')
 		if n < 0 {
 			return s.events, nil
 		}
-		start := s.scanned
-		s.scanned += n + 1
-		line := bytes.TrimSuffix(s.pending[start:start+n], []byte("\r"))
+		start, end := s.scanned, searched+n
+		s.scanned, searched = end+1, end+1
+		line := bytes.TrimSuffix(s.pending[start:end], []byte("\r"))
 		if s.lines++; s.lines == 1 && bytes.HasPrefix(line, byteOrderMark) {
 			line = line[len(byteOrderMark):]
 			if s.continues {
@@ -67,7 +76,7 @@
 		if len(line) == 0 {
 			err = s.endEvent()
 		} else {
-			err = s.addLine(line, start+n)
+			err = s.addLine(line, end)
 		}
 		if err != nil {
 			return s.events, err
@@ -82,6 +91,10 @@
 		return errors.Wrap(port.ErrGarbage, "event of a stream without an id")
 	case s.hasFields:
 		id := s.pending[s.returned+s.idStart : s.returned+s.idEnd]
+		if isLaterID(s.lastID, id) { // an endpoint that has stalled may repeat its last event
+			return errors.Wrapf(port.ErrGarbage, "event %s of a stream follows event %s", id, s.lastID)
+		}
+		s.lastID = append(s.lastID[:0], id...)
 		s.events = append(s.events, event{s.pending[s.returned:s.scanned], id})
 		s.returned = s.scanned
 	}
@@ -118,8 +131,8 @@
 		}
 	case "data", "event":
 	default:
-		if !found || !isToken(name) {
-			return errors.Wrap(port.ErrGarbage, "line of a stream is no field")
+		if !found || s.hasFields || s.hasRetry || !isVersion(name, value) {
+			return errors.Wrap(port.ErrGarbage, "line of a stream is no field of an event")
 		}
 	}
 	s.hasFields = true
@@ -148,15 +161,15 @@
 	return len(text) > 0
 }
 
-// isToken reports whether a text is a token as in RFC 9110.
-func isToken(text []byte) bool {
-	for _, b := range text {
-		alphanumeric := b >= '0' && b <= '9' || b >= 'a' && b <= 'z' || b >= 'A' && b <= 'Z'
-		if !alphanumeric && bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), b) < 0 {
+// isVersion reports whether a field can state the version of the weights, which the first line of an event may: a name in
+// lower case and a number.
+func isVersion(name, value []byte) bool {
+	for _, b := range name {
+		if (b < 'a' || b > 'z') && b != '-' {
 			return false
 		}
 	}
-	return len(text) > 0
+	return len(name) > 0 && len(value) <= maxVersionDigits && isDecimal(value)
 }
 
 // isLaterID reports whether the id of an event comes after another one; it comes after none.
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -89,7 +89,8 @@
 	}
 }
 
-// plan sets the route, the workspace, the service and the deadline of a request.
+// plan sets the route, the workspace, the service and the deadline of a request, and the event after which its caller
+// continues a stream.
 func (c *call) plan(snapshot *catalog.Snapshot) *problem.Problem {
 	if snapshot == nil {
 		return c.notRun(http.StatusServiceUnavailable, problem.TypeUnavailable, "no configuration yet").WithRetryAfter(noConfigRetryAfter)
