adapter/tunnel: a caller's keep-alive must not come before its opening

What callers saw: on a busy machine a Dial through a sound host ended with "other end of the tunnel closed it without a statement" (or a reset) although the host served. The helping host logged "first frame of type 6, expected 1".

Cause: Dial starts the keep-alives before it writes frameOpen. If the goroutine does not run for aliveInterval in between (500 ms, 20 ms in the tests), the keep-alive is the first frame, which the helping host rightly takes for garbage.

Change: a link sends keep-alives at the caller's end only after its first frame. The bound on silence counts as before.

--- a/adapter/tunnel/end_test.go
+++ b/adapter/tunnel/end_test.go
@@ -209,6 +209,31 @@
 	is.True(errors.Is(l.failure(), ErrSilent))
 }
 
+// TestKeepAliveComesBeforeOpening guards against a caller that a busy or frozen machine stops before it asks for its tunnel, and
+// that sends a keep-alive first: the helping host takes that for garbage and closes the connection.
+func TestKeepAliveComesBeforeOpening(t *testing.T) {
+	is := is.New(t)
+	near, far := net.Pipe()
+	defer far.Close()
+	defer time.AfterFunc(patience, func() { _ = far.Close() }).Stop() // ends a read of frames that do not come
+	l := newLink(t.Context(), near, timing{aliveInterval: time.Hour, maxSilentIntervals: 6}, true)
+	l.ticker = time.NewTimer(time.Hour)
+	opening := open("e-1", "127.0.0.1:1")
+	go func() {
+		for range 3 {
+			l.tick()
+		}
+		_ = l.writeFrame(opening) // fails if the test has ended
+		l.tick()                  // in the interval of the opening
+		l.tick()
+	}()
+	got := make([]byte, len(opening)+len(aliveFrame))
+	_, err := io.ReadFull(far, got)
+	is.NoErr(err)
+	is.Equal(got, append(opening, aliveFrame...))
+	is.NoErr(l.failure())
+}
+
 // errorOnceConn is a connection that breaks once creditBytes were written: the kernel reports that to the first call, here a
 // write, and a read returns io.EOF then.
 type errorOnceConn struct {
--- a/adapter/tunnel/link.go
+++ b/adapter/tunnel/link.go
@@ -39,6 +39,8 @@
 	// sent, heard and carried state whether a frame was sent, bytes were received and
 	// bytes were passed on since the last tick.
 	sent, heard, carried atomic.Bool
+	// begun is set when the first frame was sent, at the caller's end frameOpen.
+	begun atomic.Bool
 
 	mu sync.Mutex
 	// changed is signaled when a field below changes that a reader or writer waits for.
@@ -164,6 +166,7 @@
 		l.fail(ErrSilent)
 	case idle:
 		l.fail(errIdle)
+	case l.caller && !l.begun.Load(): // a keep-alive must not be the first frame
 	case !l.sent.Swap(false) && l.writeMu.TryLock():
 		_, err := l.raw.Write(aliveFrame)
 		l.writeMu.Unlock()
@@ -181,6 +184,7 @@
 	_, err := l.raw.Write(b)
 	l.writeMu.Unlock()
 	l.sent.Store(true)
+	l.begun.Store(true)
 	if err != nil {
 		return l.writeFailed(err)
 	}
