gateway, platform: a stream is given up only for an endpoint that says it has room

What callers saw: a stream that may resume was cut when its endpoint was silent, or about to leave, while all others were full.

Cause: its attempt was ended first, and the next endpoint asked then; when that one declined, no attempt was left.

Change: before the attempt is ended, the endpoints at which the stream would go on are asked at their health path, which waits for room or is rejected like any other request: two at most, 150 ms each. A service without a health path is served as before.

--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -308,6 +308,8 @@
 	respond func(ctx context.Context, f *port.Forward, n int) (*port.Reply, error)
 	move    func(address string, m port.StreamMove) (string, error)
 	probe   func(address string) error
+	// full, if set, reports whether an endpoint has no room.
+	full func(address string) bool
 }
 
 func (e *fakeEndpoints) Forward(ctx context.Context, f *port.Forward) (*port.Reply, error) {
@@ -333,6 +335,10 @@
 
 func (e *fakeEndpoints) CloseIdle(string) {}
 
+func (e *fakeEndpoints) HasRoom(_ context.Context, address, _ string) bool {
+	return e.full == nil || !e.full(address)
+}
+
 func (e *fakeEndpoints) Probe(_ context.Context, address string) error {
 	if e.probe == nil {
 		return nil
@@ -597,7 +603,7 @@
 			route("stream", catalog.KindStreaming, "llm"), resumable,
 		},
 		Services: map[string]catalog.Service{
-			"api": {Name: "api"}, "llm": {Name: "llm", Engine: &catalog.Engine{Slots: 64, CacheTokens: 685_000, TokensPerEvent: 6, SupportsMoves: true}},
+			"api": {Name: "api"}, "llm": {Name: "llm", HealthPath: "/health", Engine: &catalog.Engine{Slots: 64, CacheTokens: 685_000, TokensPerEvent: 6, SupportsMoves: true}},
 		},
 		Workspaces: []catalog.Workspace{{Name: "w", Keys: []string{"key"}}},
 	}
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -238,7 +238,7 @@
 // resumeOnOtherEndpoint ends the attempt of a resumable stream, so that the stream continues at
 // another endpoint.
 func (c *call) resumeOnOtherEndpoint(from fleet.View) string {
-	if !c.route.Resumable || (c.streamSoftware() != nil && !c.canContinueElsewhere(time.Now())) {
+	if !c.route.Resumable || (c.streamSoftware() != nil && (!c.canContinueElsewhere(time.Now()) || !c.hasRoomElsewhere())) {
 		return "stays"
 	}
 	c.mu.Lock()
--- a/gateway/software_test.go
+++ b/gateway/software_test.go
@@ -99,11 +99,13 @@
 		route string
 		other []string // endpoints beside the leaving one, "11"
 		at    string   // where the stream continues; empty if it stays
+		full  bool     // the others have no room
 	}{
-		"moved within the version":            {"stream", []string{"21", "12", "22"}, "12"},
-		"only other versions: not moved":      {"stream", []string{"21", "22"}, ""},
-		"resumed within the version":          {"resume", []string{"21", "12", "22"}, "12"},
-		"only other versions: not broken off": {"resume", []string{"21", "22"}, ""},
+		"moved within the version":            {"stream", []string{"21", "12", "22"}, "12", false},
+		"only other versions: not moved":      {"stream", []string{"21", "22"}, "", false},
+		"resumed within the version":          {"resume", []string{"21", "12", "22"}, "12", false},
+		"only other versions: not broken off": {"resume", []string{"21", "22"}, "", false},
+		"the others are full: not broken off": {"resume", []string{"12", "13"}, "", true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -111,7 +113,11 @@
 				is := is.New(t)
 				tp := newTestPlatform()
 				tp.publishSoftware("11")
+				tp.endpoints.full = func(string) bool { return tc.full }
 				tp.endpoints.respond = func(ctx context.Context, f *port.Forward, n int) (*port.Reply, error) {
+					if tc.full && f.Endpoint != "11" {
+						return declinedReply(f), nil
+					}
 					return streamReply(ctx, f, io.EOF, 150*time.Millisecond, events(position(f)+1, 15)...), nil
 				}
 				var targets []string // addresses that a copy is sent to
--- a/gateway/soundpause_test.go
+++ b/gateway/soundpause_test.go
@@ -53,6 +53,7 @@
 		attempts int
 	}{
 		"a pause of a second":                       {time.Second, false, true, 1},
+		"a pause until shortly before callers go":   {1800 * time.Millisecond, false, true, 1},
 		"a pause of more than a second":             {1300 * time.Millisecond, false, true, 1},
 		"preempted for a second":                    {1200 * time.Millisecond, true, true, 1},
 		"preempted until shortly before callers go": {1900 * time.Millisecond, true, true, 1},
@@ -84,6 +85,7 @@
 						}
 						return reply, nil
 					}
+					tp.endpoints.full = func(string) bool { return tc.full }
 					g := tp.startHost(t, testOptions("h1"))
 					time.Sleep(settleTime)
 					ctx, cancel := context.WithCancel(t.Context())
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -26,6 +26,8 @@
 	// takeUpTime is how long before callers disconnect a stream must go on at another endpoint, so that its next event
 	// still comes in time.
 	takeUpTime = 300 * time.Millisecond
+	// roomTimeout bounds the question whether another endpoint has room for a stream.
+	roomTimeout = 150 * time.Millisecond
 	// callTargetShare is the fraction of a call's objective after which another endpoint is tried,
 	// so that the second attempt can still answer in time.
 	callTargetShare = 0.6
@@ -129,11 +131,35 @@
 	return others.After(lastAt.Add(c.route.MaxGap)) && now.Sub(others) < soundSilence
 }
 
+// hasRoomElsewhere asks the endpoints at which the stream would go on whether they have room: if none has, the stream is cut
+// when its attempt is abandoned. Without a health path they can't be asked.
+func (c *call) hasRoomElsewhere() bool {
+	if c.service.HealthPath == "" {
+		return true
+	}
+	tried := map[string]bool{c.endpointID(): true}
+	for range maxMoveTargets {
+		target, ok := c.chooseMoveTarget(tried)
+		if !ok {
+			return false
+		}
+		c.g.fleet.ReturnToLimit(time.Now(), target.ID)
+		ctx, cancel := context.WithTimeout(c.g.context(), roomTimeout)
+		hasRoom := c.g.ports.Endpoints.HasRoom(ctx, target.Address, c.service.HealthPath)
+		cancel()
+		if hasRoom {
+			return true
+		}
+		tried[target.ID] = true
+	}
+	return false
+}
+
 // reserveRetry takes the next retry from the budget when an unresponsive attempt is about to be
-// abandoned. Without a retry, or without another endpoint for the rest of a stream, the attempt continues to
+// abandoned. Without a retry, or without another endpoint with room for the rest of a stream, the attempt continues to
 // wait, and so does a stream that its endpoint has preempted.
 func (c *call) reserveRetry() bool {
-	if now := time.Now(); c.streamSoftware() != nil && (!c.canContinueElsewhere(now) || c.isPreempted(now)) {
+	if now := time.Now(); c.streamSoftware() != nil && (!c.canContinueElsewhere(now) || c.isPreempted(now) || !c.hasRoomElsewhere()) {
 		return false
 	}
 	if !c.g.budget(c.service.Name).AllowRetry(time.Now()) {
--- a/port/forward.go
+++ b/port/forward.go
@@ -177,4 +177,7 @@
 	// Probe opens a connection to an endpoint and closes it. It returns ErrNotListening, or another error if
 	// it is not known whether a process listens.
 	Probe(ctx context.Context, address string) error
+	// HasRoom asks an endpoint at its health path, which waits for room or is rejected like any other request. It
+	// reports whether the endpoint has answered that it would serve one before ctx ends.
+	HasRoom(ctx context.Context, address, healthPath string) bool
 }
