daemon: half a head at the end of a process is not answered with 400

Cause: the server takes the end of the input, or a deadline, inside a line of the head for a malformed line.

--- a/daemon/close_test.go
+++ b/daemon/close_test.go
@@ -135,3 +135,34 @@
 	<-closed
 	is.NoErr(h.group.Wait())
 }
+
+// TestHeadCutByTheEnd guards against a caller that is told that its request is wrong, which it does not send again, because
+// the process ended when half of the head had come.
+func TestHeadCutByTheEnd(t *testing.T) {
+	for name, before := range map[string]string{"new connection": "", "kept connection": "GET / HTTP/1.1\r\nHost: x\r\n\r\n"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			is.NoErr(err)
+			h := &host{failed: make(chan struct{}, 1), logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}}
+			h.serve(l, http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+			conn, err := net.Dial("tcp", l.Addr().String())
+			is.NoErr(err)
+			defer conn.Close()
+			_, err = io.WriteString(conn, before)
+			is.NoErr(err)
+			reader := bufio.NewReader(conn)
+			if before != "" {
+				_, err := http.ReadResponse(reader, nil)
+				is.NoErr(err)
+			}
+			_, err = io.WriteString(conn, "GET / HTTP/1.1\r\nHo")
+			is.NoErr(err)
+			time.Sleep(50 * time.Millisecond) // until it has arrived
+			h.closeServers()
+			rest, _ := io.ReadAll(reader) // ends with the connection
+			is.Equal(string(rest), "")
+			is.NoErr(h.group.Wait())
+		})
+	}
+}
--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -14,9 +14,11 @@
 type connections struct {
 	mu     sync.Mutex
 	states map[net.Conn]http.ConnState
-	// ended is set by end and closed once there is no connection.
-	ended  chan struct{}
-	closed bool
+	// ended is closed once there is no connection, after end has set it. closesIdle is set when connections that await
+	// a request are closed.
+	ended      chan struct{}
+	closed     bool
+	closesIdle bool
 }
 
 // track is the ConnState of the servers.
@@ -32,8 +34,8 @@
 		c.states = map[net.Conn]http.ConnState{}
 	}
 	c.states[conn] = state
-	if c.ended != nil {
-		stopReading(conn, state)
+	if c.closesIdle {
+		closeIdle(conn, state)
 	}
 }
 
@@ -45,26 +47,34 @@
 	}
 }
 
-// stopReading makes the server read what has arrived on a connection that awaits a request, and close it then.
-func stopReading(conn net.Conn, state http.ConnState) {
-	if state != http.StateNew && state != http.StateIdle {
-		return
-	}
-	if c, ok := conn.(interface{ CloseRead() error }); ok {
-		_ = c.CloseRead() // a failure means that the connection has ended
+// closeIdle closes a connection that awaits a request. Where half of a head has come, the server would answer the end of
+// its input with 400, after which callers do not try again.
+func closeIdle(conn net.Conn, state http.ConnState) {
+	if state == http.StateNew || state == http.StateIdle {
+		_ = conn.Close() // a failure means that it has ended
 	}
 }
 
-// end lets the requests that have arrived be answered and ends all connections. It returns false if some have not ended
-// within the timeout. No further connections may be accepted.
-func (c *connections) end(timeout time.Duration) bool {
+// end lets the requests that have arrived, or arrive within readTimeout, be answered and ends all connections. It returns
+// false if some have not ended within the timeout. No further connections may be accepted.
+func (c *connections) end(readTimeout, timeout time.Duration) bool {
 	c.mu.Lock()
 	c.ended = make(chan struct{})
+	c.signalEnd()
+	c.mu.Unlock()
+	if c.wait(readTimeout) {
+		return true
+	}
+	c.mu.Lock()
+	c.closesIdle = true
 	for conn, state := range c.states {
-		stopReading(conn, state)
+		closeIdle(conn, state)
 	}
-	c.signalEnd()
 	c.mu.Unlock()
+	return c.wait(timeout - readTimeout)
+}
+
+func (c *connections) wait(timeout time.Duration) bool {
 	select {
 	case <-c.ended:
 		return true
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -40,6 +40,8 @@
 	// closeTimeout is how long the last answers may take to be written when the process ends. It is shorter
 	// than what a leaving host keeps of its grace period for the end.
 	closeTimeout = 200 * time.Millisecond
+	// lastReadTimeout is the part of closeTimeout in which requests are read that arrive on connections which await one.
+	lastReadTimeout = 100 * time.Millisecond
 	// memoryLimitFraction is the fraction of the process's memory limit that is set as
 	// the soft limit of the garbage collector. gcPercent limits the peak of the memory
 	// in use, which is billed.
@@ -253,7 +255,7 @@
 	for _, l := range h.listeners {
 		_ = l.Close() // it may be closed after a failure
 	}
-	if !h.connections.end(closeTimeout) {
+	if !h.connections.end(lastReadTimeout, closeTimeout) {
 		h.logger.Warn().Str("event", "http").Msg("connections are closed that are not idle")
 	}
 	for _, s := range h.servers {
