gateway, drain: durations of routes that are gone are forgotten

A host kept up to 128 samples of each route that it ever served; routes come and go with the configuration.

--- a/drain/acceptance.go
+++ b/drain/acceptance.go
@@ -48,6 +48,11 @@
 	d.next = (d.next + 1) % maxSamples
 }
 
+// Stale reports whether no sample says anything about the next request any longer.
+func (d *Durations) Stale(now time.Time) bool {
+	return !slices.ContainsFunc(d.samples, func(s Duration) bool { return now.Sub(s.EndedAt) <= maxSampleAge })
+}
+
 // Estimate returns how long a further request takes at most, by what the latest ones took. events is the number
 // of events that its stream may have, zero if that is not known. It returns false if too few requests are known.
 func (d *Durations) Estimate(now time.Time, events int) (time.Duration, bool) {
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
 	"sync"
 	"time"
@@ -28,6 +29,8 @@
 		t.routes = map[string]*drain.Durations{}
 	}
 	if t.routes[route] == nil {
+		// Routes come and go with the configuration.
+		maps.DeleteFunc(t.routes, func(_ string, known *drain.Durations) bool { return known.Stale(d.EndedAt) })
 		t.routes[route] = &drain.Durations{}
 	}
 	t.routes[route].Record(d)
