--- a/adapter/endpointhttp/endpointhttp.go
+++ b/adapter/endpointhttp/endpointhttp.go
@@ -78,10 +78,6 @@
 	sweepInterval = time.Second
 )
 
-// DialViaFunc opens a connection to an endpoint through another host, whose address is via. Its errors are a
-// port.ErrNotSent. The connection has a method Tunnel that returns true, and is not pooled. Reads and writes of the connection return a port.ErrHelperBroken if the path has ended.
-type DialViaFunc func(ctx context.Context, via, endpoint, address string) (net.Conn, error)
-
 // Pool holds the connections to all endpoints. Safe for concurrent use.
 type Pool struct {
 	codec Codec
@@ -203,21 +199,6 @@
 	}, nil
 }
 
-// open opens a connection for a request. Its errors are a port.ErrNotSent.
-func (p *Pool) open(ctx context.Context, f *port.Forward) (net.Conn, error) {
-	switch {
-	case f.Via == "":
-		raw, err := p.dial(ctx, "tcp", f.Address)
-		if err != nil {
-			return nil, errors.Wrapf(port.ErrNotSent, "dial %s: %v", f.Address, err)
-		}
-		return raw, nil
-	case p.DialVia == nil:
-		return nil, errors.Wrapf(port.ErrHelper, "dial %s through %s: this host opens no such connections", f.Address, f.Via)
-	}
-	return p.DialVia(ctx, f.Via, f.Endpoint, f.Address)
-}
-
 // takeIdle removes the last used idle connection from the pool and returns it; nil if
 // there is none that has not expired. The connection may still be unusable.
 func (p *Pool) takeIdle(address string) *conn {
