adapter/tunnel: the endpoint of the test of the last frame does not reset its connection

The test was wrong: its endpoint closed the connection with unread bytes of the request once it had read 32 KiB of them. The kernel then sends a reset, and when the helping host had not read the end by then, a write got ECONNRESET and the tunnel was stated as broken, which is what it must state. Seen once in 10 runs of the package at load average 26. The endpoint now keeps its connection open until the test ends, so that only the helping host can lose the end of the answer. All checks stay.

--- a/adapter/tunnel/end_test.go
+++ b/adapter/tunnel/end_test.go
@@ -105,6 +105,8 @@
 func TestLastFrameIsNotLostToReset(t *testing.T) {
 	is := is.New(t)
 	answer := strings.Repeat("a", 3*windowBytes)
+	hold := make(chan struct{})
+	defer close(hold)
 	endpoint := serveEndpoint(t, func(conn net.Conn) {
 		_, err := io.ReadFull(conn, make([]byte, 1))
 		is.NoErr(err)
@@ -112,6 +114,7 @@
 		is.NoErr(err)
 		is.NoErr(conn.(*net.TCPConn).CloseWrite())
 		_, _ = io.Copy(io.Discard, io.LimitReader(conn, windowBytes)) // ends with the connection
+		<-hold                                                        // a close with unread bytes may reset the connection before its end arrives
 	})
 	b := newBed(t, bedConfig{timing: fastTiming})
 	for range 20 {
