adapter/tunnel: two tests set a write's deadline once the write waits

The tests were wrong: they set a deadline of 50 and 20 ms before the write. If the process did not run in between, the write ended before it had filled the window, or had begun. Not seen, found by reading. The write now runs first, and the deadline is set when the window is full, or the write has begun. What it must return is checked as before.

--- a/adapter/tunnel/leave_test.go
+++ b/adapter/tunnel/leave_test.go
@@ -107,10 +107,21 @@
 		return s, nil
 	}})
 	conn := b.dial(t, endpoint)
+	type result struct {
+		n   int
+		err error
+	}
+	wrote := make(chan result, 1)
+	go func() {
+		n, err := conn.Write(make([]byte, 4*windowBytes))
+		wrote <- result{n, err}
+	}()
+	l := conn.(*Conn).link
+	eventually(t, "the window is full", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.credit == 0 && !l.writing })
 	is.NoErr(conn.SetWriteDeadline(time.Now().Add(50 * time.Millisecond)))
-	n, err := conn.Write(make([]byte, 4*windowBytes))
-	is.True(errors.Is(err, os.ErrDeadlineExceeded))
-	is.Equal(n, windowBytes) // no more than the window is under way
+	got := <-wrote
+	is.True(errors.Is(got.err, os.ErrDeadlineExceeded))
+	is.Equal(got.n, windowBytes) // no more than the window is under way
 	s := <-stuck
 	<-s.writing
 	is.NoErr(conn.Close())
--- a/adapter/tunnel/pressure_test.go
+++ b/adapter/tunnel/pressure_test.go
@@ -233,10 +233,15 @@
 	l.start()
 	conn := &Conn{link: l}
 	defer time.AfterFunc(patience, func() { _ = far.Close() }).Stop() // ends a write that the deadline does not
+	wrote := make(chan error, 1)
+	go func() {
+		_, err := conn.Write([]byte("x"))
+		wrote <- err
+	}()
+	eventually(t, "the write has begun", func() bool { l.mu.Lock(); defer l.mu.Unlock(); return l.writing })
 	is.NoErr(conn.SetWriteDeadline(time.Now().Add(20 * time.Millisecond)))
-	_, err := conn.Write([]byte("x"))
-	is.True(err != nil)
+	is.True(<-wrote != nil)
 	<-l.ctx.Done()
-	_, err = conn.Read(make([]byte, 1))
+	_, err := conn.Read(make([]byte, 1))
 	is.True(errors.Is(err, os.ErrDeadlineExceeded))
 }
