gateway: tests that wait in simulated time run beside one another

It used one of eight cores: only subtests of a few tests ran beside one another. 115 tests that run in a bubble of simulated time now do; what they check is the same, and tests that wait for real run before them, alone.

--- a/gateway/abort_test.go
+++ b/gateway/abort_test.go
@@ -25,6 +25,7 @@
 // TestAbortedAnswersAreLogged guards against answers that are cut and leave no line in the log, and against a partial answer
 // that looks complete to a caller of which only one side of the connection is closed.
 func TestAbortedAnswersAreLogged(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		route  string
 		end    error // of the endpoint's answer
--- a/gateway/announcements_test.go
+++ b/gateway/announcements_test.go
@@ -20,6 +20,7 @@
 // request is sent there, also while the registry still lists the endpoint as ready and while the
 // store is out of reach. A later incarnation is used again.
 func TestEndpointAnnouncesLeaving(t *testing.T) {
+	t.Parallel()
 	for name, storeDown := range map[string]bool{"in touch with the store": false, "without the store": true} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -67,6 +68,7 @@
 // passed; when all endpoints have asked for time, callers are refused at once and are told when the
 // first one takes requests again.
 func TestEndpointAsksForTime(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := newTestPlatform()
@@ -106,6 +108,7 @@
 // TestPauseDuringConnect: a request whose connection opens after its endpoint has asked for time is
 // not sent there.
 func TestPauseDuringConnect(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := newTestPlatform()
--- a/gateway/behind_test.go
+++ b/gateway/behind_test.go
@@ -37,6 +37,7 @@
 // TestRestartedHostAcceptsNoWithdrawnKey guards against a key that was withdrawn and is accepted again by a process that
 // starts anew and reads an older version than the other hosts have in force.
 func TestRestartedHostAcceptsNoWithdrawnKey(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp, peers, old := startBehind(t)
@@ -59,6 +60,7 @@
 
 // TestRestartedHostServesWhatIsLeft: if the later version does not return, the host serves by the one that the store has.
 func TestRestartedHostServesWhatIsLeft(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp, peers, old := startBehind(t)
@@ -72,6 +74,7 @@
 // TestRestartedHostKnowsWhatLeft guards against an endpoint that has left, or is leaving, and is used again by a process
 // that starts anew and remembers nothing of it.
 func TestRestartedHostKnowsWhatLeft(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp, peers := startRegions(t, 3, startInterval)
--- a/gateway/brittle_test.go
+++ b/gateway/brittle_test.go
@@ -190,6 +190,7 @@
 // TestBrittleLoadIsServed: endpoints that bear few rejections serve what fits into their slots, with nine hosts and
 // with many, and all of it again when they no longer say so.
 func TestBrittleLoadIsServed(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		perZone, perSecond int
 		minPercent         int // of the requests, within three tries of a caller
@@ -233,6 +234,7 @@
 // TestNothingIsBrittle: while no endpoint has named a bound, endpoints are chosen as the placement alone chooses, however
 // many requests they have, and nobody waits or is refused.
 func TestNothingIsBrittle(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := newTestPlatform()
--- a/gateway/ending_test.go
+++ b/gateway/ending_test.go
@@ -124,6 +124,7 @@
 // TestMovedStreamClosedBetweenEvents guards against a moved stream that looks complete: its engine stops the
 // run and closes the connection, which is also how an answer without a length or chunks ends.
 func TestMovedStreamClosedBetweenEvents(t *testing.T) {
+	t.Parallel()
 	const sent = 5 // events that the first engine sends before it closes the connection
 	for name, tc := range map[string]struct {
 		lastErr  error
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -73,6 +73,7 @@
 // TestEndlessBody guards against an endpoint whose answer never ends: it is given up at a bound, the caller's
 // answer does not look complete, and the endpoint is suspect for a reason of its own.
 func TestEndlessBody(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		route, text string
 		attempts    int
--- a/gateway/era_test.go
+++ b/gateway/era_test.go
@@ -43,6 +43,7 @@
 // era are known everywhere, one leader exists with a higher fencing token, and no usage window was
 // reported twice with different counts.
 func TestStoreRestored(t *testing.T) {
+	t.Parallel()
 	leaderOf := func(tp *testPlatform) *Gateway { return tp.hostNamed(tp.leaders(time.Now())[0]) }
 	kill := func(tp *testPlatform) { leaderOf(tp).tomb.Kill(nil) }
 	for name, tc := range map[string]struct {
@@ -152,6 +153,7 @@
 // TestDecisionsInEarlierEra guards against a second, different report of a window by a new leader that
 // cannot know of the first: the record and the last reports of the old leader are lost with it.
 func TestDecisionsInEarlierEra(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := startServing(t, 3, 8*time.Second)
@@ -237,6 +239,7 @@
 // returns from a copy without the record of a report, and the leaders that follow end one after the other. Only the
 // first of them can see that records are missing.
 func TestLeadersOfAnEraKnowWhatIsLost(t *testing.T) {
+	t.Parallel()
 	const (
 		age = 2 * time.Second // of the copy
 		// usageDue leaves time for three leaders before the report of the window is due.
@@ -358,6 +361,7 @@
 // not list one that has come. Neither makes a host send to an endpoint that is gone, nor forget one
 // that serves.
 func TestRestoredEndpoints(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := newTestPlatform()
@@ -401,6 +405,7 @@
 // TestRestoredHosts: the older copy holds the report of a host that is gone and whose record was
 // removed; it does not count as alive again.
 func TestRestoredHosts(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := startServing(t, 3, 8*time.Second)
--- a/gateway/freshness_test.go
+++ b/gateway/freshness_test.go
@@ -46,6 +46,7 @@
 // been able to read, because their other reads of the store are answered (CONFIG and DRAIN on the grown
 // sites). The other hosts of the region must learn the news in time.
 func TestRelayServesStalledTopic(t *testing.T) {
+	t.Parallel()
 	for _, topic := range []port.Topic{port.TopicConfiguration, port.TopicEndpoints} {
 		for _, after := range []time.Duration{0, 500 * time.Millisecond, time.Second, 1500 * time.Millisecond, 2 * time.Second} {
 			t.Run(fmt.Sprint(topic, " written ", after, " after the stall"), func(t *testing.T) {
@@ -67,6 +68,7 @@
 // at a time, and checks that every other host has each version in force in time. A host that was hit
 // counts again 4 s after the end of its fault.
 func TestAgeOverThreeHopsIsBounded(t *testing.T) {
+	t.Parallel()
 	const (
 		seeds    = 10
 		length   = 40 * time.Second
@@ -131,6 +133,7 @@
 // deployments) that becomes due in a region without the store, at hosts whose relay does not answer. It is
 // in force in time, and so are drains: the hosts must not all read it from the store at once.
 func TestRelayLostWhileConfigurationGrows(t *testing.T) {
+	t.Parallel()
 	const (
 		routes  = 5600 // after four growths by 1,400
 		perZone = 14   // hosts of an availability zone of coldroot-jos-grown
@@ -155,6 +158,7 @@
 // TestLargeReadIsNotBegunAnew guards against reads that are given up while their reply is arriving, and
 // begun anew with the same bytes: what takes longer than a time-out never arrived.
 func TestLargeReadIsNotBegunAnew(t *testing.T) {
+	t.Parallel()
 	const (
 		kilobytes = 1000
 		takes     = 4 * time.Second
@@ -176,6 +180,7 @@
 
 // TestSharedLink: transfers share the bandwidth, and one that is given up frees its part.
 func TestSharedLink(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		link := &sharedLink{bytesPerSecond: 1000, delay: 10 * time.Millisecond}
--- a/gateway/garbage_test.go
+++ b/gateway/garbage_test.go
@@ -178,6 +178,7 @@
 
 // TestSoundStreamsAreForwarded: what the grammar of event streams and the users' pages allow is forwarded unchanged.
 func TestSoundStreamsAreForwarded(t *testing.T) {
+	t.Parallel()
 	for name, text := range map[string]string{
 		"events":                     strings.Join(events(1, 6), ""),
 		"carriage returns":           "id: 1\r\ndata: x\r\n\r\nid: 2\r\ndata: y\r\n\r\n",
@@ -227,6 +228,7 @@
 
 // TestCallInTheFormOfAStream: only streaming routes promise events with ids, so an answer to a call is forwarded as it is.
 func TestCallInTheFormOfAStream(t *testing.T) {
+	t.Parallel()
 	for _, route := range []string{"get", "order"} {
 		t.Run(route, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -249,6 +251,7 @@
 // TestAnswerInsteadOfAStream guards against an answer with success on a streaming route that is no event stream and reaches
 // the caller, such as a page of another service. A stream that states another type, or none, is one nevertheless.
 func TestAnswerInsteadOfAStream(t *testing.T) {
+	t.Parallel()
 	const page = "<html>\nit works\n</html>\n"
 	stream := strings.Join(events(1, 6), "")
 	for name, tc := range map[string]struct {
--- a/gateway/garbagereview_test.go
+++ b/gateway/garbagereview_test.go
@@ -20,6 +20,7 @@
 // TestRunsAreNotJoined guards against events of another run that follow those of a stream in the same body: their ids go
 // back, which those of one run never do, and only the later ones would reach the caller.
 func TestRunsAreNotJoined(t *testing.T) {
+	t.Parallel()
 	another := strings.ReplaceAll(strings.Join(events(1, 5), ""), "x", "another")
 	for name, tc := range map[string]struct {
 		route string
@@ -54,6 +55,7 @@
 // TestContinuedStreamRepeatsNoEvent guards against events that a caller who continues a stream has already and gets again,
 // as from an endpoint that repeats the last one. What the host does within one answer holds across answers too.
 func TestContinuedStreamRepeatsNoEvent(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		after string
 		parts []string
@@ -89,6 +91,7 @@
 // TestContinuedStreamAsksForTheRest: until an event is forwarded, endpoints get the id that the caller named, then that of
 // the last event; and on a route that does not resume, what a caller names stands for nothing.
 func TestContinuedStreamAsksForTheRest(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		route string
 		after string
@@ -132,6 +135,7 @@
 // TestGarbageInsideAnEvent guards against an event that is cut and completed by the head of another answer, as in a body
 // that ends with its connection: the lines of the head are taken for fields, and its blank line ends the event.
 func TestGarbageInsideAnEvent(t *testing.T) {
+	t.Parallel()
 	const head = "HTTP/1.1 500 Internal Server Error\r\nContent-Type: text/plain\r\nContent-Length: 4\r\n\r\noops"
 	for name, text := range map[string]string{
 		"a head behind half a line of data":   "id: 4\ndata: y" + head,
@@ -170,6 +174,7 @@
 // TestReportsThatAreNone guards against records and messages that name no host and count as one: the shares of all hosts
 // become smaller.
 func TestReportsThatAreNone(t *testing.T) {
+	t.Parallel()
 	var counted []string
 	for _, text := range []string{"null", "{}", "[null]", "[{}]", "[]", "7", "oops", "\x1f\x8boops"} {
 		for how, receive := range map[string]func(*testPlatform, *Gateway){
--- a/gateway/garbagestate_test.go
+++ b/gateway/garbagestate_test.go
@@ -19,6 +19,7 @@
 // TestGarbageIsNotRemembered guards against bytes that are no event and are counted, recorded or told to others as one:
 // a request has begun, at a software version, with its first sound event only.
 func TestGarbageIsNotRemembered(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		route  string
 		before int // sound events before the garbage of the first attempt
@@ -71,6 +72,7 @@
 // TestEndpointThatSpoilsStreams states how many streams an endpoint that sends garbage gets from a host while others serve:
 // it is suspect for 0.25 s after the first, for up to 4 s while it serves none, and for 0.25 s again once it has served one.
 func TestEndpointThatSpoilsStreams(t *testing.T) {
+	t.Parallel()
 	const (
 		duration = 30 * time.Second
 		interval = 50 * time.Millisecond
@@ -143,6 +145,7 @@
 // TestMovedStreamForwardsNoGarbage guards against an engine that sends garbage when it is told to stop a stream for a
 // move: the stream goes on from the copy behind its last sound event.
 func TestMovedStreamForwardsNoGarbage(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := newTestPlatform()
--- a/gateway/latecall_test.go
+++ b/gateway/latecall_test.go
@@ -47,6 +47,7 @@
 // TestNoCallAfterTheLease guards against a leader that goes on with a row of orders, or that has one waiting for a
 // connection, after its lease has ended meanwhile: another host may have taken over.
 func TestNoCallAfterTheLease(t *testing.T) {
+	t.Parallel()
 	for _, takes := range []time.Duration{50 * time.Millisecond, 400 * time.Millisecond, 1400 * time.Millisecond, time.Minute} {
 		t.Run(fmt.Sprint(takes), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/gateway/leader_test.go
+++ b/gateway/leader_test.go
@@ -44,6 +44,7 @@
 
 // TestOneLeader: of several hosts that start together exactly one becomes the leader and remains it.
 func TestOneLeader(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := newTestPlatform()
@@ -66,6 +67,7 @@
 // leader, as while zones are reclaimed (trouble-1 of coldroot-jos). Another host takes over within
 // seconds with a higher fencing token, and the old leader does not take over again at once.
 func TestLeaderCutOffFromStore(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := newTestPlatform()
@@ -93,6 +95,7 @@
 // TestSuspendedLeader guards against a leader on a machine that was suspended for longer than its lease: the monotonic
 // clock has stood still, so the lease does not seem to have ended. A report must not renew it either.
 func TestSuspendedLeader(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := startServing(t, 3, 8*time.Second)
@@ -134,6 +137,7 @@
 // leader sends them: the platform does not answer, replies of the store are lost, or the leader is
 // killed in between.
 func TestUsageReportedOnce(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		prepare func(tp *testPlatform)
 		during  func(t *testing.T, tp *testPlatform)
@@ -199,6 +203,7 @@
 
 // TestFencedLeaderStops: a leader whose fencing token was refused sends nothing more with it.
 func TestFencedLeaderStops(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := newTestPlatform()
@@ -230,6 +235,7 @@
 // TestOrdersFollowReclaims: a zone's spot endpoints are reclaimed; on-demand endpoints are ordered
 // at once to replace them.
 func TestOrdersFollowReclaims(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := newTestPlatform()
@@ -275,6 +281,7 @@
 // request of a workspace count as well. All hosts together grant the limit, before any traffic and
 // with hosts that are cut off.
 func TestSharesAddUp(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		cutOff int
 		zones  []string // of the hosts in turn; two hosts of a zone have no relay
@@ -328,6 +335,7 @@
 
 // TestSuccessorKnowsTargetCounts: the next leader knows the target count of a leader that was killed.
 func TestSuccessorKnowsTargetCounts(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := newTestPlatform()
@@ -363,6 +371,7 @@
 // coldroot-jos-grown): a host continues to serve while the store refuses it, across the end of a
 // window. Its counts arrive before the report is due, and are in the report.
 func TestUsageWaitsForHostsThatAreCutOff(t *testing.T) {
+	t.Parallel()
 	const outage = 5 * time.Second
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
@@ -400,6 +409,7 @@
 // a host is gone for good, and soon after the end of the next windows the store is unavailable or
 // all hosts are killed. The windows are reported before that.
 func TestUsageDoesNotWaitForGoneHosts(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		endedBefore time.Duration // end of the host, before the end of the window
 		outageAfter time.Duration // start of the outage, after the end of the window
@@ -435,6 +445,7 @@
 // TestFreshTakeover: a host that reads that another one has just taken over leaves it the time to report.
 // Without fencing, that includes the TTL of the lease, in which the other may act.
 func TestFreshTakeover(t *testing.T) {
+	t.Parallel()
 	for name, enforced := range map[string]bool{"fencing enforced": true, "not enforced": false} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -12,6 +12,7 @@
 // TestLeavingAwaitsRequestsBeingRead guards against a request that is cut because it is still being read, and so not
 // in progress yet, when a leaving host finds nothing in progress; and against one that begins after that.
 func TestLeavingAwaitsRequestsBeingRead(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := newTestPlatform()
@@ -41,6 +42,7 @@
 
 // TestLeavingEndsWithTheGracePeriod: a request that is never read to its end does not keep the process.
 func TestLeavingEndsWithTheGracePeriod(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := newTestPlatform()
--- a/gateway/lethal_test.go
+++ b/gateway/lethal_test.go
@@ -27,6 +27,7 @@
 // TestLethalRequestIsStoppedAtEveryHost guards against a request that crashes each endpoint that runs it and is sent
 // on and on, by whichever host it comes (incident 0005). It comes again and again under new ids.
 func TestLethalRequestIsStoppedAtEveryHost(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		route   string
 		lethal  int // different requests that crash endpoints
@@ -118,6 +119,7 @@
 // TestCrashesQuarantineNobody guards against sound requests that are refused because endpoints crashed for reasons
 // of their own while running them.
 func TestCrashesQuarantineNobody(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		route string
 		crash func(t *testing.T, tp *testPlatform, f *crashingFleet, rng *lockedRand)
@@ -188,6 +190,7 @@
 // TestDeathsOfManyEndpointsTakeFewCalls guards against a call for each endpoint and host when many endpoints end at the
 // same moment, and against any when they had announced it.
 func TestDeathsOfManyEndpointsTakeFewCalls(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		route     string
 		announced bool
--- a/gateway/lethalpart_test.go
+++ b/gateway/lethalpart_test.go
@@ -20,6 +20,7 @@
 // TestLethalPartIsStoppedAtEveryHost guards against requests with one part in their prompts that crash endpoint after
 // endpoint (incident 0006). No two of them are alike; sound requests share their caller and their other parts.
 func TestLethalPartIsStoppedAtEveryHost(t *testing.T) {
+	t.Parallel()
 	system := placement.Part{ID: "system", Tokens: 300}
 	for name, tc := range map[string]struct {
 		route string
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -84,6 +84,7 @@
 // limit has been named for 4 s. Hosts start and end meanwhile. Other endpoints serve the rest, and a limited
 // one takes requests again when it no longer names a limit.
 func TestLimitHoldsOverAllHosts(t *testing.T) {
+	t.Parallel()
 	const (
 		window    = 4 * time.Second
 		contact   = 4 * time.Second
@@ -138,6 +139,7 @@
 // TestAllEndpointsLimited: when every endpoint of a service has a limit that is used up, callers are refused at
 // once and told when to return.
 func TestAllEndpointsLimited(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp, _ := startRegions(t, 1, startInterval)
--- a/gateway/longanswer_test.go
+++ b/gateway/longanswer_test.go
@@ -17,6 +17,7 @@
 // TestLongAnswerInProgressIsNotAbandoned guards against a long answer that is cut because it takes longer than the
 // time after which another endpoint would be tried.
 func TestLongAnswerInProgressIsNotAbandoned(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := newTestPlatform()
--- a/gateway/overload_test.go
+++ b/gateway/overload_test.go
@@ -20,6 +20,7 @@
 // TestCallsThatCannotEndInTimeAreRefusedAtOnce replays a burst of calls, each of whose callers leaves after a
 // second, on two endpoints that work off a small part of it by then.
 func TestCallsThatCannotEndInTimeAreRefusedAtOnce(t *testing.T) {
+	t.Parallel()
 	const burst = 1500
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
--- a/gateway/placer_test.go
+++ b/gateway/placer_test.go
@@ -42,6 +42,7 @@
 // TestPlacerSpreadsRequests: requests that reach different hosts at the same moment go to different
 // engines, and nothing is booked any longer once they have ended.
 func TestPlacerSpreadsRequests(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp, peers := startRegion(t, 4, 4)
@@ -72,6 +73,7 @@
 // TestPlacerDoesNotAnswer: a host whose placer is silent chooses on its own within placeTimeout, without
 // a call for a while, and uses the placer again later.
 func TestPlacerDoesNotAnswer(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp, peers := startRegion(t, 4, 2)
@@ -98,6 +100,7 @@
 // TestPlacementOfLostHostExpires: a host that asks for a placement and is never heard of again does not
 // keep an engine booked past the end of its request.
 func TestPlacementOfLostHostExpires(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp, _ := startRegion(t, 3, 2)
@@ -115,6 +118,7 @@
 // TestPlacerRespectsTheCaller: an endpoint that the asking host has tried is not chosen, one that is
 // suspect there only if there is no other.
 func TestPlacerRespectsTheCaller(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp, _ := startRegion(t, 3, 2)
@@ -136,6 +140,7 @@
 // TestLoadsOfOtherRegion: what another placer has sent counts once, and not the reports of its hosts
 // beside it; when it falls silent, the reports count.
 func TestLoadsOfOtherRegion(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp, _ := startRegion(t, 3, 2)
--- a/gateway/reach_test.go
+++ b/gateway/reach_test.go
@@ -263,6 +263,7 @@
 // TestHostsCutOffFromEndpoints guards against callers of hosts that have lost their paths to all endpoints being served
 // worse than others. The requests that count are sent from contactTime after the cut on.
 func TestHostsCutOffFromEndpoints(t *testing.T) {
+	t.Parallel()
 	for _, tt := range []struct {
 		name  string
 		zones []string
@@ -291,6 +292,7 @@
 // TestCutOffHostsBesideOtherTrouble replays cuts beside what else may happen. An order reaches one endpoint at most, also
 // if the host that carries it ends.
 func TestCutOffHostsBesideOtherTrouble(t *testing.T) {
+	t.Parallel()
 	zones := []string{"a", "a", "a", "b", "b"}
 	for _, tt := range []struct {
 		name    string
@@ -366,6 +368,7 @@
 // recording that each of them has ended with the requests that it had there: others would refuse those requests as
 // lethal.
 func TestCutHostTakesNoEndpointForEnded(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp, network, hosts := startCutHosts(t, "a", "a", "b")
@@ -384,6 +387,7 @@
 // TestStreamsUnderWayGoOnAfterTheCut guards against streams whose connections hang when their host is cut off, and that
 // wait for their callers to leave: those that may resume go on through another host, without an event missing or twice.
 func TestStreamsUnderWayGoOnAfterTheCut(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp, network, hosts := startCutHosts(t, "a", "a", "b")
--- a/gateway/registrycheck_test.go
+++ b/gateway/registrycheck_test.go
@@ -30,6 +30,7 @@
 // streams at a version that has just been listed and is lost within milliseconds, and another host, which has not read
 // that version yet, is asked to continue them.
 func TestHostOutOfStepJoinsNoStreams(t *testing.T) {
+	t.Parallel()
 	const streams = 8
 	for name, tc := range map[string]struct {
 		hosts int
@@ -101,6 +102,7 @@
 // TestChecksShareReads answers hundreds of callers who continue their streams at once, at hosts with a relay and
 // without: the calls to the store do not grow with the callers, and it is known where every stream began.
 func TestChecksShareReads(t *testing.T) {
+	t.Parallel()
 	const streams, readsPerHost = 200, 8
 	for _, hosts := range []int{2, 6} {
 		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
@@ -137,6 +139,7 @@
 // TestRefusedSoonWhileTheStoreIsSilent answers callers who continue streams of a host that is gone while the store does not
 // answer: what nobody can know is refused within half a second.
 func TestRefusedSoonWhileTheStoreIsSilent(t *testing.T) {
+	t.Parallel()
 	for _, hosts := range []int{2, 5} {
 		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -165,6 +168,7 @@
 // TestChecksRenewNoVersion guards against versions that have left and never expire, because hosts tell one another of them
 // with each check. Reports take their time, in which what they tell grows no older.
 func TestChecksRenewNoVersion(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := startContinuation(t, 5, "11", "21")
--- a/gateway/relay_test.go
+++ b/gateway/relay_test.go
@@ -103,6 +103,7 @@
 // TestOneHostReadsTheStore: the number of store calls does not grow with the hosts of a zone, and
 // all hosts know what the relay knows.
 func TestOneHostReadsTheStore(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := newTestPlatform()
@@ -128,6 +129,7 @@
 // TestRelayFails: the relay freezes, is killed or cannot reach the store; the other hosts apply a
 // new configuration within the time in which it must be in force.
 func TestRelayFails(t *testing.T) {
+	t.Parallel()
 	const inForce = 3 * time.Second
 	for name, fail := range map[string]func(tp *testPlatform, peers *memoryPeers, relay *Gateway){
 		"freezes": func(_ *testPlatform, peers *memoryPeers, relay *Gateway) {
@@ -175,6 +177,7 @@
 // TestZoneSharesALimit: a prompt larger than one host's share is admitted, because one host grants
 // the zone's whole share.
 func TestZoneSharesALimit(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := newTestPlatform()
@@ -216,6 +219,7 @@
 // newest record of every host through one link between regions. Records of earlier incarnations,
 // and of hosts that have a relay now, must not be read again.
 func TestRecordsOfHostsStayFew(t *testing.T) {
+	t.Parallel()
 	const (
 		hosts  = 9
 		starts = 3
@@ -256,6 +260,7 @@
 // hosts (platform_down on the grown sites): prompts larger than one host's share of a limit are
 // still admitted, because the zone's relay continues to grant the zone's share.
 func TestZoneSharesALimitWithoutStore(t *testing.T) {
+	t.Parallel()
 	const (
 		perSecond = 60_000
 		prompt    = 50_000
@@ -304,6 +309,7 @@
 // (platform_down on the grown sites): refused calls are billed, and repeating them gains nothing. A
 // host recovers within a second of the store.
 func TestFewCallsWhileStoreIsAway(t *testing.T) {
+	t.Parallel()
 	const (
 		outage   = 10 * time.Second
 		maxCalls = 3 // per second and host: one feed polls each second, two every other second
@@ -332,6 +338,7 @@
 // the reports of the earlier processes, and the one chosen as relay is still starting. Within
 // seconds they use it, and meanwhile do not grant small parts of limits on their own.
 func TestRelayAfterAllRestart(t *testing.T) {
+	t.Parallel()
 	const (
 		hosts   = 8
 		timeout = 2500 * time.Millisecond
@@ -441,6 +448,7 @@
 // TestOneHostOfEachRegionCallsTheStore: the number of store calls grows with the regions and not with the
 // zones, and all hosts know what the store holds.
 func TestOneHostOfEachRegionCallsTheStore(t *testing.T) {
+	t.Parallel()
 	for name, apart := range map[string]time.Duration{"at different times": startInterval, "at the same instant": 0} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
@@ -468,6 +476,7 @@
 // the relay of another zone; a configuration is in force everywhere else within its time, no host counts
 // as gone, and the hosts agree on another relay.
 func TestRegionRelayFails(t *testing.T) {
+	t.Parallel()
 	const inForce = 3 * time.Second
 	for name, tc := range map[string]struct {
 		fail func(tp *testPlatform, peers *memoryPeers, relay *Gateway)
@@ -584,6 +593,7 @@
 // after it had left: a host that had read the store, and then read through a relay again, went on answering
 // another host from what it had read itself.
 func TestFormerRelayServesNothingStale(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := newTestPlatform()
--- a/gateway/repeated_test.go
+++ b/gateway/repeated_test.go
@@ -16,6 +16,7 @@
 // TestCallerThatContinuesGetsNoEventTwice guards against an endpoint that repeats events to a caller that continues a
 // stream: those up to the id that the caller names are not forwarded again.
 func TestCallerThatContinuesGetsNoEventTwice(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		route, after string
 		parts        []string
--- a/gateway/restart_test.go
+++ b/gateway/restart_test.go
@@ -36,6 +36,7 @@
 // configuration that has grown (issue 29). What the hosts read when they start must not fill the link between the
 // regions, where endpoints wait to announce that they leave: one of them reads for the others.
 func TestHostsStartAnewWithLargeConfiguration(t *testing.T) {
+	t.Parallel()
 	const (
 		routes      = 2800 // after two growths by 1,400
 		perZone     = 8
@@ -88,6 +89,7 @@
 // configuration grows (issue 29). Hosts that differ on who relays refuse each other, read the store over the one link
 // that all of them share, and by that grow later and differ more, long after the cause is gone.
 func TestRelaysSettleAfterManyHostsRestart(t *testing.T) {
+	t.Parallel()
 	const (
 		perZone      = 14 // as on coldroot-jos-grown; there are fewer in the other region, for the time of the test
 		perZoneNear  = 3
@@ -180,6 +182,7 @@
 // relays each, since the relay's own read of a topic ended a little later than usual (trouble-1 of
 // coldroot-jos-large). Without one, they agree on who takes its place.
 func TestRelayLateByMillisecondsIsNotDeserted(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		stalled    time.Duration
 		maxReaders int // hosts of the region that call the store
@@ -226,6 +229,7 @@
 // 727543410171): the store refuses the hosts that are first in the region's order, and revoked keys went on being
 // accepted at the others, which waited for these.
 func TestStoreRefusesManyHostsOfARegion(t *testing.T) {
+	t.Parallel()
 	for _, refused := range []int{2, 3, 4} {
 		for _, perZone := range []int{3, 6} {
 			t.Run(fmt.Sprint(refused, " of ", 3*perZone), func(t *testing.T) {
--- a/gateway/rollout_failure_test.go
+++ b/gateway/rollout_failure_test.go
@@ -39,6 +39,7 @@
 // TestRolloutSurvivesItsLeader answers a leader that is killed at a moment of the order: the state never goes back, a
 // good version is complete in time if there is time for a change of leader, and a bad one is rolled back.
 func TestRolloutSurvivesItsLeader(t *testing.T) {
+	t.Parallel()
 	for _, at := range []time.Duration{500 * time.Millisecond, 3 * time.Second, 6 * time.Second} {
 		for _, bad := range []bool{false, true} {
 			t.Run(fmt.Sprint(at, ", bad ", bad), func(t *testing.T) {
@@ -70,6 +71,7 @@
 // TestLeaderKilledInTheSteps answers a leader that is killed after the first step, in the last one, and as soon as it
 // has recorded the end: the order ends, and no host goes back from an end that it has heard of.
 func TestLeaderKilledInTheSteps(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		kill  func(r *rolloutTest, g *Gateway) bool // whether the time has come
 		state []string                              // expected
@@ -119,6 +121,7 @@
 // TestPausedHostsSendNothingToARolledBackVersion answers two hosts that are paused for 5 s and wake with their old
 // view: requests that they had taken before, and had chosen an endpoint for, do not reach the version.
 func TestPausedHostsSendNothingToARolledBackVersion(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := startRollout(t, 5, "api")
@@ -160,6 +163,7 @@
 // TestRequestsThatWereHeldUp answers hosts that are paused between the choice of an endpoint and the first byte: the
 // permission is checked again, and the request goes to the old version.
 func TestRequestsThatWereHeldUp(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := startRollout(t, 5, "api")
@@ -199,6 +203,7 @@
 // TestHostCutOffFromTheLeader answers a host that does not reach the leader while it serves callers: within the time
 // of a permission it sends nothing to the target.
 func TestHostCutOffFromTheLeader(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := startRollout(t, 5, "api")
@@ -223,6 +228,7 @@
 // TestStoreAwayFromTheOrderToItsEnd answers a store that is away from a second after the order: the fraction does not
 // rise, a bad version is stopped all the same, and the state is recorded and stated when the store is back.
 func TestStoreAwayFromTheOrderToItsEnd(t *testing.T) {
+	t.Parallel()
 	for _, bad := range []bool{false, true} {
 		t.Run(fmt.Sprint("bad: ", bad), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -261,6 +267,7 @@
 // TestStoreRestoredInARollout answers a store that returns from an older copy during an order and after its end: the
 // same content that appears again is the same order, and the state is stated again.
 func TestStoreRestoredInARollout(t *testing.T) {
+	t.Parallel()
 	for name, at := range map[string]time.Duration{"before the steps": 4 * time.Second, "after the end": 15 * time.Second} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -289,6 +296,7 @@
 // TestEndedOrderOutlivesAllRecords answers a store that keeps nothing but the newest record of each key, and a leader
 // that is new: the order is not carried out again.
 func TestEndedOrderOutlivesAllRecords(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		r := startRollout(t, 3, "api")
@@ -322,6 +330,7 @@
 
 // TestWithdrawnAndUnusableOrders answers orders that are taken back, and those that cannot be carried out.
 func TestWithdrawnAndUnusableOrders(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		play func(r *rolloutTest)
 		want string
@@ -368,6 +377,7 @@
 // TestOrdersThatFollow answers an order that is written again after a roll back, and one for a third version while the
 // first goes on: each is carried out, and the version that was left gets nothing.
 func TestOrdersThatFollow(t *testing.T) {
+	t.Parallel()
 	t.Run("again after a roll back", func(t *testing.T) {
 		synctest.Test(t, func(t *testing.T) {
 			r := startRollout(t, 3, "api")
--- a/gateway/rollout_stream_test.go
+++ b/gateway/rollout_stream_test.go
@@ -27,6 +27,7 @@
 // TestStreamsOfARolledBackVersion: a stream that began at a version does not go on there after it was rolled back,
 // neither in a further attempt nor by a move, and none goes on at the other version.
 func TestStreamsOfARolledBackVersion(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		route  string
 		leaves bool // the endpoint leaves, otherwise it breaks the stream off
--- a/gateway/rollout_test.go
+++ b/gateway/rollout_test.go
@@ -222,6 +222,7 @@
 // TestRolloutCompletes answers a good version, calls of 20 ms: complete by the deadline, the target's share small
 // before, and nothing to the old version afterwards.
 func TestRolloutCompletes(t *testing.T) {
+	t.Parallel()
 	for _, hosts := range []int{1, 5} {
 		t.Run(fmt.Sprint(hosts, " hosts"), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -254,6 +255,7 @@
 // TestRolloutOfStreamsCompletes answers streams of about 2 and 2.9 s that must not be cut, and streams that all end
 // with their callers' deadline of 3 s: none runs at the old version when the order is complete.
 func TestRolloutOfStreamsCompletes(t *testing.T) {
+	t.Parallel()
 	for _, pause := range []time.Duration{130 * time.Millisecond, 190 * time.Millisecond, 290 * time.Millisecond} {
 		t.Run(pause.String(), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -279,6 +281,7 @@
 // TestRolloutRollsBack answers a version of which half of the answers is bad, from the start or after 5 s: stopped
 // before its 50th bad answer, nothing sent to it afterwards, and callers who may be served by the old version are.
 func TestRolloutRollsBack(t *testing.T) {
+	t.Parallel()
 	for name, after := range map[string]time.Duration{"at once": 0, "after 5 s": 5 * time.Second} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -23,6 +23,7 @@
 // TestFaultsOfEndpoints lists the faults of endpoints and the answer that the caller receives for
 // each.
 func TestFaultsOfEndpoints(t *testing.T) {
+	t.Parallel()
 	broken := errors.Wrap(port.ErrBroken, "reset")
 	hang := func(ctx context.Context, f *port.Forward) (*port.Reply, error) {
 		_ = f.Sending()
@@ -168,6 +169,7 @@
 
 // TestRefusedAtOnce: requests that cannot be served are answered without a delay.
 func TestRefusedAtOnce(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		prepare func(*testPlatform)
 		change  func(*port.Request)
@@ -206,6 +208,7 @@
 
 // TestCallerLeaves: the attempt ends when the caller disconnects, and nothing is sent again.
 func TestCallerLeaves(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		tp := newTestPlatform()
@@ -231,6 +234,7 @@
 // TestStreamMoves: an engine is reclaimed; a stream that would not end in time continues at another
 // engine, and the caller sees one answer.
 func TestStreamMoves(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		copyErr, lastErr error
 		lastHandle       string
@@ -323,6 +327,7 @@
 // TestLeaving guards against requests aborted by the end of a leaving host (trouble-2 of coldroot-jos):
 // it serves what ends before the process does and refuses the rest at once.
 func TestLeaving(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		after  time.Duration // after the request to stop
 		route  string
@@ -379,6 +384,7 @@
 // must not all be abandoned for endpoints that take as long, and none may fail because the retry
 // budget is exhausted.
 func TestServiceSlowerThanRetryTimeout(t *testing.T) {
+	t.Parallel()
 	const (
 		requests   = 150
 		answerTime = 320 * time.Millisecond // callTargetShare of the objective of 500 ms is 300 ms
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -53,6 +53,7 @@
 // fall silent for a second or so. What may not run twice is not sent again, and no answer is cut; what may be repeated is
 // whole too, from whichever endpoint.
 func TestSilenceOfASoundEndpoint(t *testing.T) {
+	t.Parallel()
 	const calls, streams = "calls", "streams"
 	for _, silence := range []time.Duration{time.Second, 1300 * time.Millisecond} {
 		for _, route := range []string{"get", "order", "stream", "resume"} {
--- a/gateway/software_test.go
+++ b/gateway/software_test.go
@@ -46,6 +46,7 @@
 // TestStreamContinuesAtItsVersion guards against an answer with events of two software versions
 // (incident 0004): an endpoint fails in the middle of a stream, and another one continues it.
 func TestStreamContinuesAtItsVersion(t *testing.T) {
+	t.Parallel()
 	const requests = 20
 	for name, tc := range map[string]struct {
 		endpoints []string
@@ -95,6 +96,7 @@
 // TestLeavingEndpointKeepsItsVersionsStreams guards against streams that a leaving endpoint hands over to
 // another software version, and against streams cut although no other endpoint could continue them.
 func TestLeavingEndpointKeepsItsVersionsStreams(t *testing.T) {
+	t.Parallel()
 	for name, tc := range map[string]struct {
 		route string
 		other []string // endpoints beside the leaving one, "11"
@@ -232,6 +234,7 @@
 // TestCallersContinueAtTheVersionThatBegan guards against callers who get events of two software versions
 // over their requests (incident 0004), and against refusing those that can go on.
 func TestCallersContinueAtTheVersionThatBegan(t *testing.T) {
+	t.Parallel()
 	const streams = 24
 	releases := []string{"11", "12", "21", "22"}
 	for name, tc := range map[string]struct {
@@ -392,6 +395,7 @@
 // TestOneVersionNeedsNoRecords: while a service has one software version, hosts tell one another nothing of the
 // streams that begin.
 func TestOneVersionNeedsNoRecords(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := startContinuation(t, 5, "11", "12")
@@ -404,6 +408,7 @@
 // TestHoldersThatFailAreLeftAlone guards against a call every tellDelay, and a log line of each, to a host that
 // does not answer.
 func TestHoldersThatFailAreLeftAlone(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		c := startContinuation(t, 5, "11", "12", "21", "22")
--- a/gateway/soundpause_test.go
+++ b/gateway/soundpause_test.go
@@ -39,6 +39,7 @@
 // TestSoundPauseDoesNotEndAStream guards against a host that gives a sound stream up because of a pause, for an endpoint
 // that has no room: the stream is cut. A stream that is stuck must still go on elsewhere before its caller leaves.
 func TestSoundPauseDoesNotEndAStream(t *testing.T) {
+	t.Parallel()
 	const (
 		interval  = 100 * time.Millisecond
 		callerGap = 2400 * time.Millisecond // of the route: eight times its longest pause
--- a/gateway/stopping_test.go
+++ b/gateway/stopping_test.go
@@ -20,6 +20,7 @@
 // TestStoppingHostEndsWhatItAccepts guards against a stopping host that accepts requests which it can't finish: it cuts
 // them at the end of the grace period without an answer, also those that may not be sent again.
 func TestStoppingHostEndsWhatItAccepts(t *testing.T) {
+	t.Parallel()
 	const (
 		ms       = time.Millisecond
 		excused  = 3 * time.Second // after the signal
--- a/gateway/takeover_test.go
+++ b/gateway/takeover_test.go
@@ -119,6 +119,7 @@
 // TestErrorOfTheNextEndpointIsNoPartOfTheStream guards against an error of the endpoint that is to continue a broken
 // stream: its text or head in the middle of the caller's stream, or a stream that ends there as if it were complete.
 func TestErrorOfTheNextEndpointIsNoPartOfTheStream(t *testing.T) {
+	t.Parallel()
 	for _, second := range takeovers {
 		for name, third := range map[string]func(context.Context, *port.Forward) (*port.Reply, error){
 			"the third goes on":   nil,
@@ -193,6 +194,7 @@
 // TestErrorOfTheTargetOfAMove guards against the same where the endpoint that fails is the one that a stream was moved to
 // with its memory, on a route whose streams cannot be resumed.
 func TestErrorOfTheTargetOfAMove(t *testing.T) {
+	t.Parallel()
 	for _, target := range takeovers {
 		t.Run(target.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) { testMoveTakeover(t, target) })
--- a/gateway/trickle_test.go
+++ b/gateway/trickle_test.go
@@ -17,6 +17,7 @@
 // TestStalledStreamThatSendsBytes guards against a stream that is stalled at its endpoint and never ends, because bytes
 // arrive that are no progress, and against the end of one that is slow but makes progress.
 func TestStalledStreamThatSendsBytes(t *testing.T) {
+	t.Parallel()
 	const maxGap = 300 * time.Millisecond // of the route
 	repeated := func(part string) []string { return slices.Repeat([]string{part}, 40) }
 	for name, tc := range map[string]struct {
--- a/gateway/watchdog_test.go
+++ b/gateway/watchdog_test.go
@@ -12,6 +12,7 @@
 // TestWatchdogAsksAgain guards against an attempt that is never abandoned because no other one was allowed at the
 // moment at which it became unresponsive.
 func TestWatchdogAsksAgain(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancelCause(t.Context())
@@ -30,6 +31,7 @@
 
 // TestStoppedWatchdogStaysStopped guards against an attempt that is abandoned after it has made progress.
 func TestStoppedWatchdogStaysStopped(t *testing.T) {
+	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		is := is.New(t)
 		ctx, cancel := context.WithCancelCause(t.Context())
