--- a/adapter/endpointhttp/endpointhttp.go
+++ b/adapter/endpointhttp/endpointhttp.go
@@ -20,7 +20,6 @@
 	"net/http"
 	"slices"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -343,19 +342,6 @@
 	return reply, nil
 }
 
-// Probe implements port.Endpoints. The connection does not count against the endpoint's bound.
-func (p *Pool) Probe(ctx context.Context, address string) error {
-	p.updateStats(func(s *Stats) { s.Dials++ })
-	c, err := p.dial(ctx, "tcp", address)
-	switch {
-	case errors.Is(err, syscall.ECONNREFUSED):
-		return errors.Wrapf(port.ErrNotListening, "probe %s", address)
-	case err != nil:
-		return errors.Wrapf(err, "probe %s", address)
-	}
-	return errors.Wrapf(c.Close(), "probe %s", address)
-}
-
 // exchange is one request and its response on a connection.
 type exchange struct {
 	conn *conn
--- a/gateway/reach.go
+++ b/gateway/reach.go
@@ -153,7 +153,8 @@
 	return int(opened.Load())
 }
 
-// cancelOpening ends the attempts that wait for a connection of this host's own to endpoints of a service, so that they go through another one.
+// cancelOpening ends the attempts that wait for a connection of this host's own to endpoints of a service, so that they
+// go through another host.
 func (t *callTable) cancelOpening(service string) {
 	t.mu.Lock()
 	all := make([]*call, 0, len(t.calls))
@@ -201,8 +202,8 @@
 	}
 }
 
-// chooseVia sets the host that the next attempt goes through, none if this host reaches the service's endpoints itself or no other
-// host can help.
+// chooseVia sets the host that the next attempt goes through, none if this host reaches the service's endpoints itself
+// or no other host can help.
 func (c *call) chooseVia(now time.Time) {
 	c.via = reach.Peer{}
 	if !c.g.reach.table.CutOff(c.service.Name) {
