gateway: log lines say what a leaving host knew when it accepted a request

Change: "request" has the time that the process has left and, for requests decided after SIGTERM, what the decision saw: end of the process, deadline, estimate and number of samples. "attempt" has the time left. "unfinished" names each request in progress when the time of the process is over. The process waits up to 30 ms for the handlers that it has cut, so that their lines are written.

TestLinesOfTheLastMoments: six orders in progress at the end left no line of this kind before; now each has one "unfinished" and one "request". It passes without the wait for handlers too (2 runs), so that a lost line was not reproduced.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -46,6 +46,8 @@
 	closeTimeout = 200 * time.Millisecond
 	// lastReadTimeout is the part of closeTimeout in which requests are read that arrive on connections which await one.
 	lastReadTimeout = 100 * time.Millisecond
+	// lastLinesTimeout is how long the process waits for the log lines of requests that it has cut.
+	lastLinesTimeout = 30 * time.Millisecond
 	// memoryLimitFraction is the fraction of the process's memory limit that is set as
 	// the soft limit of the garbage collector. gcPercent limits the peak of the memory
 	// in use, which is billed.
@@ -273,6 +275,9 @@
 	for _, s := range h.servers {
 		_ = s.Close() // requests on its connections have run out of time
 	}
+	if !h.gateway.AwaitRequests(lastLinesTimeout) {
+		h.logger.Warn().Str("event", "http").Msg("requests have not ended that were cut")
+	}
 }
 
 // watchSettings logs changes of the settings file. It does not apply them: a change
--- a/daemon/platform_test.go
+++ b/daemon/platform_test.go
@@ -46,7 +46,10 @@
 
 func (s listenerSet) open(address string) (net.Listener, error) { return s[address], nil }
 
-func deploy(t *testing.T) *deployment {
+func deploy(t *testing.T) *deployment { return deployLogged(t, io.Discard) }
+
+// deployLogged returns a deployment whose host writes its log to out.
+func deployLogged(t *testing.T, out io.Writer) *deployment {
 	t.Helper()
 	d := &deployment{t: t, store: platformtest.NewStore(), cloud: platformtest.NewCloud(), done: make(chan error, 1)}
 	t.Cleanup(d.store.Close)
@@ -63,7 +66,7 @@
 	is.New(t).NoErr(err)
 	settings.MetricsAddress = sockets.add(t)
 	d.metrics = settings.MetricsAddress
-	d.host, err = startHost(settings, &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}, sockets.open)
+	d.host, err = startHost(settings, &log.Logger{Writer: &log.IOWriter{Writer: out}}, sockets.open)
 	is.New(t).NoErr(err)
 	ctx, cancel := context.WithCancel(context.Background())
 	d.cancel = cancel
--- a/drain/acceptance.go
+++ b/drain/acceptance.go
@@ -53,6 +53,17 @@
 	return !slices.ContainsFunc(d.samples, func(s Duration) bool { return now.Sub(s.EndedAt) <= maxSampleAge })
 }
 
+// Samples returns how many samples say something about the next request.
+func (d *Durations) Samples(now time.Time) int {
+	n := 0
+	for _, s := range d.samples {
+		if now.Sub(s.EndedAt) <= maxSampleAge {
+			n++
+		}
+	}
+	return n
+}
+
 // Estimate returns how long a further request takes at most, by what the latest ones took. events is the number
 // of events that its stream may have, zero if that is not known. It returns false if too few requests are known.
 func (d *Durations) Estimate(now time.Time, events int) (time.Duration, bool) {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -65,6 +65,7 @@
 	ending      answerEnding
 	lastAttempt *endpointAttempt
 	refusal     *refusal // set when the request was refused for lack of room
+	stopping    *stoppingView
 	room        room
 
 	// retryReserved is set when the next retry has already been taken from the budget.
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -318,6 +318,7 @@
 func (g *Gateway) canExit(now, began time.Time) bool {
 	if now.Sub(began) >= g.opts.GracePeriod-leaveMargin {
 		g.calls.close()
+		g.logUnfinished(now)
 		return true
 	}
 	if g.calls.len() > 0 || g.carried() > 0 || now.Sub(began) < addressTTLFactor*g.opts.AddressTTL {
@@ -333,95 +334,22 @@
 // EndRequest records the end of a request that BeginRequest has recorded.
 func (g *Gateway) EndRequest() { g.calls.done() }
 
-// Stop ends the feeds and the leader tasks.
-func (g *Gateway) Stop() error {
-	g.tomb.Kill(nil)
-	return g.tomb.Wait()
-}
-
-// callTable holds the requests in progress.
-type callTable struct {
-	mu            sync.Mutex
-	calls         map[*call]struct{}
-	lastArrivedAt time.Time
-	// opened is the number of requests that are being read or answered; calls holds those of them that were
-	// admitted. No further ones are opened once closed is set.
-	opened int
-	closed bool
-}
-
-func (t *callTable) open() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.closed {
-		return false
+// AwaitRequests waits until each request that BeginRequest has recorded has ended, and so has its line in the log. It
+// returns false if some have not within the timeout.
+func (g *Gateway) AwaitRequests(timeout time.Duration) bool {
+	const interval = 2 * time.Millisecond
+	for end := time.Now().Add(timeout); !g.calls.idle(); time.Sleep(interval) {
+		if time.Now().After(end) {
+			return false
+		}
 	}
-	t.opened++
-	t.lastArrivedAt = time.Now()
 	return true
 }
 
-func (t *callTable) done() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.opened--
-}
-
-// close makes the table refuse further requests.
-func (t *callTable) close() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.closed = true
-}
-
-// closeIfIdle closes the table if no request is being read or answered, and reports whether it is closed.
-func (t *callTable) closeIfIdle() bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.closed = t.closed || t.opened == 0 && len(t.calls) == 0
-	return t.closed
-}
-
-func (t *callTable) add(c *call) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.calls[c] = struct{}{}
-	t.lastArrivedAt = c.arrived
-}
-
-func (t *callTable) remove(c *call) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.calls, c)
-}
-
-func (t *callTable) len() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.calls)
-}
-
-func (t *callTable) lastArrival() time.Time {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.lastArrivedAt
-}
-
-// atEndpoint returns the requests in progress at an endpoint.
-func (t *callTable) atEndpoint(endpoint string) []*call {
-	t.mu.Lock()
-	all := make([]*call, 0, len(t.calls))
-	for c := range t.calls {
-		all = append(all, c)
-	}
-	t.mu.Unlock()
-	out := all[:0]
-	for _, c := range all {
-		if c.endpointID() == endpoint {
-			out = append(out, c)
-		}
-	}
-	return out
+// Stop ends the feeds and the leader tasks.
+func (g *Gateway) Stop() error {
+	g.tomb.Kill(nil)
+	return g.tomb.Wait()
 }
 
 // Leaving reports whether the host was requested to stop.
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -4,6 +4,8 @@
 	"strconv"
 	"time"
 
+	"github.com/phuslu/log"
+
 	"github.com/cicadanotch/cicadanotch/catalog"
 )
 
@@ -51,12 +53,50 @@
 	if r := c.refusal; r != nil {
 		e.Str("reason", string(r.reason)).Dur("room_ms", r.room).Dur("retry_after_ms", r.delay).Dur("left_ms", c.deadline.Sub(now))
 	}
+	c.logStopping(e, now)
 	if c.req.HasTokens {
 		e.Int("prompt", c.req.PromptTokens).Int("cost", int(c.cost))
 	}
 	e.Int("sent", c.sent).Int64("config", c.version).Int64("ms", now.Sub(c.arrived).Milliseconds()).Msg(c.finalDetail)
 }
 
+// logStopping adds, on a leaving host, how long the process continues to run and what it knew when it last decided
+// whether the request would end in time.
+func (c *call) logStopping(e *log.Entry, now time.Time) {
+	left, leaving := c.g.timeLeft(now)
+	if !leaving {
+		return
+	}
+	e.Int64("process_left_ms", left.Milliseconds())
+	v := c.stopping
+	if v == nil {
+		return // it was accepted before the stop
+	}
+	e.Int64("decided_ms", now.Sub(v.at).Milliseconds()).Int64("decided_left_ms", v.left.Milliseconds()).
+		Int64("decided_deadline_ms", c.deadline.Sub(v.at).Milliseconds()).Int("samples", v.samples)
+	if v.known {
+		e.Int64("estimate_ms", v.needs.Milliseconds())
+	}
+}
+
+// maxUnfinishedLines bounds the lines about requests in progress at the end of the process.
+const maxUnfinishedLines = 100
+
+// logUnfinished logs the requests in progress when the time of the process is over.
+func (g *Gateway) logUnfinished(now time.Time) {
+	for n, c := range g.calls.all() {
+		if n == maxUnfinishedLines {
+			return // the line "stopped" has the number
+		}
+		c.mu.Lock()
+		events := c.progress.events
+		c.mu.Unlock()
+		g.log.Warn().Str("event", "unfinished").Str("request", c.req.ID).Str("route", c.route.Name).Str("kind", string(c.route.Kind)).
+			Str("endpoint", c.endpointID()).Int("events", events).Int64("ms", now.Sub(c.arrived).Milliseconds()).
+			Int64("deadline_ms", c.deadline.Sub(now).Milliseconds()).Msg("")
+	}
+}
+
 func formatFingerprint(f uint64) string { return strconv.FormatUint(f, 16) }
 
 // logProbe logs whether an endpoint that broke the connection of an attempt has ended.
@@ -92,6 +132,9 @@
 	if shared := c.sharedParts(); len(shared) > 0 {
 		e.Strs("parts", shared)
 	}
+	if left, leaving := c.g.timeLeft(now); leaving {
+		e.Int64("process_left_ms", left.Milliseconds())
+	}
 	if err != nil {
 		e.Str("error", err.Error())
 	}
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -36,13 +36,16 @@
 	t.routes[route].Record(d)
 }
 
-func (t *durationTable) estimate(now time.Time, route string, events int) (time.Duration, bool) {
+// estimate returns how long a further request of a route takes at most, false if that is not known, and from how many
+// requests that follows.
+func (t *durationTable) estimate(now time.Time, route string, events int) (needs time.Duration, known bool, samples int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.routes[route] == nil {
-		return 0, false
+		return 0, false, 0
 	}
-	return t.routes[route].Estimate(now, events)
+	needs, known = t.routes[route].Estimate(now, events)
+	return needs, known, t.routes[route].Samples(now)
 }
 
 // recordDuration records how long a request took that was sent to an endpoint.
@@ -90,10 +93,21 @@
 		return time.Time{}, false
 	}
 	a := drain.Arrival{Deadline: c.deadline}
-	a.Needs, a.Known = c.g.durations.estimate(now, c.route.Name, c.statedEvents())
+	var samples int
+	a.Needs, a.Known, samples = c.g.durations.estimate(now, c.route.Name, c.statedEvents())
+	c.stopping = &stoppingView{at: now, left: left, needs: a.Needs, known: a.Known, samples: samples}
 	return a.LastAcceptance(now.Add(left)), true
 }
 
+// stoppingView is what a leaving host knew when it last decided whether a request would end in time.
+type stoppingView struct {
+	at time.Time
+	// left is how long the process continues to run, needs the estimate from the latest samples if it is known.
+	left, needs time.Duration
+	known       bool
+	samples     int
+}
+
 // statedEvents returns how many events the stream may have by its stated size, zero if there is none.
 func (c *call) statedEvents() int {
 	if !c.req.HasTokens || c.service.Engine == nil {
