gateway, drain: a stopping host accepts what surely ends, and answers the rest

What callers saw: orders that a stopping host had accepted and passed on were cut at 7.95 s after SIGTERM without an answer, and so was all else that outlasted the process. With real processes, 18 of 18 orders (12 sent 3.2 s and later after SIGTERM, after a history of 0.1 s, 6 before it) had no answer.

Cause: acceptance rested on what earlier requests took, which promises nothing about the next one; and the end of a process closed the connections of requests in progress without a word, also where it could be proved that they had not run.

Change: - From 2.9 s after the signal on only requests are accepted whose deadline lies before the end of the process. Before that, requests that may be repeated are also accepted by the estimate; orders and streams that can't be resumed never are: a refusal costs their callers one more host, a cut leaves their outcome unknown. - The estimate counts for nothing while requests in progress refute it: more than 2 in 100, they included, take longer. - Endpoints of a stopping host get no deadline behind the last 0.1 s of the process. - When the time of the process is over, each request whose answer has not begun gets 503 (not run, proved) or 502. Streams that have begun are cut 0.2 s later, as before. The lines "unfinished" stay. - A further attempt that would end too late is not made: 503 at once, or 502 if an endpoint may have run the request. A silent endpoint is not given up for such an attempt.

--- a/drain/acceptance.go
+++ b/drain/acceptance.go
@@ -18,6 +18,10 @@
 	durationFactor = 1.5
 	// maxPause is how long a sound endpoint may fall silent in the middle of a stream.
 	maxPause = time.Second
+	// historyPeriod is how long after the beginning of its stop a host accepts requests by how long the latest ones took.
+	// Requests that are sent later than 3 s after the signal are owed a complete answer; the signal may reach the process
+	// late.
+	historyPeriod = 2900 * time.Millisecond
 )
 
 // Duration is how long a request took.
@@ -65,32 +69,44 @@
 }
 
 // Estimate returns how long a further request takes at most, by what the latest ones took. events is the number
-// of events that its stream may have, zero if that is not known. It returns false if too few requests are known.
-func (d *Durations) Estimate(now time.Time, events int) (time.Duration, bool) {
+// of events that its stream may have, zero if that is not known. inProgress is how long those have taken until now that
+// have not ended. It returns false if too few requests are known, or if those in progress take longer than the others let
+// expect: how much longer is not known.
+func (d *Durations) Estimate(now time.Time, events int, inProgress []Duration) (time.Duration, bool) {
 	recent := slices.DeleteFunc(slices.Clone(d.samples), func(s Duration) bool { return now.Sub(s.EndedAt) > maxSampleAge })
 	if events <= 0 {
-		total, ok := longDuration(recent, func(s Duration) time.Duration { return s.Total })
-		return factored(total), ok
+		return longDuration(recent, inProgress, func(s Duration) time.Duration { return s.Total })
 	}
 	streams := slices.DeleteFunc(recent, func(s Duration) bool { return s.Interval <= 0 })
-	first, ok := longDuration(streams, func(s Duration) time.Duration { return s.FirstEvent })
-	interval, _ := longDuration(streams, func(s Duration) time.Duration { return s.Interval })
-	return factored(first) + time.Duration(events-1)*interval + maxPause, ok
+	first, ok := longDuration(streams, inProgress, func(s Duration) time.Duration { return s.FirstEvent })
+	interval, steady := longDuration(streams, inProgress, func(s Duration) time.Duration { return s.Interval })
+	interval = time.Duration(float64(interval) / durationFactor) // maxPause allows for what takes longer
+	return first + time.Duration(events-1)*interval + maxPause, ok && steady
 }
 
-func factored(d time.Duration) time.Duration { return time.Duration(durationFactor * float64(d)) }
-
-// longDuration returns the longQuantile of a part of the samples, and false if there are fewer than minSamples.
-func longDuration(samples []Duration, part func(Duration) time.Duration) (time.Duration, bool) {
+// longDuration returns durationFactor times the longQuantile of a part of the samples. It returns false if there are fewer
+// than minSamples, or if the longQuantile with the requests in progress is longer already.
+func longDuration(samples, inProgress []Duration, part func(Duration) time.Duration) (time.Duration, bool) {
 	if len(samples) < minSamples {
 		return 0, false
 	}
-	values := make([]time.Duration, 0, len(samples))
+	values := make([]time.Duration, 0, len(samples)+len(inProgress))
 	for _, s := range samples {
 		values = append(values, part(s))
 	}
+	long := time.Duration(durationFactor * float64(quantile(values)))
+	for _, s := range inProgress {
+		if d := part(s); d > long {
+			values = append(values, d)
+		}
+	}
+	return long, quantile(values) <= long
+}
+
+// quantile sorts values and returns their longQuantile.
+func quantile(values []time.Duration) time.Duration {
 	slices.Sort(values)
-	return values[min(int(longQuantile*float64(len(values))), len(values)-1)], true
+	return values[min(int(longQuantile*float64(len(values))), len(values)-1)]
 }
 
 // Arrival is a request that reaches a host which is stopping.
@@ -100,16 +116,25 @@
 	// Needs is the estimate of how long it takes, and Known is set if there is one.
 	Needs time.Duration
 	Known bool
+	// Repeatable is set if its caller may send it again when its answer is lost.
+	Repeatable bool
 }
 
-// LastAcceptance returns until when the request must have been read completely so that it ends before the process
-// does. The zero time means that nothing shows that it ever would.
-func (a Arrival) LastAcceptance(processEnds time.Time) time.Time {
-	switch {
-	case !a.Deadline.After(processEnds):
+// LastAcceptance returns until when a request that reaches a host after its stop began must have been read completely so
+// that the host accepts it: it ends before the process does. The zero time means that it never accepts it.
+//
+// Acceptance is a promise of a complete answer. A deadline before the end of the process always keeps it. What earlier
+// requests took does not, so that it only counts for a while, and for requests that may be repeated.
+func (a Arrival) LastAcceptance(began, processEnds time.Time) time.Time {
+	if !a.Deadline.After(processEnds) {
 		return a.Deadline
-	case !a.Known:
+	}
+	if !a.Known || !a.Repeatable {
 		return time.Time{}
 	}
-	return processEnds.Add(-a.Needs)
+	last, byEstimate := began.Add(historyPeriod), processEnds.Add(-a.Needs)
+	if byEstimate.Before(last) {
+		return byEstimate
+	}
+	return last
 }
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -24,6 +24,7 @@
 	errUnresponsive = errors.New("no data from the endpoint within the timeout")
 	errMoved        = errors.New("stream moved to another endpoint")
 	errCutOff       = errors.New("the host is cut off from the endpoints")
+	errProcessEnds  = errors.New("the time of the process is over")
 )
 
 // call is one request in progress.
@@ -67,6 +68,7 @@
 	refusal     *refusal // set when the request was refused for lack of room
 	stopping    *stoppingView
 	room        room
+	cancel      context.CancelCauseFunc
 
 	// retryReserved is set when the next retry has already been taken from the budget.
 	retryReserved atomic.Bool
@@ -80,6 +82,8 @@
 	// moveStopped is set when the stream was stopped for a move that has failed.
 	moveStopped bool
 	progress    progress
+	// begun is set when an answer has begun that may break off, over when the request was ended with the process before.
+	begun, over bool
 	// software is the software version that began the stream; nil before its first event.
 	software *string
 }
@@ -183,6 +187,8 @@
 			c.logEnd("endpoint-failed")
 		case stepExpire:
 			c.giveUp(c.expired())
+		case stepEnd:
+			c.giveUp(c.stoppingProblem())
 		case stepRefuse:
 			c.giveUp(c.notRun(http.StatusServiceUnavailable, problem.TypeUnavailable, "no endpoint took the request").WithRetryAfter(c.retryAfterDecline()))
 		default:
@@ -290,7 +296,7 @@
 func (c *call) newForward(a *endpointAttempt, tracker *sendTracker) *port.Forward {
 	f := &port.Forward{
 		Request: c.req, Address: a.view.Address, Endpoint: a.view.ID,
-		Via: a.via.Address, Deadline: c.deadline, Priority: c.priority(), Copy: a.kvCopy, FetchFrom: c.fetchFrom(&a.choice),
+		Via: a.via.Address, Deadline: c.attemptDeadline(a.startedAt), Priority: c.priority(), Copy: a.kvCopy, FetchFrom: c.fetchFrom(&a.choice),
 		MaxConnections: c.g.connectionLimit(c.service.MaxConnections),
 		Sending:        tracker.begin,
 	}
@@ -330,6 +336,8 @@
 	case errors.Is(cause, errCutOff):
 		c.unsent++
 		return outcomeUnsent, err
+	case errors.Is(cause, errProcessEnds):
+		return outcomeProcessEnds, err
 	case errors.Is(cause, errUnresponsive):
 		c.recordReach(now, a, err)
 		c.tried[a.view.ID] = true
--- a/gateway/decide.go
+++ b/gateway/decide.go
@@ -25,6 +25,8 @@
 	outcomeCanceled outcome = "caller-left"
 	// outcomeExpired means that the deadline of the caller or the route has passed.
 	outcomeExpired outcome = "expired"
+	// outcomeProcessEnds means that the time of a leaving process was over before the answer began.
+	outcomeProcessEnds outcome = "process-ends"
 )
 
 // step is the action that follows an attempt.
@@ -43,6 +45,8 @@
 	stepFail   step = "fail"
 	// stepExpire answers that the deadline has passed.
 	stepExpire step = "expire"
+	// stepEnd answers that the process ends.
+	stepEnd step = "end"
 	// stepStop ends the request without an answer, because the caller has disconnected.
 	stepStop step = "stop"
 )
@@ -92,6 +96,8 @@
 		return stepStop
 	case outcomeExpired:
 		return stepExpire
+	case outcomeProcessEnds:
+		return stepEnd
 	case outcomeMoved:
 		return stepResume
 	case outcomeUnsent:
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,6 +152,8 @@
 	endsAt       atomic.Int64    // deadline for the end of a leaving process, Unix nanoseconds
 	leaveContext context.Context // ends when the host begins to leave
 	startLeaving context.CancelFunc
+	endContext   context.Context // ends when the time of the process is over
+	endCalls     context.CancelFunc
 
 	startedAt       time.Time
 	configured      chan struct{} // closed when a configuration is in force
@@ -188,6 +190,7 @@
 func New(opts Options, ports Ports) *Gateway {
 	now := time.Now()
 	leaveContext, startLeaving := context.WithCancel(context.Background())
+	endContext, endCalls := context.WithCancel(context.Background())
 	g := &Gateway{
 		opts: opts, ports: ports, log: ports.Logger, tomb: &tomb.Tomb{},
 		fleet:        fleet.NewTable(registryRecoveryTime),
@@ -200,7 +203,7 @@
 		speeds:       speed.NewTable(),
 		metrics:      newMetrics(),
 		startedAt:    now,
-		leaveContext: leaveContext, startLeaving: startLeaving, configured: make(chan struct{}), hostsRead: make(chan struct{}),
+		leaveContext: leaveContext, startLeaving: startLeaving, endContext: endContext, endCalls: endCalls, configured: make(chan struct{}), hostsRead: make(chan struct{}),
 	}
 	g.metrics.watchFeeds(g)
 	g.metrics.registry.MustRegister(speedCollector{g})
@@ -319,6 +322,7 @@
 	if now.Sub(began) >= g.opts.GracePeriod-leaveMargin {
 		g.calls.close()
 		g.logUnfinished(now)
+		g.endCalls()
 		return true
 	}
 	if g.calls.len() > 0 || g.carried() > 0 || now.Sub(began) < addressTTLFactor*g.opts.AddressTTL {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -74,6 +74,9 @@
 	defer g.calls.remove(c)
 	ctx, cancel := context.WithDeadline(ctx, c.deadline)
 	defer cancel()
+	ctx, c.cancel = context.WithCancelCause(ctx)
+	defer c.cancel(nil)
+	defer context.AfterFunc(g.endContext, c.endWithProcess)()
 	c.run(ctx)
 }
 
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cicadanotch/cicadanotch/catalog"
 	"github.com/cicadanotch/cicadanotch/drain"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/problem"
@@ -16,6 +17,10 @@
 // host: the least that clients apply.
 const stoppingRetryAfter = 20 * time.Millisecond
 
+// lastAnswerTime is the time before the end of a leaving process by which endpoints must have answered, so that the
+// answer still reaches the caller.
+const lastAnswerTime = 100 * time.Millisecond
+
 // durationTable holds how long the latest requests of each route took on this host.
 type durationTable struct {
 	mu     sync.Mutex
@@ -37,14 +42,14 @@
 }
 
 // estimate returns how long a further request of a route takes at most, false if that is not known, and from how many
-// requests that follows.
-func (t *durationTable) estimate(now time.Time, route string, events int) (needs time.Duration, known bool, samples int) {
+// requests that have ended it follows.
+func (t *durationTable) estimate(now time.Time, route string, events int, inProgress []drain.Duration) (needs time.Duration, known bool, samples int) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.routes[route] == nil {
 		return 0, false, 0
 	}
-	needs, known = t.routes[route].Estimate(now, events)
+	needs, known = t.routes[route].Estimate(now, events, inProgress)
 	return needs, known, t.routes[route].Samples(now)
 }
 
@@ -61,6 +66,32 @@
 	c.g.durations.record(c.route.Name, d)
 }
 
+// ageInProgress returns how long a request in progress has taken until now.
+func (c *call) ageInProgress(now time.Time) drain.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	age := now.Sub(c.wholeAt)
+	d := drain.Duration{Total: age, FirstEvent: age}
+	if c.progress.events > 0 {
+		d.FirstEvent = c.progress.firstAt.Sub(c.wholeAt)
+	}
+	if c.progress.events > 1 {
+		d.Interval = c.progress.eventInterval()
+	}
+	return d
+}
+
+// agesInProgress returns how long the other requests of c's route have taken that are in progress.
+func (c *call) agesInProgress(now time.Time) []drain.Duration {
+	var ages []drain.Duration
+	for _, other := range c.g.calls.all() {
+		if other != c && other.route.Name == c.route.Name {
+			ages = append(ages, other.ageInProgress(now))
+		}
+	}
+	return ages
+}
+
 // timeLeft returns how long a leaving process continues to run.
 func (g *Gateway) timeLeft(now time.Time) (time.Duration, bool) {
 	at := g.endsAt.Load()
@@ -70,38 +101,86 @@
 // refuseIfStopping refuses, on a leaving host, a request that is not sure to end before the process does; another
 // host serves it at once. Callers that use a cached address answer keep arriving for some seconds.
 func (c *call) refuseIfStopping(now time.Time) *problem.Problem {
-	last, leaving := c.lastAcceptance(now)
-	if !leaving || !now.After(last) {
+	view := c.viewStopping(now)
+	if view == nil {
+		return nil
+	}
+	c.stopping = view
+	if !now.After(view.last) {
 		return nil
 	}
+	return c.stoppingProblem()
+}
+
+// stoppingProblem is the answer to a request that does not end before the process does.
+func (c *call) stoppingProblem() *problem.Problem {
 	return c.notRun(http.StatusServiceUnavailable, problem.TypeStopping, "the host is stopping").WithRetryAfter(stoppingRetryAfter)
 }
 
-// refuseLateRetry refuses a request that no endpoint has run and that another attempt would no longer finish on a
-// leaving host.
+// refuseLateRetry ends a request that another attempt would no longer finish on a leaving host, so that its caller sends
+// it again to another host while there is time.
 func (c *call) refuseLateRetry(now time.Time) *problem.Problem {
-	if _, unsent := c.guard.ProveNotRun(); !unsent || c.headSent {
+	if c.headSent {
 		return nil
 	}
 	return c.refuseIfStopping(now)
 }
 
-// lastAcceptance returns until when a leaving host accepts the request; the zero time for never.
-func (c *call) lastAcceptance(now time.Time) (time.Time, bool) {
+// mayAttemptAgain reports whether refuseLateRetry would allow a further attempt of a request without an answer.
+func (c *call) mayAttemptAgain(now time.Time) bool {
+	view := c.viewStopping(now)
+	return view == nil || !now.After(view.last)
+}
+
+// viewStopping returns what a leaving host knows of the time that the request has; nil if the host is not leaving.
+func (c *call) viewStopping(now time.Time) *stoppingView {
 	left, leaving := c.g.timeLeft(now)
 	if !leaving {
-		return time.Time{}, false
+		return nil
 	}
-	a := drain.Arrival{Deadline: c.deadline}
+	a := drain.Arrival{Deadline: c.deadline, Repeatable: c.route.Kind == catalog.KindIdempotent || c.route.Resumable}
 	var samples int
-	a.Needs, a.Known, samples = c.g.durations.estimate(now, c.route.Name, c.statedEvents())
-	c.stopping = &stoppingView{at: now, left: left, needs: a.Needs, known: a.Known, samples: samples}
-	return a.LastAcceptance(now.Add(left)), true
+	a.Needs, a.Known, samples = c.g.durations.estimate(now, c.route.Name, c.statedEvents(), c.agesInProgress(now))
+	ends := now.Add(left)
+	return &stoppingView{
+		at: now, last: a.LastAcceptance(ends.Add(leaveMargin-c.g.opts.GracePeriod), ends), left: left, needs: a.Needs, known: a.Known, samples: samples,
+	}
+}
+
+// attemptDeadline returns the deadline that an endpoint gets. It does not lie behind the end of a leaving process, so that
+// endpoints do not run what still waits there.
+func (c *call) attemptDeadline(now time.Time) time.Time {
+	left, leaving := c.g.timeLeft(now)
+	if ends := now.Add(left - lastAnswerTime); leaving && ends.Before(c.deadline) {
+		return ends
+	}
+	return c.deadline
+}
+
+// endWithProcess cancels the request, if its answer has not begun, when the time of the process is over.
+func (c *call) endWithProcess() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !c.begun {
+		c.over = true
+		c.cancel(errProcessEnds)
+	}
+}
+
+// claimAnswer reports whether an answer that is not complete yet may begin. It returns false once endWithProcess has
+// cancelled the request.
+func (c *call) claimAnswer() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.begun = !c.over
+	return c.begun
 }
 
 // stoppingView is what a leaving host knew when it last decided whether a request would end in time.
 type stoppingView struct {
 	at time.Time
+	// last is until when it accepts the request; the zero time for never.
+	last time.Time
 	// left is how long the process continues to run, needs the estimate from the latest samples if it is known.
 	left, needs time.Duration
 	known       bool
@@ -124,8 +203,8 @@
 		now := time.Now()
 		c := &call{g: g, req: req, arrived: arrived}
 		if c.plan(g.catalog.Current()) == nil {
-			if last, _ := c.lastAcceptance(now); last.After(now) {
-				now = last
+			if view := c.viewStopping(now); view != nil && view.last.After(now) {
+				now = view.last
 			}
 			set(now)
 			return
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -90,6 +90,9 @@
 // forwardLongReply forwards an answer that is too long to buffer.
 func (c *call) forwardLongReply(reply *port.Reply, chunk []byte) (outcome, error) {
 	c.countUsage()
+	if !c.claimAnswer() {
+		return outcomeProcessEnds, errProcessEnds
+	}
 	c.status, c.headSent = reply.Status, true
 	if err := c.out.Begin(reply.Status, reply.Header, reply.Length); err != nil {
 		return outcomeCanceled, err
@@ -169,7 +172,7 @@
 		if len(events) > 0 {
 			first, before := !a.answered, c.events
 			if writeErr := c.forwardEvents(a, reply, events); writeErr != nil {
-				return outcomeCanceled, writeErr
+				return writeFailureOutcome(writeErr), writeErr
 			}
 			if first || c.events > before { // an endpoint that has stalled may repeat its last event
 				wd.reset(c.gapTimeout())
@@ -228,6 +231,15 @@
 	return c.out.Write(unseen)
 }
 
+// writeFailureOutcome returns the outcome of an attempt whose answer can't be written: its caller has disconnected, or the
+// process ends.
+func writeFailureOutcome(err error) outcome {
+	if errors.Is(err, errProcessEnds) {
+		return outcomeProcessEnds
+	}
+	return outcomeCanceled
+}
+
 // updateProgress publishes the stream's progress to other goroutines.
 func (c *call) updateProgress(now time.Time) {
 	c.mu.Lock()
@@ -242,6 +254,9 @@
 	if c.headSent {
 		return nil
 	}
+	if !c.claimAnswer() {
+		return errProcessEnds
+	}
 	c.status, c.headSent = reply.Status, true
 	return c.out.Begin(reply.Status, reply.Header, -1)
 }
@@ -264,7 +279,7 @@
 		return outcomeBroken, errors.New("connection closed by an engine that was told to stop the stream")
 	}
 	if err := c.beginStream(reply); err != nil {
-		return outcomeCanceled, err
+		return writeFailureOutcome(err), err
 	}
 	if len(rest) > 0 {
 		if err := c.out.Write(rest); err != nil {
--- a/gateway/watchdog.go
+++ b/gateway/watchdog.go
@@ -161,7 +161,9 @@
 // wait, and so does a stream that its endpoint has preempted.
 func (c *call) reserveRetry() bool {
 	c.recordSilence(time.Now())
-	if now := time.Now(); !c.canContinueElsewhere(now) || c.streamSoftware() != nil && (c.isPreempted(now) || !c.hasRoomElsewhere()) {
+	if now := time.Now(); c.progressEvents() == 0 && !c.mayAttemptAgain(now) {
+		return false
+	} else if !c.canContinueElsewhere(now) || c.streamSoftware() != nil && (c.isPreempted(now) || !c.hasRoomElsewhere()) {
 		return false
 	}
 	if !c.g.budget(c.service.Name).AllowRetry(time.Now()) {
--- a/soak/stop_test.go
+++ b/soak/stop_test.go
@@ -112,3 +112,78 @@
 	t.Logf("requests by the time since the stop:\n%s", counts)
 	is.Equal(late, 0)
 }
+
+// TestPlannedStopAnswersOrders guards against orders whose connections end without an answer in a planned stop, because
+// their endpoint takes much longer than before: those sent late in the grace period are refused before they run, and those
+// sent before the signal get an answer that leaves open whether they ran.
+func TestPlannedStopAnswersOrders(t *testing.T) {
+	const (
+		history       = 12
+		before        = 6
+		late          = 12
+		shortDuration = 100 * time.Millisecond
+		longDuration  = 9 * time.Second
+		deadline      = 12 * time.Second
+		lateFrom      = 3200 * time.Millisecond
+		lateInterval  = 50 * time.Millisecond
+	)
+	is := is.New(t)
+	f := newFixture(t, 4000)
+	f.store.ConfigureTimeout(1, 15*time.Second)
+	e := f.endpoint("i-api", "v1", shortDuration)
+	f.store.Register(e.ID, e.Entry("api", "a", "ready"))
+	f.startHosts(2)
+	stopping := f.hosts[0]
+	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: late}}
+	send := func(id string) platformtest.Answer {
+		return platformtest.Send(t.Context(), client, stopping.Front, platformtest.Request{ID: id, Path: "/order/1", Key: "secret", Deadline: deadline})
+	}
+	f.await("the endpoint is known", func() bool { return send("first").Status == http.StatusOK })
+	for n := range history {
+		is.Equal(send(fmt.Sprint("history", n)).Status, http.StatusOK)
+	}
+	e.SetDelay(longDuration)
+	var (
+		all     sync.WaitGroup
+		mu      sync.Mutex
+		answers = map[string]platformtest.Answer{}
+	)
+	start := func(id string) {
+		all.Go(func() {
+			a := send(id)
+			mu.Lock()
+			defer mu.Unlock()
+			answers[id] = a
+		})
+	}
+	for n := range before {
+		start(fmt.Sprint("before", n))
+	}
+	f.await("the orders run", func() bool { return len(e.Runs()) == 1+history+before })
+	stopping.signal(syscall.SIGTERM)
+	time.Sleep(lateFrom)
+	for n := range late {
+		start(fmt.Sprint("late", n))
+		time.Sleep(lateInterval)
+	}
+	all.Wait()
+	ran := map[string]bool{}
+	for _, r := range e.Runs() {
+		ran[r.Attempt] = true
+	}
+	unanswered := 0
+	for id, a := range answers {
+		switch {
+		case a.Err != nil:
+			unanswered++
+		case ran[id]:
+			is.Equal(a.Status, http.StatusBadGateway)
+		default:
+			is.Equal(a.Status, http.StatusServiceUnavailable)
+			is.True(a.RetryAfter != "")
+		}
+	}
+	t.Logf("%d of %d orders ran, %d are without an answer", len(ran)-1-history, len(answers), unanswered)
+	is.Equal(unanswered, 0)
+	is.Equal(len(ran), 1+history+before)
+}
