daemon: the wait for the lines of cut requests is outside closeServers

Tests that close the servers of a host without a gateway ended with a nil dereference since the wait was added: TestAnswerInProgressAtTheEnd panicked in Gateway.AwaitRequests. The wait is in run now, which has a gateway, at the same point.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -252,6 +252,9 @@
 	case <-h.failed:
 	}
 	h.closeServers()
+	if !h.gateway.AwaitRequests(lastLinesTimeout) {
+		h.logger.Warn().Str("event", "http").Msg("requests have not ended that were cut")
+	}
 	if h.peerListener != nil {
 		_ = h.peerListener.Close() // calls of peers in progress may be dropped
 		h.peers.Close()
@@ -275,9 +278,6 @@
 	for _, s := range h.servers {
 		_ = s.Close() // requests on its connections have run out of time
 	}
-	if !h.gateway.AwaitRequests(lastLinesTimeout) {
-		h.logger.Warn().Str("event", "http").Msg("requests have not ended that were cut")
-	}
 }
 
 // watchSettings logs changes of the settings file. It does not apply them: a change
