daemon: a connection that the host ends lingers until its caller has closed it

Callers lost the rest of whole answers whenever the host closed their connection with unread bytes, or they sent more bytes afterwards: the kernel resets such a connection and drops what the caller has not taken. It hit the last answer of a leaving host, a caller's own Connection: close, HTTP/1.0 (where a cut answer could look complete), a body that is not read, a head that times out behind a slow answer, and the end of the process.

Connections that the daemon's listeners accept now end their side on Close, and read and drop what the caller sends until it closes its own. A connection that is closed before its caller closes it leaves a line (event connection) and counts in cicadanotch_gateway_lost_ends_total.

--- a/daemon/answerend_test.go
+++ b/daemon/answerend_test.go
@@ -24,6 +24,7 @@
 	endReceiveBytes  = 8 << 10 // of the caller
 	endReadDelay     = 100 * time.Millisecond
 	endBodyRestBytes = 1 << 20
+	endWaitTimeout   = 20 * time.Second
 )
 
 // sendBufferListener accepts connections with a send buffer that holds a whole answer.
@@ -37,19 +38,25 @@
 	return conn, err
 }
 
-// serveEnds returns a host that answers each request with endAnswerBytes, and its address.
-func serveEnds(t *testing.T) (*host, string) {
+// serveHandler returns a host that answers by handler, and its address.
+func serveHandler(t *testing.T, handler http.HandlerFunc) (*host, string) {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	is.New(t).NoErr(err)
 	h := &host{failed: make(chan struct{}, 1), logger: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}}
-	h.serve(sendBufferListener{l}, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	h.serve(sendBufferListener{l}, handler)
+	return h, l.Addr().String()
+}
+
+// serveEnds returns a host that answers each request with endAnswerBytes, and its address.
+func serveEnds(t *testing.T) (*host, string) {
+	t.Helper()
+	return serveHandler(t, func(w http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("Last") != "" {
 			w.Header().Set("Connection", "close")
 		}
 		_, _ = io.WriteString(w, strings.Repeat("x", endAnswerBytes)) // the test reads it
-	}))
-	return h, l.Addr().String()
+	})
 }
 
 // dialSlow opens a connection of a caller that takes few bytes before it reads.
@@ -157,16 +164,30 @@
 			_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"+tc.behind)
 			is.NoErr(err)
 			time.Sleep(endReadDelay)
+			closed := make(chan struct{})
 			if tc.ends {
-				go h.closeServers()
+				h.answersUntil = time.Now().Add(endWaitTimeout)
+				go func() {
+					defer close(closed)
+					h.closeServers()
+				}()
 			}
 			time.Sleep(tc.wait)
 			_, _ = io.WriteString(conn, "more") // the host may have ended the connection
+			select {
+			case <-closed:
+				t.Fatal("the process ends before the caller has taken the answer")
+			default:
+			}
 			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 			is.NoErr(err)
 			body, err := io.ReadAll(resp.Body)
 			is.NoErr(err)
 			is.Equal(len(body), endAnswerBytes)
+			if tc.ends {
+				<-closed
+				is.True(time.Now().Before(h.answersUntil)) // it ends when the caller has the answer
+			}
 		})
 	}
 }
--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -19,12 +19,15 @@
 	ended      chan struct{}
 	closed     bool
 	closesIdle bool
+	// lingering are those that the servers have closed and the callers have not.
+	lingering lingering
 }
 
 // track is the ConnState of the servers.
 func (c *connections) track(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	setIdle(conn, state)
 	if state == http.StateClosed || state == http.StateHijacked {
 		delete(c.states, conn)
 		c.signalEnd()
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -137,7 +137,9 @@
 	group          errgroup.Group
 	// failed receives a value when a server fails.
 	failed chan struct{}
-	logger *log.Logger
+	// answersUntil is when a leaving process stops to wait for callers to take their answers; zero if it does not wait.
+	answersUntil time.Time
+	logger       *log.Logger
 }
 
 // listenFunc opens a listener at an address of the settings.
@@ -160,6 +162,8 @@
 	}
 	g := gateway.New(s.Gateway, ports)
 	h := &host{gateway: g, failed: make(chan struct{}, 1), logger: logger}
+	h.connections.lingering.report = h.reportLost
+	g.WatchAnswers(h.connections.lingering.untaken)
 	for _, serve := range []struct {
 		address string
 		handler http.Handler
@@ -221,7 +225,7 @@
 	}
 	h.servers, h.listeners = append(h.servers, server), append(h.listeners, l)
 	h.group.Go(func() error {
-		err := server.Serve(l)
+		err := server.Serve(lingerListener{l, &h.connections.lingering})
 		if errors.Is(err, http.ErrServerClosed) || errors.Is(err, net.ErrClosed) {
 			return nil
 		}
@@ -249,12 +253,14 @@
 	select {
 	case <-ctx.Done():
 		h.gateway.Leave(context.Background())
+		h.answersUntil = h.gateway.EndsAt().Add(closeTimeout)
 	case <-h.failed:
 	}
 	h.closeServers()
 	if !h.gateway.AwaitRequests(lastLinesTimeout) {
 		h.logger.Warn().Str("event", "http").Msg("requests have not ended that were cut")
 	}
+	h.connections.lingering.closeAll()
 	if h.peerListener != nil {
 		_ = h.peerListener.Close() // calls of peers in progress may be dropped
 		h.peers.Close()
@@ -267,7 +273,15 @@
 	return err
 }
 
-// closeServers closes the listeners and, after closeTimeout, the connections on which an answer is still being written.
+// reportLost records a connection that was closed before its caller did so.
+func (h *host) reportLost(r lingerReport) {
+	h.gateway.RecordLostEnd(r.reason)
+	h.logger.Warn().Str("event", "connection").Str("why", r.reason).Str("from", r.from).Int("unread", r.unread).
+		Int("untaken", r.untaken).Int64("discarded", r.discarded).Dur("after", r.after).Msg("")
+}
+
+// closeServers closes the listeners and, after closeTimeout, the connections on which an answer is still being written. It
+// waits until callers have taken the answers that are written.
 func (h *host) closeServers() {
 	for _, l := range h.listeners {
 		_ = l.Close() // it may be closed after a failure
@@ -275,6 +289,7 @@
 	if !h.connections.end(lastReadTimeout, closeTimeout) {
 		h.logger.Warn().Str("event", "http").Msg("connections are closed that are not idle")
 	}
+	h.connections.lingering.await(h.answersUntil)
 	for _, s := range h.servers {
 		_ = s.Close() // requests on its connections have run out of time
 	}
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -143,7 +143,9 @@
 	checks      *registryChecks
 	reach       *reachState
 	// carried returns the number of connections that this host carries for others.
-	carried      func() int
+	carried func() int
+	// untaken returns the number of answers that are written and that their callers have not taken.
+	untaken      func() int
 	era          eraState
 	leader       *leaderState
 	rollouts     *rolloutState
@@ -216,7 +218,7 @@
 	g.lineage = newLineageState(now)
 	g.checks = newRegistryChecks(g)
 	g.reach = newReachState()
-	g.carried = func() int { return 0 }
+	g.carried, g.untaken = func() int { return 0 }, func() int { return 0 }
 	g.quarantine = newQuarantineState()
 	g.rollouts = newRolloutState()
 	g.grants = newGrantState(opts.Host, now)
@@ -325,7 +327,7 @@
 		g.endCalls()
 		return true
 	}
-	if g.calls.len() > 0 || g.carried() > 0 || now.Sub(began) < addressTTLFactor*g.opts.AddressTTL {
+	if g.calls.len() > 0 || g.carried() > 0 || g.untaken() > 0 || now.Sub(began) < addressTTLFactor*g.opts.AddressTTL {
 		return false
 	}
 	return now.Sub(g.calls.lastArrival()) >= leaveIdleTime && g.calls.closeIfIdle()
--- a/gateway/leaving_test.go
+++ b/gateway/leaving_test.go
@@ -54,3 +54,32 @@
 		is.True(!g.BeginRequest())
 	})
 }
+
+// TestLeavingAwaitsAnswersBeingTaken guards against an answer that is cut because its process ends early, with nothing in
+// progress, before the caller has taken it.
+func TestLeavingAwaitsAnswersBeingTaken(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct{ taken, left time.Duration }{ // before the end of the grace period
+		"taken":       {2 * time.Second, 2 * time.Second},
+		"never taken": {0, leaveMargin},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				tp := newTestPlatform()
+				g := tp.startHost(t, testOptions("h1"))
+				end := time.Now().Add(g.opts.GracePeriod)
+				g.untaken = func() int {
+					if time.Until(end) > tc.taken {
+						return 1
+					}
+					return 0
+				}
+				g.Leave(context.Background())
+				is.True(time.Until(end) <= tc.left)
+				is.True(time.Until(end) > tc.left-2*leaveCheckInterval)
+				is.Equal(g.EndsAt(), end.Add(-leaveMargin))
+			})
+		})
+	}
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -40,6 +40,7 @@
 	probes        *prometheus.CounterVec
 	deaths        prometheus.Counter
 	tunnels       *prometheus.CounterVec
+	lostEnds      *prometheus.CounterVec
 	cutOff        prometheus.Gauge
 	reachRounds   *prometheus.CounterVec
 
@@ -158,6 +159,10 @@
 		Name: "cicadanotch_gateway_tunnels_total",
 		Help: "Connections to endpoints that this host carries for others, by event (opened, ended, left, broke, unusable, refused-REASON), and those that another host failed to carry for it (failed).",
 	}, []string{"event"})
+	m.lostEnds = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_lost_ends_total",
+		Help: "Connections of callers that were closed before the caller did so, after their last answer, by reason (timeout, bytes, count, process).",
+	}, []string{"reason"})
 	m.rolloutChanges = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cicadanotch_gateway_rollout_changes_total",
 		Help: "Changes of roll-outs that this host decided as the leader, by state.",
@@ -198,7 +203,7 @@
 		Name: "cicadanotch_gateway_header_faults_total",
 		Help: "Answers of endpoints with a header that could not be used as sent.",
 	})
-	m.registry.MustRegister(m.headerFaults, m.riskyRejections, m.tunnels, m.cutOff, m.reachRounds, m.limitShares, m.limitsGranted, m.refusedWithinLimit, m.overloads, m.rolloutChanges, m.rolloutAnswers, m.rolloutWithheld, m.rolloutWaits, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.garbage, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
+	m.registry.MustRegister(m.lostEnds, m.headerFaults, m.riskyRejections, m.tunnels, m.cutOff, m.reachRounds, m.limitShares, m.limitsGranted, m.refusedWithinLimit, m.overloads, m.rolloutChanges, m.rolloutAnswers, m.rolloutWithheld, m.rolloutWaits, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.garbage, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
 		m.feedReads, m.version, m.hosts, m.fencingToken, m.leaderCalls, m.moves, collectors.NewGoCollector())
 	return m
 }
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -92,6 +92,17 @@
 	return ages
 }
 
+// WatchAnswers sets the function that returns how many answers are written that their callers have not taken: a leaving
+// process waits for them before it ends early. Call it before Start.
+func (g *Gateway) WatchAnswers(untaken func() int) { g.untaken = untaken }
+
+// RecordLostEnd counts a connection that was closed before its caller did so, by reason.
+func (g *Gateway) RecordLostEnd(reason string) { g.metrics.lostEnds.WithLabelValues(reason).Inc() }
+
+// EndsAt returns when a leaving process ends at the latest, but for the time that it takes to close its connections. Call it
+// after Leave.
+func (g *Gateway) EndsAt() time.Time { return time.Unix(0, g.endsAt.Load()) }
+
 // timeLeft returns how long a leaving process continues to run.
 func (g *Gateway) timeLeft(now time.Time) (time.Duration, bool) {
 	at := g.endsAt.Load()
