platform: an answer that ends with its connection is reset unless it is complete

A stream to an HTTP/1.0 caller that the end of the process cut looked complete: its connection was closed in order before its handler could reset it.

From its head on the connection of such an answer is set to be reset, and that is lifted when the last byte is written, so that whatever closes it before, also the kernel at the end of the process, shows the caller that it was cut.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -221,7 +221,7 @@
 func (h *host) serve(l net.Listener, handler http.Handler) {
 	server := &http.Server{
 		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
-		ErrorLog: stdlog.New(serverLog{h.logger}, "", 0), ConnState: h.connections.track,
+		ErrorLog: stdlog.New(serverLog{h.logger}, "", 0), ConnState: h.connections.track, ConnContext: platform.ConnContext,
 	}
 	h.servers, h.listeners = append(h.servers, server), append(h.listeners, l)
 	h.group.Go(func() error {
