daemon: connections of a node's callers and operators linger at their end

The same fault as on the platform's ports: an answer after which the node closes its connection lost its rest to a reset if the caller had sent more bytes. TestWholeAnswerOfANode failed with "read: connection reset by peer".

--- a/daemon/answerend_test.go
+++ b/daemon/answerend_test.go
@@ -60,11 +60,11 @@
 }
 
 // dialSlow opens a connection of a caller that takes few bytes before it reads.
-func dialSlow(t *testing.T, address string) net.Conn {
+func dialSlow(t *testing.T, address string, receiveBytes int) net.Conn {
 	t.Helper()
 	dialer := net.Dialer{Control: func(_, _ string, c syscall.RawConn) (err error) {
 		controlErr := c.Control(func(fd uintptr) {
-			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, endReceiveBytes)
+			err = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, receiveBytes)
 		})
 		if err == nil {
 			err = controlErr
@@ -113,7 +113,7 @@
 					t.Parallel()
 					is := is.New(t)
 					_, address := serveEnds(t)
-					conn := dialSlow(t, address)
+					conn := dialSlow(t, address, endReceiveBytes)
 					request, later := tc.request, more
 					if delay == 0 {
 						request, later = request+more, ""
@@ -160,7 +160,7 @@
 			t.Parallel()
 			is := is.New(t)
 			h, address := serveEnds(t)
-			conn := dialSlow(t, address)
+			conn := dialSlow(t, address, endReceiveBytes)
 			_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: x\r\n\r\n"+tc.behind)
 			is.NoErr(err)
 			time.Sleep(endReadDelay)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -95,8 +95,9 @@
 	}
 	n.Start()
 	n.ServePeers(l.Peer, peers)
-	n.Serve(l.Caller, callerhttp.Handler(n))
-	n.Serve(l.Operator, n.OperatorHandler())
+	ended := &lingering{report: func(r lingerReport) { logLost(opts.Logger, r) }}
+	n.Serve(lingerListener{l.Caller, ended}, callerhttp.Handler(n))
+	n.Serve(lingerListener{l.Operator, ended}, n.OperatorHandler())
 	return n, nil
 }
 
--- a/daemon/linger.go
+++ b/daemon/linger.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"github.com/phuslu/log"
 )
 
 const (
@@ -46,6 +48,15 @@
 	after time.Duration
 }
 
+// logLost writes a report to a log, unless that is nil.
+func logLost(logger *log.Logger, r lingerReport) {
+	if logger == nil {
+		return
+	}
+	logger.Warn().Str("event", "connection").Str("why", r.reason).Str("from", r.from).Int("unread", r.unread).
+		Int("untaken", r.untaken).Int64("discarded", r.discarded).Dur("after", r.after).Msg("")
+}
+
 // halfCloser is a connection of which one side can be closed, as *net.TCPConn.
 type halfCloser interface {
 	net.Conn
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -276,8 +276,7 @@
 // reportLost records a connection that was closed before its caller did so.
 func (h *host) reportLost(r lingerReport) {
 	h.gateway.RecordLostEnd(r.reason)
-	h.logger.Warn().Str("event", "connection").Str("why", r.reason).Str("from", r.from).Int("unread", r.unread).
-		Int("untaken", r.untaken).Int64("discarded", r.discarded).Dur("after", r.after).Msg("")
+	logLost(h.logger, r)
 }
 
 // closeServers closes the listeners and, after closeTimeout, the connections on which an answer is still being written. It
