daemon: signals are noticed from the start of the process on

A reload that came before the settings were read, or before the listeners were open, ended the process: nothing listened for SIGHUP until all of the host had been started. A stop ended it by the signal, without a line, and the second signal at the very end could end it before its log was written.

Signals are now received from the first moment on. A stop that comes before the listeners are open ends the process in order.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -94,6 +94,11 @@
 	if path == "" {
 		return errors.Wrapf(platform.ErrSettings, "the environment variable %s is missing", platform.SettingsVariable)
 	}
+	// From here on: a signal that nobody listens for ends the process at once.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	running, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
+	defer stop() // after the log has been written
 	settings, err := platform.LoadSettings(path)
 	if err != nil {
 		return err
@@ -113,12 +118,15 @@
 		Level: log.InfoLevel, TimeFormat: time.RFC3339Nano, Writer: &log.IOWriter{Writer: logWriter},
 		Context: log.NewContext(nil).Str("host", settings.Gateway.Host).Value(),
 	}
+	if running.Err() != nil {
+		return nil // no caller knows of this host yet
+	}
 	h, err := startHost(settings, logger, listen, wrap...)
 	if err != nil {
 		return err
 	}
-	go watchSettings(ctx, path, logger)
-	return h.run(ctx)
+	go watchSettings(ctx, path, reload, logger)
+	return h.run(running)
 }
 
 // host is the gateway of one process on the platform, with its servers.
@@ -245,11 +253,9 @@
 	return len(p), nil
 }
 
-// run serves until ctx ends, a signal arrives or a server fails. Except after a
-// failure, it calls Gateway.Leave before it closes the servers.
+// run serves until ctx ends or a server fails. Except after a failure, it calls Gateway.Leave before it closes the
+// servers.
 func (h *host) run(ctx context.Context) error {
-	ctx, stop := signal.NotifyContext(ctx, syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	select {
 	case <-ctx.Done():
 		h.gateway.Leave(context.Background())
@@ -294,12 +300,9 @@
 	}
 }
 
-// watchSettings logs changes of the settings file. It does not apply them: a change
-// of addresses or limits requires a restart of the process.
-func watchSettings(ctx context.Context, path string, logger *log.Logger) {
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
+// watchSettings logs changes of the settings file, and what it says when reload receives a signal. It does not apply them:
+// a change of addresses or limits requires a restart of the process.
+func watchSettings(ctx context.Context, path string, reload <-chan os.Signal, logger *log.Logger) {
 	tick := time.NewTicker(settingsCheckInterval)
 	defer tick.Stop()
 	last, _ := os.ReadFile(path) // RunPlatform has just read the file without an error
@@ -308,7 +311,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case <-hup:
+		case <-reload:
 			reason = "signal"
 		case <-tick.C:
 		}
