gateway, drain: the grace period of a frozen process began when SIGTERM was sent

A process that is frozen gets the signals sent meanwhile only when it runs again, and took that moment for the begin of its grace period. The platform counts from the sending: it killed the process while it was still accepting requests.

If SIGTERM is noticed behind a gap, or within 0.1 s of one, the grace period counts from the begin of the gap, both for the end of the process and for what it accepts. A process whose grace period is over when it wakes refuses all and ends.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -142,6 +142,7 @@
 	lineage     *lineageState
 	checks      *registryChecks
 	reach       *reachState
+	pauses      pauseTable
 	// carried returns the number of connections that this host carries for others.
 	carried func() int
 	// untaken returns the number of answers that are written and that their callers have not taken.
@@ -289,8 +290,10 @@
 		return
 	}
 	began := time.Now()
-	g.endsAt.Store(began.Add(g.opts.GracePeriod - leaveMargin).UnixNano())
-	g.log.Info().Str("event", "stop").Int("in_progress", g.calls.len()).Msg("removing the host from the address answers")
+	sent := g.pauses.earliestSending(began)
+	end := sent.Add(g.opts.GracePeriod - leaveMargin)
+	g.endsAt.Store(end.UnixNano())
+	g.log.Info().Str("event", "stop").Int("in_progress", g.calls.len()).Dur("paused", began.Sub(sent)).Msg("removing the host from the address answers")
 	g.startLeaving()
 	tick := time.NewTicker(leaveCheckInterval)
 	defer tick.Stop()
@@ -299,7 +302,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			if g.canExit(now, began) {
+			if g.canExit(now, began, end) {
 				g.log.Info().Str("event", "stopped").Int("in_progress", g.calls.len()).
 					Dur("after", now.Sub(began)).Msg("")
 				return
@@ -320,8 +323,9 @@
 	addressTTLFactor = 3
 )
 
-func (g *Gateway) canExit(now, began time.Time) bool {
-	if now.Sub(began) >= g.opts.GracePeriod-leaveMargin {
+// canExit reports whether a process that began to leave at a time, and has to end at another, may end now.
+func (g *Gateway) canExit(now, began, end time.Time) bool {
+	if !now.Before(end) {
 		g.calls.close()
 		g.logUnfinished(now)
 		g.endCalls()
--- a/gateway/placer.go
+++ b/gateway/placer.go
@@ -365,6 +365,7 @@
 		case <-g.tomb.Dying():
 			return nil
 		case now := <-tick.C:
+			g.pauses.tick(time.Now()) // now may be from before a pause
 			g.placer.sweepPlacements(now)
 			g.sendLoads(now)
 			g.logSpeeds(now)
