soak, gateway: a helping host that stops

The lines stop and stopped say how many connections of other hosts the process carries; at its end these are cut. So far nothing but the broken lines of the tunnels told that.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -293,7 +293,7 @@
 	sent := g.pauses.earliestSending(began)
 	end := sent.Add(g.opts.GracePeriod - leaveMargin)
 	g.endsAt.Store(end.UnixNano())
-	g.log.Info().Str("event", "stop").Int("in_progress", g.calls.len()).Dur("paused", began.Sub(sent)).Msg("removing the host from the address answers")
+	g.log.Info().Str("event", "stop").Int("in_progress", g.calls.len()).Int("carried", g.carried()).Dur("paused", began.Sub(sent)).Msg("removing the host from the address answers")
 	g.startLeaving()
 	tick := time.NewTicker(leaveCheckInterval)
 	defer tick.Stop()
@@ -303,7 +303,7 @@
 			return
 		case now := <-tick.C:
 			if g.canExit(now, began, end) {
-				g.log.Info().Str("event", "stopped").Int("in_progress", g.calls.len()).
+				g.log.Info().Str("event", "stopped").Int("in_progress", g.calls.len()).Int("carried", g.carried()).
 					Dur("after", now.Sub(began)).Msg("")
 				return
 			}
--- a/soak/restofstop_test.go
+++ b/soak/restofstop_test.go
@@ -36,6 +36,13 @@
 // stopOutcome is what callers got that were sent to a host until it was gone.
 type stopOutcome struct{ sent, served, refused, unsent, lost, excused int }
 
+// stopsForGood keeps the process from being started again once it has ended.
+func (h *host) stopsForGood() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopped = true
+}
+
 func terminate(h *host) { h.signal(syscall.SIGTERM) }
 
 // terminateAnd returns a stop with a further signal.
@@ -124,15 +131,12 @@
 	}
 	all.Wait()
 	tc.before(f)
-	h.mu.Lock()
-	h.stopped = true // it is not started again
-	h.mu.Unlock()
+	h.stopsForGood()
 
 	type sentOrder struct {
-		id          string
-		at, ended   time.Time
-		answer      platformtest.Answer
-		wasAccepted bool
+		id        string
+		at, ended time.Time
+		answer    platformtest.Answer
 	}
 	var mu sync.Mutex
 	var orders []*sentOrder
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -48,7 +48,11 @@
 	if os.Getenv(processVariable) == "" {
 		os.Exit(m.Run())
 	}
-	if err := daemon.RunPlatform(context.Background(), os.Stdout, plantedFaults[os.Getenv(plantVariable)]...); err != nil {
+	wrap := plantedFaults[os.Getenv(plantVariable)]
+	if path := os.Getenv(cutVariable); path != "" {
+		wrap = append(wrap, cutWhile(path))
+	}
+	if err := daemon.RunPlatform(context.Background(), os.Stdout, wrap...); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
 	}
--- a/soak/strangers_test.go
+++ b/soak/strangers_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"os"
+	"os/exec"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -27,6 +28,8 @@
 	cloud *platformtest.Cloud
 	base  int
 	hosts []*host
+	// command returns the command of the processes that are started next; nil stands for the present build.
+	command func() *exec.Cmd
 }
 
 func newFixture(t *testing.T, base int) *fixture {
@@ -49,8 +52,12 @@
 // startHosts starts hosts of one zone and waits until they are ready.
 func (f *fixture) startHosts(n int) {
 	f.t.Helper()
+	process := f.command
+	if process == nil {
+		process = command("")
+	}
 	for range n {
-		h, err := startHost(f.t.TempDir(), f.base, len(f.hosts), "a", "r", map[string]string{"a": "r"}, f.store.Address(), f.cloud.Address(), command(""))
+		h, err := startHost(f.t.TempDir(), f.base, len(f.hosts), "a", "r", map[string]string{"a": "r"}, f.store.Address(), f.cloud.Address(), process)
 		is.New(f.t).NoErr(err)
 		f.t.Cleanup(h.stop)
 		f.hosts = append(f.hosts, h)
