soak: hosts are replaced one after the other by another build

Options.Replacements names commands by which all hosts are replaced in turn, beside the other faults, with streams that run for 2 s across the changes; reports count refused requests and those without an answer.

TestStopBeforeConfiguration stops a host that awaits its first configuration from a silent store. It refuses all and ends in order.

--- a/soak/check.go
+++ b/soak/check.go
@@ -39,6 +39,8 @@
 	Faults     []string
 	// Served counts the requests answered with success, Sent all requests.
 	Served, Sent int
+	// Refused counts those answered 429 or 503, Unanswered those whose connection ended without a whole answer.
+	Refused, Unanswered int
 	// Lethal counts the endpoints that lethal requests have crashed.
 	Lethal int
 	// Continued counts the streams that callers continued at hosts without faults, WentOn those that went on.
@@ -95,6 +97,12 @@
 // checkRequest verifies the answer to one request, given its runs at the endpoints.
 func (tr *testRun) checkRequest(r *Report, q *request, runs []platformtest.Run) {
 	a := q.answer
+	switch {
+	case a.Err != nil:
+		r.Unanswered++
+	case a.Status == http.StatusServiceUnavailable || a.Status == http.StatusTooManyRequests:
+		r.Refused++
+	}
 	if a.Err == nil && a.Status == http.StatusOK {
 		r.Served++
 		id, _ := strings.CutSuffix(a.Seal, "."+q.id)
--- a/soak/fault.go
+++ b/soak/fault.go
@@ -90,7 +90,7 @@
 	if len(tr.opts.FaultKinds) > 0 {
 		kinds = slices.DeleteFunc(slices.Concat(faults, drills), func(f fault) bool { return !slices.Contains(tr.opts.FaultKinds, f.name) })
 	}
-	for time.Now().Before(until) && ctx.Err() == nil {
+	for time.Now().Before(until) && ctx.Err() == nil && len(kinds) > 0 {
 		f := kinds[tr.rng.IntN(len(kinds))]
 		what, undo := f.inject(tr)
 		duration := minFaultDuration + time.Duration(tr.rng.Int64N(int64(maxFaultDuration-minFaultDuration)))
@@ -132,13 +132,7 @@
 // terminateHost sends SIGTERM to a process and kills it after the grace period.
 func terminateHost(tr *testRun) (string, func()) {
 	h := tr.hosts[tr.rng.IntN(len(tr.hosts))]
-	current := h.incarnation()
-	h.signal(syscall.SIGTERM)
-	time.AfterFunc(gracePeriod, func() {
-		if h.incarnation() == current {
-			h.signal(syscall.SIGKILL)
-		}
-	})
+	h.terminate()
 	return h.Name, nil
 }
 
--- a/soak/process.go
+++ b/soak/process.go
@@ -35,12 +35,12 @@
 // restarted whenever it ends.
 type host struct {
 	platformtest.Host
-	command func() *exec.Cmd
-	store   *proxy
-	cloud   *proxy
-	dir     string
+	store *proxy
+	cloud *proxy
+	dir   string
 
 	mu      sync.Mutex
+	command func() *exec.Cmd // of the next process
 	process *exec.Cmd
 	starts  int // processes started so far
 	stopped bool
@@ -90,9 +90,9 @@
 	defer out.Close()
 	h.mu.Lock()
 	h.starts++
-	starts := h.starts
+	starts, command := h.starts, h.command
 	h.mu.Unlock()
-	cmd := h.command()
+	cmd := command()
 	cmd.Env = append(cmd.Env, platform.SettingsVariable+"="+h.settingsPath(), fmt.Sprintf("%s=%d", StartCountVariable, starts))
 	cmd.Stdout, cmd.Stderr = out, out
 	if err := cmd.Start(); err != nil {
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -45,6 +45,11 @@
 	FaultKinds []string
 	// CheckTiming enables the checks with time bounds.
 	CheckTiming bool
+	// Replacements are commands of other builds. All hosts are replaced one after the other by each of them, in this order;
+	// FaultPhase lasts at least as long.
+	Replacements []func() *exec.Cmd
+	// StreamDuration is how long streams take beyond what other requests take.
+	StreamDuration time.Duration
 	// Dir is the directory for settings and logs.
 	Dir string
 	// Command returns the command of one process; the run adds to its environment.
@@ -153,7 +158,13 @@
 		for n := range opts.Callers {
 			tr.tasks.Go(func() { tr.runCaller(rand.New(rand.NewPCG(opts.Seed, uint64(n+2)))) })
 		}
+		replaced := make(chan struct{})
+		go func() {
+			defer close(replaced)
+			tr.replaceHosts(ctx)
+		}()
 		tr.injectFaults(ctx)
+		<-replaced
 		tr.clearFaults()
 		time.Sleep(opts.SettleDelay)
 		close(tr.done)
@@ -239,7 +250,11 @@
 	server.SetProxyAddress(link.address())
 	// Of its own source, so that seeds keep their behaviours.
 	server.SetSoftware(fmt.Sprint("v", 1+rand.New(rand.NewPCG(tr.opts.Seed, uint64(5000+n))).IntN(softwareVersions)))
-	server.SetDelay(time.Duration(rng.Int64N(int64(maxWorkDuration))))
+	delay := time.Duration(rng.Int64N(int64(maxWorkDuration)))
+	if service == "llm" {
+		delay += tr.opts.StreamDuration
+	}
+	server.SetDelay(delay)
 	added := &endpoint{Endpoint: server, service: service, zone: zone, link: link}
 	server.SetCrash(func() { tr.crashEndpoint(added) })
 	tr.mu.Lock()
--- a/soak/startsignal_test.go
+++ b/soak/startsignal_test.go
@@ -1,6 +1,9 @@
 package soak
 
 import (
+	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -12,6 +15,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cicadanotch/cicadanotch/platform"
+	"github.com/cicadanotch/cicadanotch/platform/platformtest"
 )
 
 // TestSignalsDuringStart guards against a process that a signal ends, rather than is noticed, while it reads its settings:
@@ -73,6 +77,49 @@
 	}
 }
 
+// TestStopBeforeConfiguration: a host that is told to stop while it waits for its first configuration refuses what comes,
+// and ends in order.
+func TestStopBeforeConfiguration(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	silent, err := net.Listen("tcp", "127.0.0.1:0") // accepts connections and answers nothing
+	is.NoErr(err)
+	defer silent.Close()
+	cloud := platformtest.NewCloud()
+	defer cloud.Close()
+	h, err := startHost(t.TempDir(), os.Getpid()+4100, 0, "a", "r", map[string]string{"a": "r"}, silent.Addr().String(), cloud.Address(), command(""))
+	is.NoErr(err)
+	defer h.stop()
+	h.stopsForGood()
+	send := func(id string) platformtest.Answer {
+		return platformtest.SendRequest(h.Front, id, "/order/1", "secret", false)
+	}
+	for end := time.Now().Add(processTimeout); send("first").Err != nil && time.Now().Before(end); time.Sleep(5 * time.Millisecond) {
+	}
+	is.Equal(send("before").Status, http.StatusServiceUnavailable)
+	terminate(h)
+	answers := 0
+	for n := 0; ; n++ {
+		a := send(fmt.Sprint("r", n))
+		if a.Err == nil {
+			is.Equal(a.Status, http.StatusServiceUnavailable)
+			answers++
+			time.Sleep(50 * time.Millisecond)
+			continue
+		}
+		break
+	}
+	select {
+	case <-h.ended:
+	case <-time.After(processTimeout):
+		t.Fatalf("the process has not ended within %v", processTimeout)
+	}
+	is.True(answers > 0)
+	log, err := os.ReadFile(filepath.Join(h.dir, h.Name+".log"))
+	is.NoErr(err)
+	is.True(strings.Contains(string(log), `"event":"stopped"`))
+}
+
 // openWriter opens a named pipe once the process reads it.
 func openWriter(t *testing.T, pipe string, ended <-chan error) *os.File {
 	t.Helper()
--- /dev/null
+++ b/soak/upgrade_test.go
@@ -0,0 +1,107 @@
+package soak
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"golang.org/x/sync/errgroup"
+)
+
+var (
+	olderBinary  = flag.String("older", "", "the daemon of an older build, which hosts of TestUpgrades run before and after; empty for the present build")
+	upgradeSeeds = flag.Int("upgrades", 1, "number of seeds of TestUpgrades")
+)
+
+// olderCommand returns the command of a process of the older build.
+func olderCommand() func() *exec.Cmd {
+	if *olderBinary == "" {
+		return command("")
+	}
+	return func() *exec.Cmd {
+		cmd := exec.Command(*olderBinary, "platform")
+		cmd.Env = os.Environ()
+		return cmd
+	}
+}
+
+// troubleBesideUpgrades are the kinds of faults beside a series of replacements, by seed.
+var troubleBesideUpgrades = [][]string{
+	{"configuration"},
+	{"configuration", "drain", "worker dies"},
+	{"configuration", "kill"},
+	{"configuration", "store away", "store"},
+	{"configuration", "drain", "kill", "pause", "link to the store", "link to a worker"},
+}
+
+// TestUpgrades replaces all hosts one after the other: those of an older build by the present one, and then back again, so
+// that hosts of both builds stand beside one another in either order. With -older it takes an older build, and checks the
+// time bounds; without, it plays one seed of the present build alone.
+func TestUpgrades(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	hosts, settle, replacements := 2, 4*time.Second, []func() *exec.Cmd{command("")}
+	if *olderBinary != "" {
+		hosts, settle, replacements = 3, 14*time.Second, append(replacements, olderCommand())
+	}
+	var group errgroup.Group
+	group.SetLimit(*parallelRuns)
+	var failed atomic.Int64
+	for n := range *upgradeSeeds {
+		seed := *firstSeed + uint64(n)
+		group.Go(func() error {
+			dir := t.TempDir()
+			kinds := troubleBesideUpgrades[int(seed-1)%len(troubleBesideUpgrades)]
+			r, err := Run(t.Context(), Options{
+				Seed: seed, AddressBase: os.Getpid() + 7000 + int(seed), Hosts: hosts, Endpoints: 4, Callers: 8, FaultPhase: 15 * time.Second, SettleDelay: settle,
+				CheckTiming: *olderBinary != "", Dir: dir, Command: olderCommand(), FaultKinds: kinds, Replacements: replacements, StreamDuration: 2 * time.Second,
+			})
+			if err != nil {
+				return err
+			}
+			fmt.Printf("seed %d: %d requests, %d served, %d refused, %d without an answer, %d of %d streams continued, %d faults of %v, broken: %q\n",
+				seed, r.Sent, r.Served, r.Refused, r.Unanswered, r.WentOn, r.Continued, len(r.Faults), kinds, r.Violations)
+			if len(r.Violations) == 0 && r.Served > 0 {
+				return nil
+			}
+			failed.Add(1)
+			return keepLogs(r, dir, fmt.Sprintf("upgrade-%d", seed))
+		})
+	}
+	is.NoErr(group.Wait())
+	is.Equal(failed.Load(), int64(0)) // seeds with a broken promise
+}
+
+// TestCutOffBesideOlderHosts: a host that is cut off asks no host of an older build, which knows no tunnels, and goes on
+// through one that does. Without -older all hosts are of the present build.
+func TestCutOffBesideOlderHosts(t *testing.T) {
+	t.Parallel()
+	is := is.New(t)
+	c := newCutOff(t, 6003, 1, 100*time.Millisecond, 50*time.Millisecond, olderCommand(), olderCommand())
+	const requests = 200
+	for n := range requests {
+		c.calls.Go(func() { c.send(t.Context(), fmt.Sprint("r", n), []string{"/order/1", "/stream/1"}[n%2]) })
+		time.Sleep(20 * time.Millisecond)
+	}
+	c.calls.Wait()
+	served, runs := 0, c.runs()
+	for n := range requests {
+		id := fmt.Sprint("r", n)
+		if a := c.answers[id]; a.Err == nil && a.Status == http.StatusOK {
+			served++
+		}
+		is.True(runs[id] <= 1)
+	}
+	log, err := os.ReadFile(filepath.Join(c.cut.dir, c.cut.Name+".log"))
+	is.NoErr(err)
+	t.Logf("%d of %d served, %d lines of attempts", served, requests, strings.Count(string(log), `"event":"attempt"`))
+	is.Equal(served, requests)
+}
