--- a/soak/check.go
+++ b/soak/check.go
@@ -5,8 +5,11 @@
 	"net/http"
 	"slices"
 	"strings"
+	"syscall"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"github.com/cicadanotch/cicadanotch/platform/platformtest"
 )
 
@@ -89,6 +92,7 @@
 	if tr.opts.CheckTiming {
 		tr.checkDrain(r, byEndpoint, byID)
 		tr.checkStops(r)
+		tr.checkLost(r, byAttempt)
 		tr.checkContinuations(r)
 	}
 	return r
@@ -328,6 +332,29 @@
 	}
 }
 
+// checkLost verifies, with sound endpoints, that processes answer what they have read around a SIGTERM, requests of all kinds
+// that come until a second after the grace period. It excuses requests during other faults of the host or of an endpoint,
+// and those sent early on which endpoints work until the last sixth of the grace period.
+func (tr *testRun) checkLost(r *Report, byAttempt map[string][]platformtest.Run) {
+	for _, q := range tr.requests {
+		h := tr.host(q.host)
+		if !tr.opts.Sound || h == nil || q.answer.Err == nil || errors.Is(q.answer.Err, syscall.ECONNREFUSED) {
+			continue
+		}
+		stop := h.stopBefore(q.ended)
+		sinceStop := q.sent.Sub(stop)
+		switch {
+		case stop.IsZero() || sinceStop > gracePeriod+time.Second:
+		case len(byAttempt[q.id]) == 0 && q.ended.Sub(q.sent) <= lossSlack:
+		case sinceStop <= lateSending && q.ended.Sub(stop) >= gracePeriod*5/6:
+		case h.hadUnplannedFault(q.sent.Add(-faultRecoveryWindow), q.ended) || tr.hadEndpointFault(q.sent.Add(-faultRecoveryWindow), q.ended):
+		default:
+			r.addViolation(promiseStop, "%s of %s at %s, sent %d ms after its SIGTERM, ran %d times, ended after %d ms: %v",
+				q.id, q.path, q.host, sinceStop.Milliseconds(), len(byAttempt[q.id]), q.ended.Sub(q.sent).Milliseconds(), q.answer.Err)
+		}
+	}
+}
+
 // hadEndpointFault reports whether any endpoint had a fault between two times.
 func (tr *testRun) hadEndpointFault(from, to time.Time) bool {
 	return slices.ContainsFunc(tr.endpointFaultTimes, func(at time.Time) bool { return at.After(from) && at.Before(to) })
--- a/soak/process.go
+++ b/soak/process.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -45,9 +46,10 @@
 	starts  int // processes started so far
 	stopped bool
 	paused  bool
-	// terminatedAt is the time of the last SIGTERM, faultTimes those of all faults of the
+	// terminatedAt is the time of the last SIGTERM, stops those of all, faultTimes those of all faults of the
 	// host and its links.
 	terminatedAt time.Time
+	stops        []time.Time
 	faultTimes   []time.Time
 	ended        chan struct{}
 }
@@ -130,6 +132,7 @@
 	switch s {
 	case syscall.SIGTERM:
 		h.terminatedAt = now
+		h.stops = append(h.stops, now)
 	case syscall.SIGSTOP:
 		h.paused = true
 	case syscall.SIGCONT:
@@ -156,6 +159,28 @@
 	return false
 }
 
+// hadUnplannedFault reports whether the host had a fault other than a stop between two times.
+func (h *host) hadUnplannedFault(from, to time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return slices.ContainsFunc(h.faultTimes, func(at time.Time) bool {
+		return at.After(from) && at.Before(to) && !slices.Contains(h.stops, at)
+	})
+}
+
+// stopBefore returns the last SIGTERM before a time; zero if there was none.
+func (h *host) stopBefore(t time.Time) time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var last time.Time
+	for _, at := range h.stops {
+		if at.Before(t) {
+			last = at
+		}
+	}
+	return last
+}
+
 func (h *host) isPaused() bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/soak/restofstop_test.go
+++ b/soak/restofstop_test.go
@@ -18,9 +18,6 @@
 	"github.com/cicadanotch/cicadanotch/platform/platformtest"
 )
 
-// lossSlack is how long a request may have been on its way to a process that closes its connection unread.
-const lossSlack = 250 * time.Millisecond
-
 // stopCase is a planned stop beside something else.
 type stopCase struct {
 	name string
--- a/soak/soak.go
+++ b/soak/soak.go
@@ -48,6 +48,8 @@
 	// Replacements are commands of other builds. All hosts are replaced one after the other by each of them, in this order;
 	// FaultPhase lasts at least as long.
 	Replacements []func() *exec.Cmd
+	// Sound makes endpoints serve all requests.
+	Sound bool
 	// StreamDuration is how long streams take beyond what other requests take.
 	StreamDuration time.Duration
 	// Dir is the directory for settings and logs.
@@ -67,6 +69,11 @@
 	applyTimeout = 3 * time.Second
 	// gracePeriod is the time between SIGTERM and SIGKILL.
 	gracePeriod = 8 * time.Second
+	// lossSlack is how long a request may have been on its way to a process that closes its connection unread.
+	lossSlack = 250 * time.Millisecond
+	// lateSending is how long after SIGTERM requests are sent that are not excused if an endpoint is still at work on
+	// them in the last sixth of the grace period.
+	lateSending = 3 * time.Second
 )
 
 // maxWorkDuration bounds the time that an endpoint spends on a request.
@@ -225,6 +232,9 @@
 	rng := rand.New(rand.NewPCG(tr.opts.Seed, uint64(1000+n)))
 	var mu sync.Mutex
 	behave := func(string, int) platformtest.Behaviour {
+		if tr.opts.Sound {
+			return platformtest.Serve
+		}
 		mu.Lock()
 		defer mu.Unlock()
 		switch r := rng.IntN(100); {
--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -18,6 +18,7 @@
 
 var (
 	olderBinary  = flag.String("older", "", "the daemon of an older build, which hosts of TestUpgrades run before and after; empty for the present build")
+	calmUpgrades = flag.Bool("calm", false, "play TestUpgrades without other faults")
 	upgradeSeeds = flag.Int("upgrades", 1, "number of seeds of TestUpgrades")
 )
 
@@ -35,7 +36,7 @@
 
 // troubleBesideUpgrades are the kinds of faults beside a series of replacements, by seed.
 var troubleBesideUpgrades = [][]string{
-	{"configuration"},
+	nil, // endpoints are sound
 	{"configuration", "drain", "worker dies"},
 	{"configuration", "kill"},
 	{"configuration", "store away", "store"},
@@ -60,9 +61,13 @@
 		group.Go(func() error {
 			dir := t.TempDir()
 			kinds := troubleBesideUpgrades[int(seed-1)%len(troubleBesideUpgrades)]
+			sound := kinds == nil
+			if sound {
+				kinds = []string{"configuration"}
+			}
 			r, err := Run(t.Context(), Options{
 				Seed: seed, AddressBase: os.Getpid() + 7000 + int(seed), Hosts: hosts, Endpoints: 4, Callers: 8, FaultPhase: 15 * time.Second, SettleDelay: settle,
-				CheckTiming: *olderBinary != "", Dir: dir, Command: olderCommand(), FaultKinds: kinds, Replacements: replacements, StreamDuration: 2 * time.Second,
+				CheckTiming: *olderBinary != "", Dir: dir, Command: olderCommand(), FaultKinds: kinds, Replacements: replacements, Sound: sound, StreamDuration: 2 * time.Second,
 			})
 			if err != nil {
 				return err
