soak: the limit of a workspace while hosts of another build are replaced

TestLimitAcrossBuilds presses on a limit of 30 requests a second (297 in 8 s with its burst and overage) at three hosts that are replaced one after the other.

--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -7,13 +7,17 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 	"golang.org/x/sync/errgroup"
+
+	"github.com/cicadanotch/cicadanotch/platform/platformtest"
 )
 
 var (
@@ -53,6 +57,9 @@
 	if *olderBinary != "" {
 		hosts, settle, replacements = 3, 14*time.Second, append(replacements, olderCommand())
 	}
+	if *calmUpgrades {
+		troubleBesideUpgrades = troubleBesideUpgrades[:1]
+	}
 	var group errgroup.Group
 	group.SetLimit(*parallelRuns)
 	var failed atomic.Int64
@@ -110,3 +117,60 @@
 	t.Logf("%d of %d served, %d lines of attempts", served, requests, strings.Count(string(log), `"event":"attempt"`))
 	is.Equal(served, requests)
 }
+
+// TestLimitAcrossBuilds: a workspace that presses beyond its limit gets what the limit allows, and no more, while the hosts
+// that share it are replaced one after the other. Without -older all are of the present build.
+func TestLimitAcrossBuilds(t *testing.T) {
+	const (
+		perSecond, burst = 30.0, 30.0
+		window           = 8 * time.Second
+		overage          = 1.1
+		callers          = 12
+		interval         = 100 * time.Millisecond
+	)
+	t.Parallel()
+	is := is.New(t)
+	f := newFixture(t, 6100)
+	f.store.ConfigureLimit(1, perSecond, burst)
+	e := f.endpoint("i-api", "v1", 0)
+	f.store.Register(e.ID, e.Entry("api", "a", "ready"))
+	f.command = olderCommand()
+	f.startHosts(3)
+	var (
+		all    sync.WaitGroup
+		served atomic.Int64
+	)
+	done := make(chan struct{})
+	began := time.Now()
+	for n := range callers {
+		all.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-done:
+					return
+				case <-time.After(interval):
+				}
+				h := f.hosts[(n+i)%len(f.hosts)]
+				if platformtest.SendRequest(h.Front, fmt.Sprint("r", n, "-", i), "/get/1", "secret", false).Status == http.StatusOK {
+					served.Add(1)
+				}
+			}
+		})
+	}
+	for _, h := range f.hosts {
+		before := h.replace(command(""))
+		f.await("host "+h.Name+" is replaced", func() bool { return h.incarnation() != before && platformtest.IsReady(t.Context(), h.Ready) })
+	}
+	time.Sleep(window / 2)
+	close(done)
+	all.Wait()
+	runs, most := e.Runs(), 0
+	for n, first := range runs {
+		in, _ := slices.BinarySearchFunc(runs[n:], first.At.Add(window), func(r platformtest.Run, end time.Time) int { return r.At.Compare(end) })
+		most = max(most, in)
+	}
+	bound := (perSecond*window.Seconds() + burst) * overage
+	t.Logf("%d served in %.1f s, at most %d run in %v, %.0f allowed", served.Load(), time.Since(began).Seconds(), most, window, bound)
+	is.True(float64(most) <= bound)
+	is.True(float64(served.Load()) > perSecond*time.Since(began).Seconds()/2)
+}
