soak: a roll-out, lethal requests and a restored store across builds

TestRolloutAcrossBuilds orders a roll-out at hosts of an older build, which are replaced one after the other meanwhile.

TestUpgrades plays two more kinds of trouble, lethal requests beside endpoints that die, and returns of the store from an older copy beside kills.

--- a/soak/upgrade_test.go
+++ b/soak/upgrade_test.go
@@ -45,6 +45,8 @@
 	{"configuration", "kill"},
 	{"configuration", "store away", "store"},
 	{"configuration", "drain", "kill", "pause", "link to the store", "link to a worker"},
+	{"configuration", kindLethalRequests, "worker dies"},
+	{"configuration", "store restored", "kill"},
 }
 
 // TestUpgrades replaces all hosts one after the other: those of an older build by the present one, and then back again, so
@@ -174,3 +176,67 @@
 	is.True(float64(most) <= bound)
 	is.True(float64(served.Load()) > perSecond*time.Since(began).Seconds()/2)
 }
+
+// TestRolloutAcrossBuilds: a roll-out of a good software version that begins at hosts of an older build is completed while
+// they are replaced one after the other, and every stream is of one version. Without -older all are of the present build.
+func TestRolloutAcrossBuilds(t *testing.T) {
+	const (
+		duration = 25 * time.Second
+		callers  = 6
+	)
+	t.Parallel()
+	is := is.New(t)
+	f := newFixture(t, 6200)
+	for i := range 3 {
+		for _, software := range []string{"v1", "v2"} {
+			e := f.endpoint(fmt.Sprint("i-", software, i), software, time.Second)
+			f.store.Register(e.ID, e.Entry("llm", "a", "ready"))
+		}
+	}
+	f.command = olderCommand()
+	f.startHosts(3)
+	f.store.OrderRollout("llm", "v2", duration.Seconds())
+	var (
+		all                 sync.WaitGroup
+		sent, served, mixed atomic.Int64
+		last                atomic.Pointer[platformtest.Answer]
+	)
+	done := make(chan struct{})
+	for n := range callers {
+		all.Go(func() {
+			for i := 0; ; i++ {
+				select {
+				case <-done:
+					return
+				default:
+				}
+				a := platformtest.SendRequest(f.hosts[(n+i)%len(f.hosts)].Front, fmt.Sprint("s", n, "-", i), "/stream/1", "secret", true)
+				sent.Add(1)
+				if _, software := platformtest.StreamEvents(a.Body); a.Status == http.StatusOK && len(software) > 1 {
+					mixed.Add(1)
+				}
+				if a.Err == nil && a.Status == http.StatusOK {
+					served.Add(1)
+					last.Store(&a)
+				} else {
+					time.Sleep(50 * time.Millisecond)
+				}
+			}
+		})
+	}
+	for _, h := range f.hosts {
+		before := h.replace(command(""))
+		f.await("host "+h.Name+" is replaced", func() bool { return h.incarnation() != before && platformtest.IsReady(t.Context(), h.Ready) })
+	}
+	completed := func() bool { return strings.Contains(f.store.RolloutStatus("llm"), `"completed"`) }
+	for end := time.Now().Add(duration); !completed() && time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+	}
+	status := f.store.RolloutStatus("llm")
+	time.Sleep(2 * time.Second) // streams that began before
+	close(done)
+	all.Wait()
+	t.Logf("%d of %d served, %d of two versions, %s", served.Load(), sent.Load(), mixed.Load(), status)
+	is.True(completed())
+	is.Equal(mixed.Load(), int64(0))
+	is.Equal(last.Load().Body, platformtest.CompleteStream("v2", 0))
+}
