gateway: the grace period counts the time in which the machine is suspended

The end of a leaving process was held as a time of day, which may jump, and compared with a clock that stands still while the machine is suspended. A jump back by seconds made the process accept what it could not end; so did a suspension after SIGTERM, as the platform's count goes on.

The end is now held on the steady clock together with the time of suspensions, as the leader's lease is.

Jumps of the time of day are not played by a test, as no test can make the two clocks of a time.Time differ.

--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -152,8 +152,8 @@
 	rollouts     *rolloutState
 	grants       *grantState
 	leaving      atomic.Bool
-	endsAt       atomic.Int64    // deadline for the end of a leaving process, Unix nanoseconds
-	leaveContext context.Context // ends when the host begins to leave
+	endsAt       atomic.Pointer[time.Time] // when a leaving process ends, see pauseTable.counted; nil before SIGTERM
+	leaveContext context.Context           // ends when the host begins to leave
 	startLeaving context.CancelFunc
 	endContext   context.Context // ends when the time of the process is over
 	endCalls     context.CancelFunc
@@ -219,6 +219,7 @@
 	g.lineage = newLineageState(now)
 	g.checks = newRegistryChecks(g)
 	g.reach = newReachState()
+	g.pauses.measure(suspendedTime)
 	g.carried, g.untaken = func() int { return 0 }, func() int { return 0 }
 	g.quarantine = newQuarantineState()
 	g.rollouts = newRolloutState()
@@ -292,8 +293,8 @@
 	began := time.Now()
 	sent := g.pauses.earliestSending(began)
 	end := sent.Add(g.opts.GracePeriod - leaveMargin)
-	g.endsAt.Store(end.UnixNano())
-	g.log.Info().Str("event", "stop").Int("in_progress", g.calls.len()).Int("carried", g.carried()).Dur("paused", began.Sub(sent)).Msg("removing the host from the address answers")
+	g.endsAt.Store(&end)
+	g.log.Info().Str("event", "stop").Int("in_progress", g.calls.len()).Int("carried", g.carried()).Dur("paused", g.pauses.counted(began).Sub(sent)).Msg("removing the host from the address answers")
 	g.startLeaving()
 	tick := time.NewTicker(leaveCheckInterval)
 	defer tick.Stop()
@@ -302,7 +303,7 @@
 		case <-ctx.Done():
 			return
 		case now := <-tick.C:
-			if g.canExit(now, began, end) {
+			if g.canExit(now, began) {
 				g.log.Info().Str("event", "stopped").Int("in_progress", g.calls.len()).Int("carried", g.carried()).
 					Dur("after", now.Sub(began)).Msg("")
 				return
@@ -323,9 +324,9 @@
 	addressTTLFactor = 3
 )
 
-// canExit reports whether a process that began to leave at a time, and has to end at another, may end now.
-func (g *Gateway) canExit(now, began, end time.Time) bool {
-	if !now.Before(end) {
+// canExit reports whether a process that began to leave at a time may end now.
+func (g *Gateway) canExit(now, began time.Time) bool {
+	if left, _ := g.timeLeft(now); left <= 0 {
 		g.calls.close()
 		g.logUnfinished(now)
 		g.endCalls()
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -101,12 +101,19 @@
 
 // EndsAt returns when a leaving process ends at the latest, but for the time that it takes to close its connections. Call it
 // after Leave.
-func (g *Gateway) EndsAt() time.Time { return time.Unix(0, g.endsAt.Load()) }
+func (g *Gateway) EndsAt() time.Time {
+	now := time.Now()
+	left, _ := g.timeLeft(now)
+	return now.Add(left)
+}
 
 // timeLeft returns how long a leaving process continues to run.
 func (g *Gateway) timeLeft(now time.Time) (time.Duration, bool) {
 	at := g.endsAt.Load()
-	return time.Unix(0, at).Sub(now), at != 0
+	if at == nil {
+		return 0, false
+	}
+	return at.Sub(g.pauses.counted(now)), true
 }
 
 // refuseIfStopping refuses, on a leaving host, a request that is not sure to end before the process does; another
