--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -142,6 +142,7 @@
 	lineage     *lineageState
 	checks      *registryChecks
 	reach       *reachState
+	pauses      pauseTable
 	// carried returns the number of connections that this host carries for others.
 	carried func() int
 	// untaken returns the number of answers that are written and that their callers have not taken.
@@ -151,8 +152,8 @@
 	rollouts     *rolloutState
 	grants       *grantState
 	leaving      atomic.Bool
-	endsAt       atomic.Int64    // deadline for the end of a leaving process, Unix nanoseconds
-	leaveContext context.Context // ends when the host begins to leave
+	endsAt       atomic.Pointer[time.Time] // when a leaving process ends, see pauseTable.counted; nil before SIGTERM
+	leaveContext context.Context           // ends when the host begins to leave
 	startLeaving context.CancelFunc
 	endContext   context.Context // ends when the time of the process is over
 	endCalls     context.CancelFunc
@@ -218,6 +219,7 @@
 	g.lineage = newLineageState(now)
 	g.checks = newRegistryChecks(g)
 	g.reach = newReachState()
+	g.pauses.measure(suspendedTime)
 	g.carried, g.untaken = func() int { return 0 }, func() int { return 0 }
 	g.quarantine = newQuarantineState()
 	g.rollouts = newRolloutState()
@@ -289,8 +291,10 @@
 		return
 	}
 	began := time.Now()
-	g.endsAt.Store(began.Add(g.opts.GracePeriod - leaveMargin).UnixNano())
-	g.log.Info().Str("event", "stop").Int("in_progress", g.calls.len()).Msg("removing the host from the address answers")
+	sent := g.pauses.earliestSending(began)
+	end := sent.Add(g.opts.GracePeriod - leaveMargin)
+	g.endsAt.Store(&end)
+	g.log.Info().Str("event", "stop").Int("in_progress", g.calls.len()).Int("carried", g.carried()).Dur("paused", g.pauses.counted(began).Sub(sent)).Msg("removing the host from the address answers")
 	g.startLeaving()
 	tick := time.NewTicker(leaveCheckInterval)
 	defer tick.Stop()
@@ -300,7 +304,7 @@
 			return
 		case now := <-tick.C:
 			if g.canExit(now, began) {
-				g.log.Info().Str("event", "stopped").Int("in_progress", g.calls.len()).
+				g.log.Info().Str("event", "stopped").Int("in_progress", g.calls.len()).Int("carried", g.carried()).
 					Dur("after", now.Sub(began)).Msg("")
 				return
 			}
@@ -320,8 +324,9 @@
 	addressTTLFactor = 3
 )
 
+// canExit reports whether a process that began to leave at a time may end now.
 func (g *Gateway) canExit(now, began time.Time) bool {
-	if now.Sub(began) >= g.opts.GracePeriod-leaveMargin {
+	if left, _ := g.timeLeft(now); left <= 0 {
 		g.calls.close()
 		g.logUnfinished(now)
 		g.endCalls()
