--- a/adapter/cloudhttp/cloudhttp.go
+++ b/adapter/cloudhttp/cloudhttp.go
@@ -34,7 +34,7 @@
 func (c *Cloud) call(ctx context.Context, method, path string, wait time.Duration, body, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, wait+callTimeout)
 	defer cancel()
-	status, err := jsonhttp.Call(ctx, c.client, method, c.base+path, body, out)
+	status, err := jsonhttp.Call(ctx, c.client, method, c.base+path, jsonhttp.MaxReportBytes, body, out)
 	switch {
 	case err != nil:
 		return errors.Wrap(port.ErrCloudUnavailable, err.Error())
--- a/adapter/enginehttp/enginehttp.go
+++ b/adapter/enginehttp/enginehttp.go
@@ -184,7 +184,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	ctx, trace := jsonhttp.TraceSend(ctx, nil)
-	status, err := jsonhttp.Call(ctx, c, method, "http://"+address+path, body, out)
+	status, err := jsonhttp.Call(ctx, c, method, "http://"+address+path, jsonhttp.MaxReportBytes, body, out)
 	if err != nil {
 		return status, sendError(err, trace)
 	}
--- a/adapter/jsonhttp/jsonhttp.go
+++ b/adapter/jsonhttp/jsonhttp.go
@@ -15,11 +15,21 @@
 	"github.com/pkg/errors"
 )
 
-// MaxReplyBytes is the maximum size of a reply.
-const MaxReplyBytes = 64 << 20
+// Bounds of the bodies of replies, in bytes. Each call states its own: whoever is called may send without end.
+const (
+	// MaxResultBytes bounds a reply that holds a result or the reason of a refusal, such as that to a command.
+	MaxResultBytes = 4 << 10
+	// MaxReportBytes bounds the report of one endpoint or host about itself.
+	MaxReportBytes = 1 << 20
+	// MaxReplyBytes bounds all others, such as pages of records.
+	MaxReplyBytes = 64 << 20
+)
 
-// ErrReplyTooLong means that a reply exceeds MaxReplyBytes.
-var ErrReplyTooLong = errors.Errorf("reply exceeds %d bytes", MaxReplyBytes)
+// maxHeadBytes bounds the head of a reply with the interim replies before it.
+const maxHeadBytes = 64 << 10
+
+// ErrReplyTooLong means that the body of a reply exceeds the bound of its call.
+var ErrReplyTooLong = errors.New("reply without end")
 
 // DialFunc opens a connection; net.Dialer.DialContext is one.
 type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
@@ -49,24 +59,26 @@
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: maxHeadBytes,
 	}
 }
 
 // Call sends body as JSON, or no body when it is nil, and decodes the reply into out
 // when the status is below 300. It returns the status. An error means that the call
-// failed or that the reply could not be decoded.
-func Call(ctx context.Context, c *http.Client, method, url string, body, out any) (int, error) {
+// failed, that the reply could not be decoded, or ErrReplyTooLong: that its body exceeds maxReply bytes.
+func Call(ctx context.Context, c *http.Client, method, url string, maxReply int, body, out any) (int, error) {
 	req, err := NewRequest(ctx, method, url, body)
 	if err != nil {
 		return 0, err
 	}
-	return Do(c, req, out)
+	return Do(c, req, maxReply, out)
 }
 
 // Do sends req and decodes the reply as Call does. A reply with status 410 is
 // decoded too.
-func Do(c *http.Client, req *http.Request, out any) (int, error) {
-	status, raw, err := roundTrip(c, req)
+func Do(c *http.Client, req *http.Request, maxReply int, out any) (int, error) {
+	status, raw, err := roundTrip(c, req, maxReply)
 	if err != nil {
 		return status, err
 	}
@@ -77,16 +89,16 @@
 	return status, errors.Wrap(json.Unmarshal(raw, out), "decode reply")
 }
 
-// roundTrip sends req and reads the reply. It returns ErrReplyTooLong for a longer one.
-func roundTrip(c *http.Client, req *http.Request) (int, []byte, error) {
+// roundTrip sends req and reads the reply. It returns ErrReplyTooLong for one whose body exceeds maxReply bytes.
+func roundTrip(c *http.Client, req *http.Request, maxReply int) (int, []byte, error) {
 	resp, err := c.Do(req)
 	if err != nil {
 		return 0, nil, errors.Wrap(err, "call")
 	}
 	defer resp.Body.Close()
-	raw, err := io.ReadAll(io.LimitReader(resp.Body, MaxReplyBytes+1))
-	if len(raw) > MaxReplyBytes {
-		return resp.StatusCode, nil, ErrReplyTooLong
+	raw, err := io.ReadAll(io.LimitReader(resp.Body, int64(maxReply)+1))
+	if len(raw) > maxReply {
+		return resp.StatusCode, nil, errors.Wrapf(ErrReplyTooLong, "more than %d bytes", maxReply)
 	}
 	return resp.StatusCode, raw, errors.Wrap(err, "read reply")
 }
@@ -123,8 +135,8 @@
 
 // DoAnyStatus sends req and decodes the reply into out whatever its status. A reply
 // that is not JSON leaves out unchanged.
-func DoAnyStatus(c *http.Client, req *http.Request, out any) (int, error) {
-	status, raw, err := roundTrip(c, req)
+func DoAnyStatus(c *http.Client, req *http.Request, maxReply int, out any) (int, error) {
+	status, raw, err := roundTrip(c, req, maxReply)
 	if err != nil {
 		return status, err
 	}
--- a/adapter/jsonhttp/pool_test.go
+++ b/adapter/jsonhttp/pool_test.go
@@ -37,7 +37,7 @@
 			now := time.Unix(1_800_000_000, 0)
 			p.now = func() time.Time { return now }
 			call := func() {
-				_, err := Call(t.Context(), p.Client(address), http.MethodGet, server.URL, nil, nil)
+				_, err := Call(t.Context(), p.Client(address), http.MethodGet, server.URL, MaxResultBytes, nil, nil)
 				is.NoErr(err)
 			}
 			call()
@@ -54,14 +54,14 @@
 	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
 	sent := 0
 	ctx, trace := TraceSend(t.Context(), func() { sent++ })
-	_, err := Call(ctx, http.DefaultClient, http.MethodGet, server.URL, nil, nil)
+	_, err := Call(ctx, http.DefaultClient, http.MethodGet, server.URL, MaxResultBytes, nil, nil)
 	is.NoErr(err)
 	is.True(trace.Connected())
 	is.Equal(sent, 1)
 	server.Close()
 	http.DefaultClient.CloseIdleConnections()
 	ctx, trace = TraceSend(t.Context(), func() { sent++ })
-	_, err = Call(ctx, http.DefaultClient, http.MethodGet, server.URL, nil, nil)
+	_, err = Call(ctx, http.DefaultClient, http.MethodGet, server.URL, MaxResultBytes, nil, nil)
 	is.True(err != nil)
 	is.True(!trace.Connected()) // no connection: nothing was sent
 	is.Equal(sent, 1)
--- a/adapter/loghttp/loghttp.go
+++ b/adapter/loghttp/loghttp.go
@@ -49,7 +49,7 @@
 	// The record may be in the log by then, and would be appended twice.
 	req.GetBody = nil
 	var reply AppendReply
-	status, err := jsonhttp.Do(l.client, req, &reply)
+	status, err := jsonhttp.Do(l.client, req, jsonhttp.MaxResultBytes, &reply)
 	switch {
 	case err != nil:
 		return 0, errors.Wrap(port.ErrLogUnavailable, err.Error())
@@ -70,7 +70,7 @@
 	q.Set("limit", strconv.Itoa(maxRecords))
 	q.Set("wait_ms", strconv.FormatInt(wait.Milliseconds(), 10))
 	var page port.Page
-	status, err := jsonhttp.Call(ctx, l.client, http.MethodGet, l.baseURL+"/records?"+q.Encode(), nil, &page)
+	status, err := jsonhttp.Call(ctx, l.client, http.MethodGet, l.baseURL+"/records?"+q.Encode(), jsonhttp.MaxReplyBytes, nil, &page)
 	switch {
 	case err != nil:
 		return page, errors.Wrap(port.ErrLogUnavailable, err.Error())
--- a/adapter/servicehttp/servicehttp.go
+++ b/adapter/servicehttp/servicehttp.go
@@ -138,7 +138,7 @@
 	ctx, cancel := context.WithTimeout(ctx, getTimeout)
 	defer cancel()
 	ctx, trace := jsonhttp.TraceSend(ctx, nil)
-	status, err := jsonhttp.Call(ctx, client, http.MethodGet, "http://"+address+path, nil, out)
+	status, err := jsonhttp.Call(ctx, client, http.MethodGet, "http://"+address+path, jsonhttp.MaxReportBytes, nil, out)
 	if err != nil {
 		return sendError(err, trace)
 	}
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -135,7 +135,7 @@
 func (t *tool) get(ctx context.Context, url string, out any) error {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	status, err := jsonhttp.Call(ctx, t.client, http.MethodGet, url, nil, out)
+	status, err := jsonhttp.Call(ctx, t.client, http.MethodGet, url, jsonhttp.MaxReplyBytes, nil, out)
 	if err == nil && status != http.StatusOK {
 		err = errors.Wrapf(ErrFailed, "%s answered with status %d", url, status)
 	}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -133,7 +133,7 @@
 	}, []string{"way", "software"})
 	m.endless = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "cicadanotch_gateway_endless_answers_total",
-		Help: "Answers of endpoints that were given up because they exceeded what an answer may have.",
+		Help: "Answers of endpoints and replies to commands that were given up because they exceeded what they may have.",
 	})
 	m.garbage = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "cicadanotch_gateway_garbage_answers_total",
--- a/gateway/moves.go
+++ b/gateway/moves.go
@@ -202,6 +202,9 @@
 	}
 	if _, err := copyTo(false); errors.Is(err, port.ErrNoSuchRun) {
 		return "ended"
+	} else if errors.Is(err, port.ErrEndless) {
+		c.recordEndlessReply(from)
+		return "not-copied"
 	} else if err != nil {
 		return "not-copied"
 	}
@@ -211,6 +214,9 @@
 	m := &streamMove{target: target.ID, source: from.Address}
 	c.setMove(m)
 	handle, err := copyTo(true)
+	if errors.Is(err, port.ErrEndless) {
+		c.recordEndlessReply(from)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -229,6 +235,12 @@
 	return "moved"
 }
 
+// recordEndlessReply records that an endpoint sent a reply to a command that was given up because it exceeded its bound.
+func (c *call) recordEndlessReply(from fleet.View) {
+	c.g.metrics.endless.Inc()
+	c.markSuspect(time.Now(), &endpointAttempt{view: from}, "endless")
+}
+
 func (c *call) setMove(m *streamMove) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/gateway/serve_test.go
+++ b/gateway/serve_test.go
@@ -246,6 +246,7 @@
 		"moved": {nil, nil, "h", "other", false, 0, 3 * time.Second},
 		"moved, target unreachable: not run on another endpoint": {nil, nil, "h", "other", true, 0, 3 * time.Second},
 		"no capacity: not moved":                                 {port.ErrMoveFailed, nil, "", "", false, 0, 3 * time.Second},
+		"a reply without end: not moved":                         {port.ErrEndless, nil, "", "", false, 0, 3 * time.Second},
 		"stopped, copy failed: returns to the source":            {nil, port.ErrMoveFailed, "h", "same", false, 0, 3 * time.Second},
 		"stopped, too late to return":                            {nil, port.ErrMoveFailed, "h", "", true, 800 * time.Millisecond, 2 * time.Second},
 	} {
@@ -308,6 +309,7 @@
 				if !tc.unreachable {
 					is.Equal(r.body.String(), strings.Join(events(1, 15), ""))
 				}
+				is.Equal(strings.Contains(tp.log(), `"why":"endless"`), errors.Is(tc.copyErr, port.ErrEndless))
 				sent := tp.endpoints.attempts("req")
 				switch tc.at {
 				case "":
--- a/port/forward.go
+++ b/port/forward.go
@@ -199,7 +199,7 @@
 	// connection is closed when ctx ends.
 	Forward(ctx context.Context, f *Forward) (*Reply, error)
 	// MoveStream copies a running request and returns the handle of the copy. It
-	// returns ErrNoSuchRun or ErrMoveFailed.
+	// returns ErrNoSuchRun, ErrMoveFailed, or ErrEndless for a reply that was given up.
 	MoveStream(ctx context.Context, address string, m StreamMove) (handle string, err error)
 	// Probe opens a connection to an endpoint and closes it. It returns ErrNotListening, or another error if
 	// it is not known whether a process listens.
--- a/publish/wait.go
+++ b/publish/wait.go
@@ -93,7 +93,7 @@
 	defer cancel()
 	var status Status
 	address := "http://" + h.OperatorAddress + "/v1/config/" + url.PathEscape(service)
-	code, err := jsonhttp.Call(ctx, client, http.MethodGet, address, nil, &status)
+	code, err := jsonhttp.Call(ctx, client, http.MethodGet, address, jsonhttp.MaxReportBytes, nil, &status)
 	if err == nil && code != http.StatusOK {
 		err = ErrNotFound
 	}
--- a/standin/enginehandler.go
+++ b/standin/enginehandler.go
@@ -154,7 +154,7 @@
 	var state kvState
 	client := &http.Client{Transport: jsonhttp.NewTransport(nil)}
 	defer client.CloseIdleConnections()
-	status, err := jsonhttp.Call(r.Context(), client, http.MethodGet, "http://"+req.Source+pathKVState+req.Handle, nil, &state)
+	status, err := jsonhttp.Call(r.Context(), client, http.MethodGet, "http://"+req.Source+pathKVState+req.Handle, jsonhttp.MaxReplyBytes, nil, &state)
 	if err != nil || status != http.StatusOK {
 		http.Error(w, fmt.Sprintf("fetch from source: status %d: %v", status, err), http.StatusNotFound)
 		return
