memory: an account of what a host holds of answers, by endpoint

What a host held of all unfinished events and buffered answers was bounded by one counter of 16 MiB for all. Whoever came last was cut, whoever's it was: an endpoint that kept 160 unfinished events of 200 KiB took the room, and none of five such events of a sound endpoint had any; their streams ended.

Package memory decides now what a host may hold, by kind and by owner. When room is short, the latest that can still be given up of the owner that holds most is given up for one that holds less: its attempt ends with port.ErrEndless, and its endpoint is suspect. A buffered answer begins to be forwarded instead, as before. An endpoint's error answer counts until the request ends; it did not before.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -104,8 +104,8 @@
 	settings.Gateway.Incarnation = record.NewID()[:8]
 	settings.MetricsAddress = net.JoinHostPort(settings.IP, metricsPort)
 	debug.SetGCPercent(gcPercent)
-	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryBytes)))
+	if settings.Gateway.MemoryLimit > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.Gateway.MemoryLimit)))
 	}
 	logWriter := eventlog.New(stdout)
 	defer logWriter.Close()
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -69,6 +69,8 @@
 	stopping    *stoppingView
 	room        room
 	cancel      context.CancelCauseFunc
+	// failureHeld is what is held of failure.
+	failureHeld heldAnswer
 
 	// retryReserved is set when the next retry has already been taken from the budget.
 	retryReserved atomic.Bool
--- a/gateway/endless_test.go
+++ b/gateway/endless_test.go
@@ -13,8 +13,10 @@
 	"time"
 
 	"github.com/matryer/is"
+	"github.com/phuslu/log"
 
 	"github.com/cicadanotch/cicadanotch/catalog"
+	"github.com/cicadanotch/cicadanotch/memory"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/problem"
 )
@@ -132,7 +134,7 @@
 	for kind, text := range map[catalog.Kind]string{catalog.KindIdempotent: "x", catalog.KindStreaming: "data"} {
 		t.Run(string(kind), func(t *testing.T) {
 			is := is.New(t)
-			g := &Gateway{metrics: newMetrics()}
+			g := &Gateway{metrics: newMetrics(), account: memory.NewAccount(0), log: &log.Logger{Writer: &log.IOWriter{Writer: io.Discard}}}
 			var before, during runtime.MemStats
 			runtime.GC()
 			runtime.ReadMemStats(&before)
@@ -146,7 +148,7 @@
 					c := &call{g: g, req: &port.Request{}, route: &catalog.Route{Kind: kind}, out: &countingResponder{}, usageCounted: true}
 					body := &endlessBody{text: text, stop: maxEventBytes / 2, stopped: func() { waiting(); <-release }}
 					reply := endlessReply(&port.Forward{Sending: func() error { return nil }}, body, kind == catalog.KindStreaming)
-					a := &endpointAttempt{}
+					a := &endpointAttempt{cancel: func(error) {}}
 					o, err := c.forwardReply(t.Context(), a, reply, &watchdog{})
 					if o != outcomeBroken || err == nil {
 						t.Errorf("got %s, %v, want a broken answer", o, err)
--- a/gateway/eventsbench_test.go
+++ b/gateway/eventsbench_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/cicadanotch/cicadanotch/catalog"
+	"github.com/cicadanotch/cicadanotch/memory"
 	"github.com/cicadanotch/cicadanotch/port"
 )
 
@@ -38,7 +39,7 @@
 				}
 				chunks = append(chunks, chunk.String())
 			}
-			g := &Gateway{metrics: newMetrics()}
+			g := &Gateway{metrics: newMetrics(), account: memory.NewAccount(0)}
 			b.ReportAllocs()
 			b.ResetTimer()
 			for n := 0; n < b.N; n += length {
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -24,6 +24,7 @@
 	"github.com/cicadanotch/cicadanotch/fleet"
 	"github.com/cicadanotch/cicadanotch/headroom"
 	"github.com/cicadanotch/cicadanotch/lease"
+	"github.com/cicadanotch/cicadanotch/memory"
 	"github.com/cicadanotch/cicadanotch/placement"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/presence"
@@ -82,6 +83,8 @@
 	// EndpointSpeed states for which services it is learnt what each endpoint takes well; empty for
 	// speed.ModeAuto.
 	EndpointSpeed speed.Mode
+	// MemoryLimit is the memory limit of the process in bytes; zero for none.
+	MemoryLimit int64
 }
 
 // Ports are the external systems.
@@ -130,7 +133,7 @@
 	answerTimes sync.Map // service name to *attempt.ResponseTimeEstimator
 	durations   durationTable
 	hostCount   atomic.Int64
-	heldBytes   atomic.Int64             // of answers that are not forwarded yet, see heldBytes
+	account     *memory.Account
 	limitHosts  atomic.Pointer[[]string] // hosts among which the limits of endpoints are divided
 	calls       callTable
 	relays      *relayState
@@ -204,10 +207,12 @@
 		demand:       scaling.NewMeter(),
 		speeds:       speed.NewTable(),
 		metrics:      newMetrics(),
+		account:      memory.NewAccount(opts.MemoryLimit),
 		startedAt:    now,
 		leaveContext: leaveContext, startLeaving: startLeaving, endContext: endContext, endCalls: endCalls, configured: make(chan struct{}), hostsRead: make(chan struct{}),
 	}
 	g.metrics.watchFeeds(g)
+	g.metrics.watchMemory(g)
 	g.metrics.registry.MustRegister(speedCollector{g})
 	g.hostCount.Store(assumedHosts)
 	g.calls.calls = map[*call]struct{}{}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -8,6 +8,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"github.com/cicadanotch/cicadanotch/memory"
 	"github.com/cicadanotch/cicadanotch/port"
 )
 
@@ -36,6 +37,7 @@
 	answerEndings *prometheus.CounterVec
 	continuations *prometheus.CounterVec
 	endless       prometheus.Counter
+	noMemory      *prometheus.CounterVec
 	garbage       prometheus.Counter
 	probes        *prometheus.CounterVec
 	deaths        prometheus.Counter
@@ -135,6 +137,10 @@
 		Name: "cicadanotch_gateway_endless_answers_total",
 		Help: "Answers of endpoints and replies to commands that were given up because they exceeded what they may have.",
 	})
+	m.noMemory = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_no_memory_total",
+		Help: "Bodies of requests that were refused, and answers that were given up, because there was no room for them, by kind (body, small-body, answer).",
+	}, []string{"kind"})
 	m.garbage = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "cicadanotch_gateway_garbage_answers_total",
 		Help: "Answers of endpoints that were given up because of bytes in them that are no answer.",
@@ -203,11 +209,25 @@
 		Name: "cicadanotch_gateway_header_faults_total",
 		Help: "Answers of endpoints with a header that could not be used as sent.",
 	})
-	m.registry.MustRegister(m.lostEnds, m.headerFaults, m.riskyRejections, m.tunnels, m.cutOff, m.reachRounds, m.limitShares, m.limitsGranted, m.refusedWithinLimit, m.overloads, m.rolloutChanges, m.rolloutAnswers, m.rolloutWithheld, m.rolloutWaits, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.garbage, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
+	m.registry.MustRegister(m.lostEnds, m.headerFaults, m.riskyRejections, m.tunnels, m.cutOff, m.reachRounds, m.limitShares, m.limitsGranted, m.refusedWithinLimit, m.overloads, m.rolloutChanges, m.rolloutAnswers, m.rolloutWithheld, m.rolloutWaits, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.noMemory, m.garbage, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
 		m.feedReads, m.version, m.hosts, m.fencingToken, m.leaderCalls, m.moves, collectors.NewGoCollector())
 	return m
 }
 
+// watchMemory registers what is held of each kind.
+func (m *metrics) watchMemory(g *Gateway) {
+	for _, k := range []memory.Kind{memory.KindBody, memory.KindSmallBody, memory.KindAnswer} {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name:        "cicadanotch_gateway_memory_held_bytes",
+			Help:        "Bytes held of bodies of requests and of answers that are not forwarded yet, by kind.",
+			ConstLabels: prometheus.Labels{"kind": k.String()},
+		}, func() float64 {
+			held, _ := g.account.Usage(k)
+			return float64(held)
+		}))
+	}
+}
+
 // watchFeeds registers the age of what the host knows of each topic.
 func (m *metrics) watchFeeds(g *Gateway) {
 	for _, topic := range []port.Topic{port.TopicConfiguration, port.TopicEndpoints, port.TopicHosts} {
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -44,6 +44,7 @@
 // disconnected. ctx ends when the caller closes the connection.
 func (g *Gateway) Serve(ctx context.Context, arrived time.Time, req *port.Request, out Responder) {
 	c := &call{g: g, req: req, out: out, arrived: arrived, wholeAt: time.Now()}
+	defer func() { c.failureHeld.release() }()
 	g.awaitConfiguration(ctx)
 	if p := c.plan(g.catalog.Current()); p != nil {
 		c.refuse(p)
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -20,8 +20,7 @@
 	maxEventBytes = 256 << 10
 	// maxUnstatedBytes bounds an answer whose length is not stated: endpoints in trouble send without end.
 	maxUnstatedBytes = 64 << 20
-	// maxHeldBytes bounds what is held of all answers and events that exceed a read buffer.
-	maxHeldBytes    = 16 << 20
+	// readBufferBytes is held of each answer beside what the account of memory counts.
 	readBufferBytes = 8 << 10
 )
 
@@ -43,20 +42,20 @@
 	if c.headSent {
 		return outcomeBroken, errors.Errorf("resumed stream: got status %d, want an event stream", reply.Status)
 	}
-	var held heldBytes
-	defer func() { held.release(c.g) }()
+	held := heldAnswer{c: c, a: a}
+	defer held.release()
 	body, complete, err := c.bufferReply(reply, &held)
 	if err != nil {
 		return outcomeBroken, err
 	}
 	if !complete {
 		wd.reset(0) // its beginning is forwarded, so no other endpoint can answer
-		return c.forwardLongReply(reply, body)
+		return c.forwardLongReply(reply, body, &held)
 	}
 	a.answered = true
 	c.countUsage()
 	if reply.Status >= http.StatusInternalServerError {
-		c.failure = &bufferedReply{reply.Status, reply.Header, body}
+		c.keepFailure(&bufferedReply{reply.Status, reply.Header, body}, &held)
 		return outcomeFailed, errors.Errorf("status %d", reply.Status)
 	}
 	c.writeReply(&bufferedReply{reply.Status, reply.Header, body})
@@ -71,7 +70,7 @@
 
 // bufferReply reads an answer. complete is false if it is too long to buffer, or too much is held of others; body
 // is then its beginning.
-func (c *call) bufferReply(reply *port.Reply, held *heldBytes) (body []byte, complete bool, err error) {
+func (c *call) bufferReply(reply *port.Reply, held *heldAnswer) (body []byte, complete bool, err error) {
 	buf := make([]byte, readBufferBytes)
 	for {
 		n, err := reply.Body.Read(buf)
@@ -81,14 +80,14 @@
 			return body, true, nil
 		case err != nil:
 			return nil, false, err
-		case len(body) > maxBufferedBytes || !held.grow(c.g, len(body)):
+		case len(body) > maxBufferedBytes || !held.grow(len(body)):
 			return body, false, nil
 		}
 	}
 }
 
 // forwardLongReply forwards an answer that is too long to buffer.
-func (c *call) forwardLongReply(reply *port.Reply, chunk []byte) (outcome, error) {
+func (c *call) forwardLongReply(reply *port.Reply, chunk []byte, held *heldAnswer) (outcome, error) {
 	c.countUsage()
 	if !c.claimAnswer() {
 		return outcomeProcessEnds, errProcessEnds
@@ -102,6 +101,7 @@
 		if err := c.out.Write(chunk); err != nil {
 			return outcomeCanceled, err
 		}
+		held.release()
 		if forwarded += len(chunk); reply.Length < 0 && forwarded > maxUnstatedBytes {
 			return outcomeBroken, errors.Wrapf(port.ErrEndless, "answer without a length exceeds %d bytes", maxUnstatedBytes)
 		}
@@ -119,27 +119,6 @@
 	}
 }
 
-// heldBytes is what is held of one answer, as far as it exceeds a read buffer. The sum over all answers of a host
-// is bounded by maxHeldBytes.
-type heldBytes struct{ counted int64 }
-
-// grow accounts for size bytes that are held. It reports false, and counts no more than before, if the host
-// holds too much.
-func (h *heldBytes) grow(g *Gateway, size int) bool {
-	more := int64(size-readBufferBytes) - h.counted
-	if more <= 0 {
-		return true
-	}
-	if g.heldBytes.Add(more) > maxHeldBytes {
-		g.heldBytes.Add(-more)
-		return false
-	}
-	h.counted += more
-	return true
-}
-
-func (h *heldBytes) release(g *Gateway) { g.heldBytes.Add(-h.counted) }
-
 // writeReply sends a complete answer to the caller.
 func (c *call) writeReply(b *bufferedReply) {
 	c.status, c.headSent = b.status, true
@@ -160,10 +139,10 @@
 func (c *call) forwardStream(a *endpointAttempt, reply *port.Reply, wd *watchdog) (outcome, error) {
 	var (
 		splitter = eventSplitter{continues: c.headSent}
-		held     heldBytes
+		held     = heldAnswer{c: c, a: a, revocable: true}
 		received int
 	)
-	defer func() { held.release(c.g) }()
+	defer held.release()
 	buf := make([]byte, readBufferBytes)
 	for {
 		n, err := reply.Body.Read(buf)
@@ -186,8 +165,10 @@
 			return outcomeBroken, errors.Wrapf(port.ErrEndless, "event of a stream exceeds %d bytes", maxEventBytes)
 		case reply.Length < 0 && received > maxUnstatedBytes:
 			return outcomeBroken, errors.Wrapf(port.ErrEndless, "stream without a length exceeds %d bytes", maxUnstatedBytes)
-		case !held.grow(c.g, len(rest)):
-			return outcomeBroken, errors.Errorf("more than %d bytes are held of unfinished events and answers", maxHeldBytes)
+		case held.revoked():
+			return outcomeBroken, errors.Wrapf(port.ErrEndless, "given up for others with %d bytes of an event", len(rest))
+		case !held.grow(len(rest)):
+			return outcomeBroken, errors.Errorf("no room for %d bytes of an event", len(rest))
 		case err == io.EOF:
 			return c.endStream(a, reply, &splitter)
 		case err != nil:
