--- a/soak/process.go
+++ b/soak/process.go
@@ -53,8 +53,8 @@
 }
 
 // startHost starts a host in an availability zone. n distinguishes the hosts of a run,
-// base the runs on one machine.
-func startHost(dir string, base, n int, zone, region string, regions map[string]string, store, cloud string, command func() *exec.Cmd) (*host, error) {
+// base the runs on one machine; change is applied to its settings.
+func startHost(dir string, base, n int, zone, region string, regions map[string]string, store, cloud string, command func() *exec.Cmd, change ...func(*platformtest.Host)) (*host, error) {
 	ip := fmt.Sprintf("127.%d.%d.%d", 64+base>>8&127, base&255, n+1)
 	at := func(port int) string { return net.JoinHostPort(ip, fmt.Sprint(port)) }
 	h := &host{command: command, dir: dir, ended: make(chan struct{})}
@@ -70,6 +70,9 @@
 		Front: at(frontPort), Ready: at(readyPort), Directory: at(directoryPort),
 		Store: h.store.address(), Cloud: h.cloud.address(), PeerPort: peerPort,
 	}
+	for _, c := range change {
+		c(&h.Host)
+	}
 	if err := os.WriteFile(h.settingsPath(), h.Settings(), 0o644); err != nil {
 		return nil, errors.Wrap(err, "write settings")
 	}
