daemon: a caller's head is held up to 64 KiB

Each connection of a caller could have a head of 1 MiB held, net/http's bound, for the 3 s that a head may take: some 280 of them exceed a limit of 284 MB. The limit of the users' configurations is 16 KB. A longer head is answered 431 as before.

TestHeadsWithoutEnd, from 1, 4 and 16 callers at a time, in one line and in many: all 6 rows failed before, 1,052,672 bytes were taken of each.

--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -34,6 +34,9 @@
 	// headerTimeout bounds the time to read the head of a request. It equals the 3 s
 	// in the configurations of the platform.
 	headerTimeout = 3 * time.Second
+	// maxHeadBytes bounds the head of a request. The limit of the users' configurations is 16 KB; each connection may
+	// hold as much.
+	maxHeadBytes = 64 << 10
 	// idleTimeout is longer than callers use idle connections, so that the host does
 	// not close one that is about to be used: callers stop using them before four
 	// fifths of the 15 s in the configurations.
@@ -220,7 +223,7 @@
 
 func (h *host) serve(l net.Listener, handler http.Handler) {
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout,
+		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeadBytes,
 		ErrorLog: stdlog.New(serverLog{h.logger}, "", 0), ConnState: h.connections.track, ConnContext: platform.ConnContext,
 	}
 	h.servers, h.listeners = append(h.servers, server), append(h.listeners, l)
