gateway: an endpoint that ends an attempt with a leaving process is not at fault

What callers and operators saw: endpoints that answered 504, or broke off, at the deadline that a stopping host had shortened to its own end counted as failing or suspect and against their version in a roll-out, and streams were sent once more with a deadline of 1 ms.

Cause: only the deadline of the request was taken for the end of its time, not the one that the endpoint had got.

An attempt without success that ends at a shortened deadline ends the request: its caller gets the endpoint's answer, 503 if it was not run, or 502.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -112,6 +112,7 @@
 	choice    placement.Choice
 	view      fleet.View
 	startedAt time.Time
+	deadline  time.Time // the endpoint's, see attemptDeadline
 	cancel    context.CancelCauseFunc
 	answered  bool
 	continued bool // its first events have been counted as a continuation
@@ -294,9 +295,10 @@
 }
 
 func (c *call) newForward(a *endpointAttempt, tracker *sendTracker) *port.Forward {
+	a.deadline = c.attemptDeadline(a.startedAt)
 	f := &port.Forward{
 		Request: c.req, Address: a.view.Address, Endpoint: a.view.ID,
-		Via: a.via.Address, Deadline: c.attemptDeadline(a.startedAt), Priority: c.priority(), Copy: a.kvCopy, FetchFrom: c.fetchFrom(&a.choice),
+		Via: a.via.Address, Deadline: a.deadline, Priority: c.priority(), Copy: a.kvCopy, FetchFrom: c.fetchFrom(&a.choice),
 		MaxConnections: c.g.connectionLimit(c.service.MaxConnections),
 		Sending:        tracker.begin,
 	}
@@ -347,6 +349,8 @@
 		return outcomeExpired, err
 	case errors.Is(cause, context.Canceled):
 		return outcomeCanceled, err
+	case c.endedWithProcess(now, a):
+		return outcomeProcessEnds, err
 	case errors.Is(err, port.ErrTooManyConnections):
 		c.unsent++
 		c.tried[a.view.ID] = true
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -21,6 +21,9 @@
 // answer still reaches the caller.
 const lastAnswerTime = 100 * time.Millisecond
 
+// deadlineUnit is what endpoints get deadlines in, rounded down.
+const deadlineUnit = time.Millisecond
+
 // durationTable holds how long the latest requests of each route took on this host.
 type durationTable struct {
 	mu     sync.Mutex
@@ -168,6 +171,12 @@
 	return c.deadline
 }
 
+// endedWithProcess reports whether an attempt that ends now without success may have ended because the deadline of its
+// endpoint was shortened to the end of a leaving process. It tells nothing about the endpoint then.
+func (c *call) endedWithProcess(now time.Time, a *endpointAttempt) bool {
+	return a.deadline.Before(c.deadline) && !now.Before(a.deadline.Add(-deadlineUnit))
+}
+
 // endWithProcess cancels the request, if its answer has not begun, when the time of the process is over.
 func (c *call) endWithProcess() {
 	c.mu.Lock()
--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -57,6 +57,9 @@
 	c.countUsage()
 	if reply.Status >= http.StatusInternalServerError {
 		c.failure = &bufferedReply{reply.Status, reply.Header, body}
+		if c.endedWithProcess(time.Now(), a) {
+			return outcomeProcessEnds, errors.Errorf("status %d", reply.Status)
+		}
 		return outcomeFailed, errors.Errorf("status %d", reply.Status)
 	}
 	c.writeReply(&bufferedReply{reply.Status, reply.Header, body})
