daemon: of too many lingering connections those without an answer give way first

Callers that had taken their answers and kept their connections open cost another caller the rest of its answer: of more than 512 lingering connections the oldest was closed. Now the oldest is closed whose caller is known to have taken the answer, and the oldest of all only where there is none.

--- a/daemon/linger.go
+++ b/daemon/linger.go
@@ -23,7 +23,8 @@
 	maxLingerBytes = 16 << 20
 	// lingerReadBytes is the size of one such read.
 	lingerReadBytes = 2 << 10
-	// maxLingering bounds the lingering connections of a process, which has 4,100 descriptors. The oldest give way.
+	// maxLingering bounds the lingering connections of a process, which has 4,100 descriptors. The oldest give way, those
+	// first whose callers have taken their answers.
 	maxLingering = 512
 )
 
@@ -192,6 +193,8 @@
 	*lingerConn
 	began   time.Time
 	element *list.Element
+	// taken is set while its caller is known to have taken all of the answer.
+	taken atomic.Bool
 	// ended is the reason for which others than its own goroutine have closed it; empty for none.
 	ended string
 }
@@ -200,13 +203,23 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.conns.Len() >= maxLingering {
-		l.end(l.conns.Front().Value.(*lingeringConn), lingerEndCount)
+		l.end(l.dispensable(), lingerEndCount)
 	}
 	conn := &lingeringConn{lingerConn: c, began: time.Now()}
 	conn.element = l.conns.PushBack(conn)
 	go l.linger(conn)
 }
 
+// dispensable returns the oldest connection whose caller has taken the answer, or else the oldest. The caller holds l.mu.
+func (l *lingering) dispensable() *lingeringConn {
+	for e := l.conns.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*lingeringConn); c.taken.Load() {
+			return c
+		}
+	}
+	return l.conns.Front().Value.(*lingeringConn)
+}
+
 // end closes a connection before its own goroutine does. The caller holds l.mu.
 func (l *lingering) end(c *lingeringConn, reason string) {
 	l.conns.Remove(c.element)
@@ -253,7 +266,9 @@
 	buf := make([]byte, lingerReadBytes)
 	for {
 		now := time.Now()
-		if _, left := c.queues(); left != untaken {
+		_, left := c.queues()
+		c.taken.Store(left == 0)
+		if left != untaken {
 			untaken, progress = left, now
 		}
 		if now.Sub(progress) >= lingerTimeout {
