gateway, drain: a stopping host tries again what it accepted by the estimate

What callers saw: requests that may be repeated, accepted in the first 2.9 s of a stop or before it, got 502 or 503 when an attempt failed later than 2.9 s, and those at a silent endpoint waited there until the end of the process (502 after 5.75 s), though a further attempt takes 0.1 s.

Cause: further attempts were measured by the rule for requests that arrive then. That rule keeps a host from accepting what it owes a whole answer; these requests were accepted by the estimate, and get an answer at the end of the process in any case.

Now the estimate counts for their further attempts, which are taken to need at least as long as the request has taken until then: a further attempt behind one of 7 s is still not made.

--- a/drain/acceptance.go
+++ b/drain/acceptance.go
@@ -138,3 +138,12 @@
 	}
 	return last
 }
+
+// LastAttempt returns until when a further attempt may begin of a request that was read completely at a time. What earlier
+// requests took counts until the end for those that were accepted by it, or before the stop.
+func (a Arrival) LastAttempt(readAt, began, processEnds time.Time) time.Time {
+	if a.Deadline.After(processEnds) && a.Known && a.Repeatable && !readAt.After(began.Add(historyPeriod)) {
+		return processEnds.Add(-a.Needs)
+	}
+	return a.LastAcceptance(began, processEnds)
+}
--- a/drain/acceptance_test.go
+++ b/drain/acceptance_test.go
@@ -149,3 +149,38 @@
 		})
 	}
 }
+
+// TestLastAttempt guards against further attempts that are not made though they would end in time, and against those of
+// requests that a stopping host has not accepted by what earlier ones took.
+func TestLastAttempt(t *testing.T) {
+	const (
+		ms    = time.Millisecond
+		ends  = 7750 * ms
+		never = time.Duration(-1)
+	)
+	began := time.Unix(1_000_000, 0)
+	for name, tc := range map[string]struct {
+		a Arrival
+		// readAt, deadline and last are since the stop began.
+		readAt, deadline, last time.Duration
+	}{
+		"read before the stop":              {Arrival{Needs: 100 * ms, Known: true, Repeatable: true}, -ms, 12 * time.Second, 7650 * ms},
+		"read early":                        {Arrival{Needs: 100 * ms, Known: true, Repeatable: true}, historyPeriod, 12 * time.Second, 7650 * ms},
+		"read late":                         {Arrival{Needs: 100 * ms, Known: true, Repeatable: true}, historyPeriod + ms, 12 * time.Second, historyPeriod},
+		"read early, it ends before":        {Arrival{Needs: 100 * ms, Known: true, Repeatable: true}, 0, 7 * time.Second, 7 * time.Second},
+		"read early, nothing is known":      {Arrival{Repeatable: true}, 0, 12 * time.Second, never},
+		"read early, may not be repeated":   {Arrival{Needs: 100 * ms, Known: true}, 0, 12 * time.Second, never},
+		"read early, it would end too late": {Arrival{Needs: 9 * time.Second, Known: true, Repeatable: true}, 0, 12 * time.Second, ends - 9*time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tc.a.Deadline = began.Add(tc.deadline)
+			last := tc.a.LastAttempt(began.Add(tc.readAt), began, began.Add(ends))
+			if tc.last == never {
+				is.True(last.IsZero())
+				return
+			}
+			is.Equal(last.Sub(began), tc.last)
+		})
+	}
+}
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -115,7 +115,11 @@
 // refuseIfStopping refuses, on a leaving host, a request that is not sure to end before the process does; another
 // host serves it at once. Callers that use a cached address answer keep arriving for some seconds.
 func (c *call) refuseIfStopping(now time.Time) *problem.Problem {
-	view := c.viewStopping(now)
+	return c.refuseAfter(now, c.viewStopping(now, drain.Arrival.LastAcceptance))
+}
+
+// refuseAfter refuses the request if a leaving host accepts it until an earlier time. view may be nil.
+func (c *call) refuseAfter(now time.Time, view *stoppingView) *problem.Problem {
 	if view == nil {
 		return nil
 	}
@@ -137,17 +141,25 @@
 	if c.headSent {
 		return nil
 	}
-	return c.refuseIfStopping(now)
+	return c.refuseAfter(now, c.viewStopping(now, c.latestAttempt))
 }
 
 // mayAttemptAgain reports whether refuseLateRetry would allow a further attempt of a request without an answer.
 func (c *call) mayAttemptAgain(now time.Time) bool {
-	view := c.viewStopping(now)
+	view := c.viewStopping(now, c.latestAttempt)
 	return view == nil || !now.After(view.last)
 }
 
-// viewStopping returns what a leaving host knows of the time that the request has; nil if the host is not leaving.
-func (c *call) viewStopping(now time.Time) *stoppingView {
+// latestAttempt returns until when a further attempt may begin. It is taken to need at least as long as the request has
+// taken until now.
+func (c *call) latestAttempt(a drain.Arrival, began, processEnds time.Time) time.Time {
+	a.Needs = max(a.Needs, time.Since(c.wholeAt))
+	return a.LastAttempt(c.wholeAt, began, processEnds)
+}
+
+// viewStopping returns what a leaving host knows of the time that the request has, and by last until when it goes on; nil
+// if the host is not leaving.
+func (c *call) viewStopping(now time.Time, last func(a drain.Arrival, began, processEnds time.Time) time.Time) *stoppingView {
 	left, leaving := c.g.timeLeft(now)
 	if !leaving {
 		return nil
@@ -157,7 +169,7 @@
 	a.Needs, a.Known, samples = c.g.durations.estimate(now, c.route.Name, c.statedEvents(), c.agesInProgress(now))
 	ends := now.Add(left)
 	return &stoppingView{
-		at: now, last: a.LastAcceptance(ends.Add(leaveMargin-c.g.opts.GracePeriod), ends), left: left, needs: a.Needs, known: a.Known, samples: samples,
+		at: now, last: last(a, ends.Add(leaveMargin-c.g.opts.GracePeriod), ends), left: left, needs: a.Needs, known: a.Known, samples: samples,
 	}
 }
 
@@ -223,7 +235,7 @@
 		now := time.Now()
 		c := &call{g: g, req: req, arrived: arrived}
 		if c.plan(g.catalog.Current()) == nil {
-			if view := c.viewStopping(now); view != nil && view.last.After(now) {
+			if view := c.viewStopping(now, drain.Arrival.LastAcceptance); view != nil && view.last.After(now) {
 				now = view.last
 			}
 			set(now)
