daemon: answers that are taken are not asked for again

A leaving process asks the kernel for both queues of each of up to 512 lingering connections, 20 to 100 times a second. Those whose callers have taken everything are left out now.

--- a/daemon/linger.go
+++ b/daemon/linger.go
@@ -311,7 +311,11 @@
 	defer l.mu.Unlock()
 	n := 0
 	for e := l.conns.Front(); e != nil; e = e.Next() {
-		if _, left := e.Value.(*lingeringConn).queues(); left != 0 {
+		c := e.Value.(*lingeringConn)
+		if c.taken.Load() {
+			continue // nothing is sent any longer
+		}
+		if _, left := c.queues(); left != 0 {
 			n++
 		}
 	}
