gateway: a stopping host passes nothing on when its time is over

A request that got its connection to an endpoint in the last 0.1 s of the process was passed on, with a deadline of 1 ms or behind the end of the process: it might run, and its caller could not be told. It is not sent now, and its caller gets 503. Failures of these moments tell nothing about endpoints either. TestNothingIsSentAtTheEnd failed ("200 != 503") in the row of the last moments.

--- a/gateway/sending.go
+++ b/gateway/sending.go
@@ -25,6 +25,8 @@
 	switch {
 	case !now.Before(s.c.deadline):
 		return errors.New("the deadline has passed")
+	case !now.Before(s.c.attemptDeadline(now)):
+		return errors.New("the process ends before an answer can come")
 	case !s.moved && s.c.g.fleet.Paused(now, s.view.ID):
 		return errors.New("the endpoint has asked for time")
 	case !s.moved && s.c.evaluate(now).Verdict == quarantine.VerdictQuarantine:
--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -183,10 +183,14 @@
 	return c.deadline
 }
 
-// endedWithProcess reports whether an attempt that ends now without success may have ended because the deadline of its
-// endpoint was shortened to the end of a leaving process. It tells nothing about the endpoint then.
+// endedWithProcess reports whether an attempt that ends now without success may have ended because a leaving process has
+// no time left, or had shortened the deadline of its endpoint to that. It tells nothing about the endpoint then.
 func (c *call) endedWithProcess(now time.Time, a *endpointAttempt) bool {
-	return a.deadline.Before(c.deadline) && !now.Before(a.deadline.Add(-deadlineUnit))
+	ends := c.attemptDeadline(now)
+	if a.deadline.Before(ends) {
+		ends = a.deadline
+	}
+	return ends.Before(c.deadline) && !now.Before(ends.Add(-deadlineUnit))
 }
 
 // endWithProcess cancels the request, if its answer has not begun, when the time of the process is over.
--- a/gateway/stoppingretry_test.go
+++ b/gateway/stoppingretry_test.go
@@ -100,3 +100,52 @@
 		})
 	}
 }
+
+// TestNothingIsSentAtTheEnd guards against a request that is passed on when the process has no time left for its answer: it
+// may run, and its caller can't be told.
+func TestNothingIsSentAtTheEnd(t *testing.T) {
+	t.Parallel()
+	for name, tc := range map[string]struct {
+		left   time.Duration // of the process, when there is a connection to the endpoint
+		status int
+		sent   bool
+	}{
+		"in time":             {lastAnswerTime + 50*time.Millisecond, http.StatusOK, true},
+		"in the last moments": {lastAnswerTime / 2, http.StatusServiceUnavailable, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				tp := newTestPlatform()
+				tp.publish(endpoint("1", "api"))
+				slow := configuration(2)
+				for i := range slow.Routes {
+					slow.Routes[i].Timeout = 15 * time.Second
+				}
+				tp.store.put(port.TopicConfiguration, configurationKey, slow)
+				opts := testOptions("h1")
+				signal, sent := time.Now().Add(settleTime+time.Second), false
+				tp.endpoints.respond = func(_ context.Context, f *port.Forward, _ int) (*port.Reply, error) {
+					time.Sleep(time.Until(signal.Add(opts.GracePeriod - leaveMargin - tc.left)))
+					if f.Sending() != nil {
+						return nil, port.ErrNotSent
+					}
+					sent = true
+					return completeReply(f, http.StatusOK, "done"), nil
+				}
+				g := tp.startHost(t, opts)
+				go func() {
+					time.Sleep(time.Until(signal))
+					g.Leave(t.Context())
+				}()
+				time.Sleep(settleTime)
+				r := &recorder{}
+				g.Serve(t.Context(), time.Now(), &port.Request{ID: "last", Method: "POST", Host: "x", Path: "/order/1", Key: "key", CallerTimeout: 12 * time.Second}, r)
+				is.Equal(r.status, tc.status)
+				is.Equal(sent, tc.sent)
+				view, _ := g.fleet.Get("1")
+				is.True(!time.Now().Before(view.SuspectUntil)) // it is no suspect
+			})
+		})
+	}
+}
