--- a/gateway/stream.go
+++ b/gateway/stream.go
@@ -56,6 +56,9 @@
 	c.countUsage()
 	if reply.Status >= http.StatusInternalServerError {
 		c.keepFailure(&bufferedReply{reply.Status, reply.Header, body}, &held)
+		if c.endedWithProcess(time.Now(), a) {
+			return outcomeProcessEnds, errors.Errorf("status %d", reply.Status)
+		}
 		return outcomeFailed, errors.Errorf("status %d", reply.Status)
 	}
 	c.writeReply(&bufferedReply{reply.Status, reply.Header, body})
