adapter/callerhttp: an aborted answer to an HTTP/1.0 caller is reset

Callers of HTTP/1.0 took a truncated answer for a complete one: the end of the connection is the end of the answer there, and an answer that could not continue at its host ended its connection in order.

TestAbortedAnswerIsNotComplete failed before in both rows of HTTP/1.0 with "not true: err != nil"; the rows of HTTP/1.1 passed. The connection of such an answer is reset now when it is aborted.

--- a/adapter/callerhttp/callerhttp.go
+++ b/adapter/callerhttp/callerhttp.go
@@ -228,10 +228,31 @@
 		writeComplete(ctx, w, a)
 	}
 	if interrupted() {
-		panic(http.ErrAbortHandler) // a truncated answer must not look complete to the caller
+		abort(w, r.Request)
 	}
 }
 
+// abort ends a truncated answer so that it does not look complete to the caller. It does not return. To callers of HTTP/1.0
+// the end of the connection is the end of a complete answer, so theirs is reset.
+func abort(w http.ResponseWriter, r *http.Request) {
+	if !r.ProtoAtLeast(1, 1) {
+		reset(w)
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset closes the connection so that the caller sees an error. If that is not possible, abort's panic closes it.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
+		_ = c.SetLinger(0) // without it the connection is closed in order
+	}
+	_ = conn.Close() // the answer is aborted whether or not this succeeds
+}
+
 // modelBody is a model of the OpenAI API.
 type modelBody struct {
 	ID      string `json:"id"`
