gateway: an endpoint may keep some of a shortened deadline for its answer

An endpoint that answered 504 some milliseconds before the deadline that a stopping host had shortened, to have time for the answer, still counted as failing, and so did its software version in a roll-out. Since only the last millisecond is excused.

TestFailureAtTheEndOfAStop failed in one of its eight rows, a call answered 20 ms before that deadline ("true != false": a failure was counted). Four other rows hold that failures long before it, or at the caller's own deadline, still count.

The last 50 ms are excused.

--- a/gateway/stopping.go
+++ b/gateway/stopping.go
@@ -21,8 +21,8 @@
 // answer still reaches the caller.
 const lastAnswerTime = 100 * time.Millisecond
 
-// deadlineUnit is what endpoints get deadlines in, rounded down.
-const deadlineUnit = time.Millisecond
+// endpointAnswerTime is the time before its deadline that an endpoint may keep for its answer.
+const endpointAnswerTime = 50 * time.Millisecond
 
 // durationTable holds how long the latest requests of each route took on this host.
 type durationTable struct {
@@ -197,7 +197,7 @@
 	if a.deadline.Before(ends) {
 		ends = a.deadline
 	}
-	return ends.Before(c.deadline) && !now.Before(ends.Add(-deadlineUnit))
+	return ends.Before(c.deadline) && !now.Before(ends.Add(-endpointAnswerTime))
 }
 
 // endWithProcess cancels the request, if its answer has not begun, when the time of the process is over.
