daemon: a connection that was lost names its last request

The line `connection` named the caller's address only, so that an answer that was not taken had to be found by time.

--- a/daemon/linger.go
+++ b/daemon/linger.go
@@ -39,8 +39,8 @@
 // lingerReport tells how a connection was closed that its caller did not close.
 type lingerReport struct {
 	reason string
-	// from is the caller's address.
-	from string
+	// from is the caller's address, request the id of its last request; empty if none is known.
+	from, request string
 	// unread and untaken are in bytes: those received that nobody has read, and those of answers that the caller's kernel
 	// has not confirmed; -1 if unknown. discarded are the bytes read since the end.
 	unread, untaken int
@@ -54,7 +54,7 @@
 	if logger == nil {
 		return
 	}
-	logger.Warn().Str("event", "connection").Str("why", r.reason).Str("from", r.from).Int("unread", r.unread).
+	logger.Warn().Str("event", "connection").Str("why", r.reason).Str("from", r.from).Str("request", r.request).Int("unread", r.unread).
 		Int("untaken", r.untaken).Int64("discarded", r.discarded).Dur("after", r.after).Msg("")
 }
 
@@ -89,6 +89,8 @@
 	lingering *lingering
 	// idle is set while the server awaits a request, and no byte of one has come.
 	idle atomic.Bool
+	// request is the id of the last request; nil if none is known.
+	request atomic.Pointer[string]
 	// reading is held during each read, so that the server's last read ends before those of linger.
 	reading sync.Mutex
 
@@ -122,6 +124,16 @@
 	return c.halfCloser.SetLinger(seconds)
 }
 
+// SetRequest sets the id of the last request on the connection.
+func (c *lingerConn) SetRequest(id string) { c.request.Store(&id) }
+
+func (c *lingerConn) lastRequest() string {
+	if id := c.request.Load(); id != nil {
+		return *id
+	}
+	return ""
+}
+
 // SetDeadline implements net.Conn.
 func (c *lingerConn) SetDeadline(t time.Time) error { return c.set(c.halfCloser.SetDeadline, t) }
 
@@ -231,7 +243,7 @@
 func (l *lingering) close(c *lingeringConn, reason string, discarded int64) {
 	if reason != "" && l.report != nil {
 		unread, untaken := c.queues()
-		l.report(lingerReport{reason, c.RemoteAddr().String(), unread, untaken, discarded, time.Since(c.began)})
+		l.report(lingerReport{reason, c.RemoteAddr().String(), c.lastRequest(), unread, untaken, discarded, time.Since(c.began)})
 	}
 	_ = c.halfCloser.Close() // it may have failed before
 }
