--- a/soak/soak.go
+++ b/soak/soak.go
@@ -69,8 +69,9 @@
 	applyTimeout = 3 * time.Second
 	// gracePeriod is the time between SIGTERM and SIGKILL.
 	gracePeriod = 8 * time.Second
-	// lossSlack is how long a request may have been on its way to a process that closes its connection unread.
-	lossSlack = 250 * time.Millisecond
+	// lossSlack is how long a request may have been on its way to a process that closes its connection unread, as the
+	// platform states it.
+	lossSlack = 200 * time.Millisecond
 	// lateSending is how long after SIGTERM requests are sent that are not excused if an endpoint is still at work on
 	// them in the last sixth of the grace period.
 	lateSending = 3 * time.Second
