--- a/soak/memory_linux_test.go
+++ b/soak/memory_linux_test.go
@@ -25,14 +25,14 @@
 var memoryProgram = flag.String("program", "", "program of the hosts whose memory is measured; built if empty")
 
 // peakMemory returns the largest resident size of a process so far in bytes; zero if it has ended.
-func peakMemory(pid int) int64 {
-	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
-	if err != nil {
-		return 0
-	}
+func peakMemory(pid int) int64 { return statusBytes(pid, "VmHWM") }
+
+// statusBytes returns a size of a process in bytes; zero if it has ended.
+func statusBytes(pid int, name string) int64 {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid)) // fails if the process has ended
 	for line := range strings.Lines(string(text)) {
 		var kilobytes int64
-		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); n == 1 {
+		if n, _ := fmt.Sscanf(line, name+": %d kB", &kilobytes); n == 1 {
 			return kilobytes << 10
 		}
 	}
