--- a/arch/arch_test.go
+++ b/arch/arch_test.go
@@ -20,7 +20,7 @@
 
 // domain lists the packages that make the decisions.
 var domain = []string{
-	"address", "admit", "answer", "attempt", "capacity", "catalog", "claim", "config", "drain", "fleet", "fold", "grant", "headroom", "hostlist", "lease", "lineage", "member", "memory", "overload", "placement", "prefix", "presence", "problem", "quarantine", "quota", "reach", "record", "request", "rollout", "route", "scaling", "speed", "usage",
+	"address", "admit", "answer", "attempt", "capacity", "catalog", "claim", "config", "drain", "fleet", "fold", "grant", "headroom", "hostlist", "intake", "lease", "lineage", "member", "memory", "overload", "placement", "prefix", "presence", "problem", "quarantine", "quota", "reach", "record", "request", "rollout", "route", "scaling", "speed", "usage",
 }
 
 // forbiddenImports lists the imports that domain packages must not have. A path that ends in a
