body: reading of bodies is a package of its own

Cause: the front on the users' platform waits for room for a body before it reads it; the other front has nothing of the kind, and could not use it.

Change: the reader and its room move from packages platform and gateway to package body, for fronts of all kinds.

Tests are those of before, with the new names.

--- a/gateway/bodies_test.go
+++ b/gateway/bodies_test.go
@@ -10,6 +10,7 @@
 
 	"github.com/matryer/is"
 
+	"github.com/cicadanotch/cicadanotch/body"
 	"github.com/cicadanotch/cicadanotch/memory"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/problem"
@@ -26,14 +27,14 @@
 		tp.publish(endpoint("1", "api"))
 		g := tp.startHost(t, testOptions("h1"))
 		time.Sleep(settleTime)
-		open := func(remote string, revoke func()) *Body {
+		open := func(remote string, revoke func()) *body.Room {
 			return g.OpenBody(time.Now(), &port.Request{ID: "r", Host: "x", Path: "/order/1", Key: "unknown"}, remote, revoke)
 		}
 		var refused []*problem.Problem
 		var waited time.Duration
 		revoked := 0
 		for range 105 {
-			var b *Body
+			var b *body.Room
 			b = open("10.0.0.1:99", func() { revoked++; go b.Release() })
 			began := time.Now()
 			if p := b.Reserve(t.Context(), longest); p != nil {
@@ -44,7 +45,7 @@
 		held, limit := g.account.Usage(memory.KindBody)
 		is.True(held > limit/2 && held <= limit)
 		is.True(len(refused) > 0)
-		is.True(waited <= maxBodyWait)
+		is.True(waited <= body.MaxWait)
 		for _, p := range refused {
 			is.Equal(p.Status, http.StatusServiceUnavailable)
 			is.Equal(p.Run, problem.RunNot)
