daemon: connections of callers are bounded from accept on

Seen: beside a crowd a host on the users' platform is over its memory limit, and its process ends, or it has no descriptor left and answers nobody. 300 heads of many short fields held 301 MB of 142, at each of the four listeners.

Cause: only bodies were in an account. Connections, heads, what a parsed head becomes and the buffers of the kernel had a bound each, or none, and none for all of them; max_fds was not read. The limits of the configuration for heads and idle connections were not in force: constants stood in their place.

Change: each accepted connection is in the table of package intake, at the front, the directory, the readiness address and the metrics together. What is read of a head counts as it comes; a connection without room is closed unread, and its request is dropped before it runs. The kernel's receive buffers have a fixed size. max_header_bytes, header_timeout_ms and idle_timeout_ms are in force. A caller that goes on to send after its head was refused has 64 KiB read, and is then held up for 10 s instead of 16 MiB being read; it gives way first. Metrics and one log line a second say what holds how much and who gave way.

--- a/daemon/connections.go
+++ b/daemon/connections.go
@@ -27,7 +27,7 @@
 func (c *connections) track(conn net.Conn, state http.ConnState) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	setIdle(conn, state)
+	setState(conn, state)
 	if state == http.StateClosed || state == http.StateHijacked {
 		delete(c.states, conn)
 		c.signalEnd()
--- a/daemon/linger.go
+++ b/daemon/linger.go
@@ -3,13 +3,14 @@
 import (
 	"container/list"
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
 
 	"github.com/phuslu/log"
+
+	"github.com/cicadanotch/cicadanotch/intake"
 )
 
 const (
@@ -21,6 +22,9 @@
 	// maxLingerBytes bounds what is read from a lingering connection. It is above the bodies that a configuration
 	// allows: a caller may read its answer only when it has sent them.
 	maxLingerBytes = 16 << 20
+	// maxUnhandledBytes bounds it where the last head or body was refused before it was read. A caller within the limits
+	// sends no more of a head.
+	maxUnhandledBytes = 64 << 10
 	// lingerReadBytes is the size of one such read.
 	lingerReadBytes = 2 << 10
 	// maxLingering bounds the lingering connections of a process, which has 4,100 descriptors. The oldest give way, those
@@ -66,7 +70,7 @@
 	SyscallConn() (syscall.RawConn, error)
 }
 
-// lingerListener accepts connections that linger when they are closed.
+// lingerListener accepts connections that linger when they are closed, as far as there is room for them.
 type lingerListener struct {
 	net.Listener
 	lingering *lingering
@@ -74,11 +78,18 @@
 
 // Accept implements net.Listener.
 func (l lingerListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if c, ok := conn.(halfCloser); ok && err == nil {
-		return &lingerConn{halfCloser: c, lingering: l.lingering}, nil
+	for {
+		conn, err := l.Listener.Accept()
+		c, ok := conn.(halfCloser)
+		if !ok || err != nil {
+			return conn, err
+		}
+		linger := &lingerConn{halfCloser: c, lingering: l.lingering}
+		if l.lingering.intake.admit(linger) {
+			return linger, nil
+		}
+		_ = conn.Close() // nothing was read: its caller may try elsewhere
 	}
-	return conn, err
 }
 
 // lingerConn is a connection whose Close ends the answer, and then reads and drops what the caller goes on to send until
@@ -87,8 +98,20 @@
 type lingerConn struct {
 	halfCloser
 	lingering *lingering
-	// idle is set while the server awaits a request, and no byte of one has come.
-	idle atomic.Bool
+	// entry is nil if connections are not bounded.
+	entry *intake.Conn
+	// unhandled is set where the connection would end in a head, or in a body that was refused before it was read.
+	unhandled atomic.Bool
+	// abandoned is set when the connection has given way to others.
+	abandoned atomic.Bool
+	// idle is set while the server awaits a request, and no byte of one has come. awaits is set until its head is complete,
+	// betweenRequests while the server awaits a further one.
+	idle, awaits, betweenRequests atomic.Bool
+	// headBytes and headLines are what was read of the present head, lastBytes and lastLines what the last read brought. Only
+	// the server's goroutine uses them.
+	headBytes, headLines, lastBytes, lastLines int
+	// headCounted is set if the present head is in the account.
+	headCounted bool
 	// request is the id of the last request; nil if none is known.
 	request atomic.Pointer[string]
 	// reading is held during each read, so that the server's last read ends before those of linger.
@@ -109,6 +132,11 @@
 	n, err := c.halfCloser.Read(p)
 	if n > 0 {
 		c.idle.Store(false)
+		c.betweenRequests.Store(false)
+		c.noteRead(p[:n])
+		if c.awaits.Load() && !c.readHead() {
+			return 0, c.closedError("read")
+		}
 	}
 	if err != nil && c.isClosed() {
 		err = c.closedError("read")
@@ -139,7 +167,7 @@
 
 // SetReadDeadline implements net.Conn.
 func (c *lingerConn) SetReadDeadline(t time.Time) error {
-	return c.set(c.halfCloser.SetReadDeadline, t)
+	return c.set(c.halfCloser.SetReadDeadline, c.headDeadline(t))
 }
 
 // SetWriteDeadline implements net.Conn.
@@ -159,7 +187,7 @@
 func (c *lingerConn) isClosed() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.closed
+	return c.closed || c.abandoned.Load()
 }
 
 func (c *lingerConn) closedError(op string) error {
@@ -175,17 +203,27 @@
 		return c.closedError("close")
 	}
 	c.closed = true
-	if c.reset || c.idle.Load() && c.nothingOutstanding() {
-		return c.halfCloser.Close()
+	if c.reset || c.abandoned.Load() || c.idle.Load() && c.nothingOutstanding() {
+		return c.closeAtOnce()
 	}
 	_ = c.halfCloser.SetDeadline(time.Unix(1, 0)) // ends reads and writes in progress; fails if the connection has failed
 	if c.CloseWrite() != nil {
-		return c.halfCloser.Close() // the caller has reset it
+		return c.closeAtOnce() // the caller has reset it
+	}
+	if c.entry != nil && !c.entry.End(time.Now()) {
+		return c.closeAtOnce() // there is no room for what the caller goes on to send
 	}
 	c.lingering.add(c)
 	return nil
 }
 
+func (c *lingerConn) closeAtOnce() error {
+	if c.entry != nil {
+		c.entry.Close()
+	}
+	return c.halfCloser.Close()
+}
+
 // nothingOutstanding reports whether the caller has taken all that was sent, and nothing is unread.
 func (c *lingerConn) nothingOutstanding() bool {
 	unread, untaken := socketQueues(c.halfCloser)
@@ -198,6 +236,8 @@
 	conns list.List // of *lingeringConn, the oldest first
 	// report is called for each connection that its caller did not close; nil for none.
 	report func(lingerReport)
+	// intake bounds the connections from their begin on; nil for no bounds.
+	intake *callerIntake
 }
 
 // lingeringConn is a connection in lingering.
@@ -207,8 +247,9 @@
 	element *list.Element
 	// taken is set while its caller is known to have taken all of the answer.
 	taken atomic.Bool
-	// ended is the reason for which others than its own goroutine have closed it; empty for none.
+	// ended is the reason for which others than its own goroutine have closed it, empty for none; done is closed then.
 	ended string
+	done  chan struct{}
 }
 
 func (l *lingering) add(c *lingerConn) {
@@ -217,7 +258,7 @@
 	if l.conns.Len() >= maxLingering {
 		l.end(l.dispensable(), lingerEndCount)
 	}
-	conn := &lingeringConn{lingerConn: c, began: time.Now()}
+	conn := &lingeringConn{lingerConn: c, began: time.Now(), done: make(chan struct{})}
 	conn.element = l.conns.PushBack(conn)
 	go l.linger(conn)
 }
@@ -236,6 +277,7 @@
 func (l *lingering) end(c *lingeringConn, reason string) {
 	l.conns.Remove(c.element)
 	c.ended = reason
+	close(c.done)
 	l.close(c, reason, 0)
 }
 
@@ -245,7 +287,20 @@
 		unread, untaken := c.queues()
 		l.report(lingerReport{reason, c.RemoteAddr().String(), c.lastRequest(), unread, untaken, discarded, time.Since(c.began)})
 	}
-	_ = c.halfCloser.Close() // it may have failed before
+	_ = c.closeAtOnce() // it may have failed before
+}
+
+// give closes a connection that gives way to others. It reports false if it does not linger yet.
+func (l *lingering) give(conn *lingerConn) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for e := l.conns.Front(); e != nil; e = e.Next() {
+		if c := e.Value.(*lingeringConn); c.lingerConn == conn {
+			l.end(c, lingerEndCount)
+			return true
+		}
+	}
+	return false
 }
 
 // linger drops what the caller sends until it closes the connection or a bound is reached.
@@ -262,6 +317,12 @@
 	l.close(c, reason, discarded)
 }
 
+func (c *lingeringConn) setTaken(taken bool) {
+	if c.taken.Swap(taken) != taken && taken {
+		c.enter(intake.PhaseTaken)
+	}
+}
+
 // queues returns what socketQueues does, without the end of the sent bytes.
 func (c *lingeringConn) queues() (unread, untaken int) {
 	unread, untaken = socketQueues(c.halfCloser)
@@ -274,19 +335,26 @@
 // discard reads until the caller closes the connection, and returns no reason, or until a bound is reached.
 func (c *lingeringConn) discard() (reason string, discarded int64) {
 	_, untaken := c.queues()
-	progress := time.Now()
+	progress, limit := time.Now(), int64(maxLingerBytes)
+	if c.unhandled.Load() {
+		limit = maxUnhandledBytes
+	}
 	buf := make([]byte, lingerReadBytes)
 	for {
 		now := time.Now()
 		_, left := c.queues()
-		c.taken.Store(left == 0)
+		c.setTaken(left == 0)
 		if left != untaken {
 			untaken, progress = left, now
 		}
 		if now.Sub(progress) >= lingerTimeout {
 			return lingerEndTimeout, discarded
 		}
-		if discarded >= maxLingerBytes {
+		if discarded >= limit {
+			if c.unhandled.Load() {
+				c.hold(progress.Add(lingerTimeout))
+				return lingerEndTimeout, discarded
+			}
 			if untaken <= 0 {
 				return lingerEndBytes, discarded
 			}
@@ -309,13 +377,24 @@
 			if err != nil {
 				return "", discarded // by the caller, or by end
 			}
-			if discarded >= maxLingerBytes || time.Now().After(until) {
+			if discarded >= limit || time.Now().After(until) {
 				break
 			}
 		}
 	}
 }
 
+// hold keeps the connection until a time, with what its caller sends unread: one that sends without end is held up at its side
+// and does not connect again at once.
+func (c *lingeringConn) hold(until time.Time) {
+	timer := time.NewTimer(time.Until(until))
+	defer timer.Stop()
+	select {
+	case <-c.done:
+	case <-timer.C:
+	}
+}
+
 // untaken returns the number of lingering connections whose callers have not taken their answers. Those of which the
 // kernel does not tell it count until their callers close them.
 func (l *lingering) untaken() int {
@@ -353,13 +432,7 @@
 		}
 		l.conns.Remove(e)
 		c.ended = lingerEndProcess
+		close(c.done)
 		l.close(c, reason, 0)
 	}
 }
-
-// setIdle records whether the server awaits a request on a connection.
-func setIdle(conn net.Conn, state http.ConnState) {
-	if c, ok := conn.(*lingerConn); ok {
-		c.idle.Store(state == http.StateIdle || state == http.StateNew)
-	}
-}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -22,6 +22,7 @@
 	"github.com/cicadanotch/cicadanotch/adapter/tunnel"
 	"github.com/cicadanotch/cicadanotch/eventlog"
 	"github.com/cicadanotch/cicadanotch/gateway"
+	"github.com/cicadanotch/cicadanotch/intake"
 	"github.com/cicadanotch/cicadanotch/platform"
 	"github.com/cicadanotch/cicadanotch/record"
 	"github.com/cicadanotch/cicadanotch/speed"
@@ -173,6 +174,9 @@
 	}
 	g := gateway.New(s.Gateway, ports)
 	h := &host{gateway: g, failed: make(chan struct{}, 1), logger: logger}
+	table := intake.NewTable(intake.LimitsOf(s.Gateway.MemoryLimit, s.MaxDescriptors))
+	g.Register(newConnectionCollector("cicadanotch_gateway_", table.Usage))
+	h.connections.lingering.intake = &callerIntake{table: table, limits: g.CallerLimits, logger: logger}
 	h.connections.lingering.report = h.reportLost
 	g.WatchAnswers(h.connections.lingering.untaken)
 	for _, serve := range []struct {
@@ -230,8 +234,9 @@
 }
 
 func (h *host) serve(l net.Listener, handler http.Handler) {
+	boundReceiveBuffers(l, callerReceiveBytes)
 	server := &http.Server{
-		Handler: handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeadBytes,
+		Handler: serveAdmitted(handler), ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, WriteTimeout: writeTimeout, MaxHeaderBytes: maxHeadBytes,
 		ErrorLog: stdlog.New(serverLog{h.logger}, "", 0), ConnState: h.connections.track, ConnContext: platform.ConnContext,
 	}
 	h.servers, h.listeners = append(h.servers, server), append(h.listeners, l)
--- a/gateway/gateway.go
+++ b/gateway/gateway.go
@@ -375,10 +375,18 @@
 // the users' configurations.
 const defaultMaxBodyBytes = 4 << 20
 
+// CallerLimits returns the limits of what callers send; its fields are zero where the configuration states none.
+func (g *Gateway) CallerLimits() catalog.RequestLimits {
+	if s := g.catalog.Current(); s != nil {
+		return s.Limits
+	}
+	return catalog.RequestLimits{}
+}
+
 // BodyLimit returns the maximum size of a request's body in bytes.
 func (g *Gateway) BodyLimit() int64 {
-	if s := g.catalog.Current(); s != nil && s.Limits.MaxBodyBytes > 0 {
-		return s.Limits.MaxBodyBytes
+	if limit := g.CallerLimits().MaxBodyBytes; limit > 0 {
+		return limit
 	}
 	return defaultMaxBodyBytes
 }
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -245,6 +245,9 @@
 	}
 }
 
+// Register adds metrics of the process. Call it before Start.
+func (g *Gateway) Register(c prometheus.Collector) { g.metrics.registry.MustRegister(c) }
+
 // MetricsHandler serves the metrics.
 func (g *Gateway) MetricsHandler() http.Handler {
 	return promhttp.HandlerFor(g.metrics.registry, promhttp.HandlerOpts{})
