daemon: connections of other hosts are bounded, with their messages

Seen: 60 connections to the address for hosts, each with 8 MiB of a message that is not complete, hold 597 MB of 142. 300 that send nothing, there or at the address for tunnels, take all descriptors.

Cause: a message may have 64 MiB, and nothing bounds how many are read at a time. Calls on one connection were not bounded either, nor were tunnels by max_fds.

One whose first message is not complete gives way to others, the largest message first; one that has sent a message is kept. A connection runs at most 1,024 calls at a time. Tunnels follow the limit of descriptors.

--- a/adapter/peerrpc/codec.go
+++ b/adapter/peerrpc/codec.go
@@ -32,6 +32,8 @@
 type codec struct {
 	jsonrpc2.VSCodeObjectCodec
 	maxBytes int
+	// ended is called when a whole message was read; nil for none.
+	ended func()
 }
 
 // ReadObject implements jsonrpc2.ObjectCodec.
@@ -39,7 +41,13 @@
 	if err := c.checkHeader(stream); err != nil {
 		return err
 	}
-	return c.VSCodeObjectCodec.ReadObject(stream, v)
+	if err := c.VSCodeObjectCodec.ReadObject(stream, v); err != nil {
+		return err
+	}
+	if c.ended != nil {
+		c.ended()
+	}
+	return nil
 }
 
 // checkHeader checks the next header without consuming it.
--- a/adapter/peerrpc/peerrpc.go
+++ b/adapter/peerrpc/peerrpc.go
@@ -23,8 +23,13 @@
 // methodHeartbeat is answered by every server.
 const methodHeartbeat = "peer.heartbeat"
 
-// replyTimeout bounds one write of a reply.
-const replyTimeout = 10 * time.Second
+const (
+	// replyTimeout bounds one write of a reply.
+	replyTimeout = 10 * time.Second
+	// maxCalls bounds the calls in progress on one connection. A peer has a long poll for each topic, and some calls for
+	// each request that it forwards.
+	maxCalls = 1024
+)
 
 // discardLog keeps package jsonrpc2 from writing to the standard logger: errors are
 // returned to the calling code, and the end of a connection is not worth a log line.
@@ -39,6 +44,17 @@
 	conns map[*jsonrpc2.Conn]struct{}
 	// closed is set by Close; connections accepted later are closed at once.
 	closed bool
+	admit  Admit
+}
+
+// Admit returns an accepted connection, or one in its place, to be served; nil if there is no room for it.
+type Admit func(conn net.Conn) net.Conn
+
+// MessageConn is a connection that accounts for what was read of a message.
+type MessageConn interface {
+	net.Conn
+	// EndMessage states that a whole message was read.
+	EndMessage()
 }
 
 // NewServer returns a server without methods.
@@ -50,6 +66,9 @@
 // the authority. Call it before Serve.
 func (s *Server) UseKeys(keys *Keys) { s.keys = keys }
 
+// UseAdmit sets which connections are served; without it all are. Call it before Serve.
+func (s *Server) UseAdmit(admit Admit) { s.admit = admit }
+
 // Handle registers the handler of a method.
 func (s *Server) Handle(method string, h port.PeerHandler) { s.handlers[method] = h }
 
@@ -68,8 +87,16 @@
 }
 
 func (s *Server) accept(ctx context.Context, conn net.Conn) {
+	if s.admit != nil {
+		admitted := s.admit(conn)
+		if admitted == nil {
+			_ = conn.Close() // nothing was read
+			return
+		}
+		conn = admitted
+	}
 	if s.keys == nil {
-		s.serve(ctx, conn)
+		s.serve(ctx, conn, conn)
 		return
 	}
 	go s.serveTLS(ctx, conn)
@@ -82,11 +109,17 @@
 	if err != nil {
 		return // no call was received on it
 	}
-	s.serve(port.WithPeerNames(ctx, tlsConn.ConnectionState().PeerCertificates[0].DNSNames), tlsConn)
+	s.serve(port.WithPeerNames(ctx, tlsConn.ConnectionState().PeerCertificates[0].DNSNames), tlsConn, conn)
 }
 
-func (s *Server) serve(ctx context.Context, conn net.Conn) {
-	c := jsonrpc2.NewConn(ctx, newStream(boundedConn{conn}), jsonrpc2.AsyncHandler(jsonrpc2.HandlerWithError(s.handle)), discardLog)
+// serve serves the calls on a connection. raw is the accepted connection below it.
+func (s *Server) serve(ctx context.Context, conn, raw net.Conn) {
+	stream := codec{maxBytes: MaxMessageBytes}
+	if m, ok := raw.(MessageConn); ok {
+		stream.ended = m.EndMessage
+	}
+	handler := newCallLimiter(jsonrpc2.HandlerWithError(s.handle))
+	c := jsonrpc2.NewConn(ctx, jsonrpc2.NewBufferedStream(boundedConn{conn}, stream), handler, discardLog)
 	s.mu.Lock()
 	closed := s.closed
 	s.conns[c] = struct{}{}
@@ -117,6 +150,29 @@
 	return h(ctx, params)
 }
 
+// callLimiter runs calls beside one another, and holds up the reading of further ones while there are maxCalls.
+type callLimiter struct {
+	handler jsonrpc2.Handler
+	slots   chan struct{}
+}
+
+func newCallLimiter(h jsonrpc2.Handler) callLimiter {
+	return callLimiter{h, make(chan struct{}, maxCalls)}
+}
+
+// Handle implements jsonrpc2.Handler.
+func (l callLimiter) Handle(ctx context.Context, conn *jsonrpc2.Conn, req *jsonrpc2.Request) {
+	select {
+	case l.slots <- struct{}{}:
+	case <-conn.DisconnectNotify():
+		return
+	}
+	go func() {
+		defer func() { <-l.slots }()
+		l.handler.Handle(ctx, conn, req)
+	}()
+}
+
 // Close closes all connections.
 func (s *Server) Close() {
 	s.mu.Lock()
--- a/adapter/tunnel/server.go
+++ b/adapter/tunnel/server.go
@@ -21,8 +21,7 @@
 	defaultMaxTunnels  = 256
 	defaultDialTimeout = 1300 * time.Millisecond
 	defaultIdleTimeout = 10 * time.Minute
-	// spareConns bounds the connections beyond MaxTunnels that are being opened, refused or
-	// ended.
+	// spareConns is used for Options without SpareConns.
 	spareConns = 64
 	// acceptRetryDelay is how long Serve waits when the process is out of descriptors.
 	acceptRetryDelay = 50 * time.Millisecond
@@ -43,6 +42,8 @@
 type Options struct {
 	// MaxTunnels bounds the open tunnels.
 	MaxTunnels int
+	// SpareConns bounds the connections beyond MaxTunnels that are being opened, refused or ended.
+	SpareConns int
 	// DialTimeout bounds the opening of a connection to an endpoint.
 	DialTimeout time.Duration
 	// IdleTimeout bounds how long no byte is passed on in a tunnel.
@@ -77,6 +78,9 @@
 	if opts.MaxTunnels <= 0 {
 		opts.MaxTunnels = defaultMaxTunnels
 	}
+	if opts.SpareConns <= 0 {
+		opts.SpareConns = spareConns
+	}
 	if opts.DialTimeout <= 0 {
 		opts.DialTimeout = defaultDialTimeout
 	}
@@ -117,7 +121,7 @@
 				s.serve(ctx, conn)
 			}()
 		default:
-			s.unusable(conn, errors.Errorf("more than %d connections", s.opts.MaxTunnels+spareConns))
+			s.unusable(conn, errors.Errorf("more than %d connections", s.opts.MaxTunnels+s.opts.SpareConns))
 			_ = conn.Close() // nothing was received on it
 		}
 	}
@@ -127,7 +131,7 @@
 func (s *Server) add(conn net.Conn) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.closed || len(s.conns) >= s.opts.MaxTunnels+spareConns {
+	if s.closed || len(s.conns) >= s.opts.MaxTunnels+s.opts.SpareConns {
 		return false
 	}
 	s.conns[conn] = struct{}{}
--- a/daemon/platform.go
+++ b/daemon/platform.go
@@ -140,6 +140,9 @@
 	// listeners are those of servers.
 	listeners   []net.Listener
 	connections connections
+	// descriptors is the limit of open descriptors; zero for none.
+	descriptors int
+	peerIntake  *peerIntake
 	peers       *peerrpc.Server
 	// peerListener is nil if the settings have no address for peers.
 	peerListener net.Listener
@@ -197,6 +200,8 @@
 		}
 		h.serve(listener, serve.handler)
 	}
+	h.descriptors = s.MaxDescriptors
+	h.peerIntake = &peerIntake{table: intake.NewTable(intake.PeerLimitsOf(s.Gateway.MemoryLimit, s.MaxDescriptors)), logger: logger}
 	if err := h.servePeers(s.Gateway.Peer, open); err != nil {
 		return nil, err
 	}
@@ -216,7 +221,9 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
+	boundReceiveBuffers(listener, peerReceiveBytes)
 	h.peers = peerrpc.NewServer()
+	h.peers.UseAdmit(h.peerIntake.admit)
 	for method, handler := range h.gateway.PeerHandlers() {
 		h.peers.Handle(method, handler)
 	}
--- a/daemon/tunnels.go
+++ b/daemon/tunnels.go
@@ -8,8 +8,12 @@
 
 	"github.com/cicadanotch/cicadanotch/adapter/tunnel"
 	"github.com/cicadanotch/cicadanotch/gateway"
+	"github.com/cicadanotch/cicadanotch/intake"
 )
 
+// maxSpareTunnels bounds the connections beyond the tunnels that may be open, see tunnel.Options.
+const maxSpareTunnels = 64
+
 // serveTunnels carries connections of hosts that are cut off from endpoints. It does nothing if address is empty.
 func (h *host) serveTunnels(address string, open listenFunc) error {
 	if address == "" {
@@ -19,9 +23,11 @@
 	if err != nil {
 		return errors.Wrap(err, "listen")
 	}
+	boundReceiveBuffers(listener, peerReceiveBytes)
 	g := h.gateway
 	gate := func(t tunnel.Target) tunnel.Reason { return tunnel.Reason(g.RefuseTunnel(t.Endpoint, t.Address)) }
-	h.tunnels = tunnel.NewServer(dialForOthers(g), gate, tunnel.Options{Logger: h.logger, Event: g.RecordTunnel})
+	tunnels := intake.TunnelsOf(h.descriptors)
+	h.tunnels = tunnel.NewServer(dialForOthers(g), gate, tunnel.Options{MaxTunnels: tunnels, SpareConns: min(tunnels, maxSpareTunnels), Logger: h.logger, Event: g.RecordTunnel})
 	g.WatchTunnels(h.tunnels.Tunnels)
 	h.tunnelListener = listener
 	h.group.Go(func() error { return h.tunnels.Serve(context.Background(), listener) })
