node: the other front bounds callers as that on the users' platform does

Seen: 100 bodies in chunks that are not complete hold 750 MB in a host with settings of its own, heads of many short fields 504 MB.

Cause: it had neither the account of bodies nor any bound on all connections together; its heads might have 256 KiB.

Change: its listeners for callers, operators and hosts use the same packages: intake for connections and heads, body and memory for bodies, with the limits memory_mb (256 if not set) and max_descriptors (that of the process if not set). The garbage collector knows the memory limit.

--- a/adapter/callerhttp/callerhttp.go
+++ b/adapter/callerhttp/callerhttp.go
@@ -4,7 +4,6 @@
 package callerhttp
 
 import (
-	"io"
 	"net/http"
 	"os"
 	"slices"
@@ -16,6 +15,7 @@
 	"github.com/uptrace/bunrouter"
 
 	"github.com/cicadanotch/cicadanotch/adapter/jsonhttp"
+	"github.com/cicadanotch/cicadanotch/body"
 	"github.com/cicadanotch/cicadanotch/node"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/problem"
@@ -77,11 +77,12 @@
 
 func (s *server) generate(api port.GenerateAPI) bunrouter.HandlerFunc {
 	return func(w http.ResponseWriter, r bunrouter.Request) error {
-		call, p := s.readCall(w, r)
+		call, release, p := s.readCall(w, r)
 		if p != nil {
 			writeProblem(w, p)
 			return nil
 		}
+		defer release()
 		call.API = api
 		s.serve(w, r, call, 0)
 		return nil
@@ -89,11 +90,12 @@
 }
 
 func (s *server) callService(w http.ResponseWriter, r bunrouter.Request) error {
-	call, p := s.readCall(w, r)
+	call, release, p := s.readCall(w, r)
 	if p != nil {
 		writeProblem(w, p)
 		return nil
 	}
+	defer release()
 	call.Service = r.Param("service")
 	call.Path = "/" + r.Param("path")
 	call.Method = r.Method
@@ -139,44 +141,55 @@
 }
 
 // readCall reads the parts common to all calls: key, workspace, request id and
-// body.
-func (s *server) readCall(w http.ResponseWriter, r bunrouter.Request) (node.Call, *problem.Problem) {
+// body. Without a refusal, release must be called when the call has been answered.
+func (s *server) readCall(w http.ResponseWriter, r bunrouter.Request) (call node.Call, release func(), p *problem.Problem) {
 	var guard problem.Guard
-	call := node.Call{Key: bearerKey(r.Header), Workspace: r.Header.Get(HeaderWorkspace)}
+	call = node.Call{Key: bearerKey(r.Header), Workspace: r.Header.Get(HeaderWorkspace)}
 	if text := r.Header.Get(HeaderRequestID); text != "" {
 		id, err := request.ParseID(text)
 		if err != nil {
-			return call, problem.Refuse(&guard, http.StatusBadRequest, problem.TypeBadRequest, "header "+HeaderRequestID+": "+err.Error())
+			return call, nil, problem.Refuse(&guard, http.StatusBadRequest, problem.TypeBadRequest, "header "+HeaderRequestID+": "+err.Error())
 		}
 		call.ID = &id
 	}
-	body, err := s.readBody(w, r)
-	var tooLarge *http.MaxBytesError
-	if errors.As(err, &tooLarge) {
-		detail := "the body is larger than " + strconv.FormatInt(tooLarge.Limit, 10) + " bytes"
-		return call, problem.Refuse(&guard, http.StatusRequestEntityTooLarge, problem.TypeTooLarge, detail)
-	}
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return call, problem.Refuse(&guard, http.StatusRequestTimeout, problem.TypeTimeout, "the body came too slowly")
-	}
+	read, release, err := s.readBody(w, r)
+	call.Body = read
 	if err != nil {
-		return call, problem.Refuse(&guard, http.StatusBadRequest, problem.TypeBadRequest, "the body could not be read")
+		release()
+		return call, nil, refuseBody(err, s.node.Settings().MaxBodyBytes)
+	}
+	return call, release, nil
+}
+
+// refuseBody returns the refusal of a body that could not be read.
+func refuseBody(err error, limit int64) *problem.Problem {
+	var guard problem.Guard
+	var noRoom *problem.Problem
+	switch {
+	case errors.As(err, &noRoom):
+		return noRoom
+	case errors.Is(err, body.ErrTooLarge):
+		detail := "the body is larger than " + strconv.FormatInt(limit, 10) + " bytes"
+		return problem.Refuse(&guard, http.StatusRequestEntityTooLarge, problem.TypeTooLarge, detail)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return problem.Refuse(&guard, http.StatusRequestTimeout, problem.TypeTimeout, "the body came too slowly")
 	}
-	call.Body = body
-	return call, nil
+	return problem.Refuse(&guard, http.StatusBadRequest, problem.TypeBadRequest, "the body could not be read")
 }
 
 // bodyTimeout bounds the time that a caller takes to send a body.
 const bodyTimeout = 15 * time.Second
 
-func (s *server) readBody(w http.ResponseWriter, r bunrouter.Request) ([]byte, error) {
-	control := http.NewResponseController(w)
-	_ = control.SetReadDeadline(time.Now().Add(s.bodyTimeout)) // not every ResponseWriter supports deadlines
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.node.Settings().MaxBodyBytes))
-	if err == nil {
-		_ = control.SetReadDeadline(time.Time{}) // not supported by every ResponseWriter, as above
+// readBody reads the body of a request. release gives up its room in memory.
+func (s *server) readBody(w http.ResponseWriter, r bunrouter.Request) (read []byte, release func(), err error) {
+	if r.ContentLength == 0 {
+		return nil, func() {}, nil
 	}
-	return body, err
+	reader := body.NewReaderWithin(http.NewResponseController(w), r.Request, s.node.Settings().MaxBodyBytes, s.bodyTimeout)
+	room := s.node.OpenBody(body.RemoteHost(r.RemoteAddr), reader.GiveUp)
+	reader.Room, reader.Conn, reader.Refuse = room, body.ConnOf(r.Context()), room.Refuse
+	read, err = reader.Read(func(func(time.Time)) func() bool { return func() bool { return true } })
+	return read, room.Release, err
 }
 
 func bearerKey(h http.Header) string {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -7,10 +7,14 @@
 	"flag"
 	"fmt"
 	"io"
+	"math"
 	"net"
+	"net/http"
 	"os"
 	"os/signal"
+	"runtime/debug"
 	"syscall"
+	"time"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
 	"github.com/phuslu/log"
@@ -23,6 +27,9 @@
 	"github.com/cicadanotch/cicadanotch/adapter/loghttp"
 	"github.com/cicadanotch/cicadanotch/adapter/peerrpc"
 	"github.com/cicadanotch/cicadanotch/adapter/servicehttp"
+	"github.com/cicadanotch/cicadanotch/body"
+	"github.com/cicadanotch/cicadanotch/catalog"
+	"github.com/cicadanotch/cicadanotch/intake"
 	"github.com/cicadanotch/cicadanotch/node"
 	"github.com/cicadanotch/cicadanotch/platform"
 )
@@ -90,17 +97,65 @@
 	})
 	peers := peerrpc.NewServer()
 	peers.UseKeys(keys)
+	peers.UseAdmit(newPeerIntake(n.Settings(), opts.Logger).admit)
+	boundReceiveBuffers(l.Peer, peerReceiveBytes)
 	for method, handler := range n.PeerHandlers() {
 		peers.Handle(method, handler)
 	}
 	n.Start()
 	n.ServePeers(l.Peer, peers)
-	ended := &lingering{report: func(r lingerReport) { logLost(opts.Logger, r) }}
-	n.Serve(lingerListener{l.Caller, ended}, callerhttp.Handler(n))
-	n.Serve(lingerListener{l.Operator, ended}, n.OperatorHandler())
+	serveNode(n, l, opts.Logger)
 	return n, nil
 }
 
+// Timeouts of a node's servers.
+const (
+	nodeHeaderTimeout = 5 * time.Second
+	nodeIdleTimeout   = 60 * time.Second
+)
+
+func newPeerIntake(s node.Settings, logger *log.Logger) *peerIntake {
+	return &peerIntake{table: intake.NewTable(intake.PeerLimitsOf(memoryLimit(s), descriptorLimit(s))), logger: logger}
+}
+
+// serveNode serves callers and operators, whose connections share what the process has room for.
+func serveNode(n *node.Node, l Listeners, logger *log.Logger) {
+	s := n.Settings()
+	table := intake.NewTable(intake.LimitsOf(memoryLimit(s), descriptorLimit(s)))
+	n.Registry().MustRegister(newConnectionCollector("cicadanotch_", table.Usage))
+	ended := &lingering{
+		report: func(r lingerReport) { logLost(logger, r) },
+		intake: &callerIntake{table: table, logger: logger, limits: func() catalog.RequestLimits {
+			return catalog.RequestLimits{HeaderTimeout: nodeHeaderTimeout, IdleTimeout: nodeIdleTimeout}
+		}},
+	}
+	for _, serve := range []struct {
+		listener net.Listener
+		handler  http.Handler
+	}{{l.Caller, callerhttp.Handler(n)}, {l.Operator, n.OperatorHandler()}} {
+		boundReceiveBuffers(serve.listener, callerReceiveBytes)
+		n.Serve(lingerListener{serve.listener, ended}, &http.Server{
+			Handler: serveAdmitted(serve.handler), ReadHeaderTimeout: nodeHeaderTimeout, IdleTimeout: nodeIdleTimeout, MaxHeaderBytes: maxHeadBytes,
+			ConnState: setState, ConnContext: body.ConnContext,
+		})
+	}
+}
+
+// memoryLimit returns what the process may hold, in bytes.
+func memoryLimit(s node.Settings) int64 { return int64(s.MemoryMB) << 20 }
+
+// descriptorLimit returns how many descriptors the process may open; zero if that is not known.
+func descriptorLimit(s node.Settings) int {
+	if s.MaxDescriptors > 0 {
+		return s.MaxDescriptors
+	}
+	var limit syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit) != nil || limit.Cur > math.MaxInt32 {
+		return 0
+	}
+	return int(limit.Cur)
+}
+
 // loadKeys loads the keys for calls between hosts. It returns nil if the settings
 // name none.
 func loadKeys(s node.Settings) (*peerrpc.Keys, error) {
@@ -158,6 +213,7 @@
 	if err != nil {
 		return err
 	}
+	debug.SetMemoryLimit(int64(memoryLimitFraction * float64(memoryLimit(settings))))
 	logger := &log.Logger{Level: log.InfoLevel, Writer: &log.IOWriter{Writer: os.Stderr}}
 	n, err := Start(settings, listeners, Options{Logger: logger})
 	if err != nil {
--- a/node/node.go
+++ b/node/node.go
@@ -26,6 +26,7 @@
 	"github.com/cicadanotch/cicadanotch/config"
 	"github.com/cicadanotch/cicadanotch/lease"
 	"github.com/cicadanotch/cicadanotch/member"
+	"github.com/cicadanotch/cicadanotch/memory"
 	"github.com/cicadanotch/cicadanotch/port"
 	"github.com/cicadanotch/cicadanotch/quarantine"
 	"github.com/cicadanotch/cicadanotch/record"
@@ -81,9 +82,12 @@
 	stopping    *stopState
 	leaving     *leavingTable
 	queues      admit.Table
-	usage       *usageTable
-	inFlight    *quarantine.InFlight
-	quarantine  *quarantine.Table
+	// account has what is held of bodies of requests.
+	account    *memory.Account
+	bodies     *bodyMetrics
+	usage      *usageTable
+	inFlight   *quarantine.InFlight
+	quarantine *quarantine.Table
 	// deathSyncs counts the exchanges of endpoint deaths with peers.
 	deathSyncs atomic.Int64
 	// budgets holds an *attempt.Budget for each service.
@@ -120,6 +124,8 @@
 		inFlight:   quarantine.NewInFlight(),
 		quarantine: quarantine.NewTable(),
 	}
+	n.account = memory.NewAccount(int64(n.settings.MemoryMB) << 20)
+	n.bodies = newBodyMetrics(registry, n.account)
 	if n.log == nil {
 		n.log = &log.Logger{Level: log.ErrorLevel, Writer: &log.IOWriter{Writer: discardWriter{}}}
 	}
@@ -188,14 +194,8 @@
 // context returns a context that ends with the node.
 func (n *Node) context() context.Context { return n.tomb.Context(context.Background()) }
 
-// Serve serves handler at the listener until the node stops.
-func (n *Node) Serve(l net.Listener, handler http.Handler) {
-	server := &http.Server{
-		Handler:           handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-	}
+// Serve serves callers or operators at the listener until the node stops.
+func (n *Node) Serve(l net.Listener, server *http.Server) {
 	n.stopping.add(server)
 	n.tomb.Go(func() error {
 		<-n.tomb.Dying()
@@ -210,12 +210,5 @@
 	})
 }
 
-// Limits of the HTTP servers.
-const (
-	readHeaderTimeout = 5 * time.Second
-	idleTimeout       = 60 * time.Second
-	maxHeaderBytes    = 256 << 10
-)
-
 // Registry returns the node's metrics.
 func (n *Node) Registry() *prometheus.Registry { return n.registry }
--- a/node/settings.go
+++ b/node/settings.go
@@ -51,6 +51,10 @@
 	LogRetention config.Duration `json:"log_retention,omitempty"`
 	// MaxBodyBytes is the maximum size of a request body, in bytes.
 	MaxBodyBytes int64 `json:"max_body_bytes,omitempty" validate:"gte=0"`
+	// MemoryMB is what the process may hold in memory, in MiB; 0 means 256. Callers that would take more than a part of it are refused.
+	MemoryMB int `json:"memory_mb,omitempty" validate:"gte=0"`
+	// MaxDescriptors is how many descriptors the process may open; 0 means the limit that it is started with. Callers' connections get less than half of them.
+	MaxDescriptors int `json:"max_descriptors,omitempty" validate:"gte=0"`
 }
 
 // PeerTLS names the PEM files of an entry host's key pair and of the authority
@@ -71,6 +75,7 @@
 	DefaultLoadInterval = 200 * time.Millisecond
 	DefaultLogRetention = 24 * time.Hour
 	DefaultMaxBodyBytes = 4 << 20
+	DefaultMemoryMB     = 256
 	// DefaultAddressTTL is how long callers may cache an address answer.
 	DefaultAddressTTL = 10 * time.Second
 )
@@ -118,6 +123,9 @@
 	if s.MaxBodyBytes == 0 {
 		s.MaxBodyBytes = DefaultMaxBodyBytes
 	}
+	if s.MemoryMB == 0 {
+		s.MemoryMB = DefaultMemoryMB
+	}
 	return s
 }
 
