daemon: heads that come in pieces are counted once, and get no 400 for want of room

Seen, in tests that had not been written before the bounds: a head that came byte by byte after a larger piece counted that piece with each byte, and would have been refused 431 at a few hundred bytes. A head within the limit could be refused behind a body that was read with it. net/http answers 400 when a read fails inside a line of a head, so callers that were closed for others, or whose head took too long, got one and would not have come again; the latter was so before. The time for a head was that for a connection without requests where the head had begun to come with the request before.

Change: each read counts once, with a slack of net/http's buffer at both ends of a head. Nothing is sent on a connection whose head could not be read to its end, except 431. The first deadline after an answer is that for the time without a request, the next one that for the head, which is the order of net/http.

--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -21,8 +21,9 @@
 	// one of another host, which may be in a region far away. The kernel takes twice as much, see intake.WindowBytes.
 	callerReceiveBytes = 32 << 10
 	peerReceiveBytes   = 256 << 10
-	// headSlackBytes is what net/http may have read of a body when the head before it ends: its buffer.
-	headSlackBytes = 4 << 10
+	// readBufferBytes is the size of net/http's buffer. When a head begins, as much of what was read with the request before
+	// may be counted with it, and when it ends, as much of its body.
+	readBufferBytes = 4 << 10
 	// tooLargeTimeout bounds the time to write the refusal of a head.
 	tooLargeTimeout = time.Second
 	// givenWayInterval is the interval of log lines on connections that gave way.
@@ -135,18 +136,19 @@
 	}
 }
 
-// noteRead records what the server has read, and may not have used yet when the next head begins.
-func (c *lingerConn) noteRead(p []byte) {
-	if len(p) > 1 && len(p) <= headSlackBytes { // net/http reads single bytes while it answers, and more than its buffer of bodies only
-		c.lastBytes, c.lastLines = len(p), bytes.Count(p, []byte{'\n'})
+// noteBody records the last read of a body: the next head may be a part of it.
+func (c *lingerConn) noteBody(p []byte) {
+	if len(p) > 1 && len(p) <= readBufferBytes { // net/http reads single bytes while it answers, and more at once of bodies only
+		c.lastBytes, c.lastLines = len(p), countLines(p)
 	}
 }
 
-// readHead accounts for the last read, which was of a head. It reports false if the connection must be closed.
-func (c *lingerConn) readHead() bool {
+// readHead accounts for bytes of a head. It reports false if the connection must be closed.
+func (c *lingerConn) readHead(p []byte) bool {
+	c.lastBytes, c.lastLines = len(p), countLines(p)
 	c.headBytes += c.lastBytes
 	c.headLines += c.lastLines
-	if c.headBytes > c.lingering.intake.requestLimits().MaxHeaderBytes+headSlackBytes {
+	if c.headBytes > c.lingering.intake.requestLimits().MaxHeaderBytes+2*readBufferBytes {
 		_ = c.halfCloser.SetWriteDeadline(time.Now().Add(tooLargeTimeout)) // fails if the connection has ended, as does the write
 		_, _ = c.halfCloser.Write([]byte(tooLargeAnswer))
 		return false
@@ -154,6 +156,8 @@
 	return c.countHead()
 }
 
+func countLines(p []byte) int { return bytes.Count(p, []byte{'\n'}) }
+
 // countHead accounts for what was read of a head. It reports false if there is no room for it.
 func (c *lingerConn) countHead() bool {
 	if c.entry == nil {
@@ -177,17 +181,13 @@
 func (c *lingerConn) EndBody() { c.enter(intake.PhaseServing) }
 
 // headDeadline returns the deadline in place of that of net/http while a request is awaited: the limits that are configured
-// may change.
+// may change. After an answer, net/http first sets that for the time without a request, then that for the head.
 func (c *lingerConn) headDeadline(t time.Time) time.Time {
-	if !c.awaits.Load() {
-		return t
-	}
-	if t.IsZero() {
-		c.betweenRequests.Store(false)
+	if !c.awaits.Load() || t.IsZero() {
 		return t
 	}
 	l := c.lingering.intake.requestLimits()
-	if c.betweenRequests.Load() {
+	if c.idleDeadlineDue.Swap(false) {
 		return time.Now().Add(l.IdleTimeout)
 	}
 	return time.Now().Add(l.HeaderTimeout)
@@ -220,7 +220,7 @@
 	}
 	awaits := state == http.StateIdle || state == http.StateNew
 	c.idle.Store(awaits)
-	c.betweenRequests.Store(state == http.StateIdle)
+	c.idleDeadlineDue.Store(state == http.StateIdle)
 	c.awaits.Store(awaits)
 	if awaits {
 		c.unhandled.Store(true)
--- a/daemon/linger.go
+++ b/daemon/linger.go
@@ -102,11 +102,14 @@
 	entry *intake.Conn
 	// unhandled is set where the connection would end in a head, or in a body that was refused before it was read.
 	unhandled atomic.Bool
+	// muted is set when nothing more may be sent: net/http answers 400 to a head that it can't read to its end, and callers
+	// do not try again after that.
+	muted atomic.Bool
 	// abandoned is set when the connection has given way to others.
 	abandoned atomic.Bool
-	// idle is set while the server awaits a request, and no byte of one has come. awaits is set until its head is complete,
-	// betweenRequests while the server awaits a further one.
-	idle, awaits, betweenRequests atomic.Bool
+	// idle is set while the server awaits a request, and no byte of one has come; awaits until its head is complete.
+	// idleDeadlineDue is set if the next deadline is that for the time without a request.
+	idle, awaits, idleDeadlineDue atomic.Bool
 	// headBytes and headLines are what was read of the present head, lastBytes and lastLines what the last read brought. Only
 	// the server's goroutine uses them.
 	headBytes, headLines, lastBytes, lastLines int
@@ -132,18 +135,31 @@
 	n, err := c.halfCloser.Read(p)
 	if n > 0 {
 		c.idle.Store(false)
-		c.betweenRequests.Store(false)
-		c.noteRead(p[:n])
-		if c.awaits.Load() && !c.readHead() {
+		switch {
+		case !c.awaits.Load():
+			c.noteBody(p[:n])
+		case !c.readHead(p[:n]):
+			c.muted.Store(true)
 			return 0, c.closedError("read")
 		}
 	}
+	if err != nil && c.awaits.Load() {
+		c.muted.Store(true)
+	}
 	if err != nil && c.isClosed() {
 		err = c.closedError("read")
 	}
 	return n, err
 }
 
+// Write implements net.Conn. It fails if nothing more may be sent.
+func (c *lingerConn) Write(p []byte) (int, error) {
+	if c.muted.Load() {
+		return 0, c.closedError("write")
+	}
+	return c.halfCloser.Write(p)
+}
+
 // SetLinger sets how the kernel ends the connection. With 0 seconds Close resets it.
 func (c *lingerConn) SetLinger(seconds int) error {
 	c.mu.Lock()
