daemon: small chunks of a body do not count as lines of a head

Seen: half a body of one-byte chunks counted for 330 KB as a head, so that of 400 connections with one 132 stayed open at 284 MB.

Cause: lines were counted in all that came with the head, the begin of the body too.

Change: what comes behind the end of a head counts with the next one, if there is one.

TestSmallChunksAreNoHead failed before.

--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -145,9 +145,13 @@
 
 // readHead accounts for bytes of a head. It reports false if the connection must be closed.
 func (c *lingerConn) readHead(p []byte) bool {
-	c.lastBytes, c.lastLines = len(p), countLines(p)
-	c.headBytes += c.lastBytes
-	c.headLines += c.lastLines
+	rest := p[:0]
+	if end := bytes.Index(p, headEnd); end >= 0 {
+		p, rest = p[:end+len(headEnd)], p[end+len(headEnd):]
+	}
+	c.headBytes += len(p)
+	c.headLines += countLines(p)
+	c.lastBytes, c.lastLines = len(rest), countLines(rest)
 	if c.headBytes > c.lingering.intake.requestLimits().MaxHeaderBytes+2*readBufferBytes {
 		_ = c.halfCloser.SetWriteDeadline(time.Now().Add(tooLargeTimeout)) // fails if the connection has ended, as does the write
 		_, _ = c.halfCloser.Write([]byte(tooLargeAnswer))
@@ -156,6 +160,9 @@
 	return c.countHead()
 }
 
+// headEnd ends a head. Lines behind it belong to a body, or to the next head.
+var headEnd = []byte("\r\n\r\n")
+
 func countLines(p []byte) int { return bytes.Count(p, []byte{'\n'}) }
 
 // countHead accounts for what was read of a head. It reports false if there is no room for it.
--- a/daemon/intake_test.go
+++ b/daemon/intake_test.go
@@ -191,3 +191,17 @@
 	is.NoErr(err)
 	is.Equal(resp.StatusCode, http.StatusOK)
 }
+
+// TestSmallChunksAreNoHead guards against bodies of very small chunks that count as if their chunks were lines of a head.
+func TestSmallChunksAreNoHead(t *testing.T) {
+	const most = 32 << 10 // for a connection with an ordinary head
+	is := is.New(t)
+	table, address := serveBounded(t, ampleLimits, catalog.RequestLimits{})
+	conn := dialTest(t, address)
+	_, err := io.WriteString(conn, "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"+strings.Repeat("1\r\nx\r\n", 600))
+	is.NoErr(err)
+	for table.Usage().Open[intake.PhaseServing] == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	is.True(table.Usage().Held < most)
+}
