intake: connections whose callers take no answer give way too

Seen once in a run of TestCrowds beside other load: requests without end whose answers are not taken held all 125 connections that a host of 450 descriptors has for callers, and an ordinary request was not answered in 20 s. Each was being served, until a write had timed out after 10 s.

Change: a connection is in a phase of its own while its caller is to take bytes of an answer. After a second in it, it gives way to others, behind all connections that have not been served.

The crowd of a test is a process of its own now: in the test's process, 300 connections that send without end held up the measuring, so that a peak of 12 sockets was seen where others saw 137. Crowds and bounds are the same.

TestAnswersThatAreNotTaken and TestOrderOfGivingWay replay it.

--- a/daemon/linger.go
+++ b/daemon/linger.go
@@ -157,6 +157,10 @@
 	if c.muted.Load() {
 		return 0, c.closedError("write")
 	}
+	if c.entry != nil {
+		c.enter(intake.PhaseWriting)
+		defer c.enter(intake.PhaseServing)
+	}
 	return c.halfCloser.Write(p)
 }
 
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -5,7 +5,7 @@
 // end, and open their connections again when they are closed. Ordinary callers come beside them, maybe from the same
 // address. So nobody is told apart by address: a connection gives way by what the host waits for and for how long. An
 // ordinary caller sends its head at once and is served, which is why the oldest connection without a complete head gives
-// way before the newest, and one that is being served never does.
+// way before the newest. One that is being served gives way only while its caller takes nothing of the answer.
 //
 // The package does no I/O, starts no goroutine and reads no clock. The lock of a table is a leaf: functions that close
 // connections are called without it.
@@ -29,8 +29,9 @@
 	PhaseHead
 	// PhaseBody reads a body that is long, or of unknown length.
 	PhaseBody
-	// PhaseServing answers a request.
+	// PhaseServing answers a request. PhaseWriting is a part of it, in which the caller is to take bytes of the answer.
 	PhaseServing
+	PhaseWriting
 	// PhaseEnding awaits that the caller takes the last answer, PhaseTaken that it closes the connection.
 	PhaseEnding
 	PhaseTaken
@@ -39,7 +40,7 @@
 
 // String returns the name of the phase in logs and metrics.
 func (p Phase) String() string {
-	return [phases]string{"new", "idle", "head", "body", "serving", "ending", "taken"}[p]
+	return [phases]string{"new", "idle", "head", "body", "serving", "writing", "ending", "taken"}[p]
 }
 
 // Phases returns all phases.
@@ -220,7 +221,7 @@
 	if p == c.phase {
 		return true
 	}
-	if p != PhaseHead && p != PhaseBody && p != PhaseServing {
+	if p != PhaseHead && p != PhaseBody && p != PhaseServing && p != PhaseWriting {
 		t.setHead(c, 0)
 	}
 	if p != PhaseEnding && p != PhaseTaken {
@@ -394,6 +395,9 @@
 	if v := t.oldest(except, now, patience, PhaseBody); v != nil {
 		return v
 	}
+	if v := t.oldest(except, now, patience, PhaseWriting); v != nil {
+		return v
+	}
 	return t.oldest(except, now, 0, PhaseNew, PhaseHead, PhaseEnding)
 }
 
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -97,24 +97,42 @@
 	}
 }
 
+// TestAnswersThatAreNotTaken guards against ordinary callers that are turned away for good while all connections await that
+// their callers take an answer.
+func TestAnswersThatAreNotTaken(t *testing.T) {
+	is := is.New(t)
+	c := newCrowd(t, site)
+	for range site.Connections {
+		conn := c.open()
+		is.True(conn.ReadHead(600, 12, c.now) && conn.Enter(PhaseServing, c.now) && conn.Enter(PhaseWriting, c.now))
+	}
+	is.True(!c.ordinary()) // any of them may be taken yet
+	c.now = c.now.Add(patience)
+	for range site.Connections {
+		is.True(c.ordinary())
+	}
+	is.Equal(len(c.gone), 1) // the place of one is enough
+}
+
 // TestOrderOfGivingWay guards against connections that give way although others have less to lose.
 func TestOrderOfGivingWay(t *testing.T) {
 	is := is.New(t)
-	c := newCrowd(t, Limits{Connections: 7, Memory: 1 << 30})
+	c := newCrowd(t, Limits{Connections: 8, Memory: 1 << 30})
 	var conns []*Conn
-	for range 7 {
+	for range 8 {
 		conns = append(conns, c.open())
 		c.now = c.now.Add(time.Millisecond)
 	}
-	serving, body, idle, ending, head, silent, taken := conns[0], conns[1], conns[2], conns[3], conns[4], conns[5], conns[6]
+	serving, writing, body, idle, ending, head, silent, taken := conns[0], conns[1], conns[2], conns[3], conns[4], conns[5], conns[6], conns[7]
 	is.True(serving.Enter(PhaseServing, c.now))
+	is.True(writing.Enter(PhaseWriting, c.now))
 	is.True(body.ReadBody(-1, c.now))
 	is.True(idle.Enter(PhaseIdle, c.now))
 	is.True(ending.End(c.now))
 	is.True(head.ReadHead(600, 12, c.now))
 	is.True(taken.End(c.now) && taken.Enter(PhaseTaken, c.now))
 	c.now = c.now.Add(2 * patience)
-	for _, want := range []*Conn{taken, silent, head, ending, idle, body} {
+	for _, want := range []*Conn{taken, silent, head, ending, idle, body, writing} {
 		_, gone := c.gone[want]
 		is.True(!gone)
 		is.True(c.open().Enter(PhaseServing, c.now)) // it stays
@@ -122,7 +140,7 @@
 		is.True(gone)
 	}
 	is.True(c.open() == nil) // all others are served
-	is.Equal(len(c.gone), 6)
+	is.Equal(len(c.gone), 7)
 	is.True(serving.Enter(PhaseIdle, c.now))
 	is.True(c.open() != nil)
 }
--- a/soak/crowd_linux_test.go
+++ b/soak/crowd_linux_test.go
@@ -13,6 +13,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -156,6 +157,43 @@
 	}
 }
 
+// crowdVariable holds the name of the crowd that a process of this test is, and crowdAddressVariable whom it reaches.
+const (
+	crowdVariable        = "SOAK_CROWD"
+	crowdAddressVariable = "SOAK_CROWD_ADDRESS"
+)
+
+// TestOneCrowd is a crowd, as a process of its own that TestCrowds or TestCrowdsAtNode has started: in their process it would
+// hold up their measuring. It ends with its standard input.
+func TestOneCrowd(t *testing.T) {
+	for _, c := range slices.Concat(crowds, nodeCrowds) {
+		if c.id() == os.Getenv(crowdVariable) {
+			leave := c.join(t.Context(), os.Getenv(crowdAddressVariable))
+			_, _ = io.Copy(io.Discard, os.Stdin) // ends when the test that started it closes it
+			leave()
+			return
+		}
+	}
+}
+
+// id returns a name that is different for each crowd.
+func (c crowd) id() string { return fmt.Sprint(c.name, c.port, c.size) }
+
+// start starts a process that is the crowd, with its connections to an address.
+func (c crowd) start(t *testing.T, address string) (leave func()) {
+	t.Helper()
+	is := is.New(t)
+	cmd := exec.Command(os.Args[0], "-test.run", "^TestOneCrowd$")
+	cmd.Env = append(os.Environ(), crowdVariable+"="+c.id(), crowdAddressVariable+"="+address)
+	stdin, err := cmd.StdinPipe()
+	is.NoErr(err)
+	is.NoErr(cmd.Start())
+	return sync.OnceFunc(func() {
+		_ = stdin.Close() // it may have ended
+		_ = cmd.Wait()    // its connections tell nothing
+	})
+}
+
 // join keeps the crowd's connections open, and opens them again when they are closed, until ctx ends.
 func (c crowd) join(ctx context.Context, address string) (leave func()) {
 	var all sync.WaitGroup
@@ -296,7 +334,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			peak := watch(ctx, pid, h.IP)
-			leave := c.join(ctx, net.JoinHostPort(h.IP, fmt.Sprint(cmp.Or(c.port, frontPort))))
+			leave := c.start(t, net.JoinHostPort(h.IP, fmt.Sprint(cmp.Or(c.port, frontPort))))
 			defer leave()
 			time.Sleep(crowdLength)
 			f.await("an ordinary request is answered beside the crowd", served)
--- a/soak/crowd_node_linux_test.go
+++ b/soak/crowd_node_linux_test.go
@@ -29,7 +29,7 @@
 	nodePort     = 18080
 	operatorPort = 18082
 	nodePeerPort = 18081
-	// nodeCrowdSize is the number of connections of a crowd at such a host, unless it states another.
+	// nodeCrowdSize is the number of connections of most crowds at such a host.
 	nodeCrowdSize = 100
 	// nodeHeadBytes is the size of a head that does not end.
 	nodeHeadBytes = 240 << 10
@@ -43,11 +43,11 @@
 
 // nodeCrowds are the kinds of crowds at a host with settings of its own.
 var nodeCrowds = []crowd{
-	{name: "large chunks, not complete", send: sendText(chunkedPost + strings.Repeat(chunk(64<<10), (longestBody-shortBy)/(64<<10)))},
-	{name: "large chunks, not complete, chat", send: sendText("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat(chunk(64<<10), (longestBody-shortBy)/(64<<10)))},
-	{name: "chunks without end", send: sendWithoutEnd(chunkedPost, chunk(64<<10))},
-	{name: "heads of many short fields", send: sendText(postHead + shortFields(nodeHeadBytes))},
-	{name: "heads of many short fields at the operators' address", port: operatorPort, send: sendText(postHead + shortFields(nodeHeadBytes))},
+	{name: "large chunks, not complete", size: nodeCrowdSize, send: sendText(chunkedPost + strings.Repeat(chunk(64<<10), (longestBody-shortBy)/(64<<10)))},
+	{name: "large chunks, not complete, chat", size: nodeCrowdSize, send: sendText("POST /v1/chat/completions HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n" + strings.Repeat(chunk(64<<10), (longestBody-shortBy)/(64<<10)))},
+	{name: "chunks without end", size: nodeCrowdSize, send: sendWithoutEnd(chunkedPost, chunk(64<<10))},
+	{name: "heads of many short fields", size: nodeCrowdSize, send: sendText(postHead + shortFields(nodeHeadBytes))},
+	{name: "heads of many short fields at the operators' address", port: operatorPort, size: nodeCrowdSize, send: sendText(postHead + shortFields(nodeHeadBytes))},
 	{name: "heads without end", size: crowdSize, descriptors: fewDescriptors, send: sendWithoutEnd(postHead+"X-H: ", strings.Repeat("x", 4096))},
 	{name: "empty lines", size: crowdSize, descriptors: fewDescriptors, send: sendWithoutEnd("", strings.Repeat("\r\n", 2048))},
 	{name: "messages of hosts, not complete", port: nodePeerPort, size: 60, send: sendText(peerMessage)},
@@ -127,8 +127,7 @@
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
 			peak := watch(ctx, process.Process.Pid, ip)
-			c.size = cmp.Or(c.size, nodeCrowdSize)
-			leave := c.join(ctx, net.JoinHostPort(ip, fmt.Sprint(cmp.Or(c.port, nodePort))))
+			leave := c.start(t, net.JoinHostPort(ip, fmt.Sprint(cmp.Or(c.port, nodePort))))
 			defer leave()
 			time.Sleep(crowdLength)
 			f.await("an ordinary request is answered beside the crowd", served)
