peerrpc: the server outlives a lack of descriptors

Seen: when a connection could not be accepted because the process was out of descriptors, the server of other hosts ended for good.

Change: it waits 50 ms and goes on, as the server of tunnels does.

Evidence: TestServeOutlivesScarceDescriptors failed before.

--- a/adapter/peerrpc/peerrpc.go
+++ b/adapter/peerrpc/peerrpc.go
@@ -12,6 +12,7 @@
 	"log"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -29,6 +30,8 @@
 	// maxCalls bounds the calls in progress on one connection. A peer has a long poll for each topic, and some calls for
 	// each request that it forwards.
 	maxCalls = 1024
+	// acceptRetryDelay is how long Serve waits when the process is out of descriptors.
+	acceptRetryDelay = 50 * time.Millisecond
 )
 
 // discardLog keeps package jsonrpc2 from writing to the standard logger: errors are
@@ -76,13 +79,16 @@
 func (s *Server) Serve(ctx context.Context, l net.Listener) error {
 	for {
 		conn, err := l.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		switch {
+		case err == nil:
+			s.accept(ctx, conn)
+		case errors.Is(err, net.ErrClosed):
 			return nil
-		}
-		if err != nil {
+		case errors.Is(err, syscall.EMFILE), errors.Is(err, syscall.ENFILE), errors.Is(err, syscall.ECONNABORTED):
+			time.Sleep(acceptRetryDelay) // the process is out of descriptors, or the peer has left
+		default:
 			return errors.Wrap(err, "accept peer")
 		}
-		s.accept(ctx, conn)
 	}
 }
 
