daemon: requests that were sent before the last answer are paced

Seen in two of three runs of TestCrowds beside other load, and in one of three runs of that crowd alone: requests without end, answers unread, left an ordinary request without an answer for 20 s. It was connected and had sent its head.

Cause: a caller that does not wait for answers has its next request read from a buffer, so each of the 125 connections was served as fast as the processor allowed, tens of thousands of requests until its answers filled the buffers of the kernel. An ordinary request takes several turns of the scheduler behind all of them.

Change: a request whose whole head had come before the answer to the one before begins 5 ms after it, and its connection may give way until then.

--- a/daemon/intake.go
+++ b/daemon/intake.go
@@ -26,6 +26,9 @@
 	readBufferBytes = 4 << 10
 	// tooLargeTimeout bounds the time to write the refusal of a head.
 	tooLargeTimeout = time.Second
+	// pipelineDelay is the time between the answer to a request and a further one whose whole head has come before. Without it
+	// callers that send requests without end leave no processor time to others.
+	pipelineDelay = 5 * time.Millisecond
 	// givenWayInterval is the interval of log lines on connections that gave way.
 	givenWayInterval = time.Second
 )
@@ -167,10 +170,10 @@
 
 // countHead accounts for what was read of a head. It reports false if there is no room for it.
 func (c *lingerConn) countHead() bool {
+	c.headCounted = true
 	if c.entry == nil {
 		return true
 	}
-	c.headCounted = true
 	if !c.entry.ReadHead(c.headBytes, c.headLines, time.Now()) {
 		c.lingering.intake.record(c.RemoteAddr().String(), string(intake.ReasonMemory), intake.PhaseHead)
 		return false
@@ -202,6 +205,9 @@
 
 // begin states that the head of a request is complete. It reports false if the connection has given way.
 func (c *lingerConn) begin() bool {
+	if !c.headCounted {
+		time.Sleep(pipelineDelay) // it may give way meanwhile
+	}
 	c.unhandled.Store(false)
 	if c.entry == nil {
 		return true
--- a/soak/crowd_linux_test.go
+++ b/soak/crowd_linux_test.go
@@ -328,7 +328,11 @@
 			var requests atomic.Int64
 			served := func() bool {
 				id := fmt.Sprint("ordinary-", requests.Add(1))
-				return platformtest.SendRequestWith(t.Context(), callers, h.Front, id, "/order/1", "sound", false).Status == http.StatusOK
+				a := platformtest.SendRequestWith(t.Context(), callers, h.Front, id, "/order/1", "sound", false)
+				if a.Status != http.StatusOK {
+					t.Logf("%s: status %d, %v", id, a.Status, a.Err)
+				}
+				return a.Status == http.StatusOK
 			}
 			f.await("the host serves", served)
 			ctx, cancel := context.WithCancel(t.Context())
