soak: crowds beside a stop and a start

TestCrowdsBesideAStop stops a host beside four kinds of crowds that go on: its process ends, and the next serves an ordinary request within the limits. Hosts for crowds are started by one function.

--- a/soak/crowd_cost_linux_test.go
+++ b/soak/crowd_cost_linux_test.go
@@ -8,8 +8,6 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
-	"os/exec"
 	"strings"
 	"testing"
 	"time"
@@ -24,6 +22,8 @@
 	const (
 		connections = 400
 		settleDelay = 300 * time.Millisecond
+		// siteMemoryMB is the limit on the users' first sites.
+		siteMemoryMB = 284
 	)
 	answered := func(conn net.Conn, text string) error {
 		if _, err := io.WriteString(conn, text); err != nil {
@@ -65,23 +65,8 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			is := is.New(t)
-			f := newFixture(t, 9950+n)
-			f.store.ConfigureFaulty()
-			api := f.endpoint("i-api", "v1", 0)
-			f.store.Register("i-api", api.Entry("api", "a", "ready"))
-			h, err := startHost(t.TempDir(), f.base, 0, "a", "r", map[string]string{"a": "r"}, f.store.Address(), f.cloud.Address(), func() *exec.Cmd {
-				cmd := limitedCommand(crowdDescriptors, program, "platform")
-				cmd.Env = os.Environ()
-				return cmd
-			}, func(s *platformtest.Host) { s.MaxDescriptors = crowdDescriptors })
-			is.NoErr(err)
-			t.Cleanup(h.stop)
-			f.await("the host serves", func() bool {
-				return platformtest.SendRequest(h.Front, "first", "/order/1", "sound", false).Status == http.StatusOK
-			})
-			h.mu.Lock()
-			pid := h.process.Process.Pid
-			h.mu.Unlock()
+			_, h, _ := startCrowded(t, 9950+n, siteMemoryMB, crowdDescriptors, program)
+			pid := h.pid()
 			before := observe(pid, h.IP)
 			errs := make(chan error, connections)
 			for range connections {
--- a/soak/crowd_linux_test.go
+++ b/soak/crowd_linux_test.go
@@ -17,6 +17,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -301,6 +302,41 @@
 	return exec.Command("sh", append([]string{"-c", script, program}, args...)...)
 }
 
+// startCrowded starts a host with limits, an endpoint of the service "api" and a configuration, and waits until it serves.
+func startCrowded(t *testing.T, base, memoryMB, descriptors int, program string) (f *fixture, h *host, served func() bool) {
+	t.Helper()
+	f = newFixture(t, base)
+	f.store.ConfigureFaulty()
+	api := f.endpoint("i-api", "v1", 0)
+	f.store.Register("i-api", api.Entry("api", "a", "ready"))
+	h, err := startHost(t.TempDir(), f.base, 0, "a", "r", map[string]string{"a": "r"}, f.store.Address(), f.cloud.Address(), func() *exec.Cmd {
+		cmd := limitedCommand(descriptors, program, "platform")
+		cmd.Env = os.Environ()
+		return cmd
+	}, func(s *platformtest.Host) { s.MemoryMB, s.MaxDescriptors = memoryMB, descriptors })
+	is.New(t).NoErr(err)
+	t.Cleanup(h.stop)
+	callers := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}
+	var requests atomic.Int64
+	served = func() bool {
+		id := fmt.Sprint("ordinary-", requests.Add(1))
+		a := platformtest.SendRequestWith(t.Context(), callers, h.Front, id, "/order/1", "sound", false)
+		if a.Status != http.StatusOK {
+			t.Logf("%s: status %d, %v", id, a.Status, a.Err)
+		}
+		return a.Status == http.StatusOK
+	}
+	f.await("the host serves", served)
+	return f, h, served
+}
+
+// pid returns the id of the host's present process.
+func (h *host) pid() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.process.Process.Pid
+}
+
 // TestCrowds guards against hosts that run out of memory or descriptors, end, or answer nobody any more, because of
 // callers that do not behave (incident 0019): a host stays within the limits of its settings, and an ordinary request
 // is answered beside the crowd and after it.
@@ -309,35 +345,11 @@
 	for n, c := range crowds {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			f := newFixture(t, 9000+n)
-			f.store.ConfigureFaulty()
-			api := f.endpoint("i-api", "v1", 0)
-			f.store.Register("i-api", api.Entry("api", "a", "ready"))
 			memoryMB, descriptors := cmp.Or(c.memoryMB, crowdMemoryMB), cmp.Or(c.descriptors, crowdDescriptors)
-			h, err := startHost(t.TempDir(), f.base, 0, "a", "r", map[string]string{"a": "r"}, f.store.Address(), f.cloud.Address(), func() *exec.Cmd {
-				cmd := limitedCommand(descriptors, program, "platform")
-				cmd.Env = os.Environ()
-				return cmd
-			}, func(s *platformtest.Host) { s.MemoryMB, s.MaxDescriptors = memoryMB, descriptors })
-			is.NoErr(err)
-			t.Cleanup(h.stop)
-			h.mu.Lock()
-			pid := h.process.Process.Pid
-			h.mu.Unlock()
-			callers := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: 2 * time.Second}
-			var requests atomic.Int64
-			served := func() bool {
-				id := fmt.Sprint("ordinary-", requests.Add(1))
-				a := platformtest.SendRequestWith(t.Context(), callers, h.Front, id, "/order/1", "sound", false)
-				if a.Status != http.StatusOK {
-					t.Logf("%s: status %d, %v", id, a.Status, a.Err)
-				}
-				return a.Status == http.StatusOK
-			}
-			f.await("the host serves", served)
+			f, h, served := startCrowded(t, 9000+n, memoryMB, descriptors, program)
 			ctx, cancel := context.WithCancel(t.Context())
 			defer cancel()
-			peak := watch(ctx, pid, h.IP)
+			peak := watch(ctx, h.pid(), h.IP)
 			leave := c.start(t, net.JoinHostPort(h.IP, fmt.Sprint(cmp.Or(c.port, frontPort))))
 			defer leave()
 			time.Sleep(crowdLength)
@@ -356,24 +368,39 @@
 	}
 }
 
+// TestCrowdsBesideAStop guards against a process that does not end beside a crowd when it is stopped, or that does not begin
+// to serve beside one.
+func TestCrowdsBesideAStop(t *testing.T) {
+	program := buildProgram(t)
+	for n, name := range []string{"nothing", "empty lines", "large chunks, not complete", "requests without end, answers unread"} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := crowds[slices.IndexFunc(crowds, func(c crowd) bool { return c.name == name })]
+			descriptors := cmp.Or(c.descriptors, crowdDescriptors)
+			f, h, served := startCrowded(t, 9700+n, crowdMemoryMB, descriptors, program)
+			leave := c.start(t, h.Front)
+			defer leave()
+			time.Sleep(crowdLength)
+			h.signal(syscall.SIGTERM)
+			f.await("the process has ended and the next has begun", func() bool { return h.incarnation() == h.Name+"/2" })
+			ctx, cancel := context.WithCancel(t.Context())
+			defer cancel()
+			peak := watch(ctx, h.pid(), h.IP)
+			f.await("an ordinary request is answered beside the crowd", served)
+			cancel()
+			u := peak()
+			t.Logf("held %d MB of %d, %d sockets", u.held>>20, crowdMemoryMB, u.sockets)
+			is.Equal(h.incarnation(), h.Name+"/2")
+			is.True(u.held < crowdMemoryMB<<20)
+			is.True(u.sockets <= descriptors-fileDescriptors)
+		})
+	}
+}
+
 // TestCrowdsOfOne guards against bounds that a single request within the limits of the configuration meets, at a host with
 // little memory and few descriptors.
 func TestCrowdsOfOne(t *testing.T) {
-	program := buildProgram(t)
-	f := newFixture(t, 9900)
-	f.store.ConfigureFaulty()
-	api := f.endpoint("i-api", "v1", 0)
-	f.store.Register("i-api", api.Entry("api", "a", "ready"))
-	h, err := startHost(t.TempDir(), f.base, 0, "a", "r", map[string]string{"a": "r"}, f.store.Address(), f.cloud.Address(), func() *exec.Cmd {
-		cmd := limitedCommand(fewDescriptors, program, "platform")
-		cmd.Env = os.Environ()
-		return cmd
-	}, func(s *platformtest.Host) { s.MemoryMB, s.MaxDescriptors = crowdMemoryMB, fewDescriptors })
-	is.New(t).NoErr(err)
-	t.Cleanup(h.stop)
-	f.await("the host serves", func() bool {
-		return platformtest.SendRequest(h.Front, "first", "/order/1", "sound", false).Status == http.StatusOK
-	})
+	_, h, _ := startCrowded(t, 9900, crowdMemoryMB, fewDescriptors, buildProgram(t))
 	head := platformtest.Head("one", "/order/1", "sound")
 	for name, text := range map[string]string{
 		"head of many short fields": head + shortFields(15<<10) + "Content-Length: 4\r\n\r\nbody",
