node: a size of bodies that never finds room is refused at the start

Cause: with the account of bodies, a max_body_bytes above five sixteenths of the memory would have had each such body refused with 503, and callers come again for good.

Change: the settings are refused, with the field, its line and what would fit.

--- a/node/settings.go
+++ b/node/settings.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"net"
 	"os"
 	"time"
@@ -9,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"github.com/cicadanotch/cicadanotch/config"
+	"github.com/cicadanotch/cicadanotch/memory"
 )
 
 // ErrSettings is returned for invalid settings; the message names the field and
@@ -49,7 +51,7 @@
 	AddressTTL config.Duration `json:"address_lifetime,omitempty"`
 	// LogRetention is how long the platform's log retains a record.
 	LogRetention config.Duration `json:"log_retention,omitempty"`
-	// MaxBodyBytes is the maximum size of a request body, in bytes.
+	// MaxBodyBytes is the maximum size of a request body, in bytes; at most five sixteenths of the memory.
 	MaxBodyBytes int64 `json:"max_body_bytes,omitempty" validate:"gte=0"`
 	// MemoryMB is what the process may hold in memory, in MiB; 0 means 256. Callers that would take more than a part of it are refused.
 	MemoryMB int `json:"memory_mb,omitempty" validate:"gte=0"`
@@ -101,6 +103,9 @@
 		return s, errors.Wrap(ErrSettings, err.Error())
 	}
 	s = s.withDefaults()
+	if err := s.checkBodyFits(text); err != nil {
+		return s, err
+	}
 	return s, s.checkPeerBind(text)
 }
 
@@ -129,6 +134,21 @@
 	return s
 }
 
+// checkBodyFits rejects a size of bodies for which the memory would never have room.
+func (s Settings) checkBodyFits(text []byte) error {
+	account := memory.NewAccount(int64(s.MemoryMB) << 20)
+	if account.Fits(memory.KindBody, s.MaxBodyBytes) {
+		return nil
+	}
+	_, limit := account.Usage(memory.KindBody)
+	key := "max_body_bytes"
+	if !bytes.Contains(text, []byte(key)) { // its default is too large
+		key = "memory_mb"
+	}
+	line := config.LineOfKey(text, key)
+	return errors.Wrapf(ErrSettings, `line %d: field "max_body_bytes" is %d, expected at most %d with "memory_mb" %d`, line, s.MaxBodyBytes, limit, s.MemoryMB)
+}
+
 // checkPeerBind rejects a peer address that is reachable from other machines
 // without TLS, unless that is allowed explicitly.
 func (s Settings) checkPeerBind(text []byte) error {
--- a/node/settings_test.go
+++ b/node/settings_test.go
@@ -36,6 +36,9 @@
 		"bad address":     {`"caller_address": "127.0.0.1:0"`, `"caller_address": "localhost"`, `line 6: field "caller_address"`},
 		"bad duration":    {`"region"`, `"poll_interval": "5", "region"`, `"5" is no duration`},
 		"open peer port":  {`"peer_address": "127.0.0.1:0"`, `"peer_address": "0.0.0.0:1"`, `line 7: field "peer_address" is not loopback`},
+		"body too large":  {`"region"`, `"max_body_bytes": 100000000, "region"`, `line 4: field "max_body_bytes" is 100000000, expected at most 83886080`},
+		"little memory":   {`"region"`, `"memory_mb": 8, "region"`, `line 4: field "max_body_bytes" is 4194304, expected at most 2621440`},
+		"much memory":     {`"region"`, `"memory_mb": 1024, "max_body_bytes": 100000000, "region"`, ``},
 		"not JSON at all": {`{`, `[`, `invalid settings`},
 	} {
 		t.Run(name, func(t *testing.T) {
