intake: an interim answer leaves a body what it is

Cause: a write moved a connection to the phase of answers that are to be taken, also that of 100 Continue while the body was awaited. From then on the body's window did not count, and the connection did not give way until the body had timed out.

Change: a write changes the phase of a connection only while it is being served.

Evidence: TestInterimAnswerLeavesTheBody; before, the connection left the phase with its first write.

--- a/daemon/linger.go
+++ b/daemon/linger.go
@@ -158,8 +158,8 @@
 		return 0, c.closedError("write")
 	}
 	if c.entry != nil {
-		c.enter(intake.PhaseWriting)
-		defer c.enter(intake.PhaseServing)
+		c.entry.BeginWrite(time.Now())
+		defer func() { c.entry.EndWrite(time.Now()) }()
 	}
 	return c.halfCloser.Write(p)
 }
--- a/intake/intake.go
+++ b/intake/intake.go
@@ -171,6 +171,22 @@
 	return true
 }
 
+// BeginWrite states that the caller is to take bytes of an answer, EndWrite that it has taken them. They have no effect on a
+// connection whose request is still read.
+func (c *Conn) BeginWrite(now time.Time) { c.switchPhase(PhaseServing, PhaseWriting, now) }
+
+// EndWrite: see BeginWrite.
+func (c *Conn) EndWrite(now time.Time) { c.switchPhase(PhaseWriting, PhaseServing, now) }
+
+func (c *Conn) switchPhase(from, to Phase, now time.Time) {
+	t := c.table
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if c.element != nil && c.phase == from {
+		t.enter(c, to, now)
+	}
+}
+
 // ReadHead accounts for what was read of a head since the last one ended: bytes in so many lines. It reports false if
 // there is no room for them, or if the connection has given way: it must be closed then.
 func (c *Conn) ReadHead(bytes, lines int, now time.Time) bool {
--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -104,7 +104,8 @@
 	c := newCrowd(t, site)
 	for range site.Connections {
 		conn := c.open()
-		is.True(conn.ReadHead(600, 12, c.now) && conn.Enter(PhaseServing, c.now) && conn.Enter(PhaseWriting, c.now))
+		is.True(conn.ReadHead(600, 12, c.now) && conn.Enter(PhaseServing, c.now))
+		conn.BeginWrite(c.now)
 	}
 	is.True(!c.ordinary()) // any of them may be taken yet
 	c.now = c.now.Add(patience)
@@ -125,7 +126,8 @@
 	}
 	serving, writing, body, idle, ending, head, silent, taken := conns[0], conns[1], conns[2], conns[3], conns[4], conns[5], conns[6], conns[7]
 	is.True(serving.Enter(PhaseServing, c.now))
-	is.True(writing.Enter(PhaseWriting, c.now))
+	is.True(writing.Enter(PhaseServing, c.now))
+	writing.BeginWrite(c.now)
 	is.True(body.ReadBody(-1, c.now))
 	is.True(idle.Enter(PhaseIdle, c.now))
 	is.True(ending.End(c.now))
@@ -145,6 +147,22 @@
 	is.True(c.open() != nil)
 }
 
+// TestInterimAnswerLeavesTheBody guards against a connection that no longer counts, and does not give way, since its caller
+// was told to send its body.
+func TestInterimAnswerLeavesTheBody(t *testing.T) {
+	is := is.New(t)
+	c := newCrowd(t, Limits{Connections: 1, Memory: 1 << 30})
+	conn := c.open()
+	is.True(conn.ReadBody(-1, c.now))
+	held := c.table.Usage().Held
+	conn.BeginWrite(c.now) // 100 Continue
+	conn.EndWrite(c.now)
+	is.Equal(c.table.Usage().Held, held)
+	c.now = c.now.Add(patience)
+	is.True(c.open() != nil)
+	is.Equal(c.gone[conn], PhaseBody)
+}
+
 // TestLargestHeadGivesWay guards against an ordinary head that gives way, or is refused, while a larger one is read.
 func TestLargestHeadGivesWay(t *testing.T) {
 	is := is.New(t)
