--- a/intake/intake_test.go
+++ b/intake/intake_test.go
@@ -69,6 +69,11 @@
 		},
 		"bodies that do not end": func(c *crowd, conn *Conn) { _ = conn.ReadHead(600, 12, c.now) && conn.ReadBody(-1, c.now) },
 		"requests, then nothing": func(c *crowd, conn *Conn) { _ = conn.ReadHead(600, 12, c.now) && conn.Enter(PhaseIdle, c.now) },
+		"requests, answers that are not taken": func(c *crowd, conn *Conn) {
+			if conn.ReadHead(600, 12, c.now) && conn.Enter(PhaseServing, c.now) {
+				conn.BeginWrite(c.now)
+			}
+		},
 		"refused, goes on to send": func(c *crowd, conn *Conn) {
 			_ = conn.ReadHead(20<<10, 1, c.now) && conn.End(c.now)
 		},
