Log and count whose bucket refused a request by a limit

A 429 named neither the host whose bucket decided nor the share that it had in force, so a used-up share could not be told from a host without a share. The request line has limit_keeper and limit_share, and cicadanotch_gateway_limit_takes_total counts takes by bucket and result. Units of a request that did not run go back to the bucket that was charged.

--- a/gateway/call.go
+++ b/gateway/call.go
@@ -40,6 +40,7 @@
 	service   catalog.Service
 	workspace *catalog.Workspace
 	cost      float64
+	limit     quotaDecision
 	deadline  time.Time
 	guard     problem.Guard
 	// fingerprint identifies the request among the repetitions of it, see quarantine.Fingerprint.
@@ -226,7 +227,7 @@
 	}
 	c.refuse(p)
 	if c.workspace != nil && p.Run == problem.RunNot {
-		c.g.returnQuota(time.Now(), c.workspace, c.cost)
+		c.g.returnQuota(time.Now(), c.workspace, c.cost, c.limit)
 	}
 	c.logEnd(string(p.Type))
 }
--- a/gateway/log.go
+++ b/gateway/log.go
@@ -53,6 +53,9 @@
 	if r := c.refusal; r != nil {
 		e.Str("reason", string(r.reason)).Dur("room_ms", r.room).Dur("retry_after_ms", r.delay).Dur("left_ms", c.deadline.Sub(now))
 	}
+	if d := c.limit; d.keeper != "" && !d.taken {
+		e.Str("limit_keeper", d.keeper).Float64("limit_share", d.share).Dur("retry_after_ms", d.retryAfter)
+	}
 	c.logStopping(e, now)
 	if c.req.HasTokens {
 		e.Int("prompt", c.req.PromptTokens).Int("cost", int(c.cost))
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -53,6 +53,7 @@
 	limitShares        prometheus.Gauge
 	limitsGranted      prometheus.Gauge
 	refusedWithinLimit prometheus.Counter
+	limitTakes         *prometheus.CounterVec
 	headerFaults       prometheus.Counter
 	riskyRejections    prometheus.Counter
 }
@@ -201,6 +202,10 @@
 		Name: "cicadanotch_gateway_refused_within_share_total",
 		Help: "Requests refused by a limit though the host was asked for less than its share.",
 	})
+	m.limitTakes = prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "cicadanotch_gateway_limit_takes_total",
+		Help: "Units of a limit that requests asked for, by whose bucket (own, relay, other) and result (taken, refused, no-share, unanswered).",
+	}, []string{"bucket", "result"})
 	m.riskyRejections = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "cicadanotch_gateway_risky_rejections_total",
 		Help: "Rejections for lack of room by endpoints that bear few of them.",
@@ -209,7 +214,7 @@
 		Name: "cicadanotch_gateway_header_faults_total",
 		Help: "Answers of endpoints with a header that could not be used as sent.",
 	})
-	m.registry.MustRegister(m.lostEnds, m.headerFaults, m.riskyRejections, m.tunnels, m.cutOff, m.reachRounds, m.limitShares, m.limitsGranted, m.refusedWithinLimit, m.overloads, m.rolloutChanges, m.rolloutAnswers, m.rolloutWithheld, m.rolloutWaits, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.noMemory, m.garbage, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
+	m.registry.MustRegister(m.lostEnds, m.headerFaults, m.riskyRejections, m.tunnels, m.cutOff, m.reachRounds, m.limitShares, m.limitsGranted, m.refusedWithinLimit, m.limitTakes, m.overloads, m.rolloutChanges, m.rolloutAnswers, m.rolloutWithheld, m.rolloutWaits, m.probes, m.deaths, m.answerEndings, m.continuations, m.endless, m.noMemory, m.garbage, m.requests, m.refusals, m.attempts, m.firstEvent, m.answers, m.stateChanges, m.storeCalls,
 		m.feedReads, m.version, m.hosts, m.fencingToken, m.leaderCalls, m.moves, collectors.NewGoCollector())
 	return m
 }
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -145,10 +145,11 @@
 		tokens = c.req.PromptTokens + c.req.AnswerTokens
 	}
 	c.cost = quota.Cost(c.workspace.Limit, tokens)
-	if after, ok := c.g.takeQuota(c.arrived, c.workspace, c.cost); !ok {
-		return c.notRun(http.StatusTooManyRequests, problem.TypeLimit, "the workspace is over its limit").WithRetryAfter(overload.WithinObjective(after, c.route.Target))
+	c.limit = c.g.takeQuota(c.arrived, c.workspace, c.cost)
+	if c.limit.taken {
+		return nil
 	}
-	return nil
+	return c.notRun(http.StatusTooManyRequests, problem.TypeLimit, "the workspace is over its limit").WithRetryAfter(overload.WithinObjective(c.limit.retryAfter, c.route.Target))
 }
 
 // notRun returns a refusal of a request that was not sent, or that every endpoint declined. Without
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -369,6 +369,13 @@
 	return ok && b.demand <= b.limit.PerSecond*b.share
 }
 
+// Share returns the share in force of a workspace's limit, zero if there is none.
+func (t *Table) Share(now time.Time, workspace string) float64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.shareInForce(now, workspace)
+}
+
 // Shares returns the shares in force, by workspace.
 func (t *Table) Shares(now time.Time) map[string]float64 {
 	t.mu.Lock()
