Keep a share of each limit at a standby of the zone's relay

Cause: the relay held the whole share of its zone. Nobody else may use it while the relay may still act on it, so the others had no share.

Change: the host that takes the relay's place holds an equal part of what nobody asks for, and is asked when the relay does not answer, has no share, or refuses a workspace that is not near its limit. Both are parts of one whole, so it does not matter whether the relay has ended or is only cut off. At the limit a standby holds nothing.

--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -16,8 +16,8 @@
 	"github.com/cicadanotch/cicadanotch/presence"
 )
 
-// Shares of limits are granted by the leader to the hosts that keep buckets: the relays of zones, and hosts
-// without a relay (package grant). Every such host calls the leader each grantInterval; another one calls
+// Shares of limits are granted by the leader to the hosts that keep buckets: the relays of zones, their standbys, and
+// hosts without a relay (package grant). Every such host calls the leader each grantInterval; another one calls
 // each new leader once, so that the leader knows that it holds nothing.
 
 // Methods of the grantor, and of the hosts that it tells of its takeover.
@@ -67,11 +67,12 @@
 
 	// Used only by the goroutine of followGrants.
 	holding   *grant.Holding
+	role      quotaRole
 	announced int64 // fencing token of the last takeover that this host has told the others of
 }
 
 func newGrantState(host string, started time.Time) *grantState {
-	return &grantState{wake: make(chan struct{}, 1), first: make(chan struct{}), holding: grant.NewHolding(host, started.UnixNano())}
+	return &grantState{role: roleNone, wake: make(chan struct{}, 1), first: make(chan struct{}), holding: grant.NewHolding(host, started.UnixNano())}
 }
 
 // askSoon makes the holder ask for its shares before the next call is due.
@@ -159,7 +160,9 @@
 func (g *Gateway) askForShares(now time.Time, workspaces []*catalog.Workspace) time.Duration {
 	s := g.grants
 	interval := time.Duration(float64(grantInterval) * (1 + grantJitter*(2*rand.Float64()-1)))
-	to, holds := g.currentGrantor(now), g.keepsBuckets(now)
+	to, role := g.currentGrantor(now), g.quotaRole(now)
+	holds := role != roleNone
+	g.noteRole(role)
 	// Others know a process from its first report on; the next grantor must know of each that holds shares.
 	if to.Token == 0 || g.sequence.Load() == 0 {
 		return interval
@@ -178,6 +181,7 @@
 	if !ok {
 		return interval
 	}
+	call.Standby = role == roleStandby
 	reply, err := g.callGrantor(to, call)
 	if err != nil {
 		g.log.Debug().Str("event", "limits").Str("change", "unanswered").Str("grantor", to.Host).Err(err).Msg("")
@@ -191,7 +195,7 @@
 	s.mu.Lock()
 	s.settled = !holds
 	s.mu.Unlock()
-	if holds && len(reply.Shares) < len(workspaces) {
+	if role == roleKeeper && len(reply.Shares) < len(workspaces) {
 		return minGrantInterval // the grantor waits for other hosts, or they have not given up theirs yet
 	}
 	return interval
@@ -228,8 +232,14 @@
 	}
 }
 
-// keepsBuckets reports whether this host grants from buckets of its own.
-func (g *Gateway) keepsBuckets(now time.Time) bool { return g.quotaRelay(now).Peer == "" }
+// noteRole logs a change of what this host keeps of the limits.
+func (g *Gateway) noteRole(role quotaRole) {
+	if role == g.grants.role {
+		return
+	}
+	g.log.Info().Str("event", "limits").Str("change", "role").Str("role", string(role)).Str("before", string(g.grants.role)).Msg("")
+	g.grants.role = role
+}
 
 func (g *Gateway) callGrantor(to grantor, call grant.Call) (grant.Reply, error) {
 	if to.Host == g.opts.Host {
@@ -350,7 +360,7 @@
 
 // awaitFirstShare waits, in a process that has just started and keeps buckets, for its first shares.
 func (g *Gateway) awaitFirstShare(ctx context.Context, now time.Time) {
-	if now.Sub(g.startedAt) >= startupWindow || !g.keepsBuckets(now) {
+	if now.Sub(g.startedAt) >= startupWindow || g.quotaRole(now) == roleNone {
 		return
 	}
 	select {
--- /dev/null
+++ b/gateway/lostkeeper_test.go
@@ -0,0 +1,163 @@
+package gateway
+
+import (
+	"cmp"
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/cicadanotch/cicadanotch/catalog"
+	"github.com/cicadanotch/cicadanotch/port"
+)
+
+// limitedZone is a zone of three hosts whose workspace asks for a twentieth of its limit.
+type limitedZone struct {
+	*testPlatform
+	peers *memoryPeers
+	sent  int
+}
+
+const (
+	limitedRate     = 375_568.0 // tokens a second
+	limitedInterval = 45 * time.Millisecond
+)
+
+func startLimitedZone(t *testing.T, hosts int) *limitedZone {
+	tp := newTestPlatform()
+	tp.publish(endpoint("1", "llm"), endpoint("2", "llm"))
+	c := configuration(2)
+	c.Workspaces[0].Limit = catalog.Limit{InTokens: true, PerSecond: limitedRate, Burst: limitedRate, DefaultTokens: 200}
+	tp.store.put(port.TopicConfiguration, configurationKey, c)
+	tp.endpoints.respond = func(ctx context.Context, f *port.Forward, _ int) (*port.Reply, error) {
+		return streamReply(ctx, f, io.EOF, time.Millisecond, events(1, 2)...), nil
+	}
+	z := &limitedZone{testPlatform: tp, peers: tp.startZone(t, hosts)}
+	time.Sleep(settleTime)
+	return z
+}
+
+// send sends requests to hosts in turn and returns how many of them a limit refused.
+func (z *limitedZone) send(t *testing.T, length time.Duration, hosts ...*Gateway) (refused int) {
+	for began := time.Now(); time.Since(began) < length; time.Sleep(limitedInterval) {
+		z.sent++
+		r := sendRequest(t.Context(), hosts[z.sent%len(hosts)], fmt.Sprint("req", z.sent), "resume")
+		if r.status == 429 {
+			refused++
+		}
+		z.checkShares(t)
+	}
+	return refused
+}
+
+// checkShares fails the test if more than a whole limit is in force, hosts included that nobody reaches.
+func (z *limitedZone) checkShares(t *testing.T) {
+	sum := 0.0
+	z.hostsMu.Lock()
+	defer z.hostsMu.Unlock()
+	for _, g := range z.hosts {
+		if g.tomb.Alive() {
+			sum += g.quota.Share(time.Now(), "w")
+		}
+	}
+	if sum > 1+1e-9 {
+		t.Fatalf("shares in force add up to %.3f", sum)
+	}
+}
+
+// kill ends the process of a host.
+func (z *limitedZone) kill(g *Gateway) {
+	z.peers.mu.Lock()
+	delete(z.peers.hosts, g.opts.Peer)
+	z.peers.mu.Unlock()
+	g.tomb.Kill(nil)
+}
+
+// keeper returns the host with the largest share, and the others.
+func (z *limitedZone) keeper(hosts []*Gateway) (keeper *Gateway, others []*Gateway) {
+	now := time.Now()
+	keeper = slices.MaxFunc(hosts, func(a, b *Gateway) int { return cmp.Compare(a.quota.Share(now, "w"), b.quota.Share(now, "w")) })
+	return keeper, slices.DeleteFunc(slices.Clone(hosts), func(g *Gateway) bool { return g == keeper })
+}
+
+// TestLostKeeperLeavesAShare guards against refusing a workspace far below its limit because the host that kept the
+// buckets of the zone has failed (incident 0020).
+func TestLostKeeperLeavesAShare(t *testing.T) {
+	t.Parallel()
+	for name, play := range map[string]func(*testing.T, *limitedZone, *Gateway, []*Gateway) (refused int){
+		"killed, stays away": func(t *testing.T, z *limitedZone, relay *Gateway, rest []*Gateway) int {
+			z.kill(relay)
+			return z.send(t, 25*time.Second, rest...)
+		},
+		"killed, back after 3.5 s": func(t *testing.T, z *limitedZone, relay *Gateway, rest []*Gateway) int {
+			back := make(chan *Gateway, 1)
+			go func() { back <- z.restart(t, z.peers, relay, 3500*time.Millisecond) }()
+			return z.send(t, 12*time.Second, rest...)
+		},
+		"killed again 1.5 s after it is back": func(t *testing.T, z *limitedZone, relay *Gateway, rest []*Gateway) int {
+			back := make(chan *Gateway, 1)
+			go func() { back <- z.restart(t, z.peers, relay, 3500*time.Millisecond) }()
+			refused := z.send(t, 5*time.Second, rest...)
+			z.kill(<-back)
+			return refused + z.send(t, 12*time.Second, rest...)
+		},
+		"silent, with its share in force": func(t *testing.T, z *limitedZone, relay *Gateway, rest []*Gateway) int {
+			z.peers.setUnresponsive(relay.opts.Peer, true)
+			relay.ports.Store.(*hostStore).unreachable.Store(true)
+			return z.send(t, 25*time.Second, rest...)
+		},
+		"killed while the store is away": func(t *testing.T, z *limitedZone, relay *Gateway, rest []*Gateway) int {
+			for _, g := range rest {
+				g.ports.Store.(*hostStore).unreachable.Store(true)
+			}
+			z.kill(relay)
+			return z.send(t, 8*time.Second, rest...)
+		},
+		"stops as planned": func(t *testing.T, z *limitedZone, relay *Gateway, rest []*Gateway) int {
+			go relay.Leave(t.Context())
+			refused := z.send(t, 8*time.Second, rest...)
+			z.kill(relay)
+			return refused + z.send(t, 5*time.Second, rest...)
+		},
+		"stops as planned, then its successor is killed": func(t *testing.T, z *limitedZone, relay *Gateway, rest []*Gateway) int {
+			go relay.Leave(t.Context())
+			refused := z.send(t, 3*time.Second, rest...)
+			z.kill(relay)
+			successor, left := z.keeper(rest)
+			z.kill(successor)
+			return refused + z.send(t, 8*time.Second, left...)
+		},
+		"killed, then its successor once there is a grantor again": func(t *testing.T, z *limitedZone, relay *Gateway, rest []*Gateway) int {
+			z.kill(relay)
+			refused := z.send(t, 6*time.Second, rest...)
+			successor, left := z.keeper(rest)
+			z.kill(successor)
+			return refused + z.send(t, 8*time.Second, left...)
+		},
+	} {
+		for _, hosts := range []int{3, 4, 5} {
+			t.Run(fmt.Sprintf("%s, %d hosts", name, hosts), func(t *testing.T) {
+				t.Parallel()
+				synctest.Test(t, func(t *testing.T) {
+					z := startLimitedZone(t, hosts)
+					relay := z.hostNamed(z.relayOf(z.hosts[0]))
+					var rest []*Gateway
+					for _, g := range z.hosts {
+						if g != relay {
+							rest = append(rest, g)
+						}
+					}
+					is.New(t).Equal(z.send(t, 6*time.Second, z.hosts...), 0)
+					refused := play(t, z, relay, rest)
+					t.Logf("%d requests sent, %d refused", z.sent, refused)
+					is.New(t).Equal(refused, 0)
+				})
+			})
+		}
+	}
+}
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -204,7 +204,7 @@
 	})
 	m.limitTakes = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cicadanotch_gateway_limit_takes_total",
-		Help: "Units of a limit that requests asked for, by whose bucket (own, relay, other) and result (taken, refused, no-share, unanswered).",
+		Help: "Units of a limit that requests asked for, by whose bucket (own, relay, standby, other) and result (taken, refused, no-share, unanswered).",
 	}, []string{"bucket", "result"})
 	m.riskyRejections = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "cicadanotch_gateway_risky_rejections_total",
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -112,6 +112,9 @@
 	chosen   presence.Report
 	upstream presence.Report
 	relaying bool
+	// standby holds a share of limits beside the zone's relay and takes its place. Without a relay it is the other
+	// host of the zone that is asked for units if this one has no share.
+	standby presence.Report
 	// askedAt is when another host last asked this one to relay.
 	askedAt time.Time
 	// forwarding is set while forwardReports is due.
--- a/gateway/relaychoice.go
+++ b/gateway/relaychoice.go
@@ -35,11 +35,11 @@
 	return s.choose(now, self, tried).upstream
 }
 
-// relayChoice holds relayState's chosen, upstream, relaying and candidates.
+// relayChoice holds relayState's chosen, upstream, standby, relaying and candidates.
 type relayChoice struct {
-	zone, upstream presence.Report
-	relaying       bool
-	candidates     int
+	zone, upstream, standby presence.Report
+	relaying                bool
+	candidates              int
 }
 
 // choose returns the relays of a host, none of those tried. The caller holds the lock.
@@ -55,11 +55,16 @@
 			inZone = append(inZone, r)
 		}
 	}
-	regional := bestRelay("relay/region/"+self.Region, inRegion)
-	c := relayChoice{zone: bestRelay("relay/"+self.Zone, inZone), candidates: len(inZone)}
+	regional := bestRelay(regionKey(self.Region), inRegion)
+	c := relayChoice{zone: bestRelay(zoneKey(self.Zone), inZone), candidates: len(inZone)}
 	if c.zone.Host != "" && regional.Zone == self.Zone {
 		c.zone = regional
 	}
+	if c.zone.Host != "" {
+		c.standby = successor(c.zone, inRegion, inZone)
+	} else {
+		c.standby = firstOf(zoneKey(self.Zone), without(inZone, self.Host))
+	}
 	c.upstream = c.zone
 	if c.zone.Host == "" || c.zone.Host == self.Host {
 		c.upstream = regional
@@ -71,15 +76,37 @@
 	return c
 }
 
+func zoneKey(zone string) string { return "relay/" + zone }
+
+func regionKey(region string) string { return "relay/region/" + region }
+
+// successor returns the host that becomes the relay of a zone when relay fails, zero if there is none.
+func successor(relay presence.Report, inRegion, inZone []presence.Report) presence.Report {
+	regional := bestRelay(regionKey(relay.Region), without(inRegion, relay.Host))
+	if regional.Zone == relay.Zone {
+		return regional
+	}
+	return firstOf(zoneKey(relay.Zone), without(inZone, relay.Host))
+}
+
+func without(reports []presence.Report, host string) []presence.Report {
+	return slices.DeleteFunc(slices.Clone(reports), func(r presence.Report) bool { return r.Host == host })
+}
+
 // setRelays sets the relays in use and logs a change. The caller holds the lock.
 func (g *Gateway) setRelays(c relayChoice) {
 	s := g.relays
-	previous, previousUpstream := s.chosen.Host, s.upstream.Host
-	s.chosen, s.upstream, s.relaying, s.candidates = c.zone, c.upstream, c.relaying, c.candidates
+	previous, previousUpstream, previousStandby := s.chosen.Host, s.upstream.Host, s.standby.Host
+	s.chosen, s.upstream, s.standby, s.relaying, s.candidates = c.zone, c.upstream, c.standby, c.relaying, c.candidates
 	if c.zone.Host != previous || c.upstream.Host != previousUpstream {
 		g.metrics.stateChanges.WithLabelValues("relay").Inc()
 		g.log.Info().Str("event", "relay").Str("relay", c.zone.Host).Str("before", previous).
-			Str("upstream", c.upstream.Host).Int("candidates", c.candidates).Msg("")
+			Str("upstream", c.upstream.Host).Str("standby", c.standby.Host).Int("candidates", c.candidates).Msg("")
+	} else if c.standby.Host != previousStandby {
+		g.log.Info().Str("event", "relay_standby").Str("standby", c.standby.Host).Str("before", previousStandby).Msg("")
+	}
+	if c.zone.Host != previous || c.standby.Host != previousStandby {
+		g.grants.askSoon()
 	}
 }
 
@@ -89,6 +116,14 @@
 	if len(candidates) < minHostsForRelay {
 		return presence.Report{}
 	}
+	return firstOf(key, candidates)
+}
+
+// firstOf returns the first candidate in the order in which hosts become relays, zero if there is none.
+func firstOf(key string, candidates []presence.Report) presence.Report {
+	if len(candidates) == 0 {
+		return presence.Report{}
+	}
 	return slices.MinFunc(candidates, func(a, b presence.Report) int {
 		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(rendezvous.Score(key, b.Host), rendezvous.Score(key, a.Host)))
 	})
--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -24,6 +25,34 @@
 	return s.chosen
 }
 
+// quotaRole is what a host keeps of the limits.
+type quotaRole string
+
+const (
+	roleNone   quotaRole = "none"   // it asks the zone's relay for each request
+	roleKeeper quotaRole = "keeper" // it keeps the buckets of its zone, or its own
+	// roleStandby is the role of the host that takes the relay's place when that fails.
+	roleStandby quotaRole = "standby"
+)
+
+func (g *Gateway) quotaRole(now time.Time) quotaRole {
+	if g.quotaRelay(now).Peer == "" {
+		return roleKeeper
+	}
+	if g.quotaStandby().Host == g.opts.Host {
+		return roleStandby
+	}
+	return roleNone
+}
+
+// quotaStandby returns the last report of the standby of this host's zone, which may be this host; see relayState.
+func (g *Gateway) quotaStandby() presence.Report {
+	s := g.relays
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.standby
+}
+
 type takeQuotaRequest struct {
 	// Host is the host that takes the share.
 	Host      string  `json:"host"`
@@ -36,8 +65,10 @@
 	// Unknown reports that the relay's configuration has no such workspace.
 	Unknown    bool          `json:"unknown,omitempty"`
 	RetryAfter time.Duration `json:"after_ns,omitempty"`
-	// Share is the fraction of the limit that the host has in force.
+	// Share is the fraction of the limit that the host has in force. Busy reports that the workspace was near its limit
+	// within a window.
 	Share float64 `json:"share,omitempty"`
+	Busy  bool    `json:"busy,omitempty"`
 }
 
 // quotaDecision is what the limit of a workspace decided on a request.
@@ -45,18 +76,25 @@
 	taken      bool
 	retryAfter time.Duration
 	// keeper is the host whose bucket decided, empty if the workspace has no limit. peer is its address, empty for this
-	// host. share is the fraction of the limit that it has in force.
+	// host. share is the fraction of the limit that it has in force, busy whether the workspace was near its limit.
 	keeper, peer string
 	share        float64
+	busy         bool
 }
 
+// final reports whether no other host needs to be asked: below its limit a workspace may have units left in the share of
+// another host, whatever this one has.
+func (d quotaDecision) final() bool { return d.taken || d.busy && d.share > 0 }
+
 // bucketOf says whose bucket a request was charged to.
 type bucketOf string
 
 const (
 	bucketOwn   bucketOf = "own"   // of this host's bucket
 	bucketRelay bucketOf = "relay" // of the zone's relay
-	bucketOther bucketOf = "other" // of the host that would be asked next
+	// bucketStandby is that of the zone's standby, bucketOther that of the relay that the host would use next.
+	bucketStandby bucketOf = "standby"
+	bucketOther   bucketOf = "other"
 )
 
 func (g *Gateway) serveTakeQuota(_ context.Context, params json.RawMessage) (any, error) {
@@ -66,7 +104,7 @@
 	}
 	now := time.Now()
 	snapshot := g.catalog.Current()
-	if snapshot == nil || g.quotaRelay(now).Peer != "" {
+	if snapshot == nil || g.quotaRole(now) == roleNone {
 		return nil, errNotRelay
 	}
 	w := snapshot.Workspace(req.Workspace)
@@ -78,7 +116,7 @@
 		return takeQuotaReply{Taken: true}, nil
 	}
 	d := g.takeHere(now, w, req.Cost)
-	return takeQuotaReply{Taken: d.taken, RetryAfter: d.retryAfter, Share: d.share}, nil
+	return takeQuotaReply{Taken: d.taken, RetryAfter: d.retryAfter, Share: d.share, Busy: d.busy}, nil
 }
 
 // takeHere takes from this host's own share. If that is used up, the host asks for a larger one at once.
@@ -90,43 +128,77 @@
 			g.metrics.refusedWithinLimit.Inc()
 		}
 	}
-	return quotaDecision{taken: ok, retryAfter: after, keeper: g.opts.Host, share: g.quota.Share(now, w.Name)}
+	return quotaDecision{taken: ok, retryAfter: after, keeper: g.opts.Host, share: g.quota.Share(now, w.Name), busy: g.quota.IsBusy(now, w.Name)}
+}
+
+// bucketAt is a host that is asked for units of a limit.
+type bucketAt struct {
+	host presence.Report
+	of   bucketOf
+}
+
+// quotaHosts returns the hosts to ask for units of a limit, in order: the zone's relay, its standby, and the relay that
+// this host would use next if the relay fails. This host comes before those that are only asked instead of a relay, but
+// last if it has no share.
+func (g *Gateway) quotaHosts(now time.Time, w *catalog.Workspace) []bucketAt {
+	relay, standby := g.quotaRelay(now), g.quotaStandby()
+	own := bucketAt{presence.Report{Host: g.opts.Host}, bucketOwn}
+	var hosts []bucketAt
+	add := func(r presence.Report, of bucketOf) {
+		if r.Peer != "" && r.Host != g.opts.Host && !slices.ContainsFunc(hosts, func(b bucketAt) bool { return b.host.Host == r.Host }) {
+			hosts = append(hosts, bucketAt{r, of})
+		}
+	}
+	add(relay, bucketRelay)
+	hasShare := g.quota.Share(now, w.Name) > 0
+	if hasShare {
+		hosts = append(hosts, own)
+	}
+	add(standby, bucketStandby)
+	if relay.Host != "" {
+		add(g.nextRelay(now, []string{relay.Host}, peerHost{}), bucketOther)
+	}
+	if !hasShare {
+		hosts = append(hosts, own)
+	}
+	return hosts
 }
 
-// takeQuota takes from the zone's share of a limit, or from this host's own share when there is no
-// relay. If the relay does not answer, it takes from the share of the relay that it would use next.
+// takeQuota takes from the share of a limit that the zone's relay holds or, where that does not decide, from those of
+// the other quotaHosts.
 func (g *Gateway) takeQuota(now time.Time, w *catalog.Workspace, cost float64) quotaDecision {
 	if w.Limit.PerSecond <= 0 {
 		return quotaDecision{taken: true}
 	}
-	relay := g.quotaRelay(now)
-	if d, ok := g.takeAt(relay, bucketRelay, w, cost); ok {
-		return d
-	}
-	if relay.Host != "" {
-		if d, ok := g.takeAt(g.nextRelay(now, []string{relay.Host}, peerHost{}), bucketOther, w, cost); ok {
+	var refusal quotaDecision
+	for _, b := range g.quotaHosts(now, w) {
+		d, ok := g.takeAt(b, w, cost)
+		if ok && d.final() {
 			return d
 		}
+		if ok && d.share >= refusal.share {
+			refusal = d
+		}
 	}
-	g.awaitFirstShare(g.context(), now)
-	d := g.takeHere(time.Now(), w, cost)
-	g.countTake(bucketOwn, d)
-	return d
+	return refusal
 }
 
-// takeAt takes from the bucket of another host. ok is false if that does not decide.
-func (g *Gateway) takeAt(host presence.Report, of bucketOf, w *catalog.Workspace, cost float64) (d quotaDecision, ok bool) {
+// takeAt takes from the bucket of a host. ok is false if that did not answer.
+func (g *Gateway) takeAt(b bucketAt, w *catalog.Workspace, cost float64) (d quotaDecision, ok bool) {
+	if b.of == bucketOwn {
+		g.awaitFirstShare(g.context(), time.Now())
+		d = g.takeHere(time.Now(), w, cost)
+		g.countTake(b.of, d)
+		return d, true
+	}
 	var reply takeQuotaReply
-	err := g.callPeer(host, methodTakeQuota, takeQuotaTimeout, takeQuotaRequest{g.opts.Host, w.Name, cost}, &reply)
-	switch {
-	case errors.Is(err, errNoRelay):
-		return quotaDecision{}, false
-	case err != nil || reply.Unknown:
-		g.metrics.limitTakes.WithLabelValues(string(of), "unanswered").Inc()
+	err := g.callPeer(b.host, methodTakeQuota, takeQuotaTimeout, takeQuotaRequest{g.opts.Host, w.Name, cost}, &reply)
+	if err != nil || reply.Unknown {
+		g.metrics.limitTakes.WithLabelValues(string(b.of), "unanswered").Inc()
 		return quotaDecision{}, false
 	}
-	d = quotaDecision{taken: reply.Taken, retryAfter: reply.RetryAfter, keeper: host.Host, peer: host.Peer, share: reply.Share}
-	g.countTake(of, d)
+	d = quotaDecision{taken: reply.Taken, retryAfter: reply.RetryAfter, keeper: b.host.Host, peer: b.host.Peer, share: reply.Share, busy: reply.Busy}
+	g.countTake(b.of, d)
 	return d, true
 }
 
--- a/grant/grant.go
+++ b/grant/grant.go
@@ -6,6 +6,9 @@
 // the grantor lowers a share in a reply, counts it as given up when the holder's next call states so,
 // and only then grants it to another holder.
 //
+// A holder that fails takes its share with it: whether it has ended or is only cut off, it may act on it until it
+// expires. A standby therefore holds a part of what nobody asks for, and serves by that until more is free.
+//
 // Ledger is the side of the grantor, which is the leader; Holding that of a holder. The package does
 // no I/O, starts no goroutine and reads no clock. Neither type is safe for concurrent use.
 package grant
@@ -56,6 +59,8 @@
 	// Holds states that the host keeps buckets. A host that does not calls each new grantor once, so
 	// that the grantor knows that it holds nothing.
 	Holds bool `json:"k,omitempty"`
+	// Standby states that the host keeps its buckets for when another one fails: nobody asks it for units until then.
+	Standby bool `json:"b,omitempty"`
 	// Held is the shares in force, Demand the units per second requested, by workspace.
 	Held   map[string]Parts   `json:"v,omitempty"`
 	Demand map[string]float64 `json:"u,omitempty"`
--- a/grant/ledger.go
+++ b/grant/ledger.go
@@ -26,6 +26,7 @@
 	sequence int64
 	heardAt  time.Time
 	holds    bool
+	standby  bool
 	// bounds is the shares that the host holds at most, by workspace: those that it last stated or
 	// that were granted in the reply to that, whichever are larger.
 	bounds map[string]Parts
@@ -120,7 +121,7 @@
 			l.known[w] = min(l.known[w]+p, Whole)
 		}
 	}
-	l.holders[c.Host] = holder{start: c.Start, sequence: c.Sequence, heardAt: now, holds: c.Holds, bounds: maps.Clone(c.Held), demand: c.Demand}
+	l.holders[c.Host] = holder{start: c.Start, sequence: c.Sequence, heardAt: now, holds: c.Holds, standby: c.Standby, bounds: maps.Clone(c.Held), demand: c.Demand}
 	l.stopAwaiting(c.Host, ReasonAllCalled)
 	reply := Reply{Token: l.token, Sequence: c.Sequence, Shares: l.grant(now, c.Host, limits)}
 	for w := range reply.Shares {
@@ -237,9 +238,10 @@
 }
 
 // target returns the share that a host is to hold: what it is asked for, and an equal part of what nobody asks
-// for, which is at least baseRatio. What silent hosts hold is not divided.
+// for. At least baseRatio is divided equally, among standbys only what nobody asks for. What silent hosts hold is not
+// divided.
 func (l *Ledger) target(now time.Time, w, host string, limit float64) Parts {
-	left, total := l.usable(w), 0.0
+	left, total, keepers := l.usable(w), 0.0, 0
 	var live []string
 	for name, h := range l.holders {
 		if !h.holds || now.Sub(h.heardAt) >= silentTimeout {
@@ -251,14 +253,22 @@
 	slices.Sort(live)
 	for _, name := range live {
 		total += l.holders[name].demand[w]
+		if !l.holders[name].standby {
+			keepers++
+		}
 	}
 	left = max(left, 0)
-	base := max(baseRatio, 1-total/(limit*left.Fraction()))
+	idle := max(0, 1-total/(limit*left.Fraction()))
+	base := max(baseRatio, idle)
 	weight, before, found := 0.0, 0.0, false
 	for _, name := range live {
+		h := l.holders[name]
 		own := 1 / float64(len(live))
-		if total > 0 {
-			own = base*own + (1-base)*l.holders[name].demand[w]/total
+		if total > 0 && keepers > 0 {
+			own = idle*own + (1-base)*h.demand[w]/total
+			if !h.standby {
+				own += (base - idle) / float64(keepers)
+			}
 		}
 		if found = name == host; found {
 			weight = own
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -376,6 +376,14 @@
 	return t.shareInForce(now, workspace)
 }
 
+// IsBusy reports whether a workspace was near its limit within a window, as far as this host knows.
+func (t *Table) IsBusy(now time.Time, workspace string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	b, ok := t.buckets[workspace]
+	return ok && t.isBusy(now, b)
+}
+
 // Shares returns the shares in force, by workspace.
 func (t *Table) Shares(now time.Time) map[string]float64 {
 	t.mu.Lock()
