Continue streams at the service that began them

Cause: the service of a request followed from the hash of its own id and the configuration in force, also for one that continues a stream. Records held a software version without its service.

Change: records and messages hold both. The configuration is checked with the registry before a host infers anything. A stream whose service the route no longer names is refused.

--- a/catalog/catalog.go
+++ b/catalog/catalog.go
@@ -7,6 +7,7 @@
 package catalog
 
 import (
+	"slices"
 	"sort"
 	"strings"
 	"sync/atomic"
@@ -85,6 +86,16 @@
 	return r.Services[len(r.Services)-1].Service
 }
 
+// Matches reports whether the route is one for a host name and path.
+func (r *Route) Matches(host, path string) bool {
+	return r.Host == host && strings.HasPrefix(path, r.PathPrefix)
+}
+
+// LeadsTo reports whether the route leads requests to a service.
+func (r *Route) LeadsTo(service string) bool {
+	return slices.ContainsFunc(r.Services, func(s WeightedService) bool { return s.Service == service && s.Weight > 0 })
+}
+
 // Engine describes the inference engines of a service.
 type Engine struct {
 	// Slots is the number of requests that an engine runs at once.
@@ -213,6 +224,51 @@
 	return nil
 }
 
+// MovedRoutes returns the resumable routes of which requests lead to other services in the next version, or nowhere, and
+// the services of these routes in both versions.
+func (s *Snapshot) MovedRoutes(next *Snapshot) (routes []Route, services []string) {
+	type key struct{ host, prefix string }
+	added := map[key]*Route{}
+	for i := range next.Routes {
+		if r := &next.Routes[i]; r.Resumable {
+			added[key{r.Host, r.PathPrefix}] = r
+		}
+	}
+	compare := func(before, after *Route) {
+		if after != nil && slices.Equal(before.Services, after.Services) {
+			return
+		}
+		routes = append(routes, *before)
+		for _, r := range []*Route{before, after} {
+			if r != nil {
+				for _, w := range r.Services {
+					services = append(services, w.Service)
+				}
+			}
+		}
+	}
+	for i := range s.Routes {
+		before := &s.Routes[i]
+		if !before.Resumable {
+			continue
+		}
+		k := key{before.Host, before.PathPrefix}
+		after := added[k]
+		delete(added, k)
+		if after == nil {
+			after = next.Match(before.Host, before.PathPrefix)
+		}
+		compare(before, after)
+	}
+	for _, after := range added { // routes with longer prefixes take requests from others
+		if before := s.Match(after.Host, after.PathPrefix); before != nil && before.Resumable {
+			compare(before, after)
+		}
+	}
+	slices.Sort(services)
+	return routes, slices.Compact(services)
+}
+
 // Authenticate returns the workspace that a key belongs to, or nil if there is none.
 func (s *Snapshot) Authenticate(key string) *Workspace {
 	if key == "" {
--- a/gateway/call.go
+++ b/gateway/call.go
@@ -36,6 +36,7 @@
 	wholeAt time.Time // when the body was read too
 
 	version   int64
+	snapshot  *catalog.Snapshot
 	route     *catalog.Route
 	service   catalog.Service
 	workspace *catalog.Workspace
--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -82,6 +82,7 @@
 		return false
 	}
 	g.logWorkspaces(before, snapshot)
+	g.noteRoutes(time.Now(), before, snapshot)
 	if !g.hasConfig.Swap(true) {
 		close(g.configured)
 	}
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -215,6 +215,9 @@
 		f.g.notePosition(now, page.Era, page.End)
 		f.g.checks.lost.Store(false)
 	}
+	if f.topic == port.TopicConfiguration {
+		f.g.checks.configuration.Store(&registryPosition{era: page.Era, offset: page.End})
+	}
 	f.logAge(now, read.source)
 	return nil
 }
--- a/gateway/hosts.go
+++ b/gateway/hosts.go
@@ -51,6 +51,7 @@
 	r.Usage = g.usage.Recent()
 	r.Speeds = g.reportedSpeeds(now)
 	r.Limits, r.Software = g.reportedLimits(now), g.reportedSoftware(now)
+	r.Moves = g.lineage.routes.Moves(now)
 	r.Rejections = g.reportedRejections(now)
 	if r.FencingToken = g.leader.fencingToken(now); r.FencingToken != 0 {
 		r.Targets = g.leader.targetCounts()
@@ -65,12 +66,17 @@
 // this host is the leader. A relay that reads through another relay reads twice in each reportInterval,
 // so that its zone learns no later than if it read the store.
 func (g *Gateway) followHosts() error {
+	first := true // snapshot
 	f := &follower{
 		g: g, topic: port.TopicHosts, lateAge: lateHostsAge,
 		onRecords: func(read feedRead, records []port.TopicRecord) { g.receiveReports(read.at, records, false) },
 		onSnapshot: func(read feedRead, records []port.TopicRecord, restored bool) {
 			g.repeatDeaths(records)
 			g.receiveReports(read.at, records, restored)
+			if first && len(g.presence.All()) == 0 {
+				g.lineage.routes.NobodyBefore()
+			}
+			first = false
 		},
 		onAnswer: func(now time.Time, _ time.Duration) {
 			g.presence.MarkRead(now)
@@ -91,10 +97,10 @@
 	tick := time.NewTicker(reportInterval / 2)
 	defer tick.Stop()
 	leaveStarted := g.leaveContext.Done()
-	for between, first := false, true; ; first = false {
+	for between, firstReport := false, true; ; firstReport = false {
 		// The first report is sent an interval after the start. After an error other than ErrStoreRefused the
 		// read is tried all the same; the next tick sends a new report.
-		refused := !between && !first && f.hasSnapshot && errors.Is(g.sendReport(), port.ErrStoreRefused)
+		refused := !between && !firstReport && f.hasSnapshot && errors.Is(g.sendReport(), port.ErrStoreRefused)
 		switch {
 		case refused:
 			f.recordStoreFailure(time.Now(), port.ErrStoreRefused) // the store would refuse a read too
@@ -206,6 +212,7 @@
 		for _, report := range decoded[i] {
 			g.learnEra(report.Era)
 			g.receiveSoftware(now, report.Software)
+			g.receiveMoves(now, report)
 			if g.presence.ReceiveReport(now, report, restored) && report.Host != g.opts.Host {
 				g.log.Info().Str("event", "host").Str("change", "heard").Str("peer", report.Host).Str("state", string(report.State)).Msg("")
 			}
--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -12,11 +13,12 @@
 
 	"github.com/cicadanotch/cicadanotch/catalog"
 	"github.com/cicadanotch/cicadanotch/lineage"
+	"github.com/cicadanotch/cicadanotch/presence"
 	"github.com/cicadanotch/cicadanotch/problem"
 	"github.com/cicadanotch/cicadanotch/rendezvous"
 )
 
-// Methods by which hosts tell and ask one another at which software version streams began.
+// Methods by which hosts tell and ask one another where streams began.
 const (
 	methodStreamsBegan = "gateway.streams-began"
 	methodStreamOrigin = "gateway.stream-origin"
@@ -50,6 +52,8 @@
 // lineageState is what this process knows of where streams began.
 type lineageState struct {
 	table *lineage.Table
+	// routes holds which services may have begun streams without a record.
+	routes *lineage.Routes
 	// hostsRead is set when the reports of hosts, those of earlier processes included, have been read.
 	hostsRead atomic.Bool
 
@@ -57,17 +61,18 @@
 	mu sync.Mutex
 	// gathering holds the services whose streams are passed to the outboxes within tellDelay.
 	gathering map[string]bool
-	// outboxes holds, by host, the streams that the host has not been told of, with their software versions.
-	// There is an outbox while sendOutbox runs for the host.
-	outboxes map[string]map[string]string
+	// outboxes holds, by host, the streams that the host has not been told of. There is an outbox while sendOutbox
+	// runs for the host.
+	outboxes map[string]map[string]lineage.Origin
 }
 
 func newLineageState(now time.Time) *lineageState {
-	return &lineageState{table: lineage.NewTable(now), gathering: map[string]bool{}, outboxes: map[string]map[string]string{}}
+	return &lineageState{table: lineage.NewTable(now), routes: lineage.NewRoutes(), gathering: map[string]bool{}, outboxes: map[string]map[string]lineage.Origin{}}
 }
 
-// streamsBegan tells a holder of streams, by software version.
+// streamsBegan tells a holder of streams of a service, by software version. Older builds leave the service out.
 type streamsBegan struct {
+	Service string              `json:"o,omitempty"`
 	Streams map[string][]string `json:"s"`
 }
 
@@ -75,19 +80,28 @@
 	Stream string `json:"s"`
 }
 
-// originReply holds the software version at which a stream began; Known is unset if there is no record.
+// originReply holds where a stream began; Known is unset if there is no record.
 type originReply struct {
+	Service  string `json:"o,omitempty"`
 	Software string `json:"v,omitempty"`
 	Known    bool   `json:"k,omitempty"`
 }
 
+func newOriginReply(origin lineage.Origin, known bool) originReply {
+	return originReply{origin.Service, origin.Software, known}
+}
+
+func (r originReply) origin() lineage.Origin {
+	return lineage.Origin{Service: r.Service, Software: r.Software}
+}
+
 // recordBeginning records the first event of a stream that its caller may continue.
 func (g *Gateway) recordBeginning(c *call, software string) {
 	if !c.route.Resumable {
 		return
 	}
 	now := time.Now()
-	g.lineage.table.Began(now, c.service.Name, c.req.ID, software)
+	g.lineage.table.Began(now, c.req.ID, lineage.Origin{Service: c.service.Name, Software: software})
 	g.tellHolders(now, c.service.Name)
 }
 
@@ -98,10 +112,10 @@
 	}
 }
 
-// tellHolders tells, after tellDelay, the holders of the streams of a service that this host has begun, if the
-// service has several software versions.
+// tellHolders tells, after tellDelay, the holders of the streams of a service that this host has begun, if other hosts
+// cannot tell where they began: the service has several software versions, or routes have changed.
 func (g *Gateway) tellHolders(now time.Time, service string) {
-	if g.ports.Peers == nil || len(g.fleet.SoftwareVersions(now, service, lineage.RecordTTL)) < 2 {
+	if g.ports.Peers == nil || len(g.fleet.SoftwareVersions(now, service, lineage.RecordTTL)) < 2 && !g.lineage.routes.HasMoved(now, service) {
 		return
 	}
 	s := g.lineage
@@ -127,10 +141,10 @@
 				continue
 			}
 			if s.outboxes[holder] == nil {
-				s.outboxes[holder] = map[string]string{}
+				s.outboxes[holder] = map[string]lineage.Origin{}
 				go g.sendOutbox(holder)
 			}
-			s.outboxes[holder][stream] = software
+			s.outboxes[holder][stream] = lineage.Origin{Service: service, Software: software}
 		}
 	}
 }
@@ -145,13 +159,7 @@
 		if len(streams) == 0 {
 			return
 		}
-		m := streamsBegan{map[string][]string{}}
-		for stream, software := range streams {
-			m.Streams[software] = append(m.Streams[software], stream)
-		}
-		ctx, cancel := context.WithTimeout(g.context(), tellTimeout)
-		err := g.ports.Peers.Call(ctx, address, methodStreamsBegan, m, nil)
-		cancel()
+		err := g.sendStreams(address, streams)
 		if err == nil {
 			continue
 		}
@@ -165,9 +173,32 @@
 	}
 }
 
+// sendStreams tells a host of streams, in a call for each service, and removes those that it was told of.
+func (g *Gateway) sendStreams(address string, streams map[string]lineage.Origin) error {
+	messages := map[string]streamsBegan{}
+	for stream, origin := range streams {
+		m, ok := messages[origin.Service]
+		if !ok {
+			m = streamsBegan{origin.Service, map[string][]string{}}
+			messages[origin.Service] = m
+		}
+		m.Streams[origin.Software] = append(m.Streams[origin.Software], stream)
+	}
+	for service, m := range messages {
+		ctx, cancel := context.WithTimeout(g.context(), tellTimeout)
+		err := g.ports.Peers.Call(ctx, address, methodStreamsBegan, m, nil)
+		cancel()
+		if err != nil {
+			return err
+		}
+		maps.DeleteFunc(streams, func(_ string, origin lineage.Origin) bool { return origin.Service == service })
+	}
+	return nil
+}
+
 // takeOutbox empties the outbox of a host. It returns nil, and removes the outbox, if that is empty or the host is
 // gone.
-func (s *lineageState) takeOutbox(host string, live bool) map[string]string {
+func (s *lineageState) takeOutbox(host string, live bool) map[string]lineage.Origin {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	streams := s.outboxes[host]
@@ -175,17 +206,17 @@
 		delete(s.outboxes, host)
 		return nil
 	}
-	s.outboxes[host] = map[string]string{}
+	s.outboxes[host] = map[string]lineage.Origin{}
 	return streams
 }
 
 // returnToOutbox undoes takeOutbox, as far as maxOutbox allows.
-func (s *lineageState) returnToOutbox(host string, streams map[string]string) {
+func (s *lineageState) returnToOutbox(host string, streams map[string]lineage.Origin) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for stream, software := range streams {
+	for stream, origin := range streams {
 		if len(s.outboxes[host]) < maxOutbox {
-			s.outboxes[host][stream] = software
+			s.outboxes[host][stream] = origin
 		}
 	}
 }
@@ -202,33 +233,74 @@
 	return hosts, addresses
 }
 
-// resolveOrigin finds out at which software version the stream began that the caller continues. It returns a
-// refusal if that is not known: the stream must not go on at another version.
+// resolveOrigin finds out at which service and software version the stream began that the caller continues. It returns a
+// refusal if that is not known: the stream must not go on elsewhere.
 func (c *call) resolveOrigin(ctx context.Context) *problem.Problem {
 	if c.route.Kind != catalog.KindStreaming || (c.req.Origin == "" && c.req.ResumeAfter == "") {
 		return nil
 	}
-	software, known := c.g.lineage.table.Lookup(c.req.Origin)
+	origin, known := c.g.lineage.table.Lookup(c.req.Origin)
 	if !known {
-		software, known = c.g.findOrigin(ctx, c.service.Name, c.req.Origin)
+		origin, known = c.findOrigin(ctx)
+	}
+	if known && origin.Service == "" {
+		origin.Service, known = c.onlyService(time.Now())
 	}
 	if !known {
 		c.g.metrics.continuations.WithLabelValues("request", "unknown").Inc()
 		return c.notRun(http.StatusServiceUnavailable, problem.TypeUnavailable, "not known at which software version the stream began").WithRetryAfter(unknownOriginRetryAfter)
 	}
+	if !c.route.LeadsTo(origin.Service) {
+		c.g.metrics.continuations.WithLabelValues("request", "moved").Inc()
+		return c.notRun(http.StatusServiceUnavailable, problem.TypeUnavailable, "the route no longer leads to the service that began the stream: "+origin.Service).WithRetryAfter(noEndpointRetryAfter)
+	}
+	service, ok := c.snapshot.Services[origin.Service]
+	if !ok {
+		return c.notRun(http.StatusServiceUnavailable, problem.TypeUnavailable, "the service that began the stream is not configured: "+origin.Service).WithRetryAfter(noEndpointRetryAfter)
+	}
 	c.g.metrics.continuations.WithLabelValues("request", "same").Inc()
 	if c.req.Origin != "" {
-		c.g.lineage.table.Learn(time.Now(), c.req.Origin, software)
+		c.g.lineage.table.Learn(time.Now(), c.req.Origin, origin)
 	}
+	c.service = service
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.software = &software
+	c.software = &origin.Software
 	return nil
 }
 
-// findOrigin finds out at which software version a stream began of which this host has no record: by the versions that
-// can have begun it, and by the hosts that have a record. stream is empty if the caller does not name it.
-func (g *Gateway) findOrigin(ctx context.Context, service, stream string) (software string, known bool) {
+// services returns the services that may have begun the stream that the caller continues; complete is false if there may
+// be others.
+func (c *call) services(now time.Time) (services []string, complete bool) {
+	return c.g.lineage.routes.Services(now, c.route, c.req.Host, c.req.Path, c.req.Origin)
+}
+
+// onlyService returns the only service that may have begun the stream that the caller continues.
+func (c *call) onlyService(now time.Time) (service string, ok bool) {
+	services, complete := c.services(now)
+	if !complete || len(services) != 1 {
+		return "", false
+	}
+	return services[0], true
+}
+
+// knowledge returns where the stream that the caller continues may have begun. checked reports that the registry and
+// the configuration were checked since the caller asked.
+func (c *call) knowledge(now time.Time, checked bool) lineage.Knowledge {
+	services, complete := c.services(now)
+	k := lineage.Knowledge{Current: checked && complete && c.g.lineage.hostsRead.Load()}
+	for _, service := range services {
+		for _, software := range c.g.fleet.SoftwareVersions(now, service, lineage.RecordTTL) {
+			k.Served = append(k.Served, lineage.Origin{Service: service, Software: software})
+		}
+	}
+	return k
+}
+
+// findOrigin finds out where a stream began of which this host has no record: by the services and software versions that
+// can have begun it, and by the hosts that have a record.
+func (c *call) findOrigin(ctx context.Context) (origin lineage.Origin, known bool) {
+	g := c.g
 	timeout, lead := registryCheckTimeout, checkLead
 	if g.checks.lost.Load() {
 		timeout, lead = lostOriginTimeout, 0
@@ -237,65 +309,52 @@
 	defer cancel()
 	replies := make(chan originReply, 2)
 	pending := 0
-	if len(g.fleet.SoftwareVersions(time.Now(), service, lineage.RecordTTL)) < 2 {
+	if k := c.knowledge(time.Now(), true); k.Current && len(k.Served) < 2 {
 		pending++
 		go func() {
 			err := g.checkRegistry(ctx)
-			software, known := g.knowledge(time.Now(), service, err == nil).Only()
-			replies <- originReply{software, known}
+			replies <- newOriginReply(c.knowledge(time.Now(), err == nil).Only())
 		}()
 		select {
 		case r := <-replies:
 			if r.Known {
-				return r.Software, true
+				return r.origin(), true
 			}
 			pending--
 		case <-time.After(lead):
 		}
 	}
-	if stream != "" {
+	if stream := c.req.Origin; stream != "" {
 		pending++
-		go func() {
-			software, known := g.askOrigin(ctx, stream)
-			replies <- originReply{software, known}
-		}()
+		go func() { replies <- newOriginReply(g.askOrigin(ctx, stream)) }()
 	}
 	for ; pending > 0; pending-- {
 		select {
 		case r := <-replies:
 			if r.Known {
-				return r.Software, true
+				return r.origin(), true
 			}
 		case <-ctx.Done():
-			return "", false
+			return lineage.Origin{}, false
 		}
 	}
-	return "", false
-}
-
-// knowledge returns which software versions may have begun a stream that is still continued. checked reports that the
-// registry was checked since the caller asked to continue the stream.
-func (g *Gateway) knowledge(now time.Time, service string, checked bool) lineage.Knowledge {
-	return lineage.Knowledge{
-		Served:  g.fleet.SoftwareVersions(now, service, lineage.RecordTTL),
-		Current: checked && g.lineage.hostsRead.Load(),
-	}
+	return lineage.Origin{}, false
 }
 
-// askOrigin asks other hosts at which software version a stream began: its holders, then others. The second
-// round finds streams that holders are only about to be told of.
-func (g *Gateway) askOrigin(ctx context.Context, stream string) (software string, known bool) {
+// askOrigin asks other hosts where a stream began: its holders, then others. The second round finds streams that holders
+// are only about to be told of.
+func (g *Gateway) askOrigin(ctx context.Context, stream string) (origin lineage.Origin, known bool) {
 	if g.ports.Peers == nil {
-		return "", false
+		return lineage.Origin{}, false
 	}
 	hosts, addresses := g.recordHosts()
-	if software, known = g.askHosts(ctx, stream, lineage.Holders(stream, hosts), addresses); known {
-		return software, true
+	if origin, known = g.askHosts(ctx, stream, lineage.Holders(stream, hosts), addresses); known {
+		return origin, true
 	}
 	select {
 	case <-time.After(tellDelay):
 	case <-ctx.Done():
-		return "", false
+		return lineage.Origin{}, false
 	}
 	names := make([]string, 0, len(hosts))
 	for _, h := range hosts {
@@ -304,15 +363,14 @@
 	return g.askHosts(ctx, stream, rendezvous.Top(stream, names, maxHostsAsked), addresses)
 }
 
-// askHosts asks hosts at the same time and returns the first record of the stream.
-func (g *Gateway) askHosts(ctx context.Context, stream string, names []string, addresses map[string]string) (software string, known bool) {
+// askHosts asks hosts at the same time and returns the first record of the stream, if possible one with its service.
+func (g *Gateway) askHosts(ctx context.Context, stream string, names []string, addresses map[string]string) (origin lineage.Origin, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	replies := make(chan originReply, len(names))
 	for _, name := range names {
 		if name == g.opts.Host {
-			software, known := g.lineage.table.Lookup(stream)
-			replies <- originReply{software, known}
+			replies <- newOriginReply(g.lineage.table.Lookup(stream))
 			continue
 		}
 		go func() {
@@ -323,11 +381,15 @@
 		}()
 	}
 	for range names {
-		if reply := <-replies; reply.Known {
-			return reply.Software, true
+		reply := <-replies
+		if reply.Known {
+			origin, known = reply.origin(), true
+		}
+		if known && origin.Service != "" {
+			break
 		}
 	}
-	return "", false
+	return origin, known
 }
 
 func (g *Gateway) serveStreamsBegan(_ context.Context, params json.RawMessage) (any, error) {
@@ -338,7 +400,7 @@
 	now := time.Now()
 	for software, streams := range m.Streams {
 		for _, stream := range streams {
-			g.lineage.table.Learn(now, stream, software)
+			g.lineage.table.Learn(now, stream, lineage.Origin{Service: m.Service, Software: software})
 		}
 	}
 	return struct{}{}, nil
@@ -349,8 +411,33 @@
 	if err := json.Unmarshal(params, &req); err != nil {
 		return nil, errors.Wrap(err, "decode stream")
 	}
-	software, known := g.lineage.table.Lookup(req.Stream)
-	return originReply{software, known}, nil
+	return newOriginReply(g.lineage.table.Lookup(req.Stream)), nil
+}
+
+// noteRoutes records that a configuration was put in force in place of another, and tells the holders of streams that
+// began at services that routes no longer lead to as before.
+func (g *Gateway) noteRoutes(now time.Time, before, after *catalog.Snapshot) {
+	services := g.lineage.routes.Replaced(now, before, after)
+	if len(services) == 0 {
+		return
+	}
+	g.log.Info().Str("event", "routes_moved").Int64("version", after.Version).Strs("services", services).Msg("")
+	for _, service := range services {
+		g.tellHolders(now, service)
+	}
+}
+
+// receiveMoves takes over what another process has reported of the routes. If this host has not seen a change of them,
+// it tells the holders of all streams that it has begun.
+func (g *Gateway) receiveMoves(now time.Time, r presence.Report) {
+	own := r.Host == g.opts.Host && r.Incarnation == g.opts.Incarnation
+	if own || !g.lineage.routes.Heard(now, r.Config, r.Moves) {
+		return
+	}
+	g.log.Info().Str("event", "routes_moved").Str("peer", r.Host).Msg("")
+	for _, service := range g.lineage.table.Untold() {
+		g.tellHolders(now, service)
+	}
 }
 
 // reportedSoftware returns how many milliseconds ago each software version was last listed.
--- a/gateway/metrics.go
+++ b/gateway/metrics.go
@@ -132,7 +132,7 @@
 	}, []string{"framing", "ending"})
 	m.continuations = prometheus.NewCounterVec(prometheus.CounterOpts{
 		Name: "cicadanotch_gateway_continuations_total",
-		Help: "Streams continued by an endpoint, by way (attempt, move, request of the caller) and by its software version against that which began the stream (same, other, unknown).",
+		Help: "Streams continued by an endpoint, by way (attempt, move, request of the caller) and by its software version against that which began the stream (same, other, unknown; moved: the route no longer leads to its service).",
 	}, []string{"way", "software"})
 	m.endless = prometheus.NewCounter(prometheus.CounterOpts{
 		Name: "cicadanotch_gateway_endless_answers_total",
--- a/gateway/registrycheck.go
+++ b/gateway/registrycheck.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,9 @@
 	maxCheckPages = 4
 )
 
+// errConfigurationBehind means that there is a configuration that this host has not in force yet.
+var errConfigurationBehind = errors.New("a later configuration is not in force yet")
+
 // errBehind means that the registry holds more records than a check reads.
 var errBehind = errors.New("too many records of the registry are unread")
 
@@ -108,6 +112,8 @@
 // registryChecks is this host's state of checks.
 type registryChecks struct {
 	position atomic.Pointer[registryPosition] // nil before the first read
+	// configuration is how far the configuration has been read, nil before the first read.
+	configuration atomic.Pointer[registryPosition]
 	// lost is set while the last read of the registry has failed.
 	lost atomic.Bool
 	// own serves this host; direct, which reads the store, also other hosts.
@@ -142,9 +148,11 @@
 	return err
 }
 
-// checkReply holds how many milliseconds ago each software version was last listed, by service, as presence.Report does.
+// checkReply holds how many milliseconds ago each software version was last listed, by service, as presence.Report does,
+// and the newest version of the configuration.
 type checkReply struct {
 	Software map[string]map[string]int64 `json:"software"`
+	Config   int64                       `json:"config,omitempty"`
 }
 
 func (g *Gateway) checkByHost(ctx context.Context, peer string) error {
@@ -158,19 +166,60 @@
 		return err
 	}
 	g.receiveSoftware(time.Now(), reply.Software)
+	if reply.Config > g.configVersion() {
+		return errConfigurationBehind
+	}
 	return nil
 }
 
+// configVersion returns the version of the configuration in force, zero if there is none.
+func (g *Gateway) configVersion() int64 {
+	if s := g.catalog.Current(); s != nil {
+		return s.Version
+	}
+	return 0
+}
+
 func (g *Gateway) serveCheckRegistry(ctx context.Context, _ json.RawMessage) (any, error) {
 	if err := g.checks.direct.ask(ctx, g.context()); err != nil {
 		return nil, errors.Wrap(err, "check the registry")
 	}
-	return checkReply{g.reportedSoftware(time.Now())}, nil
+	return checkReply{g.reportedSoftware(time.Now()), g.configVersion()}, nil
 }
 
-// checkAtStore reads the records that the follower of the registry has yet to read, and records their software
-// versions. The follower applies them later.
+// checkAtStore checks the configuration and the registry at the store.
 func (g *Gateway) checkAtStore(ctx context.Context) error {
+	configuration := make(chan error, 1)
+	go func() { configuration <- g.checkConfiguration(ctx) }()
+	if err := g.readRegistry(ctx); err != nil {
+		return err
+	}
+	return <-configuration
+}
+
+// checkConfiguration returns nil if the newest configuration of the store is in force at this host.
+func (g *Gateway) checkConfiguration(ctx context.Context) error {
+	at := g.checks.configuration.Load()
+	if at == nil {
+		return errors.New("the configuration has not been read")
+	}
+	began := time.Now()
+	page, err := g.ports.Store.Read(ctx, port.TopicConfiguration, at.offset, 0)
+	g.observeStore("read", began, time.Now(), err)
+	switch {
+	case err != nil:
+		return err
+	case page.Era != at.era:
+		return errEraChanged
+	case page.More || slices.ContainsFunc(page.Records, func(r port.TopicRecord) bool { return r.Key == configurationKey }):
+		return errConfigurationBehind
+	}
+	return nil
+}
+
+// readRegistry reads the records that the follower of the registry has yet to read, and records their software
+// versions. The follower applies them later.
+func (g *Gateway) readRegistry(ctx context.Context) error {
 	at := g.checks.position.Load()
 	if at == nil {
 		return errors.New("the registry has not been read")
--- a/gateway/serve.go
+++ b/gateway/serve.go
@@ -99,7 +99,7 @@
 	if snapshot == nil {
 		return c.notRun(http.StatusServiceUnavailable, problem.TypeUnavailable, "no configuration yet").WithRetryAfter(noConfigRetryAfter)
 	}
-	c.version = snapshot.Version
+	c.version, c.snapshot = snapshot.Version, snapshot
 	c.route = snapshot.Match(c.req.Host, c.req.Path)
 	if c.route == nil {
 		return problem.Refuse(&c.guard, http.StatusNotFound, problem.TypeNotFound, "no route matches")
--- a/gateway/software_test.go
+++ b/gateway/software_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -159,6 +160,10 @@
 	*testPlatform
 	peers *memoryPeers
 	begun int // streams
+	// writer returns what wrote the events of an attempt: a stream must not have those of two.
+	writer func(*port.Forward) string
+	// stalled holds the hosts that read no further configuration, see stallConfiguration.
+	stalled *sync.Map
 }
 
 // startContinuation starts hosts and endpoints that break off each stream after two events at each attempt,
@@ -166,6 +171,10 @@
 func startContinuation(t *testing.T, hosts int, ids ...string) *continuation {
 	tp := newTestPlatform()
 	tp.publishSoftware(ids...)
+	return tp.startContinuation(t, hosts)
+}
+
+func (tp *testPlatform) startContinuation(t *testing.T, hosts int) *continuation {
 	tp.endpoints.respond = func(ctx context.Context, f *port.Forward, n int) (*port.Reply, error) {
 		after := position(f)
 		if f.ResumeAfter == "" {
@@ -173,7 +182,7 @@
 		}
 		return streamReply(ctx, f, io.EOF, time.Millisecond, events(after+1, 9)...), nil
 	}
-	c := &continuation{testPlatform: tp, peers: tp.startZone(t, hosts)}
+	c := &continuation{testPlatform: tp, peers: tp.startZone(t, hosts), writer: softwareOf}
 	time.Sleep(settleTime)
 	return c
 }
@@ -190,7 +199,7 @@
 }
 
 // resume continues streams through a host. It returns how many go on, and the refusals of the others; it fails
-// the test if one goes on at another software version.
+// the test if one goes on at another writer.
 func (c *continuation) resume(t *testing.T, g *Gateway, origins []string) (wentOn int, refused []*problem.Problem) {
 	t.Helper()
 	for _, origin := range origins {
@@ -201,8 +210,8 @@
 			HasTokens: true, PromptTokens: 800, AnswerTokens: 90, Origin: origin, ResumeAfter: "4",
 		}, r)
 		for _, f := range c.endpoints.attempts(id) {
-			if want := softwareOf(c.endpoints.attempts(origin)[0]); softwareOf(f) != want {
-				t.Errorf("stream %s began at %s and goes on at %s", origin, want, softwareOf(f))
+			if want := c.writer(c.endpoints.attempts(origin)[0]); c.writer(f) != want {
+				t.Errorf("stream %s began at %s and goes on at %s", origin, want, c.writer(f))
 			}
 		}
 		if r.problem == nil && !r.aborted {
--- a/lineage/lineage.go
+++ b/lineage/lineage.go
@@ -1,17 +1,18 @@
-// Package lineage holds at which software version streams began. Callers continue a stream that was broken off
-// with a further request, often at another host, and what endpoints of two software versions write does not fit
-// together.
+// Package lineage holds at which service and software version streams began. Callers continue a stream that was broken off
+// with a further request, often at another host, and what endpoints of two software versions or services write does not
+// fit together.
 //
 // Load pattern: while a release replaces endpoints, hosts and endpoints fail, and hundreds of callers continue
 // their streams within a second at hosts that did not serve them. Each host records the streams that it
-// begins. While a service has several software versions, it also tells the Holders of each record, and a host
+// begins. While a service has several software versions, or its routes have changed, it also tells the Holders of each record, and a host
 // that is asked to continue a stream asks these.
 //
-// Invariant: a stream goes on only at the version that is recorded for it, or, without a record, at the only
-// version that can have begun it.
+// Invariant: a stream goes on only at the service and version that are recorded for it, or, without a record, at the
+// only ones that can have begun it.
 package lineage
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -30,12 +31,18 @@
 	holderCount = 3
 )
 
+// Origin is where a stream began. Names of software versions may be the same in two services.
+type Origin struct {
+	// Service is empty in what hosts of older builds tell.
+	Service, Software string
+}
+
 // Table holds the records of one host. Safe for concurrent use; no other lock is taken while its lock is held.
 type Table struct {
 	mu sync.Mutex
-	// current and previous are two generations of records, software version by stream; previous is dropped
+	// current and previous are two generations of records by stream; previous is dropped
 	// when current is RecordTTL old or full.
-	current, previous map[string]string
+	current, previous map[string]Origin
 	rotatedAt         time.Time
 	// untold holds the streams of this host, by service, of which no other host has been told.
 	untold map[string]map[string]bool
@@ -43,22 +50,25 @@
 
 // NewTable returns an empty table.
 func NewTable(now time.Time) *Table {
-	return &Table{current: map[string]string{}, previous: map[string]string{}, rotatedAt: now, untold: map[string]map[string]bool{}}
+	return &Table{current: map[string]Origin{}, previous: map[string]Origin{}, rotatedAt: now, untold: map[string]map[string]bool{}}
 }
 
 // Began records that a stream of this host has begun.
-func (t *Table) Began(now time.Time, service, stream, software string) {
+func (t *Table) Began(now time.Time, stream string, origin Origin) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.put(now, stream, software)
-	t.markUntold(service, stream)
+	t.put(now, stream, origin)
+	t.markUntold(origin.Service, stream)
 }
 
 // Learn records what is known of a stream that another host began.
-func (t *Table) Learn(now time.Time, stream, software string) {
+func (t *Table) Learn(now time.Time, stream string, origin Origin) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.put(now, stream, software)
+	if known, ok := t.lookup(stream); ok && origin.Service == "" && known.Software == origin.Software {
+		return // known from a host that tells the service
+	}
+	t.put(now, stream, origin)
 }
 
 // Completed records that a stream has been sent completely, so that other hosts need not be told of it. The
@@ -69,8 +79,8 @@
 	delete(t.untold[service], stream)
 }
 
-// Lookup returns the software version at which a stream began; ok is false if there is no record.
-func (t *Table) Lookup(stream string) (software string, ok bool) {
+// Lookup returns where a stream began; ok is false if there is no record.
+func (t *Table) Lookup(stream string) (origin Origin, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return t.lookup(stream)
@@ -83,14 +93,21 @@
 	defer t.mu.Unlock()
 	out := map[string]string{}
 	for stream := range t.untold[service] {
-		if software, ok := t.lookup(stream); ok {
-			out[stream] = software
+		if origin, ok := t.lookup(stream); ok {
+			out[stream] = origin.Software
 		}
 	}
 	delete(t.untold, service)
 	return out
 }
 
+// Untold returns the services of the streams of which no other host has been told, in no particular order.
+func (t *Table) Untold() []string {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return slices.Collect(maps.Keys(t.untold))
+}
+
 // Len returns the number of records.
 func (t *Table) Len() int {
 	t.mu.Lock()
@@ -98,17 +115,17 @@
 	return len(t.current) + len(t.previous)
 }
 
-func (t *Table) lookup(stream string) (string, bool) {
-	if software, ok := t.current[stream]; ok {
-		return software, true
+func (t *Table) lookup(stream string) (Origin, bool) {
+	if origin, ok := t.current[stream]; ok {
+		return origin, true
 	}
-	software, ok := t.previous[stream]
-	return software, ok
+	origin, ok := t.previous[stream]
+	return origin, ok
 }
 
-func (t *Table) put(now time.Time, stream, software string) {
+func (t *Table) put(now time.Time, stream string, origin Origin) {
 	if now.Sub(t.rotatedAt) >= RecordTTL || len(t.current) >= maxRecords {
-		t.previous, t.current, t.rotatedAt = t.current, make(map[string]string, len(t.current)), now
+		t.previous, t.current, t.rotatedAt = t.current, make(map[string]Origin, len(t.current)), now
 		for _, streams := range t.untold {
 			for s := range streams {
 				if _, ok := t.previous[s]; !ok {
@@ -117,7 +134,7 @@
 			}
 		}
 	}
-	t.current[stream] = software
+	t.current[stream] = origin
 }
 
 func (t *Table) markUntold(service, stream string) {
@@ -157,19 +174,23 @@
 
 // Knowledge is what a host knows when a caller asks it to continue a stream of which it has no record.
 type Knowledge struct {
-	// Served are the software versions that may have begun the stream.
-	Served []string
-	// Current reports that Served holds all of them: the registry was read a short time ago, and so were
-	// the reports of what had been served before this process started.
+	// Served are the services and software versions that may have begun the stream.
+	Served []Origin
+	// Current reports that Served holds all of them: the registry and the configuration were read a short time ago, and
+	// so were the reports of what had been served before this process started.
 	Current bool
 }
 
-// Only returns the software version at which a stream without a record goes on; ok is false if more than one may
-// have begun it, and it must not go on anywhere.
-func (k Knowledge) Only() (software string, ok bool) {
-	served := slices.Compact(slices.Sorted(slices.Values(k.Served)))
-	if !k.Current || len(served) != 1 {
-		return "", false
+// Only returns where a stream without a record goes on; ok is false if it may have begun elsewhere too, and must not go
+// on anywhere.
+func (k Knowledge) Only() (origin Origin, ok bool) {
+	if !k.Current || len(k.Served) == 0 {
+		return Origin{}, false
+	}
+	for _, other := range k.Served[1:] {
+		if other != k.Served[0] {
+			return Origin{}, false
+		}
 	}
-	return served[0], true
+	return k.Served[0], true
 }
--- a/lineage/lineage_test.go
+++ b/lineage/lineage_test.go
@@ -15,21 +15,21 @@
 func TestRecords(t *testing.T) {
 	is := is.New(t)
 	table := NewTable(start)
-	table.Began(start, "llm", "a", "v1")
-	table.Began(start, "llm", "b", "v2")
-	table.Began(start, "other", "c", "v1")
-	table.Learn(start, "d", "v1")
+	table.Began(start, "a", Origin{"llm", "v1"})
+	table.Began(start, "b", Origin{"llm", "v2"})
+	table.Began(start, "c", Origin{"other", "v1"})
+	table.Learn(start, "d", Origin{"llm", "v1"})
 	table.Completed("llm", "b")
-	software, ok := table.Lookup("b")
-	is.True(ok && software == "v2")
+	origin, ok := table.Lookup("b")
+	is.True(ok && origin == Origin{"llm", "v2"})
 	is.Equal(table.TakeUntold("llm"), map[string]string{"a": "v1"}) // neither completed, nor of another service, nor learned
 	is.Equal(len(table.TakeUntold("llm")), 0)                       // they count as told
 	// A record is kept for RecordTTL at least, and for twice that at most while others come.
 	for age := time.Duration(0); age <= 2*RecordTTL; age += RecordTTL / 9 {
-		table.Learn(start.Add(age), fmt.Sprint("new", age), "v3")
-		software, ok := table.Lookup("a")
+		table.Learn(start.Add(age), fmt.Sprint("new", age), Origin{"llm", "v3"})
+		origin, ok := table.Lookup("a")
 		is.True(ok || age > RecordTTL)
-		is.True(!ok || software == "v1")
+		is.True(!ok || origin == Origin{"llm", "v1"})
 	}
 	_, ok = table.Lookup("a")
 	is.True(!ok)
@@ -41,7 +41,7 @@
 	is := is.New(t)
 	table := NewTable(start)
 	for i := range 3*maxRecords + 1 {
-		table.Began(start, "llm", fmt.Sprint(i), "v1")
+		table.Began(start, fmt.Sprint(i), Origin{"llm", "v1"})
 	}
 	is.True(table.Len() <= 2*maxRecords)
 	_, ok := table.Lookup(fmt.Sprint(3 * maxRecords))
@@ -84,22 +84,36 @@
 
 func TestOnly(t *testing.T) {
 	for name, tc := range map[string]struct {
-		served   []string
-		current  bool
-		software string
-		ok       bool
+		served  []Origin
+		current bool
+		origin  Origin
+		ok      bool
 	}{
-		"one version":                     {[]string{"v1", "v1"}, true, "v1", true},
-		"two versions":                    {[]string{"v1", "v2"}, true, "", false},
-		"one version, knowledge outdated": {[]string{"v1"}, false, "", false},
-		"none":                            {nil, true, "", false},
-		"one version without a name":      {[]string{""}, true, "", true},
+		"one version":                     {[]Origin{{"a", "v1"}, {"a", "v1"}}, true, Origin{"a", "v1"}, true},
+		"two versions":                    {[]Origin{{"a", "v1"}, {"a", "v2"}}, true, Origin{}, false},
+		"one name in two services":        {[]Origin{{"a", "v1"}, {"b", "v1"}}, true, Origin{}, false},
+		"one version, knowledge outdated": {[]Origin{{"a", "v1"}}, false, Origin{}, false},
+		"none":                            {nil, true, Origin{}, false},
+		"one version without a name":      {[]Origin{{"a", ""}}, true, Origin{"a", ""}, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
-			software, ok := Knowledge{tc.served, tc.current}.Only()
+			origin, ok := Knowledge{tc.served, tc.current}.Only()
 			is.Equal(ok, tc.ok)
-			is.Equal(software, tc.software)
+			is.Equal(origin, tc.origin)
 		})
 	}
 }
+
+// TestRecordsOfOlderBuildsReplaceNone guards against a record without a service, of a host of an older build, that
+// replaces a whole one.
+func TestRecordsOfOlderBuildsReplaceNone(t *testing.T) {
+	is := is.New(t)
+	table := NewTable(start)
+	table.Learn(start, "a", Origin{"", "v1"})
+	table.Learn(start, "a", Origin{"llm", "v1"})
+	table.Learn(start, "a", Origin{"", "v1"})
+	origin, ok := table.Lookup("a")
+	is.True(ok)
+	is.Equal(origin, Origin{"llm", "v1"})
+}
--- a/presence/presence.go
+++ b/presence/presence.go
@@ -111,6 +111,8 @@
 	Rejections map[string]Rejections `json:"x,omitempty"`
 	// Software is how many milliseconds ago each software version of a service was last listed.
 	Software map[string]map[string]int64 `json:"j,omitempty"`
+	// Moves is how many milliseconds ago configurations led streams to other services, by version.
+	Moves map[int64]int64 `json:"mv,omitempty"`
 	// Speeds is what the host has observed of the time that endpoints take; absent where that is not learnt.
 	Speeds speed.Observations `json:"sp,omitempty"`
 	// Usage counts the requests that started to run, by window.
