Take no part of an answer for all of it when a call's write gets the reset

Seen by callers: a service answered a long call early and without a length, and reset the connection while the call was still being written: 32 and 33 of 60 answers looked complete.

Cause: the kernel reports the error of a connection once. If a write gets it, the read gets the end of the connection, where http.Transport ends an answer without a length.

Change: connections of jsonhttp.NewTransport tell a read that the connection broke, also if a write got the error. An answer that ends with the connection before the call was read whole stays complete.

--- a/adapter/endpointhttp/reset_test.go
+++ b/adapter/endpointhttp/reset_test.go
@@ -9,6 +9,7 @@
 	"github.com/matryer/is"
 	"github.com/pkg/errors"
 
+	"github.com/cicadanotch/cicadanotch/adapter/tunnel"
 	"github.com/cicadanotch/cicadanotch/port"
 )
 
@@ -16,7 +17,10 @@
 // because the write of the request's body got the error and the read only io.EOF. An endpoint may answer and end before it has
 // read the body: that response is complete.
 func TestResetWhileBodyIsSentLooksComplete(t *testing.T) {
-	for name, reset := range map[string]bool{"reset": true, "end": false} {
+	for name, tc := range map[string]struct{ reset, tunnel bool }{
+		"reset": {true, false}, "end": {false, false}, "reset, through another host": {true, true}, "end, through another host": {false, true},
+	} {
+		reset := tc.reset
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
 			const attempts = 100
@@ -40,6 +44,9 @@
 			}
 			address := serve(t, script...)
 			p := New(codec{}, nil)
+			if tc.tunnel {
+				p, _, _ = tunnelPool(t, func(tunnel.Target) tunnel.Reason { return "" })
+			}
 			f := forward(address, "a")
 			f.Body = make([]byte, 32<<20)
 			for range attempts {
--- a/adapter/jsonhttp/jsonhttp.go
+++ b/adapter/jsonhttp/jsonhttp.go
@@ -49,13 +49,13 @@
 )
 
 // NewTransport returns a transport that dials with dial, or directly when
-// dial is nil. It uses no proxy.
+// dial is nil. It uses no proxy. Use it by NewClient.
 func NewTransport(dial DialFunc) *http.Transport {
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: dialTimeout}).DialContext
 	}
 	return &http.Transport{
-		DialContext:         dial,
+		DialContext:         dialReporting(dial),
 		MaxIdleConnsPerHost: 64,
 		IdleConnTimeout:     idleConnTimeout,
 		DisableCompression:  true,
