Take an answer whose status is none for a broken attempt

Seen by callers: an answer of status 000 was returned to them, or ended the handler by a panic; on the platform the request waited for its deadline, or got what followed on the connection; replies to commands below 200 counted as success, and an engine's as the refusal of an invalid request.

Cause: http.ReadResponse takes any three digits for a status, and what is below 200 was taken for interim.

Change: jsonhttp.CheckStatus allows 100 to 599 (RFC 9110, section 15) without 101, which answers an upgrade, wherever answers are read.

TestStatusesThatAreNone failed in servicehttp (12 of 20 rows), endpointhttp (8 of the first 20), enginehttp (3 of 5) and jsonhttp (4 of 6), and TestRecordedStatusThatIsNone by a panic; all hold.

--- a/adapter/callerhttp/write.go
+++ b/adapter/callerhttp/write.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"math"
 	"net/http"
 	"strconv"
@@ -74,6 +75,8 @@
 	switch {
 	case end.Problem != nil:
 		writeProblem(w, end.Problem)
+	case end.Response != nil && !isFinal(end.Response.Status):
+		writeProblem(w, problem.Unknown(http.StatusBadGateway, problem.TypeOutcomeUnknown, fmt.Sprintf("the endpoint's answer has the status %03d", end.Response.Status)))
 	case end.Response != nil:
 		if end.Response.ContentType != "" {
 			w.Header().Set("Content-Type", end.Response.ContentType)
@@ -85,6 +88,11 @@
 	}
 }
 
+// isFinal reports whether a status is one of a final answer. Hosts of older builds have recorded others.
+func isFinal(status int) bool {
+	return status >= http.StatusOK && jsonhttp.CheckStatus(status) == nil
+}
+
 // usageBody is the usage member of the OpenAI API.
 type usageBody struct {
 	PromptTokens     int `json:"prompt_tokens"`
--- a/adapter/cloudhttp/cloudhttp.go
+++ b/adapter/cloudhttp/cloudhttp.go
@@ -28,7 +28,7 @@
 
 // New returns a client for the API at base, such as "http://10.0.0.1:80".
 func New(base string, dial jsonhttp.DialFunc) *Cloud {
-	return &Cloud{base: base, client: &http.Client{Transport: jsonhttp.NewTransport(dial)}}
+	return &Cloud{base: base, client: jsonhttp.NewClient(jsonhttp.NewTransport(dial))}
 }
 
 func (c *Cloud) call(ctx context.Context, method, path string, wait time.Duration, body, out any) error {
--- a/adapter/endpointhttp/endpointhttp.go
+++ b/adapter/endpointhttp/endpointhttp.go
@@ -427,6 +427,9 @@
 		if err := checkHead(resp); err != nil {
 			return nil, "", err
 		}
+		if err := jsonhttp.CheckStatus(resp.StatusCode); err != nil {
+			return nil, "", err
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
--- a/adapter/enginehttp/enginehttp.go
+++ b/adapter/enginehttp/enginehttp.go
@@ -75,7 +75,7 @@
 	unpooled.DisableKeepAlives = true
 	return &Engine{
 		pool:        jsonhttp.NewPool(dial),
-		probeClient: &http.Client{Transport: unpooled},
+		probeClient: jsonhttp.NewClient(unpooled),
 	}
 }
 
--- a/adapter/jsonhttp/pool.go
+++ b/adapter/jsonhttp/pool.go
@@ -51,7 +51,7 @@
 		}
 	}
 	transport := NewTransport(p.dial)
-	entry := &poolEntry{client: &http.Client{Transport: transport}, transport: transport, createdAt: now}
+	entry := &poolEntry{client: NewClient(transport), transport: transport, createdAt: now}
 	p.entries[address] = entry
 	return entry.client
 }
--- a/adapter/loghttp/loghttp.go
+++ b/adapter/loghttp/loghttp.go
@@ -29,7 +29,7 @@
 
 // New returns a client for the service at baseURL, such as "http://10.0.0.1:80".
 func New(baseURL string, dial jsonhttp.DialFunc) *Log {
-	return &Log{baseURL: baseURL, client: &http.Client{Transport: jsonhttp.NewTransport(dial)}}
+	return &Log{baseURL: baseURL, client: jsonhttp.NewClient(jsonhttp.NewTransport(dial))}
 }
 
 // AppendReply is the reply to an append.
--- a/adapter/servicehttp/servicehttp.go
+++ b/adapter/servicehttp/servicehttp.go
@@ -52,7 +52,7 @@
 	unpooled.DisableKeepAlives = true
 	return &Client{
 		pool:     jsonhttp.NewPool(dial),
-		unpooled: &http.Client{Transport: unpooled},
+		unpooled: jsonhttp.NewClient(unpooled),
 	}
 }
 
--- a/cli/cli.go
+++ b/cli/cli.go
@@ -54,7 +54,7 @@
 	if len(args) > 0 && args[0] == replayName {
 		return replay.Main(args[1:], stdout, stderr)
 	}
-	t := &tool{stdout: stdout, stderr: stderr, client: &http.Client{Transport: jsonhttp.NewTransport(nil)}}
+	t := &tool{stdout: stdout, stderr: stderr, client: jsonhttp.NewClient(jsonhttp.NewTransport(nil))}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	root := t.root()
--- a/client/client.go
+++ b/client/client.go
@@ -19,6 +19,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cicadanotch/cicadanotch/adapter/jsonhttp"
 	"github.com/cicadanotch/cicadanotch/problem"
 	"github.com/cicadanotch/cicadanotch/request"
 )
@@ -112,7 +113,7 @@
 // New returns a client.
 func New(opts Options) *Client {
 	if opts.HTTP == nil {
-		opts.HTTP = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+		opts.HTTP = jsonhttp.NewClient(jsonhttp.NewTransport(nil))
 	}
 	if opts.MaxTries == 0 {
 		opts.MaxTries = defaultMaxTries
--- a/client/send.go
+++ b/client/send.go
@@ -12,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"github.com/cicadanotch/cicadanotch/adapter/jsonhttp"
 	"github.com/cicadanotch/cicadanotch/problem"
 	"github.com/cicadanotch/cicadanotch/request"
 )
@@ -132,6 +133,9 @@
 		return transportOutcome(err, attach), 0, err
 	}
 	defer resp.Body.Close()
+	if err := jsonhttp.CheckStatus(resp.StatusCode); err != nil {
+		return outcomeDisconnected, 0, err
+	}
 	stall.Reset(c.opts.StallTimeout)
 	if resp.Header.Get("Content-Type") == problem.ContentType {
 		return readProblem(resp, attach)
--- a/demo/load.go
+++ b/demo/load.go
@@ -62,7 +62,7 @@
 				Seeds:        l.seeds(),
 				Service:      service,
 				Key:          w.Key(),
-				HTTP:         &http.Client{Transport: jsonhttp.NewTransport(d.Network.Dialer(""))},
+				HTTP:         jsonhttp.NewClient(jsonhttp.NewTransport(d.Network.Dialer(""))),
 				Rand:         rand.New(rand.NewPCG(seed, uint64(i+1))),
 				OnDisconnect: l.recordDisconnect,
 			})
--- a/standin/enginehandler.go
+++ b/standin/enginehandler.go
@@ -152,7 +152,7 @@
 		return
 	}
 	var state kvState
-	client := &http.Client{Transport: jsonhttp.NewTransport(nil)}
+	client := jsonhttp.NewClient(jsonhttp.NewTransport(nil))
 	defer client.CloseIdleConnections()
 	status, err := jsonhttp.Call(r.Context(), client, http.MethodGet, "http://"+req.Source+pathKVState+req.Handle, jsonhttp.MaxReplyBytes, nil, &state)
 	if err != nil || status != http.StatusOK {
