Ask another zone's holder when a zone has lost relay and standby

Cause: relay and standby of a zone were both killed, and a host without a relay asked no other zone.

Change: the region's next relay is asked also without a relay of the zone, and then the nearest host of another zone that reports a share.

TestLostZoneUsesOtherShares: one of two rows failed, both hold.

--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -10,6 +10,7 @@
 
 	"github.com/cicadanotch/cicadanotch/catalog"
 	"github.com/cicadanotch/cicadanotch/presence"
+	"github.com/cicadanotch/cicadanotch/rendezvous"
 )
 
 // quotaRelay returns the last report of the host that grants this one its shares of limits, zero when
@@ -137,9 +138,9 @@
 	of   bucketOf
 }
 
-// quotaHosts returns the hosts to ask for units of a limit, in order: the zone's relay, its standby, and the relay that
-// this host would use next if the relay fails. This host comes before those that are only asked instead of a relay, but
-// last if it has no share.
+// quotaHosts returns the hosts to ask for units of a limit, in order: the zone's relay, its standby, the relay that this
+// host would use next if the relay fails, and the nearest holder of another zone: relay and standby may be lost at once. This host
+// comes before those that are only asked instead of a relay, but last if it has no share.
 func (g *Gateway) quotaHosts(now time.Time, w *catalog.Workspace) []bucketAt {
 	relay, standby := g.quotaRelay(now), g.quotaStandby()
 	own := bucketAt{presence.Report{Host: g.opts.Host}, bucketOwn}
@@ -155,15 +156,39 @@
 		hosts = append(hosts, own)
 	}
 	add(standby, bucketStandby)
-	if relay.Host != "" {
-		add(g.nextRelay(now, []string{relay.Host}, peerHost{}), bucketOther)
-	}
+	add(g.nextRelay(now, []string{relay.Host}, peerHost{}), bucketOther)
+	add(g.nearestHolder(now, w.Name), bucketOther)
 	if !hasShare {
 		hosts = append(hosts, own)
 	}
 	return hosts
 }
 
+// nearestHolder returns the host, other than those of this zone, that last reported a share of a workspace's limit: one of this
+// region, if there is one. Each host prefers another one of them.
+func (g *Gateway) nearestHolder(now time.Time, workspace string) presence.Report {
+	s := g.relays
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var nearest presence.Report
+	for _, r := range s.live {
+		if r.Zone == g.opts.Zone || r.Shares[workspace] == 0 || r.State != presence.StateServing || now.Before(s.failedUntil[r.Host]) {
+			continue
+		}
+		if nearest.Host == "" || g.isNearer(r, nearest) {
+			nearest = r
+		}
+	}
+	return nearest
+}
+
+func (g *Gateway) isNearer(a, b presence.Report) bool {
+	if own := a.Region == g.opts.Region; own != (b.Region == g.opts.Region) {
+		return own
+	}
+	return rendezvous.Score(g.opts.Host, a.Host) > rendezvous.Score(g.opts.Host, b.Host)
+}
+
 // takeQuota takes from the share of a limit that the zone's relay holds or, where that does not decide, from those of
 // the other quotaHosts.
 func (g *Gateway) takeQuota(now time.Time, w *catalog.Workspace, cost float64) quotaDecision {
