Choose the next host to ask for units only if the one before has not decided

Each request with a limit computed the hosts that are asked after the relay, though the relay decides nearly always: the choice goes over all hosts.

--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"slices"
+	"iter"
 	"time"
 
 	"github.com/pkg/errors"
@@ -93,7 +93,7 @@
 const (
 	bucketOwn   bucketOf = "own"   // of this host's bucket
 	bucketRelay bucketOf = "relay" // of the zone's relay
-	// bucketStandby is that of the zone's standby, bucketOther that of the relay that the host would use next.
+	// bucketStandby is that of the zone's standby, bucketOther that of a host that is asked if both fail.
 	bucketStandby bucketOf = "standby"
 	bucketOther   bucketOf = "other"
 )
@@ -138,30 +138,35 @@
 	of   bucketOf
 }
 
-// quotaHosts returns the hosts to ask for units of a limit, in order: the zone's relay, its standby, the relay that this
+// quotaHosts yields the hosts to ask for units of a limit, in order: the zone's relay, its standby, the relay that this
 // host would use next if the relay fails, and the nearest holder of another zone: relay and standby may be lost at once. This host
 // comes before those that are only asked instead of a relay, but last if it has no share.
-func (g *Gateway) quotaHosts(now time.Time, w *catalog.Workspace) []bucketAt {
-	relay, standby := g.quotaRelay(now), g.quotaStandby()
-	own := bucketAt{presence.Report{Host: g.opts.Host}, bucketOwn}
-	var hosts []bucketAt
-	add := func(r presence.Report, of bucketOf) {
-		if r.Peer != "" && r.Host != g.opts.Host && !slices.ContainsFunc(hosts, func(b bucketAt) bool { return b.host.Host == r.Host }) {
-			hosts = append(hosts, bucketAt{r, of})
+func (g *Gateway) quotaHosts(now time.Time, w *catalog.Workspace) iter.Seq[bucketAt] {
+	return func(yield func(bucketAt) bool) {
+		asked := map[string]bool{g.opts.Host: true}
+		ask := func(r presence.Report, of bucketOf) bool {
+			if r.Peer == "" || asked[r.Host] {
+				return true
+			}
+			asked[r.Host] = true
+			return yield(bucketAt{r, of})
+		}
+		own := bucketAt{presence.Report{Host: g.opts.Host}, bucketOwn}
+		relay := g.quotaRelay(now)
+		if !ask(relay, bucketRelay) {
+			return
+		}
+		hasShare := g.quota.Share(now, w.Name) > 0
+		if hasShare && !yield(own) {
+			return
+		}
+		goOn := ask(g.quotaStandby(), bucketStandby) &&
+			ask(g.nextRelay(now, []string{relay.Host}, peerHost{}), bucketOther) &&
+			ask(g.nearestHolder(now, w.Name), bucketOther)
+		if goOn && !hasShare {
+			yield(own)
 		}
 	}
-	add(relay, bucketRelay)
-	hasShare := g.quota.Share(now, w.Name) > 0
-	if hasShare {
-		hosts = append(hosts, own)
-	}
-	add(standby, bucketStandby)
-	add(g.nextRelay(now, []string{relay.Host}, peerHost{}), bucketOther)
-	add(g.nearestHolder(now, w.Name), bucketOther)
-	if !hasShare {
-		hosts = append(hosts, own)
-	}
-	return hosts
 }
 
 // nearestHolder returns the host, other than those of this zone, that last reported a share of a workspace's limit: one of this
@@ -196,7 +201,7 @@
 		return quotaDecision{taken: true}
 	}
 	var refusal quotaDecision
-	for _, b := range g.quotaHosts(now, w) {
+	for b := range g.quotaHosts(now, w) {
 		d, ok := g.takeAt(b, w, cost)
 		if ok && d.final() {
 			return d
--- a/lineage/routes.go
+++ b/lineage/routes.go
@@ -37,14 +37,8 @@
 	moves map[int64]time.Time
 	// services holds the services that these have led streams to or from, as far as this process has made the move.
 	services map[string]time.Time
-	// early holds what was heard before the first configuration.
-	early []heard
-}
-
-// heard is what another process has reported, see Heard.
-type heard struct {
-	version int64
-	moves   map[int64]int64
+	// early holds what was heard before the first configuration, by version: the report with the fewest moves.
+	early map[int64]map[int64]int64
 }
 
 type pastRoutes struct {
@@ -54,7 +48,10 @@
 
 // NewRoutes returns the routes of a process that has no configuration yet.
 func NewRoutes() *Routes {
-	return &Routes{blind: true, replaced: map[int64]time.Time{}, moves: map[int64]time.Time{}, services: map[string]time.Time{}}
+	return &Routes{
+		blind: true, replaced: map[int64]time.Time{}, moves: map[int64]time.Time{}, services: map[string]time.Time{},
+		early: map[int64]map[int64]int64{},
+	}
 }
 
 // Replaced records that a configuration was put in force in place of another, nil for none. It returns the services
@@ -65,8 +62,8 @@
 	if before == nil {
 		r.first, r.firstAt = after.Version, now
 		delete(r.moves, after.Version)
-		for _, h := range r.early {
-			r.compareFirst(h)
+		for version, moves := range r.early {
+			r.compareFirst(version, moves)
 		}
 		r.early = nil
 		return nil
@@ -152,18 +149,18 @@
 			unseen = true
 		}
 	}
-	if h := (heard{version, moves}); r.first > 0 {
-		r.compareFirst(h)
-	} else {
-		r.early = append(r.early, h)
+	if r.first > 0 {
+		r.compareFirst(version, moves)
+	} else if other, ok := r.early[version]; !ok || len(moves) < len(other) {
+		r.early[version] = moves
 	}
 	return unseen
 }
 
 // compareFirst ends the time in which this process is blind if another one tells that its first configuration leads
 // streams to the same services as the one before.
-func (r *Routes) compareFirst(h heard) {
-	if _, moved := h.moves[r.first]; h.version >= r.first && !moved {
+func (r *Routes) compareFirst(version int64, moves map[int64]int64) {
+	if _, moved := moves[r.first]; version >= r.first && !moved {
 		r.blind = false
 	}
 }
