Count a request that several hosts are asked for once

A host that is asked after a refusal counted the request as demand once more, so a workspace seemed to ask for a multiple, and to be near its limit.

--- a/gateway/shares.go
+++ b/gateway/shares.go
@@ -59,6 +59,8 @@
 	Host      string  `json:"host"`
 	Workspace string  `json:"workspace"`
 	Cost      float64 `json:"cost"`
+	// Refused is set if another host has refused the request, where it counts as demand.
+	Refused bool `json:"refused,omitempty"`
 }
 
 type takeQuotaReply struct {
@@ -116,13 +118,17 @@
 		g.quota.Return(now, w, -req.Cost)
 		return takeQuotaReply{Taken: true}, nil
 	}
-	d := g.takeHere(now, w, req.Cost)
+	d := g.takeHere(now, w, req)
 	return takeQuotaReply{Taken: d.taken, RetryAfter: d.retryAfter, Share: d.share, Busy: d.busy}, nil
 }
 
 // takeHere takes from this host's own share. If that is used up, the host asks for a larger one at once.
-func (g *Gateway) takeHere(now time.Time, w *catalog.Workspace, cost float64) quotaDecision {
-	after, ok := g.quota.Take(now, w, cost)
+func (g *Gateway) takeHere(now time.Time, w *catalog.Workspace, req takeQuotaRequest) quotaDecision {
+	take := g.quota.Take
+	if req.Refused {
+		take = g.quota.TakeRefused
+	}
+	after, ok := take(now, w, req.Cost)
 	if !ok {
 		g.grants.askSoon()
 		if g.quota.IsWithinShare(w.Name) {
@@ -201,28 +207,30 @@
 		return quotaDecision{taken: true}
 	}
 	var refusal quotaDecision
+	req := takeQuotaRequest{Host: g.opts.Host, Workspace: w.Name, Cost: cost}
 	for b := range g.quotaHosts(now, w) {
-		d, ok := g.takeAt(b, w, cost)
+		d, ok := g.takeAt(b, w, req)
 		if ok && d.final() {
 			return d
 		}
 		if ok && d.share >= refusal.share {
 			refusal = d
 		}
+		req.Refused = req.Refused || ok
 	}
 	return refusal
 }
 
 // takeAt takes from the bucket of a host. ok is false if that did not answer.
-func (g *Gateway) takeAt(b bucketAt, w *catalog.Workspace, cost float64) (d quotaDecision, ok bool) {
+func (g *Gateway) takeAt(b bucketAt, w *catalog.Workspace, req takeQuotaRequest) (d quotaDecision, ok bool) {
 	if b.of == bucketOwn {
 		g.awaitFirstShare(g.context(), time.Now())
-		d = g.takeHere(time.Now(), w, cost)
+		d = g.takeHere(time.Now(), w, req)
 		g.countTake(b.of, d)
 		return d, true
 	}
 	var reply takeQuotaReply
-	err := g.callPeer(b.host, methodTakeQuota, takeQuotaTimeout, takeQuotaRequest{g.opts.Host, w.Name, cost}, &reply)
+	err := g.callPeer(b.host, methodTakeQuota, takeQuotaTimeout, req, &reply)
 	if err != nil || reply.Unknown {
 		g.metrics.limitTakes.WithLabelValues(string(b.of), "unanswered").Inc()
 		return quotaDecision{}, false
@@ -250,7 +258,7 @@
 	}
 	var reply takeQuotaReply
 	keeper := presence.Report{Host: d.keeper, Peer: d.peer}
-	if g.callPeer(keeper, methodTakeQuota, takeQuotaTimeout, takeQuotaRequest{g.opts.Host, w.Name, -cost}, &reply) != nil || reply.Unknown {
+	if g.callPeer(keeper, methodTakeQuota, takeQuotaTimeout, takeQuotaRequest{Host: g.opts.Host, Workspace: w.Name, Cost: -cost}, &reply) != nil || reply.Unknown {
 		g.quota.Return(now, w, cost)
 	}
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -178,13 +178,24 @@
 // Take charges the cost of a request to the workspace. If the workspace has used up this
 // host's share, Take charges nothing and returns the delay until the request will fit.
 func (t *Table) Take(now time.Time, w *catalog.Workspace, cost float64) (retryAfter time.Duration, ok bool) {
+	return t.take(now, w, cost, true)
+}
+
+// TakeRefused is Take for a request that another host has refused, where it counts as demand.
+func (t *Table) TakeRefused(now time.Time, w *catalog.Workspace, cost float64) (retryAfter time.Duration, ok bool) {
+	return t.take(now, w, cost, false)
+}
+
+func (t *Table) take(now time.Time, w *catalog.Workspace, cost float64, isDemand bool) (retryAfter time.Duration, ok bool) {
 	if w == nil || w.Limit.PerSecond <= 0 {
 		return 0, true
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	b := t.bucket(now, w)
-	b.recordDemand(now, cost)
+	if isDemand {
+		b.recordDemand(now, cost)
+	}
 	long := b.isLong(cost)
 	if missing := t.missing(now, b, cost); missing > 0 {
 		if long {
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -462,3 +462,27 @@
 	is.Equal(served, sent) // all return and are served once there is room
 	is.True(tries[1]+tries[2] >= sent*8/10)
 }
+
+// TestRequestsThatArePassedOnCountOnce guards against a workspace that seems to ask for a multiple of what it does, and so to be
+// near its limit, since several hosts are asked for one request.
+func TestRequestsThatArePassedOnCountOnce(t *testing.T) {
+	is := is.New(t)
+	now := time.Unix(1_800_000_000, 0)
+	w := limitedWorkspace(limitPerSecond)
+	demand := 0.0
+	for i, take := range []func(*Table) (time.Duration, bool){
+		func(h *Table) (time.Duration, bool) { return h.Take(now, w, 40_000) },
+		func(h *Table) (time.Duration, bool) { return h.TakeRefused(now, w, 40_000) },
+	} {
+		h := NewTable(9, tolerance)
+		_, ok := take(h)
+		is.True(!ok) // it has no share
+		h.SetShares(now, []*catalog.Workspace{w}, map[string]float64{w.Name: 1}, nil, now.Add(time.Minute))
+		_, ok = take(h)
+		is.True(ok) // charged all the same
+		if demand += h.Demand(now)[w.Name]; i == 0 {
+			is.Equal(demand, 2*40_000/demandWindow.Seconds())
+		}
+	}
+	is.Equal(demand, 2*40_000/demandWindow.Seconds())
+}
