Give standbys nothing of a busy workspace

Near its limit a workspace lacked the part that standbys held of what it did not ask for.

Change: a workspace that was near its limit within a window is divided among keepers only.

--- a/grant/ledger.go
+++ b/grant/ledger.go
@@ -238,8 +238,8 @@
 }
 
 // target returns the share that a host is to hold: what it is asked for, and an equal part of what nobody asks
-// for. At least baseRatio is divided equally, among standbys only what nobody asks for. What silent hosts hold is not
-// divided.
+// for. At least baseRatio is divided equally. Standbys get nothing of that, and of a busy workspace only what they are
+// asked for. What silent hosts hold is not divided.
 func (l *Ledger) target(now time.Time, w, host string, limit float64) Parts {
 	left, total, keepers := l.usable(w), 0.0, 0
 	var live []string
@@ -258,17 +258,26 @@
 		}
 	}
 	left = max(left, 0)
-	idle := max(0, 1-total/(limit*left.Fraction()))
-	base := max(baseRatio, idle)
+	idle := 1.0
+	if total > 0 {
+		idle = max(0, 1-total/(limit*left.Fraction()))
+	}
+	base, shared := max(baseRatio, idle), idle // shared is divided among standbys too
+	switch {
+	case keepers == 0:
+		shared = base
+	case l.isBusy(now, w, limit):
+		shared = 0
+	}
 	weight, before, found := 0.0, 0.0, false
 	for _, name := range live {
 		h := l.holders[name]
-		own := 1 / float64(len(live))
-		if total > 0 && keepers > 0 {
-			own = idle*own + (1-base)*h.demand[w]/total
-			if !h.standby {
-				own += (base - idle) / float64(keepers)
-			}
+		own := shared / float64(len(live))
+		if !h.standby {
+			own += (base - shared) / float64(keepers)
+		}
+		if total > 0 {
+			own += (1 - base) * h.demand[w] / total
 		}
 		if found = name == host; found {
 			weight = own
--- a/grant/standby_test.go
+++ b/grant/standby_test.go
@@ -20,6 +20,7 @@
 		"nobody asks":                  {[]float64{0}, 1, 0, []Parts{500_000, 500_000}},
 		"a twentieth of the limit":     {[]float64{50}, 1, 0, []Parts{525_000, 475_000}},
 		"half of the limit, two zones": {[]float64{250, 250}, 2, 0, []Parts{375_000, 375_000, 125_000, 125_000}},
+		"near the limit":               {[]float64{900}, 1, 0, []Parts{Whole, 0}},
 		"at the limit":                 {[]float64{1000}, 1, 0, []Parts{Whole, 0}},
 		"over the limit, two zones":    {[]float64{3000, 1000}, 2, 0, []Parts{737_500, 262_500, 0, 0}},
 		"a standby is asked":           {[]float64{250}, 2, 250, []Parts{416_667, 416_666, 166_667}},
@@ -32,7 +33,7 @@
 			held := make([]Parts, n)
 			const rounds = 6
 			for round := range int64(rounds) {
-				for i := range n {
+				for i := n - 1; i >= 0; i-- { // standbys first
 					c := Call{Host: string(rune('a' + i)), Start: 1, Sequence: round + 1, Token: 1, Holds: true, Held: map[string]Parts{workspace: held[i]}}
 					demand := 0.0
 					switch {
