Let a grantor that knows of a later one grant nothing

Cause: a grantor whose lease was still held renewed the shares of a relay that only it heard, for six seconds after the next grantor had taken over.

Change: a host that was told of a grantor with a later fencing token, or reads of one, does not answer as grantor. TestFormerGrantorGrantsNothing failed, and holds.

--- a/gateway/grants.go
+++ b/gateway/grants.go
@@ -267,8 +267,8 @@
 func (g *Gateway) answerGrant(call grant.Call) (grant.Reply, error) {
 	now := time.Now()
 	token, held := g.leader.heldToken(now)
-	if !held {
-		return grant.Reply{}, errNotGrantor
+	if !held || g.currentGrantor(now).Token > token {
+		return grant.Reply{}, errNotGrantor // another host has taken over, which reserves shares from then on
 	}
 	workspaces := limited(g.catalog.Current())
 	s := g.grants
--- a/gateway/lostkeeper_test.go
+++ b/gateway/lostkeeper_test.go
@@ -13,6 +13,7 @@
 	"github.com/matryer/is"
 
 	"github.com/cicadanotch/cicadanotch/catalog"
+	"github.com/cicadanotch/cicadanotch/grant"
 	"github.com/cicadanotch/cicadanotch/port"
 )
 
@@ -83,10 +84,17 @@
 	g.tomb.Kill(nil)
 }
 
-// keeper returns the host with the largest share, and the others.
+// keeper returns the host that keeps the buckets of hosts, and the others. Without a relay it is that with the largest share.
 func (z *limitedZone) keeper(hosts []*Gateway) (keeper *Gateway, others []*Gateway) {
 	now := time.Now()
-	keeper = slices.MaxFunc(hosts, func(a, b *Gateway) int { return cmp.Compare(a.quota.Share(now, "w"), b.quota.Share(now, "w")) })
+	rank := func(g *Gateway) float64 {
+		share := g.quota.Share(now, "w")
+		if share > 0 && g.quotaRole(now) == roleKeeper {
+			share++
+		}
+		return share
+	}
+	keeper = slices.MaxFunc(hosts, func(a, b *Gateway) int { return cmp.Compare(rank(a), rank(b)) })
 	return keeper, slices.DeleteFunc(slices.Clone(hosts), func(g *Gateway) bool { return g == keeper })
 }
 
@@ -150,14 +158,11 @@
 				t.Parallel()
 				synctest.Test(t, func(t *testing.T) {
 					z := startLimitedZone(t, hosts)
-					relay := z.hostNamed(z.relayOf(z.hosts[0]))
-					var rest []*Gateway
-					for _, g := range z.hosts {
-						if g != relay {
-							rest = append(rest, g)
-						}
-					}
 					is.New(t).Equal(z.send(t, 6*time.Second, z.hosts...), 0)
+					relay, rest := z.keeper(z.hosts)
+					for _, g := range rest {
+						is.New(t).Equal(z.relayOf(g), relay.opts.Host)
+					}
 					refused := play(t, z, relay, rest)
 					t.Logf("%d requests sent, %d refused", z.sent, refused)
 					is.New(t).Equal(refused, 0)
@@ -207,3 +212,29 @@
 		})
 	}
 }
+
+// TestFormerGrantorGrantsNothing guards against shares that add up to more than a whole limit: a grantor that still held its lease
+// renewed the shares of a holder that only it heard, after the next one had begun to reserve them.
+func TestFormerGrantorGrantsNothing(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		z := startLimitedZone(t, 3)
+		for _, g := range z.hosts {
+			token, held := g.leader.heldToken(time.Now())
+			if !held {
+				continue
+			}
+			call := grant.Call{Host: "holder", Start: 1, Sequence: 1, Token: token, Holds: true}
+			_, err := g.answerGrant(call)
+			is.NoErr(err)
+			_, err = g.serveGrantor(t.Context(), fmt.Appendf(nil, `{"host":"next","peer":"10.0.0.9:7600","fence":%d}`, token+1))
+			is.NoErr(err)
+			call.Sequence++
+			_, err = g.answerGrant(call)
+			is.Equal(err, errNotGrantor)
+			return
+		}
+		t.Fatal("there is no grantor")
+	})
+}
