Know where routes led before the next configuration is in force

For some microseconds a caller could continue a stream by the new configuration while its old routes were not noted, and so at another service. Seen by reading; no run has shown it.

--- a/gateway/configuration.go
+++ b/gateway/configuration.go
@@ -78,11 +78,12 @@
 		return true
 	}
 	before := g.catalog.Current()
-	if !g.catalog.Install(snapshot) {
+	if before != nil && before.Version >= snapshot.Version {
 		return false
 	}
+	g.noteRoutes(time.Now(), before, snapshot) // before a caller can continue a stream by the new version
+	g.catalog.Install(snapshot)
 	g.logWorkspaces(before, snapshot)
-	g.noteRoutes(time.Now(), before, snapshot)
 	if !g.hasConfig.Swap(true) {
 		close(g.configured)
 	}
