--- a/review/third/platform/bed/bed.go
+++ b/review/third/platform/bed/bed.go
@@ -11,6 +11,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -148,6 +150,18 @@
 // Signal sends a signal to the process.
 func (h *Host) Signal(s syscall.Signal) { _ = h.cmd.Process.Signal(s) }
 
+// ResidentBytes returns the resident memory of the process, zero if it has ended.
+func (h *Host) ResidentBytes() int64 {
+	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.cmd.Process.Pid))
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			kb, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 10, 64)
+			return kb << 10
+		}
+	}
+	return 0
+}
+
 func (h *Host) end() {
 	h.Signal(syscall.SIGKILL)
 	<-h.done
