--- a/review/third/platform/bed/bed.go
+++ b/review/third/platform/bed/bed.go
@@ -150,11 +150,11 @@
 // Signal sends a signal to the process.
 func (h *Host) Signal(s syscall.Signal) { _ = h.cmd.Process.Signal(s) }
 
-// ResidentBytes returns the resident memory of the process, zero if it has ended.
-func (h *Host) ResidentBytes() int64 {
+// AnonymousBytes returns the anonymous resident memory of the process, zero if it has ended. Pages of its files do not count.
+func (h *Host) AnonymousBytes() int64 {
 	text, _ := os.ReadFile(fmt.Sprintf("/proc/%d/status", h.cmd.Process.Pid))
 	for line := range strings.Lines(string(text)) {
-		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+		if rest, ok := strings.CutPrefix(line, "RssAnon:"); ok {
 			kb, _ := strconv.ParseInt(strings.TrimSuffix(strings.TrimSpace(rest), " kB"), 10, 64)
 			return kb << 10
 		}
--- a/review/third/platform/crowdcase/main.go
+++ b/review/third/platform/crowdcase/main.go
@@ -93,7 +93,7 @@
 	}()
 	over, samples, peak := 0, 0, int64(0)
 	for ; ctx.Err() == nil; time.Sleep(sampleInterval) {
-		resident, unread := h.ResidentBytes(), unreadBytes(h.IP)
+		resident, unread := h.AnonymousBytes(), unreadBytes(h.IP)
 		if resident == 0 {
 			continue
 		}
@@ -101,10 +101,10 @@
 		if held := resident + unread; held > memoryBytes {
 			over++
 			peak = max(peak, held)
-			b.Note("OVER: the host holds %d MB: %d resident, %d received and not read", held>>20, resident>>20, unread>>20)
+			b.Note("OVER: the host holds %d MB: %d anonymous, %d received and not read", held>>20, resident>>20, unread>>20)
 		} else if held > peak {
 			peak = held
-			b.Note("the host holds %d MB: %d resident, %d received and not read", held>>20, resident>>20, unread>>20)
+			b.Note("the host holds %d MB: %d anonymous, %d received and not read", held>>20, resident>>20, unread>>20)
 		}
 	}
 	<-ended
