gateway: small deployments hold every stream's record at all hosts

Seen by callers: eight of nine hosts are killed while a service has two software versions; of 99 streams that are taken up at the ninth 41 go on, the others get 503.

Cause: the record of where a stream began is held by its host and three others, so a host that is left alone holds one in three, and nobody else can be asked. The log of a refused take-up told nothing: origin_unknown now tells whom the host asked and what each said. All holders are asked at the same moment, so waiting for lost ones is not the cause; with one version 99 of 99 go on, so the check of the registry is not.

Change: in deployments of up to 16 hosts all hosts hold every record, and a take-up tells the holders again. Related path: the only host that knew is lost next (TestStreamsGoOnAfterASecondLoss).

--- a/gateway/lineage.go
+++ b/gateway/lineage.go
@@ -1,10 +1,12 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -35,8 +37,8 @@
 	// askTimeout bounds the wait for an answer: a round trip between regions, and a holder that has used up
 	// its share of the processor for a tenth of a second.
 	askTimeout = 200 * time.Millisecond
-	// maxHostsAsked bounds the hosts that are asked if the holders do not know. On small deployments these are
-	// all, the host that began the stream included.
+	// maxHostsAsked bounds the hosts that are asked if the holders do not know: the host that began the stream is one of
+	// them on small deployments.
 	maxHostsAsked = 16
 	// checkLead is how long a check of the registry may take before other hosts are asked too: while a service has one
 	// version, the check is enough.
@@ -108,7 +110,7 @@
 // recordCompletion records that a stream has been sent completely.
 func (g *Gateway) recordCompletion(c *call) {
 	if c.route.Resumable {
-		g.lineage.table.Completed(c.service.Name, c.req.ID)
+		g.lineage.table.Completed(c.service.Name, cmp.Or(c.req.Origin, c.req.ID))
 	}
 }
 
@@ -240,13 +242,15 @@
 		return nil
 	}
 	origin, known := c.g.lineage.table.Lookup(c.req.Origin)
+	search := originSearch{began: time.Now(), answers: map[string]string{}}
 	if !known {
-		origin, known = c.findOrigin(ctx)
+		origin, known = c.findOrigin(ctx, &search)
 	}
 	if known && origin.Service == "" {
 		origin.Service, known = c.onlyService(time.Now())
 	}
 	if !known {
+		c.logOriginUnknown(&search)
 		c.g.metrics.continuations.WithLabelValues("request", "unknown").Inc()
 		return c.notRun(http.StatusServiceUnavailable, problem.TypeUnavailable, "not known at which software version the stream began").WithRetryAfter(unknownOriginRetryAfter)
 	}
@@ -260,7 +264,10 @@
 	}
 	c.g.metrics.continuations.WithLabelValues("request", "same").Inc()
 	if c.req.Origin != "" {
-		c.g.lineage.table.Learn(time.Now(), c.req.Origin, origin)
+		// Holders that have been lost since, or started again, are told as of a new stream.
+		now := time.Now()
+		c.g.lineage.table.Began(now, c.req.Origin, origin)
+		c.g.tellHolders(now, origin.Service)
 	}
 	c.service = service
 	c.mu.Lock()
@@ -269,6 +276,51 @@
 	return nil
 }
 
+// originSearch is what was found out in a search for where a stream began.
+type originSearch struct {
+	began time.Time
+
+	mu sync.Mutex
+	// answers holds what each host said that was asked, storeSource what the check of the registry did.
+	answers map[string]string
+}
+
+// add records what was said.
+func (s *originSearch) add(source, answer string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.answers[source] = answer
+}
+
+// addReply records the answer of a host, or its error.
+func (s *originSearch) addReply(host string, reply originReply, err error) {
+	switch {
+	case err != nil:
+		s.add(host, err.Error())
+	case reply.Known:
+		s.add(host, "began at "+reply.Service+" "+reply.Software)
+	default:
+		s.add(host, "no record")
+	}
+}
+
+// logOriginUnknown logs why it is not known where the stream began that the caller continues.
+func (c *call) logOriginUnknown(s *originSearch) {
+	now := time.Now()
+	var served []string
+	for _, origin := range c.knowledge(now, false).Served {
+		served = append(served, origin.Service+" "+origin.Software)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var answers []string
+	for _, source := range slices.Sorted(maps.Keys(s.answers)) {
+		answers = append(answers, source+": "+s.answers[source])
+	}
+	c.g.log.Info().Str("event", "origin_unknown").Str("request", c.req.ID).Str("origin", c.req.Origin).
+		Strs("served", served).Strs("answers", answers).Dur("after", now.Sub(s.began)).Msg("")
+}
+
 // services returns the services that may have begun the stream that the caller continues; complete is false if there may
 // be others.
 func (c *call) services(now time.Time) (services []string, complete bool) {
@@ -299,7 +351,7 @@
 
 // findOrigin finds out where a stream began of which this host has no record: by the services and software versions that
 // can have begun it, and by the hosts that have a record.
-func (c *call) findOrigin(ctx context.Context) (origin lineage.Origin, known bool) {
+func (c *call) findOrigin(ctx context.Context, search *originSearch) (origin lineage.Origin, known bool) {
 	g := c.g
 	timeout, lead := registryCheckTimeout, checkLead
 	if g.checks.lost.Load() {
@@ -313,7 +365,9 @@
 		pending++
 		go func() {
 			err := g.checkRegistry(ctx)
-			replies <- newOriginReply(c.knowledge(time.Now(), err == nil).Only())
+			reply := newOriginReply(c.knowledge(time.Now(), err == nil).Only())
+			search.addReply(storeSource, reply, err)
+			replies <- reply
 		}()
 		select {
 		case r := <-replies:
@@ -326,7 +380,7 @@
 	}
 	if stream := c.req.Origin; stream != "" {
 		pending++
-		go func() { replies <- newOriginReply(g.askOrigin(ctx, stream)) }()
+		go func() { replies <- newOriginReply(g.askOrigin(ctx, stream, search)) }()
 	}
 	for ; pending > 0; pending-- {
 		select {
@@ -343,12 +397,12 @@
 
 // askOrigin asks other hosts where a stream began: its holders, then others. The second round finds streams that holders
 // are only about to be told of.
-func (g *Gateway) askOrigin(ctx context.Context, stream string) (origin lineage.Origin, known bool) {
+func (g *Gateway) askOrigin(ctx context.Context, stream string, search *originSearch) (origin lineage.Origin, known bool) {
 	if g.ports.Peers == nil {
 		return lineage.Origin{}, false
 	}
 	hosts, addresses := g.recordHosts()
-	if origin, known = g.askHosts(ctx, stream, lineage.Holders(stream, hosts), addresses); known {
+	if origin, known = g.askHosts(ctx, stream, lineage.Holders(stream, hosts), addresses, search); known {
 		return origin, true
 	}
 	select {
@@ -360,11 +414,11 @@
 	for _, h := range hosts {
 		names = append(names, h.Name)
 	}
-	return g.askHosts(ctx, stream, rendezvous.Top(stream, names, maxHostsAsked), addresses)
+	return g.askHosts(ctx, stream, rendezvous.Top(stream, names, maxHostsAsked), addresses, search)
 }
 
 // askHosts asks hosts at the same time and returns the first record of the stream, if possible one with its service.
-func (g *Gateway) askHosts(ctx context.Context, stream string, names []string, addresses map[string]string) (origin lineage.Origin, known bool) {
+func (g *Gateway) askHosts(ctx context.Context, stream string, names []string, addresses map[string]string, search *originSearch) (origin lineage.Origin, known bool) {
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
 	replies := make(chan originReply, len(names))
@@ -375,9 +429,9 @@
 		}
 		go func() {
 			var reply originReply
-			// A host that does not answer has told nothing: the other holders know as much.
-			_ = g.ports.Peers.Call(ctx, addresses[name], methodStreamOrigin, originRequest{stream}, &reply)
-			replies <- reply
+			err := g.ports.Peers.Call(ctx, addresses[name], methodStreamOrigin, originRequest{stream}, &reply)
+			search.addReply(name, reply, err)
+			replies <- reply // no record after an error
 		}()
 	}
 	for range names {
--- a/lineage/lineage.go
+++ b/lineage/lineage.go
@@ -24,11 +24,15 @@
 	// RecordTTL is the least time for which a record is kept: the longest stream of the platform's data
 	// sheets takes 15 s, and its caller may continue it for as long again.
 	RecordTTL = 45 * time.Second
-	// maxRecords bounds the records of one generation, of which a Table holds two. A host begins about 20
-	// streams a second at the size to design for, and holds three records of each.
+	// maxRecords bounds the records of one generation, of which a Table holds two. A host of a deployment where all
+	// hosts hold them learns about 150 a second, one at the size to design for 80.
 	maxRecords = 50_000
-	// holderCount is how many hosts hold the record of a stream beside the one that began it.
+	// holderCount is how many hosts hold the record of a stream beside the one that began it, in deployments of more
+	// than maxHostsHoldingAll.
 	holderCount = 3
+	// maxHostsHoldingAll is the size of a deployment up to which all hosts hold the record of every stream: any number
+	// of its hosts may be lost at once. The calls that tell them grow with the square of the hosts.
+	maxHostsHoldingAll = 16
 )
 
 // Origin is where a stream began. Names of software versions may be the same in two services.
@@ -151,8 +155,13 @@
 
 // Holders returns the names of the hosts that hold the record of a stream, in descending order of their
 // rendezvous score for it: those with the highest scores of different availability zones, then others, holderCount
-// in all. Hosts that know of the same hosts compute the same holders, and the loss of a zone leaves one of them.
+// in all; of at most maxHostsHoldingAll hosts, all. Hosts that know of the same hosts compute the same holders, and the
+// loss of a zone leaves one of them.
 func Holders(stream string, hosts []Host) []string {
+	count := holderCount
+	if len(hosts) <= maxHostsHoldingAll {
+		count = len(hosts)
+	}
 	names := make([]string, len(hosts))
 	zoneOf := make(map[string]string, len(hosts))
 	for i, h := range hosts {
@@ -162,14 +171,14 @@
 	var holders, rest []string
 	zones := map[string]bool{}
 	for _, name := range ranked {
-		if zone := zoneOf[name]; !zones[zone] && len(holders) < holderCount {
+		if zone := zoneOf[name]; !zones[zone] && len(holders) < count {
 			zones[zone] = true
 			holders = append(holders, name)
 		} else {
 			rest = append(rest, name)
 		}
 	}
-	return append(holders, rest[:min(len(rest), holderCount-len(holders))]...)
+	return append(holders, rest[:min(len(rest), count-len(holders))]...)
 }
 
 // Knowledge is what a host knows when a caller asks it to continue a stream of which it has no record.
