gateway: a search for a relay ends before news is 3 s old

Seen by callers: the store resets the connections of three of nine hosts.

Cause: a relay whose own reads fail goes on to hold the reads of others, and says that it is cut off only after a refusal, not a reset or silence. Each relay asked costs 0.6 to 1 s, and nothing bounds the sum.

Change: a relay whose own read has failed, or is unanswered for 0.3 s beyond its wait, says so at once; and a search ends when what the host knows is 2.5 s old.

--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -45,6 +45,9 @@
 	// maxRelayDiscovery is the longest time that a starting process waits for the reports of hosts, which name the
 	// relay, before it reads the other topics from the store.
 	maxRelayDiscovery = 500 * time.Millisecond
+	// storeSilence is how long a read of the store may be unanswered, beyond the time that it waits for records, before
+	// hosts that wait for it ask another relay.
+	storeSilence = 300 * time.Millisecond
 	// minOutage is the time without an answer that counts as an outage.
 	minOutage = 1200 * time.Millisecond
 )
@@ -170,11 +173,16 @@
 		if storeBegan.Sub(f.asOf) > maxTopicAge {
 			wait = 0 // other hosts may be waiting for this read
 		}
+		silence := time.AfterFunc(wait+storeSilence, func() { f.g.relays.readFailed(f.topic) })
 		if f.hasSnapshot {
 			page, err = f.g.ports.Store.Read(ctx, f.topic, f.offset, wait)
 		} else {
 			page, err = f.g.ports.Store.Newest(ctx, f.topic)
 		}
+		silence.Stop()
+		if err != nil && !errors.Is(err, port.ErrStoreExpired) {
+			f.g.relays.readFailed(f.topic)
+		}
 		f.g.observeStore("read", began, time.Now(), err)
 		read = feedRead{source: storeSource, began: storeBegan, at: time.Now(), asOf: storeBegan}
 		if f.hasSnapshot && len(page.Records) == 0 && read.at.Sub(storeBegan) >= wait {
@@ -253,7 +261,7 @@
 	if !f.hasSnapshot {
 		from = -1
 	}
-	return f.g.readFromRelay(readRequest{Topic: f.topic, Era: f.era, From: from, Wait: f.pollTimeout, Reads: f.reads}, f.asOf)
+	return f.g.readFromRelay(readRequest{Topic: f.topic, Era: f.era, From: from, Wait: f.pollTimeout, Reads: f.reads}, f.asOf, !f.lostAt.IsZero())
 }
 
 // recordStoreFailure records that a call to the store failed. Only the first failure since the last
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -142,10 +142,56 @@
 	*memoryStore
 	unreachable atomic.Bool
 	calls       atomic.Int64
+	reads       atomic.Int64 // of the calls
 	// stalled holds the topics whose reads get no answer (port.Topic to true).
 	stalled sync.Map
 	// way is what the answers to reads pass through; nil for no delay.
 	way atomic.Pointer[sharedLink]
+
+	mu sync.Mutex
+	// broken is closed while the store resets the connections of the host.
+	broken chan struct{}
+}
+
+// reset makes the store reset all connections of the host, those of calls in progress too, or ends that.
+func (s *hostStore) reset(resets bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case resets:
+		close(s.connection())
+	default:
+		s.broken = nil
+	}
+}
+
+// connection returns the channel that is closed when the host's connections are reset. The caller holds the lock.
+func (s *hostStore) connection() chan struct{} {
+	if s.broken == nil {
+		s.broken = make(chan struct{})
+	}
+	return s.broken
+}
+
+// onConnection returns a context that ends with the host's connections, and ErrStoreUnavailable if they have ended.
+func (s *hostStore) onConnection(ctx context.Context) (context.Context, context.CancelFunc, error) {
+	s.mu.Lock()
+	broken := s.connection()
+	s.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	select {
+	case <-broken:
+		return ctx, cancel, errors.Wrap(port.ErrStoreUnavailable, "connection reset")
+	default:
+	}
+	go func() {
+		select {
+		case <-broken:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel, nil
 }
 
 // answer delivers a page of a topic to the host.
@@ -218,18 +264,30 @@
 
 func (s *hostStore) Newest(ctx context.Context, topic port.Topic) (port.TopicPage, error) {
 	s.calls.Add(1)
+	s.reads.Add(1)
 	if s.unreachable.Load() {
 		return port.TopicPage{}, port.ErrStoreRefused
 	}
+	ctx, cancel, err := s.onConnection(ctx)
+	defer cancel()
+	if err != nil {
+		return port.TopicPage{}, err
+	}
 	page, err := s.memoryStore.Newest(ctx, topic)
 	return s.answer(ctx, topic, page, err)
 }
 
 func (s *hostStore) Read(ctx context.Context, topic port.Topic, from int64, wait time.Duration) (port.TopicPage, error) {
 	s.calls.Add(1)
+	s.reads.Add(1)
 	if s.unreachable.Load() {
 		return port.TopicPage{}, port.ErrStoreRefused
 	}
+	ctx, cancel, err := s.onConnection(ctx)
+	defer cancel()
+	if err != nil {
+		return port.TopicPage{}, err
+	}
 	page, err := s.memoryStore.Read(ctx, topic, from, wait)
 	return s.answer(ctx, topic, page, err)
 }
@@ -239,6 +297,11 @@
 	if s.unreachable.Load() {
 		return port.Position{}, port.ErrStoreRefused
 	}
+	ctx, cancel, err := s.onConnection(ctx)
+	defer cancel()
+	if err != nil {
+		return port.Position{}, err
+	}
 	return s.memoryStore.Append(ctx, topic, at, records...)
 }
 
--- a/gateway/relay.go
+++ b/gateway/relay.go
@@ -203,6 +203,8 @@
 		g.relays.mu.Lock()
 		delete(g.relays.failures, relay.Host)
 		g.relays.mu.Unlock()
+	case err != nil && timeout < relayCallMargin && time.Since(began) >= timeout:
+		// The call was not given the time in which a sound relay answers.
 	case err != nil && g.context().Err() == nil && method != methodTakeQuota && !errors.Is(err, port.ErrPeerRefused):
 		// One slow answer to a call that takes quota does not mean that the relay has failed; the
 		// reads from it detect that.
@@ -300,7 +302,8 @@
 	// last answer to it. It has no records then. Upstream is the host that the relay itself reads through.
 	Stale    bool     `json:"stale,omitempty"`
 	Upstream peerHost `json:"upstream"`
-	// CutOff is set with Stale if the store has refused the relay since it last answered.
+	// CutOff is set with Stale if the store has refused the relay since it last answered, or if the relay's own read of
+	// the topic has failed or is not answered in time.
 	CutOff bool `json:"cut_off,omitempty"`
 	// Reads counts the relay's own reads of the topic.
 	Reads int64 `json:"reads,omitempty"`
@@ -350,8 +353,8 @@
 			}
 			wake = added
 		case reply.Stale:
-			// The read that is under way may be about to end.
-			if wait = req.maxWait(reply.Age, held-reply.Held); wait <= 0 {
+			// The read that is under way may be about to end, unless it has failed or is not answered.
+			if wait = req.maxWait(reply.Age, held-reply.Held); wait <= 0 || reply.CutOff {
 				return g.refuseRead(req, reply)
 			}
 		case !g.canRelay(now):
@@ -375,7 +378,7 @@
 		return nil, errors.Wrapf(errNotRelay, "topic %s as of %v ago", req.Topic, reply.Age)
 	}
 	upstream := g.relayOf(time.Now(), req.Topic)
-	return readReply{Stale: true, CutOff: g.isCutOff(), Era: reply.Era, Age: reply.Age, Held: reply.Held, Upstream: peerHost{upstream.Host, upstream.Peer}}, nil
+	return readReply{Stale: true, CutOff: reply.CutOff || g.isCutOff(), Era: reply.Era, Age: reply.Age, Held: reply.Held, Upstream: peerHost{upstream.Host, upstream.Peer}}, nil
 }
 
 // awaitTopic returns a channel that is closed when a topic is cached that was not, and makes this host a relay
--- a/gateway/relaycache.go
+++ b/gateway/relaycache.go
@@ -23,6 +23,9 @@
 	complete bool
 	// asOf is a time at which the store held nothing after end.
 	asOf time.Time
+	// failing is set while this process's own read of the store has failed, or is unanswered for storeSilence, since the
+	// last page.
+	failing bool
 	// reads counts the pages, also those without records.
 	reads int64
 	// packed holds the compressed records of the replies up to end, by the offset that they were asked
@@ -43,7 +46,7 @@
 	}
 	reply = readReply{Era: cache.era, End: cache.end, Reads: cache.reads, Age: now.Sub(cache.asOf)}
 	if reply.Age > req.maxAge() {
-		reply.Stale = true
+		reply.Stale, reply.CutOff = true, cache.failing
 		return reply, cache.wake
 	}
 	switch {
@@ -132,7 +135,7 @@
 			cache.records = append(cache.records, record)
 		}
 	}
-	cache.end = page.End
+	cache.end, cache.failing = page.End, false
 	cache.reads++
 	if asOf.After(cache.asOf) {
 		cache.asOf = asOf
@@ -150,6 +153,20 @@
 	cache.wake = make(chan struct{})
 }
 
+// readFailed records that this process's own read of a topic has failed or is not answered in time. Hosts whose reads wait
+// for it are answered at once, so that they ask another relay.
+func (s *relayState) readFailed(topic port.Topic) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cache := s.topics[topic]
+	if cache == nil || cache.failing {
+		return
+	}
+	cache.failing = true
+	close(cache.wake)
+	cache.wake = make(chan struct{})
+}
+
 // latestRecords returns the last records, at most maxCount with at most maxBytes of values.
 func latestRecords(records []port.TopicRecord, maxCount, maxBytes int) []port.TopicRecord {
 	first, size := len(records), 0
--- a/gateway/relayread.go
+++ b/gateway/relayread.go
@@ -17,7 +17,14 @@
 	// refuses are not counted, as waiting for them is in vain; after maxCutOffRelays the store is read.
 	maxRelaysAsked  = 3
 	maxCutOffRelays = 6
-	relayPatience   = 2500 * time.Millisecond
+	relayPatience   = maxNewsAge - storeReadReserve
+	// maxNewsAge is the time within which a configuration must be in force and a leaving endpoint be known.
+	// storeReadReserve is the part of it that a host's own read of the store may take. Whatever relays do, a search for
+	// one that serves a read ends when what this host knows is relayPatience old.
+	maxNewsAge       = 3 * time.Second
+	storeReadReserve = 500 * time.Millisecond
+	// minRelayCall is the least time for which a relay is asked.
+	minRelayCall = 100 * time.Millisecond
 	// maxSilentRelays is how many may leave a call unanswered before this host reads the store. A call that fails
 	// within minSilence was answered by the relay's machine: no process listens there.
 	maxSilentRelays = 2
@@ -69,10 +76,13 @@
 
 // readFromRelay reads a topic from the relay or, if that does not serve it, from those that take its place. ok is
 // false when this host has to read the store. asOf is the time as of which this host knows the topic. If the relays
-// know no better, it returns errRelayUnready while this host may wait longer.
-func (g *Gateway) readFromRelay(req readRequest, asOf time.Time) (page port.TopicPage, read feedRead, err error, ok bool) {
+// know no better, it returns errRelayUnready while this host may wait longer. The search has no end if storeFails is set:
+// the store has not answered this host's own last read.
+func (g *Gateway) readFromRelay(req readRequest, asOf time.Time, storeFails bool) (page port.TopicPage, read feedRead, err error, ok bool) {
 	now := time.Now()
 	patient, timeout := now.Sub(asOf) < relayPatience, relayPollTimeout+relayCallMargin
+	bounded := req.From >= 0 && req.Topic != port.TopicHosts && !storeFails
+	wait := req.Wait
 	if req.From < 0 {
 		req.Era = g.latestEra()
 		if patient = now.Sub(g.startedAt) < relayStartPatience; patient {
@@ -87,8 +97,21 @@
 	relay := g.relayOf(now, req.Topic)
 	for first := relay.Host; ; {
 		if relay.Peer == "" {
+			if len(search.tried) > 0 {
+				// This host takes the relay's place. Those that it serves would otherwise serve it what they have from it.
+				g.detour(req.Topic, first, relayDetour{until: time.Now().Add(detourDuration)})
+			}
 			return page, read, nil, false
 		}
+		if bounded {
+			left := time.Until(asOf.Add(relayPatience))
+			if left < minRelayCall {
+				g.logSearchEnd(req.Topic, now, search)
+				return page, read, nil, false
+			}
+			timeout = min(relayPollTimeout+relayCallMargin, left)
+			req.Wait = min(wait, max(0, left-relayCallMargin))
+		}
 		reply = readReply{}
 		read = feedRead{source: relay.Host, began: time.Now()}
 		req.ForRelay = g.relays.isRelaying()
@@ -126,6 +149,16 @@
 	return port.TopicPage{Era: reply.Era, Records: records, End: reply.End}, read, nil, true
 }
 
+// logSearchEnd logs that this host reads the store, as what it knows of a topic has become too old in a search for a relay.
+func (g *Gateway) logSearchEnd(topic port.Topic, began time.Time, s relaySearch) {
+	if len(s.tried) == 0 {
+		return
+	}
+	g.metrics.stateChanges.WithLabelValues("relay_search_ended").Inc()
+	g.log.Info().Str("event", "relay_search_ended").Str("topic", string(topic)).Strs("tried", s.tried).
+		Int("refused", s.refused).Int("cut_off", s.cutOff).Int("silent", s.silent).Dur("after", time.Since(began)).Msg("")
+}
+
 // detour makes this host read a topic by a detour, unless the relay chosen has failed: then another is chosen in its
 // place.
 func (g *Gateway) detour(topic port.Topic, chosen string, d relayDetour) {
