headroom: every host tells one bound of each service

Cause, one of two: a host tells what an endpoint said only if no other tells what is later. Statements of others are dated by when their reports arrive, so of two hosts each takes the other's for later and both are silent; and the host that heard last may end. In the scene of the test none of nine hosts told a bound at the moment looked at.

Change: a statement yields only to one that is later by more than a report takes; of like ones of the same time the first host's by name is told. Every host tells one bound of each service, whatever others tell.

Result: the rows of the tests of headroom and "the three hosts that heard last start anew" failed before.

--- a/gateway/brittle_test.go
+++ b/gateway/brittle_test.go
@@ -47,6 +47,35 @@
 	return int(answered.Load()), sent
 }
 
+// leaveOut has requests sent to the first n hosts alone, until putBack. It returns the others.
+func (tp *testPlatform) leaveOut(n int) (others []*Gateway) {
+	tp.hostsMu.Lock()
+	defer tp.hostsMu.Unlock()
+	others = slices.Clone(tp.hosts[n:])
+	tp.hosts = tp.hosts[:n:n]
+	return others
+}
+
+func (tp *testPlatform) putBack(others []*Gateway) {
+	tp.hostsMu.Lock()
+	defer tp.hostsMu.Unlock()
+	tp.hosts = append(tp.hosts, others...)
+}
+
+// restartHosts ends the first n hosts and starts them anew.
+func (tp *testPlatform) restartHosts(t *testing.T, n int) {
+	tp.hostsMu.Lock()
+	old := slices.Clone(tp.hosts[:n])
+	tp.hosts = tp.hosts[n:]
+	tp.hostsMu.Unlock()
+	for _, g := range old {
+		g.tomb.Kill(nil)
+		o := g.opts
+		o.Incarnation = "2"
+		tp.startHost(t, o)
+	}
+}
+
 // brittleDay is a load pattern on endpoints that become brittle.
 type brittleDay struct {
 	endpoints, slots int
@@ -136,16 +165,23 @@
 		"three hosts start anew": with(calls, func(d *brittleDay) {
 			d.bears = 1
 			d.during = func(t *testing.T, tp *testPlatform) {
-				tp.hostsMu.Lock()
-				old := slices.Clone(tp.hosts[:3])
-				tp.hosts = tp.hosts[3:]
-				tp.hostsMu.Unlock()
-				for _, g := range old {
-					g.tomb.Kill(nil)
-					o := g.opts
-					o.Incarnation = "2"
-					tp.startHost(t, o)
+				tp.restartHosts(t, 3)
+				time.Sleep(500 * time.Millisecond)
+			}
+		}),
+		"the three hosts that heard last start anew": with(calls, func(d *brittleDay) {
+			d.bears = 1
+			d.during = func(t *testing.T, tp *testPlatform) {
+				others := tp.leaveOut(3)
+				tp.sendCalls(t, d.route, d.perSecond, time.Second)
+				tp.putBack(others)
+				time.Sleep(2 * time.Second) // the others read that these heard last
+				for _, g := range others {
+					if len(g.headroom.Heard()) == 0 {
+						t.Errorf("host %s reports no bound, expected one that it heard", g.opts.Host)
+					}
 				}
+				tp.restartHosts(t, 3)
 				time.Sleep(500 * time.Millisecond)
 			}
 		}),
--- a/headroom/headroom.go
+++ b/headroom/headroom.go
@@ -79,9 +79,10 @@
 	service   string
 	own       Work
 	lingering []lingering
-	// heard is what the endpoint said to this host, told the newest of what other hosts report. Both are zero
-	// for nothing.
+	// heard is what the endpoint said to this host, told the newest of what other hosts report, and teller the host
+	// that reports it. Both statements are zero for nothing.
 	heard, told Statement
+	teller      string
 	pausedUntil time.Time
 	listedAt    time.Time
 	// ranks are the hosts' ranks at this endpoint, shares this host's shares for a size and a bound, as of view.
@@ -195,7 +196,7 @@
 		}
 		r.expire(now)
 		before := r.statement()
-		r.told = told[id].Statement
+		r.told, r.teller = told[id].Statement, told[id].Peer
 		if r.heardIsOver(now) {
 			r.heard = Statement{}
 		}
@@ -210,22 +211,44 @@
 	return changes
 }
 
-// Heard returns what endpoints said to this host, if nothing newer is known.
+// Heard returns what this host tells the others: what endpoints said to it, unless another host tells what is later,
+// and of each service whose endpoints name bounds one statement in any case. So a host that starts learns of a bound
+// whichever host has ended.
 func (t *Table) Heard() map[string]Statement {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out map[string]Statement
+	out := map[string]Statement{}
+	newest := map[string]string{} // by service, the endpoint that last named a bound to this host
 	for id, r := range t.rows {
-		if !r.heard.At.IsZero() && r.statement() == r.heard {
-			if out == nil {
-				out = map[string]Statement{}
-			}
+		if r.heard.At.IsZero() {
+			continue
+		}
+		if !r.superseded(t.host) {
 			out[id] = r.heard
 		}
+		listed := !r.listedAt.Before(t.viewedAt)
+		if !listed || !r.heard.Bounded || !r.statement().Bounded {
+			continue
+		}
+		if other, ok := newest[r.service]; !ok || r.heard.At.After(t.rows[other].heard.At) {
+			newest[r.service] = id
+		}
+	}
+	for _, id := range newest {
+		out[id] = t.rows[id].heard
 	}
 	return out
 }
 
+// superseded reports whether host need not tell what it heard, as another one tells what is later. Statements of others
+// are dated by when their reports arrive. So each of two hosts may take the other's for later: of those that may be of
+// the same time and are alike, the first host's by name is told.
+func (r *row) superseded(host string) bool {
+	later := r.told.At.Sub(r.heard.At)
+	alike := r.told.Bounded == r.heard.Bounded && r.told.PerSecond == r.heard.PerSecond
+	return later > maxViewAge || later > 0 && alike && r.teller < host
+}
+
 // Bound returns how many rejections a second an endpoint bears; ok is false if it has not said so.
 func (t *Table) Bound(e Endpoint) (perSecond int, ok bool) {
 	t.mu.Lock()
--- a/headroom/headroom_test.go
+++ b/headroom/headroom_test.go
@@ -357,6 +357,54 @@
 	is.True(bounded)
 }
 
+// TestStartingHostLearnsBounds guards against a host that starts, reads the reports of all others, and finds no bound in
+// them although each of these has heard one: each leaves out what another host has heard later.
+func TestStartingHostLearnsBounds(t *testing.T) {
+	e := Endpoint{ID: "e", Service: "api", Slots: 6}
+	for name, tc := range map[string]struct {
+		delay time.Duration // by how much newer a statement seems to the others, as reports take time
+		ended string
+	}{
+		"the host that heard last has ended":       {0, "h2"},
+		"reports take longer than between answers": {time.Second, ""},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHosts(3)
+			for i, host := range h.names {
+				h.tables[host].State(e, Statement{true, 1, start.Add(time.Duration(i) * time.Millisecond)})
+			}
+			reports := func(reader string) (peers []Peer) {
+				for _, host := range h.names {
+					if host == reader || host == tc.ended && reader == "new" {
+						continue
+					}
+					p := Peer{Host: host, Statements: map[string]Statement{}}
+					for id, s := range h.tables[host].Heard() {
+						p.Statements[id] = Statement{s.Bounded, s.PerSecond, s.At.Add(tc.delay)}
+					}
+					peers = append(peers, p)
+				}
+				return peers
+			}
+			views := map[string][]Peer{}
+			for _, host := range h.names {
+				views[host] = reports(host)
+			}
+			now := start.Add(time.Second)
+			for host, peers := range views {
+				h.tables[host].SetView(now, peers, listed)
+			}
+			started := NewTable("new")
+			started.SetView(now, reports("new"), listed)
+			perSecond, bounded := started.Bound(e)
+			is.True(bounded)
+			is.Equal(perSecond, 1)
+			is.True(!started.Allows(now, e, Work{Requests: 1})) // it has no share yet
+		})
+	}
+}
+
 // TestGivenUp: a request that was given up counts until its endpoint has noticed.
 func TestGivenUp(t *testing.T) {
 	is := is.New(t)
