gateway: reports are applied again once the registry is known

Cause: a host reads the reports of others first and the registry after them, and drops what reports tell of endpoints that are not listed. So a host that starts served without a bound or a limit until it read the reports again.

Change: the limits and rejections that reports tell are applied again when the registry has been read for the first time, before the host serves.

Result: TestStartingHostLearnsBoundsBeforeItServes and, for limits on the same path, TestStartingHostLearnsLimitsBeforeItServes failed before.

--- a/gateway/brittle_test.go
+++ b/gateway/brittle_test.go
@@ -267,6 +267,40 @@
 	}
 }
 
+// TestStartingHostLearnsBoundsBeforeItServes guards against a host that reads the registry after the reports of others,
+// and takes no account of what these tell of its endpoints until it reads them again.
+func TestStartingHostLearnsBoundsBeforeItServes(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tp := newTestPlatform()
+		tp.publish(endpoint("1", "api"))
+		e := newBrittleEndpoints(1, 6, 24, 0, func(*port.Forward) time.Duration { return time.Millisecond })
+		tp.endpoints.respond = e.respond
+		e.name()
+		running := tp.startHost(t, testOptions("a"))
+		time.Sleep(3 * time.Second)
+		is.Equal(sendRequest(t.Context(), running, "1", "get").status, http.StatusOK)
+		time.Sleep(2 * time.Second) // it reports the bound
+
+		tp.store.setFail(func(_ string, topic port.Topic) error {
+			if topic == port.TopicEndpoints {
+				return port.ErrStoreUnavailable
+			}
+			return nil
+		})
+		started := tp.startHost(t, testOptions("b"))
+		time.Sleep(100 * time.Millisecond)
+		tp.store.setFail(nil)
+		for !started.hasEndpoints.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		_, bounded := started.headroom.Bound(headroom.Endpoint{ID: "1", Service: "api"})
+		is.True(bounded)
+		is.Equal(sendRequest(t.Context(), started, "2", "get").status, http.StatusServiceUnavailable) // it has no share yet
+	})
+}
+
 // TestNothingIsBrittle: while no endpoint has named a bound, endpoints are chosen as the placement alone chooses, however
 // many requests they have, and nobody waits or is refused.
 func TestNothingIsBrittle(t *testing.T) {
--- a/gateway/feeds.go
+++ b/gateway/feeds.go
@@ -373,6 +373,11 @@
 			} else {
 				g.handleEndpointChanges(read, g.fleet.Replace(now, listed)...)
 			}
+			if !g.hasEndpoints.Load() && g.lineage.hostsRead.Load() {
+				// The reports named endpoints that were not listed yet.
+				g.receiveLimits(now, g.presence.Live())
+				g.receiveRejections(now)
+			}
 			g.hasEndpoints.Store(true)
 		},
 		onRecords: func(read feedRead, records []port.TopicRecord) {
--- a/gateway/limit_test.go
+++ b/gateway/limit_test.go
@@ -154,3 +154,44 @@
 		is.True(served <= 35) // what the platform allows: 30, and 5
 	})
 }
+
+// TestStartingHostLearnsLimitsBeforeItServes guards against a host that reads the registry after the reports of others,
+// and sends more than its part of a limit until it reads these again.
+func TestStartingHostLearnsLimitsBeforeItServes(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		is := is.New(t)
+		tp := newTestPlatform()
+		tp.publish(endpoint("1", "api"))
+		e := &limitedEndpoints{limits: map[string]float64{"1": 4}, arrivals: map[string][]time.Time{}}
+		tp.endpoints.respond = func(ctx context.Context, f *port.Forward, n int) (*port.Reply, error) {
+			reply, err := e.respond(ctx, f, n)
+			time.Sleep(150 * time.Millisecond)
+			return reply, err
+		}
+		running := tp.startHost(t, testOptions("a"))
+		time.Sleep(3 * time.Second)
+		is.Equal(sendRequest(t.Context(), running, "1", "get").status, http.StatusOK)
+		time.Sleep(2 * time.Second) // it reports the limit
+
+		tp.store.setFail(func(_ string, topic port.Topic) error {
+			if topic == port.TopicEndpoints {
+				return port.ErrStoreUnavailable
+			}
+			return nil
+		})
+		started := tp.startHost(t, testOptions("b"))
+		time.Sleep(100 * time.Millisecond)
+		tp.store.setFail(nil)
+		for !started.hasEndpoints.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		began := time.Now()
+		var wg sync.WaitGroup
+		for n := range 10 {
+			wg.Go(func() { sendRequest(t.Context(), started, fmt.Sprint("b", n), "get") })
+		}
+		wg.Wait()
+		is.True(e.mostIn("1", 200*time.Millisecond, began) <= 1)
+	})
+}
