node, gateway: tests receive from no timer that has fired already

Cause: runtime.(*timer).unlockAndRun runs a timer of a synctest bubble in the one race context of the bubble. A goroutine that receives from a timer which has fired already runs it by itself (maybeRunChan), so two goroutines of a bubble use one context at the same time. The stack of the SIGSEGV shows this below node.pause, with a wait of 0. Eight goroutines that receive from timers of 0 s break 5 of 5 runs in a bubble; none of 5 outside of it, none of 5 with timers of 1 ns.

Change: the stand-ins of the tests make no timer when they are not to wait. No check, no bound and no product code changes.

--- a/gateway/brittle_endpoints_test.go
+++ b/gateway/brittle_endpoints_test.go
@@ -147,7 +147,7 @@
 	}
 	var err error
 	select {
-	case <-time.After(e.work(f)):
+	case <-afterDelay(e.work(f)):
 	case <-fell:
 		err = errors.Wrap(port.ErrBroken, "fell over")
 	case <-ctx.Done():
--- a/gateway/harness_test.go
+++ b/gateway/harness_test.go
@@ -249,7 +249,7 @@
 	next := l.delay
 	for left := float64(size); ; next = step {
 		select {
-		case <-time.After(next):
+		case <-afterDelay(next):
 		case <-ctx.Done():
 			return ctx.Err()
 		}
@@ -320,7 +320,7 @@
 }
 
 func (s *memoryStore) Read(ctx context.Context, topic port.Topic, from int64, wait time.Duration) (port.TopicPage, error) {
-	timeout := time.After(wait)
+	timeout := afterDelay(wait)
 	for {
 		if err := s.failure("read", topic); err != nil {
 			return port.TopicPage{}, err
@@ -447,6 +447,17 @@
 	return r
 }
 
+// afterDelay is time.After, but makes no timer if d is not positive: the race detector's runtime ends the process when two
+// goroutines of a synctest bubble receive from timers that have fired already at the same time.
+func afterDelay(d time.Duration) <-chan time.Time {
+	if d > 0 {
+		return time.After(d)
+	}
+	now := make(chan time.Time, 1)
+	now <- time.Now()
+	return now
+}
+
 // streamBody returns events one by one, then err.
 type streamBody struct {
 	ctx    context.Context
@@ -460,7 +471,7 @@
 		return 0, b.err
 	}
 	select {
-	case <-time.After(b.pause):
+	case <-afterDelay(b.pause):
 	case <-b.ctx.Done():
 		return 0, errors.Wrap(port.ErrBroken, "closed")
 	}
--- a/gateway/latecall_test.go
+++ b/gateway/latecall_test.go
@@ -25,7 +25,7 @@
 	a.calls.Add(1)
 	err := error(nil)
 	select {
-	case <-time.After(a.takes):
+	case <-afterDelay(a.takes):
 	case <-ctx.Done():
 		err = port.ErrLeaderAPIUnavailable
 	}
--- a/gateway/silence_test.go
+++ b/gateway/silence_test.go
@@ -26,7 +26,7 @@
 func (b *silentBody) Read(p []byte) (int, error) {
 	if b.before == 0 {
 		select {
-		case <-time.After(b.silence):
+		case <-afterDelay(b.silence):
 		case <-b.ctx.Done():
 			return 0, port.ErrBroken
 		}
@@ -104,7 +104,7 @@
 		sounds := f.Endpoint != first // goes on without a pause
 		if !sounds && before < 0 {
 			select {
-			case <-time.After(silence):
+			case <-afterDelay(silence):
 			case <-ctx.Done():
 				return nil, port.ErrBroken
 			}
--- a/gateway/soundpause_test.go
+++ b/gateway/soundpause_test.go
@@ -27,7 +27,7 @@
 func (b *pausingBody) Read(p []byte) (int, error) {
 	if b.before == 0 {
 		select {
-		case <-time.After(b.long):
+		case <-afterDelay(b.long):
 		case <-b.ctx.Done():
 			return 0, port.ErrBroken
 		}
--- a/gateway/stopping_test.go
+++ b/gateway/stopping_test.go
@@ -83,7 +83,7 @@
 					}
 					_ = f.Sending()
 					select {
-					case <-time.After(takes):
+					case <-afterDelay(takes):
 						return completeReply(f, 200, "done"), nil
 					case <-ctx.Done():
 						return nil, context.Cause(ctx)
@@ -106,7 +106,7 @@
 						stop := g.LimitBody(arrived, req, func(at time.Time) { time.AfterFunc(time.Until(at), func() { close(late) }) })
 						defer stop()
 						select {
-						case <-time.After(tc.upload):
+						case <-afterDelay(tc.upload):
 						case <-late:
 							judge(&recorder{status: 503, problem: StoppingProblem()})
 							return
--- a/gateway/stoppingload_test.go
+++ b/gateway/stoppingload_test.go
@@ -45,7 +45,7 @@
 	select {
 	case e.slots <- struct{}{}:
 		defer func() { <-e.slots }()
-	case <-time.After(time.Until(f.Deadline)):
+	case <-afterDelay(time.Until(f.Deadline)):
 		return declinedReply(f), nil
 	case <-ctx.Done():
 		return nil, context.Cause(ctx)
@@ -64,7 +64,7 @@
 		return streamReply(ctx, f, io.EOF, takes, events(1, 15)...), nil
 	}
 	select {
-	case <-time.After(takes):
+	case <-afterDelay(takes):
 		return completeReply(f, http.StatusOK, "done"), nil
 	case <-ctx.Done():
 		return nil, context.Cause(ctx)
--- a/node/harness_test.go
+++ b/node/harness_test.go
@@ -48,10 +48,18 @@
 }
 
 func (c *fakeCloud) Notices(ctx context.Context, _ int64, wait time.Duration) ([]port.Notice, error) {
-	pause(ctx, wait)
+	delay(ctx, wait)
 	return nil, nil
 }
 
+// delay waits for d or until ctx has ended. Without a delay it makes no timer: the race detector's runtime ends the process
+// when two goroutines of a synctest bubble receive from timers that have fired already at the same time.
+func delay(ctx context.Context, d time.Duration) {
+	if d > 0 {
+		pause(ctx, d)
+	}
+}
+
 // fakeServices records the calls of a plain service.
 type fakeServices struct {
 	mu    sync.Mutex
@@ -211,7 +219,7 @@
 func (l *claimLog) Append(ctx context.Context, data []byte) (int64, error) {
 	d := time.Duration(l.claimDelay.Load())
 	if d == 0 || !bytes.Contains(data, []byte(`"kind":"claim"`)) {
-		pause(ctx, time.Duration(l.otherDelay.Load()))
+		delay(ctx, time.Duration(l.otherDelay.Load()))
 		return l.Log.Append(ctx, data)
 	}
 	done := make(chan int64, 1)
--- a/node/quarantine_test.go
+++ b/node/quarantine_test.go
@@ -24,7 +24,7 @@
 
 // Read implements port.Log.
 func (downLog) Read(ctx context.Context, _ int64, _ int, wait time.Duration) (port.Page, error) {
-	pause(ctx, wait)
+	delay(ctx, wait)
 	return port.Page{}, port.ErrLogUnavailable
 }
 
